--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurement, fuzzing and the local run. Private to this repository. */
+export {}
--- /dev/null
+++ b/packages/core/src/contracts/changeRules.ts
@@ -0,0 +1,159 @@
+/**
+ * Who may change what. The team may change everything; a customer's staff may amend their own contract
+ * within the bounds the team set, and drain endpoints as long as enough others stay in service.
+ */
+import type { CodedError, Contract, ContractRecord, CustomerId, EndpointId, EndpointInfo, EndpointOrder, Fleet, Settings } from '@cranberryyard/protocol'
+import { codedError, contractSchema } from '@cranberryyard/protocol'
+import { Result } from 'true-myth'
+import { Chart } from '../utils/chart.js'
+import type { Change } from '../instance/types.js'
+import type { Actor } from './types.js'
+
+/** Part of the endpoints that must stay active when a customer's staff drain one. */
+const STAFF_ACTIVE_SHARE_MIN = 0.75
+
+/** Sections of a contract that only the team may change. */
+const TEAM_SECTIONS = ['customer', 'team', 'weight', 'bounds', 'staff'] as const
+
+const orderChart = new Chart<EndpointOrder, 'drain' | 'stop' | 'resume'>('endpointOrder')
+const ORDER_EVENT = { active: 'resume', draining: 'drain', stopped: 'stop' } as const
+
+/**
+ * Finds who a key belongs to.
+ * @param keyHash - hash of the key presented
+ * @param teamKeys - team operators from the settings
+ * @param fleet - contracts with their staff
+ * @returns the actor, or undefined for an unknown key
+ */
+export function findActor (keyHash: string, teamKeys: Settings['operators']['teamKeys'], fleet: Fleet): Actor | undefined {
+  const team = teamKeys.find(k => k.keyHash === keyHash)
+  if (team !== undefined) return { type: 'team', name: team.name }
+  for (const { contract } of fleet.contracts) {
+    const staff = contract.staff.find(s => s.keyHash === keyHash)
+    if (staff !== undefined) return { type: 'staff', name: staff.name, customer: contract.customer as CustomerId }
+  }
+  return undefined
+}
+
+/**
+ * Names an actor in the audit trail.
+ * @param actor - who
+ * @returns `team/<name>` or `<customer>/<name>`
+ */
+export const actorName = (actor: Actor): string => actor.type === 'team' ? `team/${actor.name}` : `${actor.customer}/${actor.name}`
+
+/**
+ * Checks a contract change.
+ * @param fleet - the value it applies to
+ * @param change - the new contract and the revision it was planned on
+ * @param actor - who asks
+ * @returns the checked contract, or why not
+ */
+export function checkContractChange (fleet: Fleet, change: Extract<Change, { type: 'contract' }>, actor: Actor): Result<Contract, CodedError> {
+  const parsed = contractSchema.safeParse(change.contract)
+  if (!parsed.success) return Result.err(invalidContract(parsed.error.issues[0]))
+  const contract = parsed.data
+  const current = findContract(fleet, contract.customer)
+  const denied = checkMayChange(actor, contract, current)
+  if (denied !== undefined) return Result.err(denied)
+  const clash = checkKeysUnique(fleet, contract)
+  if (clash !== undefined) return Result.err(clash)
+  const actual = current?.revision ?? 0
+  if (actual !== change.expectedRevision) {
+    return Result.err(codedError('revisionConflict', `planned on revision ${change.expectedRevision}, but revision ${actual} is current`, 'expectedRevision'))
+  }
+  return Result.ok(contract)
+}
+
+function invalidContract (issue: { readonly path: readonly PropertyKey[], readonly message: string } | undefined): CodedError {
+  const field = issue?.path.map(String).join('.') ?? ''
+  const name = field === 'customer' ? 'invalidName' : 'invalidContract'
+  return codedError(name, issue?.message ?? 'invalid', field)
+}
+
+function checkMayChange (actor: Actor, contract: Contract, current: ContractRecord | undefined): CodedError | undefined {
+  const over = overBound(contract)
+  if (actor.type === 'team') return over
+  if (actor.customer !== contract.customer) return codedError('notPermitted', `staff of ${actor.customer} may not change ${contract.customer}`)
+  if (current === undefined) return codedError('notPermitted', 'only the team creates contracts')
+  const fixed = TEAM_SECTIONS.find(s => JSON.stringify(contract[s]) !== JSON.stringify(current.contract[s]))
+  if (fixed !== undefined) return codedError('notPermitted', `only the team changes ${fixed}`, fixed)
+  return over
+}
+
+function overBound ({ limits, bounds }: Contract): CodedError | undefined {
+  const keys = ['running', 'startsPerSecond', 'queued'] as const
+  const over = keys.find(k => limits[k] > bounds[k])
+  if (over === undefined) return undefined
+  return codedError('outOfBounds', `${limits[over]} is above the bound ${bounds[over]}`, `limits.${over}`)
+}
+
+/** A key names one customer; the same hash in two contracts would make a caller ambiguous. */
+function checkKeysUnique (fleet: Fleet, contract: Contract): CodedError | undefined {
+  const others = fleet.contracts.filter(r => r.contract.customer !== contract.customer)
+  const taken = new Set(others.flatMap(r => [...r.contract.callers, ...r.contract.staff]).map(k => k.keyHash))
+  const clash = [...contract.callers, ...contract.staff].find(k => taken.has(k.keyHash))
+  return clash === undefined ? undefined : codedError('invalidContract', 'a key hash is in use by another contract', clash.name)
+}
+
+/**
+ * Checks an order for an endpoint.
+ * @param fleet - the value it applies to
+ * @param change - endpoint and order
+ * @param actor - who asks
+ * @param known - endpoints in the platform's list
+ * @returns the order, or why not
+ */
+export function checkEndpointChange (
+  fleet: Fleet,
+  change: Extract<Change, { type: 'endpoint' }>,
+  actor: Actor,
+  known: readonly EndpointInfo[]
+): Result<EndpointOrder, CodedError> {
+  const info = known.find(e => e.id === change.endpoint)
+  const record = fleet.endpoints.find(e => e.endpoint === change.endpoint)
+  if (info === undefined && record === undefined) return Result.err(codedError('unknownEndpoint', `no endpoint ${change.endpoint}`))
+  const next = orderChart.next(record?.order ?? 'active', ORDER_EVENT[change.order])
+  if (next === undefined) return Result.err(codedError('invalidTransition', `${record?.order ?? 'active'} cannot become ${change.order}`))
+  const active = known.filter(e => e.id !== change.endpoint && orderOf(fleet, e.id) === 'active')
+  if (actor.type === 'staff') {
+    const denied = checkStaffOrder(change, actor, record, active.length, known.length)
+    if (denied !== undefined) return Result.err(denied)
+  }
+  if (next !== 'active' && !change.force && info !== undefined && !active.some(e => covers(e, info))) {
+    return Result.err(codedError('lastEndpoint', `${change.endpoint} is the last active endpoint of its size`))
+  }
+  return Result.ok(next)
+}
+
+function checkStaffOrder (
+  change: Extract<Change, { type: 'endpoint' }>,
+  actor: Extract<Actor, { type: 'staff' }>,
+  record: { readonly by: string } | undefined,
+  activeWithout: number,
+  total: number
+): CodedError | undefined {
+  if (change.force) return codedError('notPermitted', 'only the team may force')
+  switch (change.order) {
+    case 'stopped':
+      return codedError('notPermitted', 'only the team stops endpoints')
+    case 'draining':
+      return activeWithout >= total * STAFF_ACTIVE_SHARE_MIN ? undefined : codedError('notPermitted', 'too few endpoints would stay active')
+    case 'active':
+      return record === undefined || record.by.startsWith(`${actor.customer}/`) ? undefined : codedError('notPermitted', `${record.by} gave the present order`)
+  }
+}
+
+function covers (big: EndpointInfo, small: EndpointInfo): boolean {
+  return big.cores >= small.cores && big.memoryMb >= small.memoryMb && big.accelerators >= small.accelerators
+}
+
+/** @returns the operators' order for an endpoint; active unless told otherwise */
+export function orderOf (fleet: Fleet, endpoint: EndpointId): EndpointOrder {
+  return fleet.endpoints.find(e => e.endpoint === endpoint)?.order ?? 'active'
+}
+
+/** @returns a customer's contract record, if there is one */
+export function findContract (fleet: Fleet, customer: string): ContractRecord | undefined {
+  return fleet.contracts.find(r => r.contract.customer === customer)
+}
--- /dev/null
+++ b/packages/core/src/contracts/mutations.ts
@@ -0,0 +1,134 @@
+/**
+ * Applies changes to the fleet value, without I/O. A change and its audit entry are made in the same step.
+ */
+import type { CodedError, Contract, CustomerId, Fleet, RosterEntry, RosterRemoval } from '@cranberryyard/protocol'
+import { codedError } from '@cranberryyard/protocol'
+import { Result } from 'true-myth'
+import type { Change, ChangeRequest } from '../instance/types.js'
+import { appendAudit, trimAudit } from './auditChain.js'
+import { actorName, checkContractChange, checkEndpointChange, findContract, orderOf } from './changeRules.js'
+import type { Mutation, MutationWorld } from './types.js'
+
+/** Removals are remembered for this many versions; every instance adopts well within them. */
+const REMOVALS_KEPT = 64
+
+/**
+ * Applies one mutation.
+ * @param fleet - the present value
+ * @param mutation - what to change
+ * @param world - what else the rules need
+ * @returns the same object when nothing changes, the next value, or why not; the version is left to the caller
+ */
+export function applyMutation (fleet: Fleet, mutation: Mutation, world: MutationWorld): Result<Fleet, CodedError> {
+  switch (mutation.type) {
+    case 'join': return Result.ok(join(fleet, mutation.entry, mutation.predecessorWaitMs))
+    case 'remove': return Result.ok(remove(fleet, mutation))
+    case 'archived': return Result.ok({ ...fleet, audit: trimAudit(fleet.audit, mutation.through) })
+    case 'change': return applyChange(fleet, mutation, world)
+  }
+}
+
+/**
+ * Tells whether a change already stands in the audit trail.
+ * @param fleet - the value
+ * @param request - the change
+ * @returns its entry, if any
+ */
+export function findChange (fleet: Fleet, request: Pick<ChangeRequest, 'changeId'>): Fleet['audit']['entries'][number] | undefined {
+  return fleet.audit.entries.find(e => e.changeId === request.changeId)
+}
+
+function join (fleet: Fleet, entry: RosterEntry, predecessorWaitMs: number): Fleet {
+  const { entries } = fleet.roster
+  if (entries.some(e => e.holder === entry.holder)) return fleet
+  const version = fleet.version + 1
+  const predecessors = entries.filter(e => e.instance === entry.instance)
+  const removals = predecessors.map(e => ({ holder: e.holder, failureDomain: e.failureDomain, version, waitMs: predecessorWaitMs }) as RosterRemoval)
+  const kept = entries.filter(e => e.instance !== entry.instance)
+  return withEntries(fleet, [...kept, { ...entry, joinedVersion: version }], removals)
+}
+
+function remove (fleet: Fleet, mutation: Extract<Mutation, { type: 'remove' }>): Fleet {
+  const { entries } = fleet.roster
+  if (!entries.some(e => e.holder === mutation.holder)) return fleet
+  const { holder, failureDomain, waitMs } = mutation
+  const removal = { holder, failureDomain, version: fleet.version + 1, waitMs }
+  return withEntries(fleet, entries.filter(e => e.holder !== holder), [removal])
+}
+
+function withEntries (fleet: Fleet, entries: readonly RosterEntry[], removals: readonly RosterRemoval[]): Fleet {
+  const { roster } = fleet
+  const kept = [...roster.removals, ...removals].slice(-REMOVALS_KEPT)
+  const sorted = [...entries].sort((a, b) => a.holder < b.holder ? -1 : 1)
+  return { ...fleet, roster: { epoch: roster.epoch + 1, entries: sorted, previousEntries: roster.entries, removals: kept } }
+}
+
+function applyChange (fleet: Fleet, mutation: Extract<Mutation, { type: 'change' }>, world: MutationWorld): Result<Fleet, CodedError> {
+  const { request } = mutation
+  const earlier = findChange(fleet, request)
+  if (earlier !== undefined) return sameChange(earlier, mutation) ? Result.ok(fleet) : Result.err(codedError('changeReplayed', `change id ${request.changeId} was used for another change`))
+  switch (request.change.type) {
+    case 'contract': return applyContract(fleet, mutation, request.change)
+    case 'endpoint': return applyOrder(fleet, mutation, request.change, world)
+  }
+}
+
+/** A resent change has the same author and result; anything else under its id is a replay. */
+function sameChange (earlier: Fleet['audit']['entries'][number], mutation: Extract<Mutation, { type: 'change' }>): boolean {
+  const { change } = mutation.request
+  if (earlier.by !== actorName(mutation.actor)) return false
+  if (change.type !== earlier.subject.type) return false
+  if (change.type === 'contract' && earlier.subject.type === 'contract') {
+    return earlier.subject.customer === change.contract.customer && earlier.subject.revision === change.expectedRevision + 1
+  }
+  return change.type === 'endpoint' && earlier.subject.type === 'endpoint' && earlier.subject.endpoint === change.endpoint
+}
+
+function applyContract (fleet: Fleet, mutation: Extract<Mutation, { type: 'change' }>, change: Extract<Change, { type: 'contract' }>): Result<Fleet, CodedError> {
+  return checkContractChange(fleet, change, mutation.actor).map((contract) => {
+    const current = findContract(fleet, contract.customer)
+    const { before, after } = changedSections(current?.contract, contract)
+    if (current !== undefined && after === '{}') return fleet
+    const revision = (current?.revision ?? 0) + 1
+    const others = fleet.contracts.filter(r => r.contract.customer !== contract.customer)
+    const contracts = [...others, { revision, contract }].sort((a, b) => a.contract.customer < b.contract.customer ? -1 : 1)
+    const subject = { type: 'contract', customer: contract.customer as CustomerId, revision } as const
+    return { ...fleet, contracts, audit: auditOf(fleet, mutation, { subject, before, after }) }
+  })
+}
+
+function applyOrder (
+  fleet: Fleet,
+  mutation: Extract<Mutation, { type: 'change' }>,
+  change: Extract<Change, { type: 'endpoint' }>,
+  world: MutationWorld
+): Result<Fleet, CodedError> {
+  return checkEndpointChange(fleet, change, mutation.actor, world.endpoints).map((order) => {
+    const before = orderOf(fleet, change.endpoint)
+    if (before === order) return fleet
+    const others = fleet.endpoints.filter(e => e.endpoint !== change.endpoint)
+    const record = { endpoint: change.endpoint, order, by: actorName(mutation.actor), at: mutation.at, reason: mutation.request.reason }
+    const subject = { type: 'endpoint', endpoint: change.endpoint } as const
+    const audit = auditOf(fleet, mutation, { subject, before, after: order })
+    return { ...fleet, endpoints: [...others, record], audit }
+  })
+}
+
+type Changed = Pick<Fleet['audit']['entries'][number], 'subject' | 'before' | 'after'>
+
+function auditOf (fleet: Fleet, mutation: Extract<Mutation, { type: 'change' }>, changed: Changed): Fleet['audit'] {
+  const { request, actor, at, instance } = mutation
+  return appendAudit(fleet.audit, { changeId: request.changeId, by: actorName(actor), at, instance, reason: request.reason, ...changed })
+}
+
+/**
+ * Lists the sections of a contract that differ, as JSON.
+ * @param before - the contract before, if any
+ * @param after - the contract after
+ * @returns both sides, only with the sections that differ
+ */
+export function changedSections (before: Contract | undefined, after: Contract): { before: string, after: string } {
+  const keys = (Object.keys(after) as (keyof Contract)[]).filter(k => JSON.stringify(before?.[k]) !== JSON.stringify(after[k]))
+  const pick = (contract: Contract): string => JSON.stringify(Object.fromEntries(keys.map(k => [k, contract[k]])))
+  return { before: before === undefined ? 'null' : pick(before), after: pick(after) }
+}
--- /dev/null
+++ b/packages/core/src/fairness/types.ts
@@ -0,0 +1,14 @@
+/**
+ * Types of the fairness decision.
+ */
+import type { CustomerId } from '@cranberryyard/protocol'
+
+/** A job waiting for starts. */
+export interface QueuedJob {
+  readonly customer: CustomerId
+  /** Expected work of the whole job in slot milliseconds. */
+  readonly workMs: number
+  readonly weight: number
+  /** @returns number of tasks that still wait for a start */
+  waiting (): number
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,18 @@
+/**
+ * Public surface of core: one instance's decisions behind `Instance.handle`, and the pure rules that the command
+ * line shares. Nothing here does I/O.
+ */
+export { Instance } from './instance/instance.js'
+export type { InstanceOptions } from './instance/instance.js'
+export type * from './instance/types.js'
+export type * from './instance/status.js'
+export { COUNTERS } from './instance/context.js'
+export { applyMutation, changedSections, findChange } from './contracts/mutations.js'
+export { findActor, actorName, findContract, orderOf } from './contracts/changeRules.js'
+export { findBrokenEntry, auditHash } from './contracts/auditChain.js'
+export type { Actor, Mutation } from './contracts/types.js'
+export { CHART_NAMES, readChart } from './utils/chart.js'
+export type { ChartFile, ChartName } from './utils/chart.js'
+export { seededRandom } from './utils/random.js'
+export type { Random } from './utils/random.js'
+export { bucketOf, holdersOf } from './deduplication/deduplicationDb.js'
--- /dev/null
+++ b/packages/core/src/instance/instance.ts
@@ -0,0 +1,270 @@
+/**
+ * One entry instance's decisions behind one entry: inputs go in, effects come out. This module only wires the
+ * decisions together; what each decides stands in its own folder. No I/O, no timers, no clock of its own.
+ */
+import type { Answer, Fleet, InstanceId, MemberStatus, Ms, PeerMessage } from '@cranberryyard/protocol'
+import { holderId, ms } from '@cranberryyard/protocol'
+import { ContractsDecider } from '../contracts/contractsDecider.js'
+import { DeadlinesDecider } from '../deadlines/deadlinesDecider.js'
+import { DeduplicationDecider } from '../deduplication/deduplicationDecider.js'
+import { HealthDecider } from '../health/healthDecider.js'
+import { JobsDecider } from '../jobs/jobsDecider.js'
+import { LimitsDecider } from '../limits/limitsDecider.js'
+import { MembershipDecider } from '../membership/membershipDecider.js'
+import { RosterDecider } from '../roster/rosterDecider.js'
+import { RoutingDecider } from '../routing/routingDecider.js'
+import { SchedulingDecider, failed } from '../scheduling/schedulingDecider.js'
+import type { SchedulingParts } from '../scheduling/schedulingDecider.js'
+import type { JobOrder } from '../scheduling/types.js'
+import { Chart } from '../utils/chart.js'
+import { seededRandom } from '../utils/random.js'
+import { Outbox, sendPeer } from './context.js'
+import type { Context } from './context.js'
+import type { StatusReport } from './status.js'
+import { composeStatus } from './status.js'
+import type { CoreConfig, Effect, Input, Self } from './types.js'
+
+/** What an instance is made from. */
+export interface InstanceOptions {
+  readonly instance: InstanceId
+  /** Start time of the process in milliseconds; larger for a later life. */
+  readonly incarnation: number
+  readonly failureDomain: Self['failureDomain']
+  readonly address: string
+  readonly cfg: CoreConfig
+  readonly seed: number
+}
+
+type LifeState = 'starting' | 'serving' | 'leaving' | 'drained'
+type LifeEvent = 'confirmed' | 'leave' | 'empty'
+
+/** The decisions of one entry instance. */
+export class Instance {
+  readonly ctx: Context
+  readonly membership: MembershipDecider
+  readonly contracts: ContractsDecider
+  readonly limits: LimitsDecider
+  readonly health: HealthDecider
+  readonly routing: RoutingDecider
+  readonly deadlines = new DeadlinesDecider()
+  readonly scheduling: SchedulingDecider
+  readonly deduplication: DeduplicationDecider
+  readonly jobs: JobsDecider
+  readonly roster: RosterDecider
+  private readonly life = new Chart<LifeState, LifeEvent>('instance')
+  private state: LifeState
+
+  constructor (options: InstanceOptions) {
+    const { instance, incarnation, failureDomain, address, cfg, seed } = options
+    const self = { instance, incarnation, failureDomain, address, holder: holderId(instance, incarnation) }
+    this.ctx = { self, cfg, random: seededRandom(seed), out: new Outbox(), now: ms(0), wall: ms(0) }
+    this.state = this.life.initial
+    const { ctx } = this
+    this.membership = new MembershipDecider(ctx, () => this.ownReport())
+    this.contracts = new ContractsDecider(ctx, this.membership, () => ({ endpoints: this.routing.db.all().map(e => e.info) }))
+    this.limits = new LimitsDecider(ctx, this.membership, customer => this.scheduling.db.queue.waitingOf(customer))
+    this.health = new HealthDecider(ctx)
+    this.routing = new RoutingDecider(ctx, this.membership, this.health, () => this.state === 'serving')
+    this.scheduling = this.makeScheduling()
+    this.deduplication = new DeduplicationDecider(ctx, this.membership, () => this.limits.isAcknowledged, (id, outcome) => this.jobs.claimEnded(id, outcome))
+    this.jobs = this.makeJobs()
+    this.roster = new RosterDecider(ctx, this.membership, this.contracts, this.limits)
+    this.contracts.onAdopt({ fleetAdopted: (fleet, previous) => this.fleetAdopted(fleet, previous) })
+  }
+
+  /**
+   * Handles one input.
+   * @param input - what happened
+   * @param now - monotonic time
+   * @param wall - wall-clock time, agreed between machines within the configured skew
+   * @returns what the shell is to do, in order
+   */
+  handle (input: Input, now: Ms, wall: Ms): Effect[] {
+    this.ctx.now = now
+    this.ctx.wall = wall
+    this.dispatch(input)
+    return this.ctx.out.take()
+  }
+
+  /** @returns a report for operators; changes nothing */
+  status (): StatusReport {
+    return composeStatus(this, this.state)
+  }
+
+  /** @returns totals of all counters since the start */
+  counters (): ReadonlyMap<string, number> {
+    return this.ctx.out.totals()
+  }
+
+  private dispatch (input: Input): void {
+    switch (input.type) {
+      case 'tick': return this.tick()
+      case 'submit': return this.jobs.submit(input.callId, input.keyHash, input.job)
+      case 'fetch': return this.jobs.fetch(input.callId, input.keyHash, input.submissionId)
+      case 'cancel': return this.jobs.cancel(input.callId, input.keyHash, input.submissionId)
+      case 'peer': return this.receive(input.from, input.message)
+      case 'sendFailed': return this.sendFailed(input.to, input.message)
+      case 'linkDown': return this.linkDown(input.peer)
+      case 'startOutcome': return this.scheduling.startOutcome(input.taskId, input.outcome)
+      case 'renewOutcome': return this.scheduling.renewOutcome(input.tasks, input.renewed)
+      case 'probeOutcome': return this.probed(input)
+      case 'storeValue': return this.contracts.storeValue(input.source, input.revision, input.fleet)
+      case 'storeUnchanged': return this.contracts.storeUnchanged()
+      case 'storeFailed': return this.contracts.storeFailed(input.operation)
+      case 'casOutcome': return this.contracts.casOutcome(input.attempt, input.result)
+      case 'archiveOutcome': return this.contracts.archiveOutcome(input.through, input.ok)
+      case 'instanceList': return this.instanceList(input)
+      case 'change': return this.contracts.change(input.callId, input.request)
+      case 'leave': return this.leave()
+    }
+  }
+
+  private receive (from: InstanceId, message: PeerMessage): void {
+    switch (message.type) {
+      case 'gossip':
+        this.membership.receive(from, message.entries, message.fleetVersion)
+        return this.contracts.hearVersion(from, message.fleetVersion)
+      case 'fleetRequest': return this.contracts.sendFleet(from)
+      case 'fleet': return this.contracts.receiveFleet(from, message.fleet, message.storeRevision, message.confirmed)
+      case 'forward': return this.receiveForward(from, message.job)
+      case 'forwardCancel': return this.scheduling.cancel(message.submissionId)
+      case 'forwardReturn': return this.jobs.returned(message.submissionId, from)
+      case 'forwardAnswer': return this.jobs.answered(message.answer)
+      case 'answerRequest': return this.jobs.receiveQuestion(from, message.customer, message.submissionId, message.replyTo)
+      case 'answerReply': return this.jobs.receiveReply(message.replyTo, message.answer, message.pending)
+      case 'permitRequest': return this.limits.receiveRequest(from, message.sequence, message.wishes)
+      case 'permitGrant':
+        this.limits.receiveGrant(from, message.sequence, message.validMs, message.grants)
+        return this.scheduling.pump()
+      case 'claimRequest': return this.deduplication.receiveRequest(from, message.epoch, message.claim)
+      case 'claimVote': return this.deduplication.receiveVote(from, message.epoch, message.submissionId, message.verdict)
+      case 'claimRelease': return this.deduplication.receiveRelease(message.customer, message.requestId, message.submissionId)
+      case 'claimsRequest': return this.deduplication.receiveImportRequest(from, message.epoch, message.buckets)
+      case 'claimsReply': return this.deduplication.receiveImport(message.epoch, message.holder, message.buckets, message.claims)
+    }
+  }
+
+  private tick (): void {
+    this.membership.tick()
+    this.contracts.tick()
+    this.advanceLife()
+    this.routing.refresh()
+    this.limits.tick()
+    this.health.tick(id => this.routing.db.get(id)?.info.address)
+    this.deduplication.tick()
+    this.scheduling.tick()
+    this.jobs.tick()
+    this.roster.tick(this.memberStatus())
+  }
+
+  private advanceLife (): void {
+    if (this.state === 'starting' && this.contracts.confirmed) this.enter('confirmed')
+    if (this.state !== 'leaving') return
+    this.scheduling.returnUnstarted()
+    const empty = this.scheduling.isEmpty() && this.jobs.db.size() === 0
+    if (empty && !this.limits.hasLent() && this.roster.hasLeft()) this.enter('empty')
+  }
+
+  private enter (event: LifeEvent): void {
+    const next = this.life.next(this.state, event)
+    if (next === undefined || next === this.state) return
+    this.state = next
+    this.ctx.out.push({ type: 'log', event: 'instance.state', fields: { state: next } })
+    if (next !== 'starting') this.ctx.out.push({ type: 'state', name: next })
+  }
+
+  private leave (): void {
+    this.enter('leave')
+    this.limits.stopLending()
+    this.routing.refresh()
+    this.membership.broadcast()
+    this.scheduling.returnUnstarted()
+  }
+
+  private memberStatus (): MemberStatus {
+    return this.state === 'drained' ? 'leaving' : this.state
+  }
+
+  private ownReport (): { status: MemberStatus, versionInForce: number, versionKnown: number, backlog: number } {
+    return {
+      status: this.memberStatus(),
+      versionInForce: this.limits.versionInForce,
+      versionKnown: this.contracts.version,
+      backlog: this.scheduling.backlog
+    }
+  }
+
+  private fleetAdopted (fleet: Fleet, previous: Fleet): void {
+    this.limits.fleetAdopted(fleet)
+    this.routing.fleetAdopted(fleet)
+    this.deduplication.fleetAdopted(fleet, previous)
+  }
+
+  private receiveForward (from: InstanceId, forwarded: Extract<PeerMessage, { type: 'forward' }>['job']): void {
+    const { submissionId, customer, job, remainingMs } = forwarded
+    const terms = this.contracts.db.terms(customer, job.kind)
+    const weight = this.contracts.db.contract(customer)?.weight ?? 1
+    if (this.state !== 'serving' || terms === undefined) {
+      this.send(from, { type: 'forwardReturn', submissionId })
+      return
+    }
+    const deadline = ms(this.ctx.now + remainingMs)
+    this.scheduling.enqueue({ submissionId, customer, job, terms, weight, front: from, deadline })
+  }
+
+  private sendFailed (to: InstanceId, message: PeerMessage): void {
+    this.membership.db.markLinkDown(to)
+    if (message.type === 'forward') this.jobs.returned(message.job.submissionId, to)
+  }
+
+  private linkDown (peer: InstanceId): void {
+    this.membership.db.markLinkDown(peer)
+    this.routing.refresh()
+  }
+
+  private probed (input: Extract<Input, { type: 'probeOutcome' }>): void {
+    this.health.probed(input.endpoint, input.healthy)
+    this.scheduling.pump()
+  }
+
+  private instanceList (input: Extract<Input, { type: 'instanceList' }>): void {
+    for (const peer of input.peers) {
+      if (peer.instance !== this.ctx.self.instance) this.membership.db.learnAddress(peer.instance, peer.address)
+    }
+    this.routing.listEndpoints(input.endpoints)
+  }
+
+  private send (to: InstanceId, message: PeerMessage): void {
+    const address = this.membership.db.addressOf(to)
+    if (address !== undefined) sendPeer(this.ctx, to, address, message)
+  }
+
+  private makeScheduling (): SchedulingDecider {
+    const { limits, routing, health, deadlines } = this
+    const bounds: SchedulingParts['bounds'] = customer => this.contracts.db.contract(customer)?.limits
+    return new SchedulingDecider(this.ctx, { limits, routing, health, deadlines, bounds }, {
+      jobAnswered: (order, answer) => this.deliver(order, answer),
+      jobReturned: order => this.giveBack(order)
+    })
+  }
+
+  private makeJobs (): JobsDecider {
+    const { contracts, deduplication, membership, routing, scheduling } = this
+    return new JobsDecider(this.ctx, { contracts, deduplication, membership, routing, scheduling, status: () => this.memberStatus() })
+  }
+
+  private deliver (order: JobOrder, answer: Answer): void {
+    if (order.front === undefined) this.jobs.answered(answer)
+    else this.send(order.front, { type: 'forwardAnswer', answer })
+  }
+
+  /** A leaving instance places its own jobs with others; with nobody left it says truthfully that they did not run. */
+  private giveBack (order: JobOrder): void {
+    if (order.front !== undefined) {
+      this.send(order.front, { type: 'forwardReturn', submissionId: order.submissionId })
+      return
+    }
+    if (this.membership.serving().length > 0) this.jobs.returnedHere(order.submissionId)
+    else this.jobs.answered(failed(order.submissionId, { name: 'leaving', message: 'the instance is leaving; not run', ran: 'no' }))
+  }
+}
--- /dev/null
+++ b/packages/core/src/instance/status.ts
@@ -0,0 +1,151 @@
+/**
+ * The report behind `cranberryyard status`: plain data, composed from the decisions without changing them.
+ */
+import type { CustomerId, EndpointId, FailureDomain, InstanceId } from '@cranberryyard/protocol'
+import { orderOf } from '../contracts/changeRules.js'
+import type { Instance } from './instance.js'
+import type { TimelinessCount } from './types.js'
+
+/** One known instance. */
+export interface InstanceRow {
+  readonly instance: InstanceId
+  readonly incarnation: number
+  readonly failureDomain: FailureDomain
+  readonly status: string
+  readonly live: boolean
+  readonly versionInForce: number
+  readonly versionKnown: number
+}
+
+/** One known endpoint as this instance uses it. */
+export interface EndpointRow {
+  readonly endpoint: EndpointId
+  readonly failureDomain: FailureDomain
+  readonly rack: string
+  readonly slots: number
+  readonly running: number
+  readonly order: string
+  readonly health: string
+  readonly leaving: boolean
+}
+
+/** One customer as this instance serves it. */
+export interface CustomerRow {
+  readonly customer: CustomerId
+  readonly revision: number
+  readonly limit: number
+  readonly share: number
+  readonly borrowed: number
+  readonly lent: number
+  readonly running: number
+  readonly queued: number
+}
+
+/** What an operator sees of one instance. */
+export interface StatusReport {
+  readonly instance: InstanceId
+  readonly incarnation: number
+  readonly failureDomain: FailureDomain
+  readonly state: string
+  readonly isScheduler: boolean
+  readonly acknowledged: boolean
+  readonly storeReachable: boolean
+  readonly fleetVersion: number
+  readonly versionInForce: number
+  readonly rosterEpoch: number
+  readonly roster: readonly string[]
+  readonly claimsKept: number
+  readonly claimBucketsImporting: number
+  readonly instances: readonly InstanceRow[]
+  readonly endpoints: readonly EndpointRow[]
+  readonly customers: readonly CustomerRow[]
+  readonly timeliness: readonly TimelinessCount[]
+  readonly counters: Readonly<Record<string, number>>
+}
+
+/**
+ * Composes the report.
+ * @param instance - the decisions
+ * @param state - the instance's state
+ * @returns plain data
+ */
+export function composeStatus (instance: Instance, state: string): StatusReport {
+  const { ctx, contracts, limits, routing, deduplication, jobs } = instance
+  const { fleet } = contracts.db
+  return {
+    instance: ctx.self.instance,
+    incarnation: ctx.self.incarnation,
+    failureDomain: ctx.self.failureDomain,
+    state,
+    isScheduler: routing.isScheduler(),
+    acknowledged: limits.isAcknowledged,
+    storeReachable: contracts.storeReachable,
+    fleetVersion: fleet.version,
+    versionInForce: limits.versionInForce,
+    rosterEpoch: fleet.roster.epoch,
+    roster: fleet.roster.entries.map(e => e.holder),
+    claimsKept: deduplication.db.size(),
+    claimBucketsImporting: deduplication.importing(),
+    instances: instanceRows(instance, state),
+    endpoints: endpointRows(instance),
+    customers: customerRows(instance),
+    timeliness: jobs.db.timelinessCounts(),
+    counters: Object.fromEntries(instance.counters())
+  }
+}
+
+function instanceRows (instance: Instance, state: string): InstanceRow[] {
+  const { ctx, membership, limits, contracts } = instance
+  const own = {
+    instance: ctx.self.instance,
+    incarnation: ctx.self.incarnation,
+    failureDomain: ctx.self.failureDomain,
+    status: state,
+    live: true,
+    versionInForce: limits.versionInForce,
+    versionKnown: contracts.version
+  }
+  const others = membership.db.all().map(m => ({
+    instance: m.instance,
+    incarnation: m.incarnation,
+    failureDomain: m.failureDomain,
+    status: m.status,
+    live: membership.isLive(m),
+    versionInForce: m.versionInForce,
+    versionKnown: m.versionKnown
+  }))
+  return [own, ...others].sort((a, b) => a.instance < b.instance ? -1 : 1)
+}
+
+function endpointRows (instance: Instance): EndpointRow[] {
+  const { routing, health, contracts } = instance
+  return routing.db.all().map(e => ({
+    endpoint: e.info.id,
+    failureDomain: e.info.failureDomain,
+    rack: e.info.rack,
+    slots: e.info.slots,
+    running: e.running,
+    order: orderOf(contracts.db.fleet, e.info.id),
+    health: health.db.record(e.info.id).state,
+    leaving: e.info.leaving
+  }))
+}
+
+function customerRows (instance: Instance): CustomerRow[] {
+  const { contracts, limits, scheduling } = instance
+  const permits = new Map(limits.report().map(r => [r.customer, r]))
+  return contracts.db.fleet.contracts.map(({ revision, contract }) => {
+    const customer = contract.customer as CustomerId
+    const row = permits.get(customer)
+    return {
+      customer,
+      revision,
+      limit: contract.limits.running,
+      share: row?.share ?? 0,
+      borrowed: row?.borrowed ?? 0,
+      lent: row?.lent ?? 0,
+      running: row?.running ?? 0,
+      queued: scheduling.db.queue.waitingOf(customer)
+    }
+  })
+}
--- /dev/null
+++ b/packages/core/src/jobs/jobsDecider.ts
@@ -0,0 +1,401 @@
+/**
+ * A submission's life at the instance that accepted it: checks, claim if its kind must run at most once,
+ * placement with a scheduler, and exactly one answer. Late or repeated answers find the job answered and are dropped.
+ */
+import type { Answer, CodedError, CustomerId, InstanceId, JobSpec, KindTerms, MemberStatus, SubmissionId } from '@cranberryyard/protocol'
+import { codedError, homeOf, isNotRun, ms } from '@cranberryyard/protocol'
+import type { Context } from '../instance/context.js'
+import { sendPeer } from '../instance/context.js'
+import type { Timeliness } from '../instance/types.js'
+import type { ContractsDecider } from '../contracts/contractsDecider.js'
+import type { DeduplicationDecider } from '../deduplication/deduplicationDecider.js'
+import type { ClaimOutcome } from '../deduplication/types.js'
+import type { MembershipDecider } from '../membership/membershipDecider.js'
+import type { RoutingDecider } from '../routing/routingDecider.js'
+import type { SchedulingDecider } from '../scheduling/schedulingDecider.js'
+import { failed } from '../scheduling/schedulingDecider.js'
+import type { JobFailure, JobOrder } from '../scheduling/types.js'
+import { Chart } from '../utils/chart.js'
+import { JobsDb } from './jobsDb.js'
+import type { FrontJob, JobEvent, JobState } from './types.js'
+
+/** Pause between two questions about an earlier submission's answer. */
+const EARLIER_ASK_MS = 150
+
+/** What the job decision works with. */
+export interface JobParts {
+  readonly contracts: ContractsDecider
+  readonly deduplication: DeduplicationDecider
+  readonly membership: MembershipDecider
+  readonly routing: RoutingDecider
+  readonly scheduling: SchedulingDecider
+  readonly status: () => MemberStatus
+}
+
+/** Decides what becomes of submissions. */
+export class JobsDecider {
+  readonly db = new JobsDb()
+  private readonly chart = new Chart<JobState, JobEvent>('job')
+  private counter = 0
+
+  constructor (private readonly ctx: Context, private readonly parts: JobParts) {}
+
+  /**
+   * Takes a submission.
+   * @param callId - the call that waits
+   * @param keyHash - hash of the caller's key
+   * @param job - the checked job
+   */
+  submit (callId: string, keyHash: string, job: JobSpec): void {
+    const customer = this.parts.contracts.db.customerOfKey(keyHash)
+    const refusal = this.refusalOf(customer, job)
+    const terms = customer === undefined ? undefined : this.parts.contracts.db.terms(customer, job.kind)
+    if (refusal !== undefined || customer === undefined || terms === undefined) {
+      this.refuse(callId, refusal ?? codedError('unauthorized', 'unknown key; not run'))
+      return
+    }
+    if (this.attach(callId, customer, job, terms)) return
+    this.accept(callId, customer, job, terms)
+  }
+
+  /** Answers a call that asks for an earlier submission's answer. */
+  fetch (callId: string, keyHash: string, submissionId: SubmissionId): void {
+    const customer = this.parts.contracts.db.customerOfKey(keyHash)
+    if (customer === undefined) {
+      this.refuse(callId, codedError('unauthorized', 'unknown key'))
+      return
+    }
+    const home = homeOf(submissionId)
+    if (home === this.ctx.self.instance) this.replyLocal(callId, customer, submissionId)
+    else this.askHome(callId, customer, submissionId, home)
+  }
+
+  /** Cancels a submission of this instance. */
+  cancel (callId: string, keyHash: string, submissionId: SubmissionId): void {
+    const customer = this.parts.contracts.db.customerOfKey(keyHash)
+    const job = this.db.get(submissionId)
+    if (job === undefined || job.customer !== customer) {
+      this.refuse(callId, codedError('unknownSubmission', 'no such submission here'))
+      return
+    }
+    job.waiting.push(callId)
+    this.cancelJob(job)
+  }
+
+  /** Takes the end of a claim attempt. */
+  claimEnded (submissionId: SubmissionId, outcome: ClaimOutcome): void {
+    const job = this.db.get(submissionId)
+    if (job === undefined || job.state !== 'claiming') return
+    switch (outcome.type) {
+      case 'won':
+        this.step(job, 'claimed')
+        this.place(job)
+        return
+      case 'taken':
+        this.followEarlier(job, outcome.by)
+        return
+      case 'undecidable':
+        this.fail(job, 'refuse', { name: 'claimUndecidable', message: 'too few claim holders could be reached; not run', ran: 'no' })
+    }
+  }
+
+  /** Takes an answer from the scheduler, here or elsewhere. */
+  answered (answer: Answer): void {
+    const job = this.db.get(answer.submissionId)
+    if (job !== undefined) this.finish(job, 'answer', answer)
+  }
+
+  /** Takes back a job of which nothing was started. */
+  returned (submissionId: SubmissionId, from: InstanceId): void {
+    const job = this.db.get(submissionId)
+    if (job === undefined || job.scheduler?.instance !== from) return
+    job.excluded.add(from)
+    this.step(job, 'returned')
+    this.place(job)
+  }
+
+  /** Takes back a job that this instance's own scheduler did not start. */
+  returnedHere (submissionId: SubmissionId): void {
+    const job = this.db.get(submissionId)
+    if (job === undefined) return
+    this.step(job, 'returned')
+    this.place(job)
+  }
+
+  /** Answers a peer that asks for a submission of this instance. */
+  receiveQuestion (from: InstanceId, customer: CustomerId, submissionId: SubmissionId, replyTo: string): void {
+    const address = this.parts.membership.db.addressOf(from)
+    if (address === undefined) return
+    const retained = this.db.answerOf(submissionId)
+    const answer = retained?.customer === customer ? retained.answer : null
+    const pending = this.db.get(submissionId)?.customer === customer
+    sendPeer(this.ctx, from, address, { type: 'answerReply', replyTo, answer, pending })
+  }
+
+  /** Takes a peer's reply about one of its submissions, for a waiting call or for a resubmission. */
+  receiveReply (replyTo: string, answer: Answer | null, pending: boolean): void {
+    const job = this.db.get(replyTo as SubmissionId)
+    if (job !== undefined) this.earlierReply(job, answer, pending)
+    else this.replyToCall(replyTo, answer, pending)
+  }
+
+  /** Gives up jobs whose scheduler is lost or whose time is over. */
+  tick (): void {
+    for (const job of [...this.db.all()]) this.tickJob(job)
+    this.db.expire(this.ctx.now)
+  }
+
+  private refusalOf (customer: CustomerId | undefined, job: JobSpec): CodedError | undefined {
+    const { contracts, status } = this.parts
+    if (status() === 'starting') return codedError('starting', 'the instance is starting; not run')
+    if (customer === undefined) return codedError('unauthorized', 'unknown key; not run')
+    if (status() === 'leaving') return codedError('leaving', 'the instance is leaving; not run')
+    const contract = contracts.db.contract(customer)
+    if (contract === undefined || contracts.db.terms(customer, job.kind) === undefined) {
+      return codedError('unknownKind', `the contract has no kind ${job.kind}; not run`, 'kind')
+    }
+    if (job.tasks.length > contract.limits.jobTasks) {
+      return codedError('jobTooLarge', `${job.tasks.length} tasks are more than ${contract.limits.jobTasks}; not run`, 'tasks')
+    }
+    return this.sizeRefusal(job)
+  }
+
+  private sizeRefusal (job: JobSpec): CodedError | undefined {
+    const { routing } = this.parts
+    if (routing.db.all().length === 0) return codedError('starting', 'no endpoint is known yet; not run')
+    const index = job.tasks.findIndex(t => !routing.canEverRun(t))
+    return index < 0 ? undefined : codedError('cannotRun', 'no endpoint is large enough; not run', `tasks.${index}`)
+  }
+
+  /** A request that is in flight or answered here is not run again, unless its kind allows it and it failed. */
+  private attach (callId: string, customer: CustomerId, job: JobSpec, terms: KindTerms): boolean {
+    const earlier = this.db.submissionOf(customer, job.requestId)
+    if (earlier === undefined) return false
+    const inFlight = this.db.get(earlier)
+    if (inFlight !== undefined) {
+      inFlight.waiting.push(callId)
+      this.ctx.out.push({ type: 'accepted', callId, submissionId: earlier })
+      this.ctx.out.count('jobs.resubmitted')
+      return true
+    }
+    const retained = this.db.answerOf(earlier)
+    if (retained === undefined) return false
+    const { answer } = retained
+    if (answer.outcome === 'failed' && (terms.idempotent || answer.ran === 'no')) return false
+    this.ctx.out.count('jobs.resubmitted')
+    this.ctx.out.push({ type: 'answer', callId, answer })
+    return true
+  }
+
+  private accept (callId: string, customer: CustomerId, spec: JobSpec, terms: KindTerms): void {
+    const { self, now, out } = this.ctx
+    this.counter++
+    const submissionId = `${self.instance}.${self.incarnation.toString(36)}.${this.counter.toString(36)}` as SubmissionId
+    const job: FrontJob = {
+      submissionId,
+      customer,
+      job: spec,
+      terms,
+      acceptedAt: now,
+      deadline: ms(now + terms.answerWithinMs),
+      state: this.chart.initial,
+      waiting: [callId],
+      scheduler: undefined,
+      excluded: new Set(),
+      earlier: undefined
+    }
+    this.db.add(job)
+    out.count('jobs.accepted')
+    out.push({ type: 'accepted', callId, submissionId })
+    if (terms.idempotent) {
+      this.step(job, 'claimed')
+      this.place(job)
+    } else {
+      this.parts.deduplication.begin(customer, spec.requestId as never, submissionId)
+    }
+  }
+
+  private place (job: FrontJob): void {
+    if (job.state !== 'placing') return
+    const placement = this.parts.routing.place(job.excluded)
+    switch (placement.type) {
+      case 'here':
+        this.step(job, 'placeLocal')
+        this.parts.scheduling.enqueue(this.orderOf(job))
+        return
+      case 'remote':
+        this.forward(job, placement.instance, placement.address)
+    }
+  }
+
+  private forward (job: FrontJob, to: InstanceId, address: string): void {
+    const member = this.parts.membership.db.get(to)
+    this.step(job, 'placeRemote')
+    job.scheduler = { instance: to, incarnation: member?.incarnation ?? 0 }
+    const { submissionId, customer, job: spec } = job
+    this.ctx.out.count('jobs.forwarded')
+    const remainingMs = ms(job.deadline - this.ctx.now)
+    sendPeer(this.ctx, to, address, { type: 'forward', job: { submissionId, customer, job: spec, remainingMs } })
+  }
+
+  private orderOf (job: FrontJob): JobOrder {
+    const { submissionId, customer, job: spec, terms, deadline } = job
+    const weight = this.parts.contracts.db.contract(customer)?.weight ?? 1
+    return { submissionId, customer, job: spec, terms, weight, front: undefined, deadline }
+  }
+
+  private cancelJob (job: FrontJob): void {
+    const failure: JobFailure = { name: 'cancelledBeforeStart', message: 'cancelled by the caller; not run', ran: 'no' }
+    switch (job.state) {
+      case 'claiming':
+        this.parts.deduplication.abandon(job.submissionId)
+        this.fail(job, 'refuse', failure)
+        return
+      case 'placing':
+        this.fail(job, 'refuse', failure)
+        return
+      case 'scheduledHere':
+        this.parts.scheduling.cancel(job.submissionId)
+        return
+      case 'forwarded':
+        this.sendCancel(job)
+        return
+      case 'answered':
+    }
+  }
+
+  private sendCancel (job: FrontJob): void {
+    const { scheduler, submissionId } = job
+    const address = scheduler === undefined ? undefined : this.parts.membership.db.addressOf(scheduler.instance)
+    if (scheduler !== undefined && address !== undefined) sendPeer(this.ctx, scheduler.instance, address, { type: 'forwardCancel', submissionId })
+  }
+
+  /** The request was claimed by an earlier submission: its answer is fetched if its home can be reached. */
+  private followEarlier (job: FrontJob, earlier: SubmissionId): void {
+    const home = homeOf(earlier)
+    if (home === this.ctx.self.instance) {
+      const retained = this.db.answerOf(earlier)
+      this.earlierReply(job, retained?.answer ?? null, this.db.get(earlier) !== undefined)
+      return
+    }
+    job.earlier = { submissionId: earlier, askAt: ms(0) }
+    this.askEarlier(job)
+  }
+
+  private askEarlier (job: FrontJob): void {
+    const { earlier } = job
+    if (earlier === undefined) return
+    const member = this.parts.membership.db.get(homeOf(earlier.submissionId))
+    if (member === undefined || !this.parts.membership.isLive(member)) {
+      this.refuseDuplicate(job)
+      return
+    }
+    earlier.askAt = ms(this.ctx.now + EARLIER_ASK_MS)
+    const { submissionId, customer } = job
+    sendPeer(this.ctx, member.instance, member.address, { type: 'answerRequest', submissionId: earlier.submissionId, customer, replyTo: submissionId })
+  }
+
+  private earlierReply (job: FrontJob, answer: Answer | null, pending: boolean): void {
+    if (job.state !== 'claiming') return
+    if (answer !== null) {
+      this.ctx.out.count('jobs.resubmitted')
+      this.finish(job, 'answer', answer)
+    } else if (!pending) {
+      this.refuseDuplicate(job)
+    } else if (job.earlier === undefined) {
+      this.refuseDuplicate(job)
+    }
+  }
+
+  private refuseDuplicate (job: FrontJob): void {
+    const message = 'an earlier submission of this request was accepted and may have run; this one did not run'
+    this.fail(job, 'refuse', { name: 'duplicateRequest', message, ran: 'no' })
+  }
+
+  private tickJob (job: FrontJob): void {
+    const { now, cfg } = this.ctx
+    if (job.state === 'claiming' && job.earlier !== undefined && now >= job.earlier.askAt) this.askEarlier(job)
+    if (job.state === 'forwarded' && this.isSchedulerLost(job)) {
+      this.fail(job, 'schedulerLost', { name: 'schedulerLost', message: 'the instance that scheduled the job was lost', ran: 'maybe' })
+      return
+    }
+    const end = job.acceptedAt + job.terms.answerWithinMs * cfg.jobs.lateGraceFactor
+    if (now >= end) this.giveUp(job)
+  }
+
+  private giveUp (job: FrontJob): void {
+    switch (job.state) {
+      case 'claiming':
+        this.parts.deduplication.abandon(job.submissionId)
+        this.refuseDuplicate(job)
+        return
+      case 'scheduledHere':
+        this.parts.scheduling.cancel(job.submissionId)
+        return
+      case 'forwarded':
+        this.sendCancel(job)
+        this.fail(job, 'giveUp', { name: 'answerTooLate', message: 'no answer arrived in time', ran: 'maybe' })
+        return
+      case 'placing':
+      case 'answered':
+    }
+  }
+
+  /** A broken connection alone does not count: the scheduler may still run the job and answer. */
+  private isSchedulerLost (job: FrontJob): boolean {
+    const { scheduler } = job
+    const member = scheduler === undefined ? undefined : this.parts.membership.db.get(scheduler.instance)
+    if (member === undefined || scheduler === undefined) return true
+    if (member.incarnation !== scheduler.incarnation) return true
+    return this.ctx.now - member.advancedAt >= this.ctx.cfg.membership.suspectMs
+  }
+
+  private fail (job: FrontJob, event: JobEvent, failure: JobFailure): void {
+    this.finish(job, event, failed(job.submissionId, failure))
+  }
+
+  private finish (job: FrontJob, event: JobEvent, answer: Answer): void {
+    if (this.chart.next(job.state, event) === undefined) return
+    this.step(job, event)
+    const { now, cfg, out } = this.ctx
+    this.db.retain(job, answer, ms(now + cfg.jobs.retentionMs))
+    this.db.countEnd(job.customer, job.job.kind, timelinessOf(answer, now > job.deadline))
+    out.count(answer.outcome === 'complete' ? 'jobs.complete' : isNotRun(answer.code) ? 'jobs.refused' : 'jobs.failed')
+    for (const callId of job.waiting) out.push({ type: 'answer', callId, answer })
+  }
+
+  private step (job: FrontJob, event: JobEvent): void {
+    job.state = this.chart.next(job.state, event) ?? job.state
+  }
+
+  private refuse (callId: string, error: CodedError): void {
+    this.ctx.out.count('jobs.refused')
+    this.ctx.out.push({ type: 'refused', callId, error, ran: 'no' })
+  }
+
+  private replyLocal (callId: string, customer: CustomerId, submissionId: SubmissionId): void {
+    const retained = this.db.answerOf(submissionId)
+    const pending = this.db.get(submissionId)?.customer === customer
+    this.replyToCall(callId, retained?.customer === customer ? retained.answer : null, pending, submissionId)
+  }
+
+  private askHome (callId: string, customer: CustomerId, submissionId: SubmissionId, home: InstanceId): void {
+    const member = this.parts.membership.db.get(home)
+    if (member === undefined || !this.parts.membership.isLive(member)) {
+      this.replyToCall(callId, null, false)
+      return
+    }
+    sendPeer(this.ctx, home, member.address, { type: 'answerRequest', submissionId, customer, replyTo: callId })
+  }
+
+  private replyToCall (callId: string, answer: Answer | null, pending: boolean, submissionId?: SubmissionId): void {
+    if (answer !== null) this.ctx.out.push({ type: 'answer', callId, answer })
+    else if (pending) this.ctx.out.push({ type: 'pending', callId, submissionId: submissionId ?? ('' as SubmissionId) })
+    else this.refuse(callId, codedError('unknownSubmission', 'no such submission, or its answer is no longer kept'))
+  }
+}
+
+function timelinessOf (answer: Answer, late: boolean): Timeliness {
+  if (answer.outcome === 'failed') return 'notAnswered'
+  return late ? 'late' : 'onTime'
+}
--- /dev/null
+++ b/packages/core/src/routing/routingDb.ts
@@ -0,0 +1,74 @@
+/**
+ * Endpoints known from the platform's list, with this instance's own use of them.
+ */
+import type { EndpointId, EndpointInfo } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import type { EndpointState, TaskSize } from './types.js'
+
+/** First pause after an endpoint refused a start as busy. */
+export const BUSY_PAUSE_MIN_MS = 20
+
+/** State of the routing decision. */
+export class RoutingDb {
+  private readonly endpoints = new Map<EndpointId, EndpointState>()
+
+  /** Takes over the platform's list. Endpoints that vanished keep their record while tasks run on them. */
+  replace (list: readonly EndpointInfo[]): EndpointId[] {
+    const listed = new Set(list.map(e => e.id))
+    for (const info of list) this.update(info)
+    const gone = [...this.endpoints.values()].filter(e => !listed.has(e.info.id))
+    for (const state of gone) {
+      state.info = { ...state.info, leaving: true }
+      if (state.running === 0) this.endpoints.delete(state.info.id)
+    }
+    return gone.map(e => e.info.id)
+  }
+
+  private update (info: EndpointInfo): void {
+    const known = this.endpoints.get(info.id)
+    if (known !== undefined) {
+      known.info = info
+      return
+    }
+    this.endpoints.set(info.id, {
+      info,
+      cores: info.cores,
+      memoryMb: info.memoryMb,
+      accelerators: info.accelerators,
+      running: 0,
+      usedCores: 0,
+      usedMemoryMb: 0,
+      usedAccelerators: 0,
+      pausedUntil: ms(0),
+      pauseMs: BUSY_PAUSE_MIN_MS,
+      acceptsWork: true,
+      ownedHere: true
+    })
+  }
+
+  /** @returns an endpoint's state */
+  get (endpoint: EndpointId): EndpointState | undefined {
+    return this.endpoints.get(endpoint)
+  }
+
+  /** @returns all endpoints */
+  all (): EndpointState[] {
+    return [...this.endpoints.values()]
+  }
+
+  /** Books a task on an endpoint. */
+  occupy (state: EndpointState, size: TaskSize): void {
+    state.running++
+    state.usedCores += size.cores
+    state.usedMemoryMb += size.memoryMb
+    state.usedAccelerators += size.accelerators
+  }
+
+  /** Takes a task off an endpoint. */
+  vacate (state: EndpointState, size: TaskSize): void {
+    state.running--
+    state.usedCores -= size.cores
+    state.usedMemoryMb -= size.memoryMb
+    state.usedAccelerators -= size.accelerators
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/schedulingDb.ts
@@ -0,0 +1,46 @@
+/**
+ * Jobs and running tasks of this instance's scheduler.
+ */
+import type { SubmissionId, TaskId } from '@cranberryyard/protocol'
+import { FairnessDecider } from '../fairness/fairnessDecider.js'
+import type { JobOrder, RunningTask, ScheduledJob } from './types.js'
+
+/** State of the scheduling decision. */
+export class SchedulingDb {
+  readonly queue = new FairnessDecider<ScheduledJob>()
+  readonly jobs = new Map<SubmissionId, ScheduledJob>()
+  readonly running = new Map<TaskId, RunningTask>()
+  /** Expected work of all tasks that wait, in slot milliseconds. */
+  queuedWorkMs = 0
+
+  /** @returns tasks of a job that may still run */
+  runningOf (job: ScheduledJob): RunningTask[] {
+    return [...this.running.values()].filter(t => t.job === job)
+  }
+}
+
+/**
+ * Makes the scheduler's record of a job.
+ * @param order - the job as handed over
+ * @param meanMs - expected run time of one task
+ * @returns the record, nothing started
+ */
+export function newScheduledJob (order: JobOrder, meanMs: number): ScheduledJob {
+  const count = order.job.tasks.length
+  return {
+    order,
+    customer: order.customer,
+    workMs: meanMs * count,
+    weight: order.weight,
+    meanMs,
+    results: new Array<unknown>(count),
+    nextIndex: 0,
+    refusedIndexes: [],
+    missing: count,
+    started: 0,
+    ended: false,
+    waiting () {
+      return this.ended ? 0 : count - this.nextIndex + this.refusedIndexes.length
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/daemon.ts
@@ -0,0 +1,152 @@
+/**
+ * One entry instance as a process: the core task in the middle, around it one task for each kind of socket.
+ * Inputs are handled one after the other; effects go to the task they concern.
+ */
+import { Instance } from '@cranberryyard/core'
+import type { Effect, Input } from '@cranberryyard/core'
+import type { FailureDomain, InstanceId, Settings } from '@cranberryyard/protocol'
+import { systemClock } from '@cranberryyard/protocol'
+import { CallerTask } from './callers/callerTask.js'
+import { EndpointTask } from './endpoints/endpointTask.js'
+import { MetricsTask } from './metrics/metricsTask.js'
+import { OperatorTask } from './operators/operatorTask.js'
+import { PeerTask } from './peers/peerTask.js'
+import { PlatformTask } from './platform/platformTask.js'
+import { listen, makeServer } from './utils/httpServer.js'
+import { log } from './utils/log.js'
+
+/** Period of the core task's tick. */
+const TICK_MS = 25
+
+/** Ports that are bound. */
+export interface BoundPorts {
+  readonly caller: number
+  readonly operator: number
+  readonly peer: number
+}
+
+/** A running entry instance. */
+export class Daemon {
+  private readonly core: Instance
+  private readonly callers: CallerTask
+  private readonly operators: OperatorTask
+  private readonly peers: PeerTask
+  private readonly endpoints: EndpointTask
+  private readonly platform: PlatformTask
+  private readonly metrics: MetricsTask
+  private ticker: NodeJS.Timeout | undefined
+  private drained: () => void = () => {}
+
+  constructor (private readonly settings: Settings) {
+    const { instance, listen: ports } = settings
+    const post = (input: Input): void => this.post(input)
+    this.core = new Instance({
+      instance: instance.id as InstanceId,
+      incarnation: Date.now(),
+      failureDomain: instance.failureDomain as FailureDomain,
+      address: `${instance.address}:${ports.peerPort}`,
+      cfg: settings,
+      seed: Date.now() & 0x7fffffff
+    })
+    this.callers = new CallerTask(post)
+    this.operators = new OperatorTask(settings.operators, post, {
+      status: () => this.core.status(),
+      fleet: () => this.core.contracts.db.fleet,
+      readArchive: key => this.platform.readKey(key)
+    })
+    this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post)
+    this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post)
+    this.platform = new PlatformTask(settings.platform, post)
+    this.metrics = new MetricsTask(settings.metrics, () => this.core.status())
+  }
+
+  /** Binds the ports and starts to work. @returns the ports */
+  async start (): Promise<BoundPorts> {
+    const { instance, listen: ports, callerTls, operatorTls, jobs, peers } = this.settings
+    this.callers.server = makeServer(callerTls, jobs.senderTimeoutMs, (req, res) => this.callers.handle(req, res))
+    this.operators.server = makeServer(operatorTls, jobs.senderTimeoutMs, (req, res) => this.operators.handle(req, res))
+    const peer = await this.peers.listen(instance.address, ports.peerPort)
+    const caller = await listen(this.callers.server, instance.address, ports.callerPort)
+    const operator = await listen(this.operators.server, instance.address, ports.operatorPort)
+    const known = peers.map(p => ({ instance: p.id as InstanceId, address: p.address }))
+    this.post({ type: 'instanceList', endpoints: [], peers: known })
+    this.platform.startListing()
+    this.ticker = setInterval(() => this.post({ type: 'tick' }), TICK_MS)
+    this.post({ type: 'tick' })
+    log.info('daemon.started', { instance: instance.id, caller, operator, peer })
+    return { caller, operator, peer }
+  }
+
+  /**
+   * Leaves gracefully: the health page turns at once, requests in flight are finished, then everything closes.
+   * @returns true when nothing was cut off
+   */
+  async stop (): Promise<boolean> {
+    const { announceMs, drainMs } = this.settings.shutdown
+    this.callers.healthy = false
+    log.info('daemon.leaving', {})
+    await sleep(announceMs)
+    const done = new Promise<boolean>((resolve) => {
+      this.drained = () => resolve(true)
+    })
+    this.post({ type: 'leave' })
+    const clean = await Promise.race([done, sleep(drainMs).then(() => false)])
+    await this.finishCalls()
+    await this.close()
+    log.info('daemon.stopped', { clean })
+    return clean
+  }
+
+  /** Closes everything at once. */
+  async close (): Promise<void> {
+    clearInterval(this.ticker)
+    this.metrics.close()
+    this.callers.server?.close()
+    this.callers.server?.closeAllConnections()
+    this.operators.server?.close()
+    this.operators.server?.closeAllConnections()
+    this.peers.close()
+    await Promise.all([this.endpoints.close(), this.platform.close()])
+  }
+
+  /** Answers that have been decided are written out before connections close. */
+  private async finishCalls (): Promise<void> {
+    this.callers.server?.close()
+    for (let i = 0; i < 100 && this.callers.openCalls > 0; i++) await sleep(20)
+    await sleep(50)
+  }
+
+  private post (input: Input): void {
+    for (const effect of this.core.handle(input, systemClock.now(), systemClock.wall())) this.carryOut(effect)
+  }
+
+  private carryOut (effect: Effect): void {
+    switch (effect.type) {
+      case 'accepted': return this.callers.accepted(effect)
+      case 'refused': return this.callers.refused(effect)
+      case 'answer': return this.callers.answered(effect)
+      case 'pending': return this.callers.pending(effect)
+      case 'send': return this.peers.send(effect)
+      case 'start': return this.endpoints.start(effect)
+      case 'renew': return this.endpoints.renew(effect)
+      case 'stop': return this.endpoints.stop(effect)
+      case 'probe': return this.endpoints.probe(effect)
+      case 'storeRead': return void this.platform.read()
+      case 'storeWatch': return void this.platform.watch(effect)
+      case 'storeCas': return void this.platform.cas(effect)
+      case 'storeArchive': return void this.platform.archive(effect)
+      case 'changeResult': return this.operators.changeResult(effect)
+      case 'state': return this.enterState(effect.name)
+      case 'log': return log.info(effect.event, effect.fields)
+    }
+  }
+
+  private enterState (state: 'serving' | 'leaving' | 'drained'): void {
+    this.callers.healthy = state === 'serving'
+    if (state === 'drained') this.drained()
+  }
+}
+
+function sleep (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/packages/dispatcher/src/operators/operatorTask.ts
@@ -0,0 +1,177 @@
+/**
+ * The operators' port: status, contracts, endpoint orders, audit. Changes go to the core task; a request that
+ * waits for a change to be in force is answered when every reachable instance follows it, or names who does not.
+ */
+import type { ChangeId, CodedError, EndpointOrder, Fleet, Settings } from '@cranberryyard/protocol'
+import { codedError, contractSchema } from '@cranberryyard/protocol'
+import type { Actor, Change, ChangeResult, StatusReport } from '@cranberryyard/core'
+import { findActor } from '@cranberryyard/core'
+import { z } from 'zod'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { EffectOf, Post } from '../messages.js'
+import { keyHashOf } from '../utils/keys.js'
+import { readJson, sendJson, statusOf } from '../utils/httpServer.js'
+
+/** Period of looking whether a change is in force. */
+const IN_FORCE_POLL_MS = 50
+
+const changeSchema = z.strictObject({
+  changeId: z.string().regex(/^[\w.-]{8,128}$/),
+  reason: z.string().max(500).default(''),
+  change: z.discriminatedUnion('type', [
+    z.strictObject({ type: z.literal('contract'), contract: z.unknown(), expectedRevision: z.number().int().min(0) }),
+    z.strictObject({ type: z.literal('endpoint'), endpoint: z.string().min(1).max(128), order: z.enum(['active', 'draining', 'stopped']), force: z.boolean().default(false) })
+  ])
+})
+
+/** What the operators' port reads from the core task. */
+export interface OperatorView {
+  readonly status: () => StatusReport
+  readonly fleet: () => Fleet
+  readonly readArchive: (key: string) => Promise<unknown>
+}
+
+/** Where a change is in force. */
+export interface InForceReport {
+  readonly inForce: boolean
+  /** Failure domains with a roster entry that does not follow the change. */
+  readonly missingDomains: readonly string[]
+}
+
+/** Owns the operators' open requests. */
+export class OperatorTask {
+  private readonly waiting = new Map<string, (result: ChangeResult) => void>()
+  private counter = 0
+  server: Server | undefined
+
+  constructor (private readonly settings: Settings['operators'], private readonly post: Post, private readonly view: OperatorView) {}
+
+  /** Handles one request. */
+  handle (req: IncomingMessage, res: ServerResponse): void {
+    const actor = findActor(keyHashOf(req), this.settings.teamKeys, this.view.fleet())
+    if (actor === undefined) return this.refuse(res, codedError('unauthorized', 'unknown key'))
+    const url = new URL(req.url ?? '/', 'http://operator')
+    switch (`${req.method} ${url.pathname}`) {
+      case 'GET /v1/status': return sendJson(res, 200, this.visibleStatus(actor))
+      case 'GET /v1/contracts': return sendJson(res, 200, this.visibleContracts(actor))
+      case 'GET /v1/audit':
+        void this.audit(res, actor)
+        return
+      case 'GET /v1/whoami': return sendJson(res, 200, actor)
+      case 'POST /v1/changes':
+        void this.change(req, res)
+        return
+      default: return this.refuse(res, codedError('unknownRevision', 'no such page'))
+    }
+  }
+
+  /** Carries out an effect of the core task. */
+  changeResult (effect: EffectOf<'changeResult'>): void {
+    const resolve = this.waiting.get(effect.callId)
+    this.waiting.delete(effect.callId)
+    resolve?.(effect.result)
+  }
+
+  private async change (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const keyHash = keyHashOf(req)
+    const body = await readJson(req)
+    if (body.isErr) return this.refuse(res, body.error)
+    const parsed = changeSchema.safeParse(body.value)
+    if (!parsed.success) return this.refuse(res, fieldError(parsed.error.issues[0]))
+    const change = toChange(parsed.data.change)
+    if (change === undefined) {
+      const contract = contractSchema.safeParse((parsed.data.change as { contract: unknown }).contract)
+      return this.refuse(res, contractError(contract.error?.issues[0]))
+    }
+    const { changeId, reason } = parsed.data
+    const result = await this.ask({ changeId: changeId as ChangeId, keyHash, reason, change })
+    if (result.type === 'rejected') return this.refuse(res, result.error)
+    const inForce = await this.waitInForce(result.version)
+    sendJson(res, 200, { outcome: 'accepted', code: inForce.inForce ? 0 : codedError('notYetInForce', '').code, ...result, ...inForce })
+  }
+
+  private ask (request: Extract<Parameters<Post>[0], { type: 'change' }>['request']): Promise<ChangeResult> {
+    const callId = `change-${++this.counter}`
+    return new Promise((resolve) => {
+      this.waiting.set(callId, resolve)
+      this.post({ type: 'change', callId, request })
+    })
+  }
+
+  private async waitInForce (version: number): Promise<InForceReport> {
+    const until = Date.now() + this.settings.inForceWaitMs
+    for (;;) {
+      const missing = this.missingDomains(version)
+      if (missing.length === 0) return { inForce: true, missingDomains: [] }
+      if (Date.now() >= until) return { inForce: false, missingDomains: missing }
+      await new Promise(resolve => setTimeout(resolve, IN_FORCE_POLL_MS))
+    }
+  }
+
+  private missingDomains (version: number): string[] {
+    const { instances } = this.view.status()
+    const roster = this.view.fleet().roster.entries
+    const lagging = roster.filter((e) => {
+      const row = instances.find(i => i.instance === e.instance)
+      return row === undefined || row.incarnation !== e.incarnation || row.versionInForce < version
+    })
+    return [...new Set(lagging.map(e => e.failureDomain as string))].sort()
+  }
+
+  private visibleStatus (actor: Actor): unknown {
+    const status = this.view.status()
+    if (actor.type === 'team') return status
+    return {
+      ...status,
+      customers: status.customers.filter(c => c.customer === actor.customer),
+      timeliness: status.timeliness.filter(t => t.customer === actor.customer)
+    }
+  }
+
+  private visibleContracts (actor: Actor): unknown {
+    const { contracts, version } = this.view.fleet()
+    const visible = actor.type === 'team' ? contracts : contracts.filter(r => r.contract.customer === actor.customer)
+    return { version, contracts: visible }
+  }
+
+  /** Staff see entries about their own contract and about endpoints, which all share. */
+  private async audit (res: ServerResponse, actor: Actor): Promise<void> {
+    const { audit } = this.view.fleet()
+    const archived = await this.archivedEntries(audit.archivedThrough)
+    const entries = [...archived, ...audit.entries]
+    const visible = actor.type === 'team' ? entries : entries.filter(e => e.subject.type === 'endpoint' || e.subject.customer === actor.customer)
+    sendJson(res, 200, { entries: visible, complete: actor.type === 'team', archivedThrough: audit.archivedThrough, archivedHash: audit.archivedHash })
+  }
+
+  /** Chunks carry consecutive entries under the key of their first one. */
+  private async archivedEntries (through: number): Promise<Fleet['audit']['entries'][number][]> {
+    const entries: Fleet['audit']['entries'][number][] = []
+    while (entries.length < through) {
+      const chunk = await this.view.readArchive(`audit.${entries.length + 1}`)
+      if (!Array.isArray(chunk) || chunk.length === 0) break
+      entries.push(...(chunk as Fleet['audit']['entries'][number][]))
+    }
+    return entries.slice(0, through)
+  }
+
+  private refuse (res: ServerResponse, error: CodedError): void {
+    sendJson(res, statusOf(error.code), { outcome: 'failed', ...error })
+  }
+}
+
+function toChange (raw: z.output<typeof changeSchema>['change']): Change | undefined {
+  if (raw.type === 'endpoint') return { ...raw, endpoint: raw.endpoint as never, order: raw.order as EndpointOrder }
+  const contract = contractSchema.safeParse(raw.contract)
+  return contract.success ? { type: 'contract', contract: contract.data, expectedRevision: raw.expectedRevision } : undefined
+}
+
+type Issue = { readonly path: readonly PropertyKey[], readonly message: string } | undefined
+
+function fieldError (issue: Issue): CodedError {
+  return codedError('invalidField', issue?.message ?? 'invalid', issue?.path.map(String).join('.') ?? '')
+}
+
+function contractError (issue: Issue): CodedError {
+  const field = issue?.path.map(String).join('.') ?? ''
+  return codedError(field === 'customer' ? 'invalidName' : 'invalidContract', issue?.message ?? 'invalid', field)
+}
--- /dev/null
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -0,0 +1,145 @@
+/**
+ * Owns the connections to other entry instances. Messages to one peer share one stream and keep their order.
+ * A message counts as not sent only while no stream to its peer has been opened.
+ */
+import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
+import type { ClientWritableStream, ServerReadableStream, sendUnaryData, Client } from '@grpc/grpc-js'
+import type { InstanceId, PeerMessage, Settings } from '@cranberryyard/protocol'
+import { readFileSync } from 'node:fs'
+import type { EffectOf, Post } from '../messages.js'
+import { PeerClient, peerService } from './peerService.js'
+import type { Envelope } from './peerService.js'
+
+/** A peer that cannot be connected to within this span does not get the message. */
+const CONNECT_TIMEOUT_MS = 800
+/** Messages that may wait for a connection; heartbeats to a dead peer must not pile up. */
+const WAITING_MAX = 2000
+
+const CHANNEL_OPTIONS = {
+  'grpc.enable_http_proxy': 0,
+  'grpc.keepalive_time_ms': 2000,
+  'grpc.keepalive_timeout_ms': 2000,
+  'grpc.initial_reconnect_backoff_ms': 200,
+  'grpc.max_reconnect_backoff_ms': 1000,
+  'grpc.max_receive_message_length': 16 * 1024 * 1024
+}
+
+type Stream = ClientWritableStream<Envelope>
+
+interface ChannelClient extends Client {
+  channel (callback: (err: Error | null) => void): Stream
+}
+
+interface Link {
+  readonly client: ChannelClient
+  readonly address: string
+  stream: Stream | undefined
+  connecting: boolean
+  readonly waiting: PeerMessage[]
+}
+
+/** Owns the peers' port and the links to peers. */
+export class PeerTask {
+  private readonly links = new Map<InstanceId, Link>()
+  private readonly server = new Server(CHANNEL_OPTIONS)
+  /** Bytes of messages sent, as encoded. */
+  bytesSent = 0
+  private closed = false
+
+  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: Post) {
+    this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
+  }
+
+  /** Listens. @returns the port */
+  listen (address: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(`${address}:${port}`, this.serverCredentials(), (err, bound) => err === null ? resolve(bound) : reject(err))
+    })
+  }
+
+  /** Sends a message, connecting first if need be. */
+  send (effect: EffectOf<'send'>): void {
+    if (this.closed) return
+    const link = this.link(effect.to, effect.address)
+    if (link.stream !== undefined) {
+      this.write(link.stream, effect.message)
+      return
+    }
+    if (link.waiting.length >= WAITING_MAX) this.fail(effect.to, [effect.message])
+    else link.waiting.push(effect.message)
+    if (!link.connecting) this.connect(effect.to, link)
+  }
+
+  /** Closes all links. */
+  close (): void {
+    this.closed = true
+    for (const link of this.links.values()) {
+      link.stream?.end()
+      link.client.close()
+    }
+    this.server.forceShutdown()
+  }
+
+  private receive (call: ServerReadableStream<Envelope, unknown>, done: sendUnaryData<unknown>): void {
+    call.on('data', (envelope: Envelope) => this.post({ type: 'peer', from: envelope.from, message: envelope.message }))
+    call.on('end', () => done(null, {}))
+    call.on('error', () => {})
+  }
+
+  private link (peer: InstanceId, address: string): Link {
+    const known = this.links.get(peer)
+    if (known !== undefined && known.address === address) return known
+    known?.client.close()
+    const client = new PeerClient(address, this.clientCredentials(), CHANNEL_OPTIONS) as unknown as ChannelClient
+    const link: Link = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
+    this.links.set(peer, link)
+    return link
+  }
+
+  private connect (peer: InstanceId, link: Link): void {
+    link.connecting = true
+    link.client.waitForReady(Date.now() + CONNECT_TIMEOUT_MS, (err) => {
+      link.connecting = false
+      const waiting = link.waiting.splice(0)
+      if (err !== undefined && err !== null) {
+        this.fail(peer, waiting)
+        return
+      }
+      const stream = this.open(peer, link)
+      for (const message of waiting) this.write(stream, message)
+    })
+  }
+
+  private open (peer: InstanceId, link: Link): Stream {
+    const stream = link.client.channel(() => this.lost(peer, link, stream))
+    stream.on('error', () => this.lost(peer, link, stream))
+    link.stream = stream
+    return stream
+  }
+
+  private write (stream: Stream, message: PeerMessage): void {
+    stream.write({ from: this.self, message })
+  }
+
+  private lost (peer: InstanceId, link: Link, stream: Stream): void {
+    if (link.stream !== stream || this.closed) return
+    link.stream = undefined
+    this.post({ type: 'linkDown', peer })
+  }
+
+  private fail (to: InstanceId, messages: readonly PeerMessage[]): void {
+    if (this.closed) return
+    for (const message of messages) this.post({ type: 'sendFailed', to, message })
+  }
+
+  private serverCredentials (): ServerCredentials {
+    if (this.tls.plain) return ServerCredentials.createInsecure()
+    const pair = { private_key: readFileSync(this.tls.keyFile), cert_chain: readFileSync(this.tls.certFile) }
+    return ServerCredentials.createSsl(readFileSync(this.tls.caFile), [pair], true)
+  }
+
+  private clientCredentials (): ReturnType<typeof credentials.createInsecure> {
+    if (this.tls.plain) return credentials.createInsecure()
+    return credentials.createSsl(readFileSync(this.tls.caFile), readFileSync(this.tls.keyFile), readFileSync(this.tls.certFile))
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/utils/httpServer.ts
@@ -0,0 +1,128 @@
+/**
+ * HTTP listening with TLS by settings, bounded bodies, and senders that must not dawdle.
+ */
+import type { CodedError, ResultName, Settings } from '@cranberryyard/protocol'
+import { MAX_BODY_BYTES, RESULT_CODES, codedError } from '@cranberryyard/protocol'
+import { readFileSync } from 'node:fs'
+import { createServer as createPlain } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer as createTls } from 'node:https'
+import { Result } from 'true-myth'
+
+type Tls = Settings['callerTls']
+
+/** Handles a request; it reads the body itself. */
+export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void
+
+/**
+ * Makes a server, with TLS unless the settings say plain.
+ * @param tls - the port's TLS settings
+ * @param senderTimeoutMs - longest time a sender may take for a whole request
+ * @param handler - called for each request
+ * @returns the server, not listening yet
+ */
+export function makeServer (tls: Tls, senderTimeoutMs: number, handler: RequestHandler): Server {
+  const limits = { requestTimeout: senderTimeoutMs, headersTimeout: senderTimeoutMs, connectionsCheckingInterval: 500, keepAliveTimeout: 30_000 }
+  if (tls.plain) return createPlain(limits, handler)
+  const files = { cert: readFileSync(tls.certFile), key: readFileSync(tls.keyFile) }
+  const ca = tls.caFile === '' ? {} : { ca: readFileSync(tls.caFile), requestCert: true, rejectUnauthorized: true }
+  return createTls({ ...limits, ...files, ...ca }, handler)
+}
+
+/**
+ * Listens on an address.
+ * @param server - the server
+ * @param address - IP number
+ * @param port - port, 0 for any
+ * @returns the port
+ */
+export function listen (server: Server, address: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, address, () => {
+      const bound = server.address()
+      resolve(typeof bound === 'object' && bound !== null ? bound.port : port)
+    })
+  })
+}
+
+/**
+ * Reads and parses a JSON body within the size limit.
+ * @param req - the request
+ * @returns the parsed value or a coded error
+ */
+export function readJson (req: IncomingMessage): Promise<Result<unknown, CodedError>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes <= MAX_BODY_BYTES) chunks.push(chunk)
+      else resolve(Result.err(codedError('bodyTooLarge', `a body may have ${MAX_BODY_BYTES} bytes`)))
+    })
+    req.on('error', () => resolve(Result.err(codedError('slowSender', 'the request was not sent in full'))))
+    req.on('end', () => resolve(parseJson(Buffer.concat(chunks).toString('utf8'))))
+  })
+}
+
+function parseJson (text: string): Result<unknown, CodedError> {
+  try {
+    return Result.ok(JSON.parse(text))
+  } catch {
+    return Result.err(codedError('malformedJson', 'the body is not JSON'))
+  }
+}
+
+const HTTP_STATUS: Partial<Record<ResultName, number>> = {
+  complete: 200,
+  malformedJson: 400,
+  invalidField: 400,
+  bodyTooLarge: 413,
+  unauthorized: 401,
+  rateExceeded: 429,
+  queueFull: 429,
+  jobTooLarge: 422,
+  cannotRun: 422,
+  unknownKind: 422,
+  duplicateRequest: 409,
+  unknownSubmission: 404,
+  stillRunning: 202,
+  slowSender: 408,
+  notPermitted: 403,
+  revisionConflict: 409,
+  changeReplayed: 409,
+  outOfBounds: 422,
+  invalidContract: 422,
+  invalidName: 422,
+  lastEndpoint: 409,
+  unknownEndpoint: 404,
+  unknownCustomer: 404,
+  unknownRevision: 404,
+  invalidTransition: 409
+}
+
+const NAME_OF_CODE = new Map<number, ResultName>(Object.entries(RESULT_CODES).map(([name, code]) => [code, name as ResultName]))
+
+/**
+ * Maps a result code to an HTTP status.
+ * @param code - a result code
+ * @returns the status; 503 for what may pass later, 500 for failed answers
+ */
+export function statusOf (code: number): number {
+  const name = NAME_OF_CODE.get(code)
+  const listed = name === undefined ? undefined : HTTP_STATUS[name]
+  return listed ?? (code >= 2000 && code < 3000 ? 500 : 503)
+}
+
+/**
+ * Sends JSON.
+ * @param res - the response
+ * @param status - HTTP status
+ * @param body - what to send
+ */
+export function sendJson (res: ServerResponse, status: number, body: unknown): void {
+  if (res.headersSent || res.destroyed) return
+  const text = JSON.stringify(body)
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  res.end(text)
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,11 @@
+/** Public surface of the protocol package: ids, codes, schemas and message types. No behaviour of the fleet. */
+export * from './ids.js'
+export * from './clock.js'
+export * from './resultCodes.js'
+export * from './callerApi.js'
+export * from './endpointApi.js'
+export * from './contract.js'
+export * from './fleet.js'
+export * from './peerMessages.js'
+export * from './settings.js'
+export * from './tomlFile.js'
--- /dev/null
+++ b/scripts/copyCharts.js
@@ -0,0 +1,8 @@
+// Copies the state charts and other JSON data next to the compiled code that reads them.
+import { cpSync, existsSync, readdirSync } from 'node:fs'
+import { join } from 'node:path'
+
+for (const name of readdirSync('packages')) {
+  const src = join('packages', name, 'src', 'charts')
+  if (existsSync(src)) cpSync(src, join('packages', name, 'dist', 'charts'), { recursive: true })
+}
