--- a/packages/core/src/contracts/contractsDecider.ts
+++ b/packages/core/src/contracts/contractsDecider.ts
@@ -383,6 +383,7 @@
   switch (a.type) {
     case 'join': return b.type === 'join' && a.entry.holder === b.entry.holder
     case 'remove': return b.type === 'remove' && a.holder === b.holder
+    case 'assignVoters': return b.type === 'assignVoters' && a.afterEpoch === b.afterEpoch
     case 'archived': return b.type === 'archived' && a.through === b.through
     case 'change': return false
   }
--- a/packages/core/src/contracts/mutations.ts
+++ b/packages/core/src/contracts/mutations.ts
@@ -23,6 +23,7 @@
   switch (mutation.type) {
     case 'join': return Result.ok(join(fleet, mutation.entry, mutation.predecessorWaitMs))
     case 'remove': return Result.ok(remove(fleet, mutation))
+    case 'assignVoters': return Result.ok(assignVoters(fleet, mutation.afterEpoch))
     case 'archived': return Result.ok({ ...fleet, audit: trimAudit(fleet.audit, mutation.through) })
     case 'change': return applyChange(fleet, mutation, world)
   }
@@ -56,11 +57,17 @@
   return withEntries(fleet, entries.filter(e => e.holder !== holder), [removal])
 }
 
+function assignVoters (fleet: Fleet, afterEpoch: number): Fleet {
+  const { claimVoters, roster } = fleet
+  if (claimVoters.epoch !== afterEpoch) return fleet
+  return { ...fleet, claimVoters: { epoch: afterEpoch + 1, entries: roster.entries, previousEntries: claimVoters.entries } }
+}
+
 function withEntries (fleet: Fleet, entries: readonly RosterEntry[], removals: readonly RosterRemoval[]): Fleet {
   const { roster } = fleet
   const kept = [...roster.removals, ...removals].slice(-REMOVALS_KEPT)
   const sorted = [...entries].sort((a, b) => a.holder < b.holder ? -1 : 1)
-  return { ...fleet, roster: { epoch: roster.epoch + 1, entries: sorted, previousEntries: roster.entries, removals: kept } }
+  return { ...fleet, roster: { epoch: roster.epoch + 1, entries: sorted, removals: kept } }
 }
 
 function applyChange (fleet: Fleet, mutation: Extract<Mutation, { type: 'change' }>, world: MutationWorld): Result<Fleet, CodedError> {
--- a/packages/core/src/contracts/types.ts
+++ b/packages/core/src/contracts/types.ts
@@ -13,6 +13,7 @@
 export type Mutation =
   | { readonly type: 'join', readonly entry: RosterEntry, readonly predecessorWaitMs: Ms }
   | { readonly type: 'remove', readonly holder: HolderId, readonly failureDomain: FailureDomain, readonly waitMs: Ms }
+  | { readonly type: 'assignVoters', readonly afterEpoch: number }
   | { readonly type: 'change', readonly request: ChangeRequest, readonly actor: Actor, readonly at: Ms, readonly instance: InstanceId }
   | { readonly type: 'archived', readonly through: number }
 
--- a/packages/core/src/deduplication/deduplicationDecider.ts
+++ b/packages/core/src/deduplication/deduplicationDecider.ts
@@ -3,7 +3,7 @@
  * at two of three holders, which the agreed roster assigns in different failure domains. No store call is on
  * this path, so a store outage alone stops nothing; where two holders cannot be reached the request is refused.
  *
- * When the roster changes, a new holder votes on a bucket only after enough of the bucket's earlier holders have
+ * When the voters change, a new holder votes on a bucket only after enough of the bucket's earlier holders have
  * handed over their claims; whoever hands over no longer votes under the older roster.
  */
 import type { Claim, ClaimVerdict, CustomerId, Fleet, HolderId, InstanceId, RequestId, RosterEntry, SubmissionId } from '@cranberryyard/protocol'
@@ -45,17 +45,17 @@
     private readonly listener: ClaimListener
   ) {}
 
-  /** Takes over a new roster: works out which buckets are new here and collects their claims. */
+  /** Takes over new voters: works out which buckets are new here and collects their claims. */
   fleetAdopted (fleet: Fleet, previous: Fleet): void {
-    if (fleet.roster.epoch === previous.roster.epoch) return
+    if (fleet.claimVoters.epoch === previous.claimVoters.epoch) return
     const { self, now } = this.ctx
-    const { roster } = fleet
+    const { epoch, entries, previousEntries } = fleet.claimVoters
     const followed = this.table
-    const inSequence = roster.epoch === followed.epoch + 1
-    this.previousTable = inSequence ? followed : new HolderTable(roster.epoch - 1, roster.previousEntries)
-    this.table = new HolderTable(roster.epoch, roster.entries)
-    this.sealedBelow = Math.max(this.sealedBelow, roster.epoch)
-    for (const e of [...roster.previousEntries, ...roster.entries]) this.entries.set(e.holder, e)
+    const inSequence = epoch === followed.epoch + 1
+    this.previousTable = inSequence ? followed : new HolderTable(epoch - 1, previousEntries)
+    this.table = new HolderTable(epoch, entries)
+    this.sealedBelow = Math.max(this.sealedBelow, epoch)
+    for (const e of [...previousEntries, ...entries]) this.entries.set(e.holder, e)
     for (const bucket of this.table.bucketsOf(self.holder)) this.planImport(bucket, inSequence)
     this.dropForeignImports()
     this.importAt = now
@@ -131,6 +131,11 @@
     this.answerDeferred()
   }
 
+  /** @returns the epoch for which all claims of this instance's buckets are collected; 0 while some are not */
+  get readyEpoch (): number {
+    return this.db.imports.size === 0 ? this.table.epoch : 0
+  }
+
   /** @returns number of buckets that this instance holds and cannot vote on yet */
   importing (): number {
     return this.db.imports.size
--- a/packages/core/src/instance/instance.ts
+++ b/packages/core/src/instance/instance.ts
@@ -11,6 +11,7 @@
 import { JobsDecider } from '../jobs/jobsDecider.js'
 import { LimitsDecider } from '../limits/limitsDecider.js'
 import { MembershipDecider } from '../membership/membershipDecider.js'
+import type { OwnReport } from '../membership/membershipDecider.js'
 import { RosterDecider } from '../roster/rosterDecider.js'
 import { RoutingDecider } from '../routing/routingDecider.js'
 import { SchedulingDecider, failed } from '../scheduling/schedulingDecider.js'
@@ -68,7 +69,7 @@
     this.scheduling = this.makeScheduling()
     this.deduplication = new DeduplicationDecider(ctx, this.membership, () => this.limits.isAcknowledged, (id, outcome) => this.jobs.claimEnded(id, outcome))
     this.jobs = this.makeJobs()
-    this.roster = new RosterDecider(ctx, this.membership, this.contracts, this.limits)
+    this.roster = new RosterDecider(ctx, this.membership, this.contracts, this.limits, () => this.deduplication.readyEpoch)
     this.contracts.onAdopt({ fleetAdopted: (fleet, previous) => this.fleetAdopted(fleet, previous) })
   }
 
@@ -185,11 +186,12 @@
     return this.state === 'drained' ? 'leaving' : this.state
   }
 
-  private ownReport (): { status: MemberStatus, versionInForce: number, versionKnown: number, backlog: number } {
+  private ownReport (): OwnReport {
     return {
       status: this.memberStatus(),
       versionInForce: this.limits.versionInForce,
       versionKnown: this.contracts.version,
+      claimsReadyEpoch: this.deduplication.readyEpoch,
       backlog: this.scheduling.backlog
     }
   }
@@ -198,6 +200,7 @@
     this.limits.fleetAdopted(fleet)
     this.routing.fleetAdopted(fleet)
     this.deduplication.fleetAdopted(fleet, previous)
+    this.roster.fleetAdopted(fleet, previous)
   }
 
   private receiveForward (from: InstanceId, forwarded: Extract<PeerMessage, { type: 'forward' }>['job']): void {
--- a/packages/core/src/limits/limitsDecider.ts
+++ b/packages/core/src/limits/limitsDecider.ts
@@ -16,8 +16,8 @@
 import { sharesOf } from './shares.js'
 import type { QueuedTasks, ShareTable } from './types.js'
 
-/** Shortest pause between two rounds of requests that a new shortage may trigger. */
-const SHORTAGE_PAUSE_MS = 20
+/** Pause after the first round of requests that a shortage triggers; it doubles while the shortage lasts. */
+const SHORTAGE_PAUSE_MIN_MS = 20
 /** A task start costs one token; a bucket holds at most this part of a second's tokens, or one task. */
 const RATE_BURST_S = 0.25
 
@@ -38,6 +38,7 @@
   private sequence = 0
   private nextRenewAt = 0
   private shortageAt = -Infinity
+  private shortagePauseMs = SHORTAGE_PAUSE_MIN_MS
   private lending = true
 
   constructor (
@@ -118,10 +119,14 @@
     return Math.max(0, -this.free(customer))
   }
 
-  /** Asks for more permits when the scheduler has run out of them, at most once every few milliseconds. */
+  /** Asks for more permits when the scheduler has run out of them; ever more rarely while nobody has any. */
   noteShortage (): void {
-    if (this.ctx.now - this.shortageAt < SHORTAGE_PAUSE_MS) return
-    this.shortageAt = this.ctx.now
+    const { now, cfg } = this.ctx
+    const sinceLast = now - this.shortageAt
+    if (sinceLast < this.shortagePauseMs) return
+    const isNew = sinceLast > 2 * cfg.limits.loanRenewMs
+    this.shortagePauseMs = isNew ? SHORTAGE_PAUSE_MIN_MS : Math.min(cfg.limits.loanRenewMs, 2 * this.shortagePauseMs)
+    this.shortageAt = now
     this.requestPermits()
   }
 
--- a/packages/core/src/membership/membershipDecider.ts
+++ b/packages/core/src/membership/membershipDecider.ts
@@ -22,6 +22,7 @@
   readonly status: MemberStatus
   readonly versionInForce: number
   readonly versionKnown: number
+  readonly claimsReadyEpoch: number
   readonly backlog: number
 }
 
@@ -168,17 +169,13 @@
 
   private ownEntry (): MemberEntry {
     const { self } = this.ctx
-    const { status, versionInForce, versionKnown, backlog } = this.report()
     return {
       instance: self.instance,
       incarnation: self.incarnation,
       failureDomain: self.failureDomain,
       address: self.address,
       heartbeat: this.heartbeat,
-      status,
-      versionInForce,
-      versionKnown,
-      backlog
+      ...this.report()
     }
   }
 
@@ -213,6 +210,6 @@
 }
 
 function toEntry (member: Member): MemberEntry {
-  const { instance, incarnation, failureDomain, address, heartbeat, status, versionInForce, versionKnown, backlog } = member
-  return { instance, incarnation, failureDomain, address, heartbeat, status, versionInForce, versionKnown, backlog }
+  const { instance, incarnation, failureDomain, address, heartbeat, status, versionInForce, versionKnown, claimsReadyEpoch, backlog } = member
+  return { instance, incarnation, failureDomain, address, heartbeat, status, versionInForce, versionKnown, claimsReadyEpoch, backlog }
 }
--- a/packages/core/src/roster/rosterDecider.ts
+++ b/packages/core/src/roster/rosterDecider.ts
@@ -3,7 +3,7 @@
  * failure domain off once they can no longer use their share. Only members of the same domain do that, so a
  * domain that is cut off as a whole keeps its shares.
  */
-import type { MemberStatus, Ms, RosterEntry } from '@cranberryyard/protocol'
+import type { Fleet, MemberStatus, Ms, RosterEntry } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ContractsDecider } from '../contracts/contractsDecider.js'
 import type { Context } from '../instance/context.js'
@@ -15,18 +15,27 @@
 const PROPAGATION_MS = 300
 /** An entry never heard of is judged only after this instance has listened for so long. */
 const LISTEN_MS = 4000
+/** Claim voters follow the roster once it has been unchanged for this span, so that a wave of joins is one step. */
+const VOTERS_QUIET_MS = 800
 
 /** Decides when roster entries are added and removed. */
 export class RosterDecider {
   private listeningSince: Ms | undefined
+  private changedAt: Ms | undefined
 
   constructor (
     private readonly ctx: Context,
     private readonly membership: MembershipDecider,
     private readonly contracts: ContractsDecider,
-    private readonly limits: LimitsDecider
+    private readonly limits: LimitsDecider,
+    private readonly claimsReadyEpoch: () => number
   ) {}
 
+  /** Notes when entries last changed. */
+  fleetAdopted (fleet: Fleet, previous: Fleet): void {
+    if (fleet.roster.epoch !== previous.roster.epoch) this.changedAt = this.ctx.now
+  }
+
   /** Proposes the changes that are due. */
   tick (status: MemberStatus): void {
     this.listeningSince ??= this.ctx.now
@@ -35,6 +44,7 @@
       case 'serving':
         this.join()
         this.removeSilent()
+        this.assignVoters()
         return
       case 'leaving': this.leave()
     }
@@ -76,6 +86,28 @@
     }
   }
 
+  /** The oldest live entry moves the claim voters on to the roster, one settled step after the other. */
+  private assignVoters (): void {
+    const { claimVoters, roster } = this.contracts.db.fleet
+    const quiet = this.ctx.now - (this.changedAt ?? this.ctx.now) >= VOTERS_QUIET_MS
+    if (!quiet || sameHolders(claimVoters.entries, roster.entries) || !this.isOldestOfRoster()) return
+    if (claimVoters.entries.every(e => this.isSettled(e, claimVoters.epoch))) {
+      this.contracts.propose({ type: 'assignVoters', afterEpoch: claimVoters.epoch })
+    }
+  }
+
+  /** A voter that is not live cannot vote; its buckets have other holders. */
+  private isSettled (entry: RosterEntry, epoch: number): boolean {
+    if (entry.holder === this.ctx.self.holder) return this.claimsReadyEpoch() === epoch
+    const member = this.membership.db.get(entry.instance)
+    if (member === undefined || member.incarnation !== entry.incarnation || !this.membership.isLive(member)) return true
+    return member.claimsReadyEpoch === epoch
+  }
+
+  private isOldestOfRoster (): boolean {
+    return this.membership.serving().every(m => byAge(this.ctx.self, m) < 0)
+  }
+
   private hasListened (): boolean {
     return this.ctx.now - (this.listeningSince ?? this.ctx.now) >= LISTEN_MS
   }
@@ -90,3 +122,7 @@
     return ms(PROPAGATION_MS + isolationMs + startWindowMs + clockSkewMs + taskLeaseMs)
   }
 }
+
+function sameHolders (a: readonly RosterEntry[], b: readonly RosterEntry[]): boolean {
+  return a.length === b.length && a.every((e, i) => e.holder === b[i]?.holder)
+}
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -28,11 +28,20 @@
 
 /** Who holds shares and claims; the epoch grows with every change of entries. */
 export interface Roster {
+  readonly epoch: number
+  readonly entries: readonly RosterEntry[]
+  readonly removals: readonly RosterRemoval[]
+}
+
+/**
+ * Who votes on claims. It follows the roster in steps: the next step is taken only when every live voter has
+ * collected the claims of its buckets, so that no earlier claim is lost on the way.
+ */
+export interface ClaimVoters {
   readonly epoch: number
   readonly entries: readonly RosterEntry[]
   /** Entries of the epoch before, whose claims new holders take over. */
   readonly previousEntries: readonly RosterEntry[]
-  readonly removals: readonly RosterRemoval[]
 }
 
 /** A contract with its own revision, which grows by one with every accepted change. */
@@ -84,6 +93,7 @@
 export interface Fleet {
   readonly version: number
   readonly roster: Roster
+  readonly claimVoters: ClaimVoters
   readonly contracts: readonly ContractRecord[]
   readonly endpoints: readonly EndpointRecord[]
   readonly audit: AuditTail
@@ -95,7 +105,8 @@
 /** The value before anything was written. */
 export const EMPTY_FLEET: Fleet = {
   version: 0,
-  roster: { epoch: 0, entries: [], previousEntries: [], removals: [] },
+  roster: { epoch: 0, entries: [], removals: [] },
+  claimVoters: { epoch: 0, entries: [], previousEntries: [] },
   contracts: [],
   endpoints: [],
   audit: { archivedThrough: 0, archivedHash: AUDIT_ROOT_HASH, entries: [] }
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -21,6 +21,8 @@
   readonly versionInForce: number
   /** Newest fleet version that the instance knows. */
   readonly versionKnown: number
+  /** Epoch of claim voters for which the instance has collected all claims of its buckets. */
+  readonly claimsReadyEpoch: number
   /** Tasks waiting in the instance's scheduler. */
   readonly backlog: number
 }
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -45,7 +45,7 @@
   startWindowMs: durationMs(150, 'An endpoint refuses a start that arrives later than this after the decision.'),
   clockSkewMs: durationMs(100, 'Largest difference between wall clocks of two machines.'),
   isolationMs: durationMs(1400, 'An instance not acknowledged by a majority of its domain for this span stops using its share.'),
-  reserve: z.number().min(0).max(1).default(0.25).describe('Part of its share that an instance never lends, for the first moments after a cut.')
+  reserve: z.number().min(0).max(1).default(0.1).describe('Part of its share that an instance never lends, for the first moments after a cut.')
 })
 
 const membershipSchema = z.strictObject({
