--- /dev/null
+++ b/packages/bench/src/fuzz/mutations.ts
@@ -0,0 +1,107 @@
+/**
+ * Seeded mutations of core, one line each, that the oracle must catch. They are applied to compiled files as a
+ * test process loads them; nothing that ships contains them.
+ */
+
+/** One mutation. */
+export interface Mutation {
+  readonly name: string
+  /** File below core's dist folder. */
+  readonly file: string
+  readonly find: string
+  readonly replace: string
+}
+
+/** All mutations. */
+export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'startsWithoutPermit',
+    file: 'limits/limitsDecider.js',
+    find: 'if (this.free(customer) <= 0)',
+    replace: 'if (this.free(customer) <= -2)'
+  },
+  {
+    name: 'lendsTwice',
+    file: 'limits/limitsDecider.js',
+    find: 'this.db.lent.set(to, customer, { count: Math.max(kept, count), until });',
+    replace: ''
+  },
+  {
+    name: 'followsNewestShareOnly',
+    file: 'limits/limitsDb.js',
+    find: 'smallest = Math.min(smallest, table.shares.get(customer) ?? 0)',
+    replace: 'smallest = table.shares.get(customer) ?? 0'
+  },
+  {
+    name: 'loanEndsBeforeItsTasks',
+    file: 'limits/limitsDecider.js',
+    find: 'ms(now + validMs + startWindowMs + clockSkewMs + taskLeaseMs)',
+    replace: 'ms(now + validMs)'
+  },
+  {
+    name: 'removalDoesNotWait',
+    file: 'roster/rosterDecider.js',
+    find: 'return ms(PROPAGATION_MS + isolationMs + startWindowMs + clockSkewMs + taskLeaseMs)',
+    replace: 'return ms(0 * (PROPAGATION_MS + isolationMs + startWindowMs + clockSkewMs + taskLeaseMs))'
+  },
+  {
+    name: 'retriesUnknownStarts',
+    file: 'scheduling/schedulingDecider.js',
+    find: 'this.outcomeLost(task);\n',
+    replace: 'this.refused(task);\n'
+  },
+  {
+    name: 'freesPermitOfLostTask',
+    file: 'scheduling/schedulingDecider.js',
+    find: 'task.outcomeLost = true;',
+    replace: 'this.end(task);'
+  },
+  {
+    name: 'oneVoteIsEnough',
+    file: 'deduplication/deduplicationDb.js',
+    find: 'Math.floor(holders / 2) + 1',
+    replace: '1'
+  },
+  {
+    name: 'newHolderVotesAtOnce',
+    file: 'deduplication/deduplicationDecider.js',
+    find: 'if (sources.length === 0 || wasReady)',
+    replace: 'if (sources.length === 0 || wasReady || true)'
+  },
+  {
+    name: 'lostSchedulerMeansNotRun',
+    file: 'jobs/jobsDecider.js',
+    find: 'the instance that scheduled the job was lost\', ran: \'maybe\'',
+    replace: 'the instance that scheduled the job was lost\', ran: \'no\''
+  },
+  {
+    name: 'adoptsOlderVersions',
+    file: 'contracts/contractsDecider.js',
+    find: 'if (fleet.version <= previous.version)',
+    replace: 'if (fleet.version === previous.version)'
+  },
+  {
+    name: 'resultsInOrderOfArrival',
+    file: 'scheduling/schedulingDecider.js',
+    find: 'job.results[index] = result',
+    replace: 'job.results[job.results.length - job.missing] = result'
+  },
+  {
+    name: 'answersTwice',
+    file: 'jobs/jobsDecider.js',
+    find: 'for (const callId of job.waiting)',
+    replace: 'for (const callId of [...job.waiting, ...job.waiting])'
+  },
+  {
+    name: 'isolatedInstanceKeepsItsShare',
+    file: 'limits/limitsDecider.js',
+    find: 'return this.acknowledged ? this.db.smallestShare(customer) : 0',
+    replace: 'return this.db.smallestShare(customer)'
+  },
+  {
+    name: 'cancelSaysNotRun',
+    file: 'scheduling/schedulingDecider.js',
+    find: '{ name: \'cancelled\', message: \'cancelled by the caller\', ran: \'yes\' }',
+    replace: '{ name: \'cancelled\', message: \'cancelled by the caller\', ran: \'no\' }'
+  }
+]
--- a/packages/bench/src/memory/link.ts
+++ b/packages/bench/src/memory/link.ts
@@ -16,8 +16,14 @@
   readonly jitterMs: number
   /** Messages between instances lost out of a thousand. */
   lossPerMille: number
+  /** Messages out of a thousand that arrive up to LATE_MAX_MS later, behind newer ones. */
+  latePerMille: number
+  /** Messages between instances out of a thousand that arrive twice. */
+  doublePerMille: number
 }
 
+const LATE_MAX_MS = 3000
+
 /** Which places reach which. */
 export class Links {
   private readonly cuts = new Set<string>()
@@ -55,9 +61,15 @@
     return this.random.below(1000) < this.profile.lossPerMille
   }
 
+  /** @returns true when a message between instances arrives twice */
+  doubles (): boolean {
+    return this.random.below(1000) < this.profile.doublePerMille
+  }
+
   /** @returns one-way delay between two places */
   delay (from: Place, to: Place): number {
     const base = from === to ? this.profile.nearMs : this.profile.farMs
-    return base + this.random.below(1000) / 1000 * this.profile.jitterMs
+    const late = this.random.below(1000) < this.profile.latePerMille ? this.random.below(LATE_MAX_MS) : 0
+    return base + late + this.random.below(1000) / 1000 * this.profile.jitterMs
   }
 }
--- a/packages/bench/src/memory/memoryFleet.ts
+++ b/packages/bench/src/memory/memoryFleet.ts
@@ -7,7 +7,7 @@
 import { EndpointModel, StoreModel } from '@cranberryyard/fakes'
 import type { EndpointSize } from '@cranberryyard/fakes'
 import { EMPTY_FLEET, ms, settingsSchema } from '@cranberryyard/protocol'
-import type { Answer, CodedError, Contract, EndpointId, FailureDomain, Fleet, InstanceId, JobSpec, StartOutcome, SubmissionId } from '@cranberryyard/protocol'
+import type { Answer, CodedError, Contract, EndpointId, FailureDomain, Fleet, InstanceId, JobSpec, StartOutcome, StartRequest, SubmissionId } from '@cranberryyard/protocol'
 import { Links, PLATFORM } from './link.js'
 import type { LinkProfile } from './link.js'
 import { Timeline } from './timeline.js'
@@ -108,7 +108,7 @@
   /** Counting bytes costs time; only measurements of slopes turn it on. */
   countsBytes = false
   /** Told of every start that an endpoint accepts. */
-  onStart: (endpoint: MemoryEndpoint, taskId: string) => void = () => {}
+  onStart: (endpoint: MemoryEndpoint, request: StartRequest) => void = () => {}
   /** Told of every effect, before it is carried out. */
   onEffect: (node: MemoryNode, effect: Effect) => void = () => {}
   private readonly byInstance = new Map<InstanceId, MemoryNode>()
@@ -307,6 +307,11 @@
     this.counts.peerBytes += this.countsBytes ? JSON.stringify(effect.message).length : 0
     const to = this.byInstance.get(effect.to)
     if (to === undefined || !this.links.reaches(node.domain, to.domain) || this.links.loses()) return
+    this.deliver(node, to, effect)
+    if (this.links.doubles()) this.deliver(node, to, effect)
+  }
+
+  private deliver (node: MemoryNode, to: MemoryNode, effect: Extract<Effect, { type: 'send' }>): void {
     const { life } = node
     const target = to.life
     this.time.after(this.links.delay(node.domain, to.domain), () => {
@@ -342,7 +347,7 @@
     const before = endpoint.model.log.length
     endpoint.model.advance(this.time.now)
     endpoint.model.start(effect.request, this.time.now, this.wall(endpoint.skewMs), outcome => report(knownAsUnknown(outcome)))
-    if (endpoint.model.log.length > before) this.onStart(endpoint, effect.request.taskId)
+    if (endpoint.model.log.length > before) this.onStart(endpoint, effect.request)
     this.wakeEndpoint(endpoint)
   }
 
@@ -359,7 +364,7 @@
 
   private renew (node: MemoryNode, effect: Extract<Effect, { type: 'renew' }>): void {
     const { endpoint: id, tasks, notAfter } = effect
-    this.control(node, effect.endpoint, endpoint => {
+    this.control(node, effect.endpoint, (endpoint) => {
       endpoint.model.renew(tasks, this.time.now, this.wall(endpoint.skewMs), notAfter)
       this.wakeEndpoint(endpoint)
       return { type: 'renewOutcome', endpoint: id, tasks, renewed: true }
@@ -367,7 +372,7 @@
   }
 
   private stopTasks (node: MemoryNode, effect: Extract<Effect, { type: 'stop' }>): void {
-    this.control(node, effect.endpoint, endpoint => {
+    this.control(node, effect.endpoint, (endpoint) => {
       endpoint.model.stop(effect.tasks, this.time.now)
       return undefined
     })
--- a/packages/bench/src/memory/workload.ts
+++ b/packages/bench/src/memory/workload.ts
@@ -38,18 +38,27 @@
 }
 
 /**
- * Makes a job.
+ * Makes a job whose payloads say whose they are, for the oracle.
+ * @param customer - whose job
  * @param requestId - the caller's id
  * @param kind - `compute` or `serial`
  * @param runTimes - true run time of each task in milliseconds
  * @param declaredMs - declared run time, if any
  * @returns a checked job
  */
-export function testJob (requestId: string, kind: string, runTimes: readonly number[], declaredMs?: number): JobSpec {
+export function testJob (customer: string, requestId: string, kind: string, runTimes: readonly number[], declaredMs?: number): JobSpec {
   const declared = declaredMs === undefined ? {} : { runMs: declaredMs }
-  return jobSchema.parse({ requestId, kind, tasks: runTimes.map((runMs, i) => ({ payload: { runMs, value: i }, ...declared })) })
+  return jobSchema.parse({ requestId, kind, tasks: runTimes.map((runMs, i) => ({ payload: { runMs, value: resultOf(requestId, i), customer, requestId, kind }, ...declared })) })
 }
 
+/**
+ * Names the one right result of a task.
+ * @param requestId - the caller's id
+ * @param index - position in the job
+ * @returns the result
+ */
+export const resultOf = (requestId: string, index: number): string => `${requestId}:${index}`
+
 /**
  * Draws run times between 50 ms and a second, most of them short.
  * @param random - the source
--- /dev/null
+++ b/packages/bench/src/processes/localFleet.ts
@@ -0,0 +1,262 @@
+/**
+ * A whole deployment on loopback from real processes: platform and endpoint stand-ins in this process, entry
+ * instances as daemons started from the built binary, every link between them optionally behind a fault proxy.
+ */
+import { EndpointFake, FaultProxy, PlatformFake } from '@cranberryyard/fakes'
+import { hashKey } from '@cranberryyard/dispatcher'
+import { EMPTY_FLEET } from '@cranberryyard/protocol'
+import type { Contract, EndpointId, EndpointInfo, FailureDomain, InstanceId } from '@cranberryyard/protocol'
+import type { ChildProcess } from 'node:child_process'
+import { spawn } from 'node:child_process'
+import { mkdirSync, openSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { stringify } from 'smol-toml'
+
+const DAEMON = fileURLToPath(import.meta.resolve('@cranberryyard/dispatcher')).replace(/index\.js$/, 'main.js')
+
+/** Shape of a local deployment. */
+export interface LocalOptions {
+  /** Folder for settings and logs. */
+  readonly folder: string
+  readonly domains: readonly string[]
+  readonly instancesPerDomain: number
+  readonly endpointsPerDomain: number
+  readonly slots: number
+  readonly contracts: readonly Contract[]
+  readonly teamKey: string
+  /** Puts every link between instances, and to endpoints and platform, behind a fault proxy. */
+  readonly proxied: boolean
+  readonly settings?: Record<string, Record<string, unknown>>
+  /** First port; 0 takes any free ports. */
+  readonly basePort?: number
+  readonly keepsLog?: boolean
+}
+
+/** One daemon. */
+export interface LocalInstance {
+  readonly id: InstanceId
+  readonly domain: string
+  readonly callerUrl: string
+  readonly operatorUrl: string
+  readonly settingsFile: string
+  process: ChildProcess | undefined
+  /** Exit code of the last life, once it has ended. */
+  exited: Promise<number | null>
+}
+
+/** One endpoint stand-in. */
+export interface LocalEndpoint {
+  readonly id: EndpointId
+  readonly domain: string
+  readonly fake: EndpointFake
+}
+
+interface Ports {
+  readonly caller: number
+  readonly operator: number
+  readonly peer: number
+}
+
+interface ProxiedLink {
+  readonly from: string
+  readonly to: string
+  readonly proxy: FaultProxy
+}
+
+/** Name of the platform in links. */
+export const PLATFORM_DOMAIN = 'platform'
+
+/** The deployment. */
+export class LocalFleet {
+  readonly platform = new PlatformFake()
+  readonly instances: LocalInstance[] = []
+  readonly endpoints: LocalEndpoint[] = []
+  private readonly links: ProxiedLink[] = []
+  private readonly ports = new Map<string, Ports>()
+  private platformPort = 0
+  private nextPort: number
+
+  constructor (private readonly options: LocalOptions) {
+    this.nextPort = options.basePort ?? 0
+  }
+
+  /** Starts stand-ins and daemons. */
+  async start (): Promise<void> {
+    mkdirSync(this.options.folder, { recursive: true })
+    this.platformPort = await this.platform.listen(await this.port())
+    const fleet = { ...EMPTY_FLEET, version: 1, contracts: this.options.contracts.map(contract => ({ revision: 1, contract })) }
+    this.platform.store.write('fleet', JSON.stringify(fleet), 0)
+    for (const domain of this.options.domains) await this.startEndpoints(domain)
+    for (const domain of this.options.domains) await this.prepareInstances(domain)
+    await this.writeSettings()
+    for (const instance of this.instances) this.launch(instance)
+  }
+
+  /** Starts a daemon, as a new life. */
+  launch (instance: LocalInstance): void {
+    const log = openSync(join(this.options.folder, `${instance.id}.log`), 'a')
+    const child = spawn(process.execPath, [DAEMON, '--settings', instance.settingsFile], { stdio: ['ignore', log, log] })
+    instance.process = child
+    instance.exited = new Promise(resolve => child.once('exit', code => resolve(code)))
+  }
+
+  /** Waits until an instance says that it is serving. */
+  async waitServing (instance: LocalInstance, timeoutMs = 20_000): Promise<void> {
+    const until = Date.now() + timeoutMs
+    while (Date.now() < until) {
+      if (await isServing(instance)) return
+      await sleep(50)
+    }
+    throw new Error(`${instance.id} does not serve after ${timeoutMs} ms`)
+  }
+
+  /** Waits until every instance serves and is on the roster. */
+  async waitReady (): Promise<void> {
+    for (const instance of this.instances) await this.waitServing(instance)
+    const until = Date.now() + 20_000
+    while (Date.now() < until) {
+      const stored = JSON.parse(this.platform.store.get('fleet')?.value ?? '{}') as typeof EMPTY_FLEET
+      if (stored.claimVoters.entries.length === this.instances.length) break
+      await sleep(50)
+    }
+    await sleep(1500)
+  }
+
+  /** Cuts a domain off from the others, and from the platform if asked. */
+  cutDomain (domain: string, fromPlatform: boolean): void {
+    for (const link of this.links) if (this.concerns(link, domain, fromPlatform)) link.proxy.cut()
+  }
+
+  /** Ends all cuts. */
+  heal (): void {
+    for (const { proxy } of this.links) if (proxy.faults.cutForward || proxy.faults.cutBackward) proxy.heal()
+  }
+
+  /** Resets every connection between instances. */
+  resetLinks (): void {
+    for (const { proxy } of this.links) proxy.reset()
+  }
+
+  /** Ends everything. */
+  async stop (): Promise<void> {
+    for (const { process: child } of this.instances) child?.kill('SIGKILL')
+    await Promise.all(this.instances.map(i => i.exited))
+    await Promise.all(this.endpoints.map(e => e.fake.close()))
+    await Promise.all(this.links.map(l => l.proxy.close()))
+    await this.platform.close()
+  }
+
+  private concerns (link: ProxiedLink, domain: string, fromPlatform: boolean): boolean {
+    if (link.from === link.to) return false
+    if (link.to === PLATFORM_DOMAIN) return fromPlatform && link.from === domain
+    return link.from === domain || link.to === domain
+  }
+
+  private async startEndpoints (domain: string): Promise<void> {
+    for (let i = 0; i < this.options.endpointsPerDomain; i++) {
+      const size = { slots: this.options.slots, cores: 32, memoryMb: 131_072, accelerators: 0 }
+      const fake = new EndpointFake(size, this.options.keepsLog ?? true)
+      const port = await fake.listen(await this.port())
+      const id = `endpoint-${domain}-${i + 1}` as EndpointId
+      this.endpoints.push({ id, domain, fake })
+      const rack = `rack-${domain}-${Math.floor(i / 8) + 1}`
+      this.platform.endpoints.push({ id, failureDomain: domain as FailureDomain, rack, address: `127.0.0.1:${port}`, leaving: false, ...size })
+    }
+  }
+
+  private async prepareInstances (domain: string): Promise<void> {
+    for (let i = 0; i < this.options.instancesPerDomain; i++) {
+      const id = `entry-${domain}-${i + 1}` as InstanceId
+      const ports = { caller: await this.port(), operator: await this.port(), peer: await this.port() }
+      this.ports.set(id, ports)
+      this.instances.push({
+        id,
+        domain,
+        callerUrl: `http://127.0.0.1:${ports.caller}`,
+        operatorUrl: `http://127.0.0.1:${ports.operator}`,
+        settingsFile: join(this.options.folder, `${id}.toml`),
+        process: undefined,
+        exited: Promise.resolve(null)
+      })
+    }
+  }
+
+  private async port (): Promise<number> {
+    if (this.nextPort > 0) return this.nextPort++
+    const server = createServer()
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const address = server.address()
+    await new Promise<void>(resolve => server.close(() => resolve()))
+    return typeof address === 'object' && address !== null ? address.port : 0
+  }
+
+  private async writeSettings (): Promise<void> {
+    for (const instance of this.instances) {
+      const ports = this.ports.get(instance.id)
+      if (ports === undefined) continue
+      const peers = await this.peersOf(instance)
+      const platform = await this.linkTo(instance.domain, PLATFORM_DOMAIN, this.platformPort)
+      const settings = {
+        instance: { id: instance.id, failureDomain: instance.domain },
+        listen: { callerPort: ports.caller, operatorPort: ports.operator, peerPort: ports.peer },
+        peers,
+        callerTls: { plain: true },
+        operatorTls: { plain: true },
+        peerTls: { plain: true },
+        operators: { teamKeys: [{ name: 'team', keyHash: hashKey(this.options.teamKey) }] },
+        ...this.options.settings,
+        platform: { address: `127.0.0.1:${platform}`, listPeriodMs: 1000, ...this.options.settings?.platform }
+      }
+      writeFileSync(instance.settingsFile, stringify(settings))
+    }
+    if (this.options.proxied) await this.proxyEndpoints()
+  }
+
+  private async peersOf (instance: LocalInstance): Promise<{ id: string, address: string }[]> {
+    const others = this.instances.filter(i => i.id !== instance.id)
+    return Promise.all(others.map(async (other) => {
+      const port = this.ports.get(other.id)?.peer ?? 0
+      return { id: other.id, address: `127.0.0.1:${await this.linkTo(instance.domain, other.domain, port)}` }
+    }))
+  }
+
+  /** @returns the port to use for a link: the target's own, or that of a proxy in front of it */
+  private async linkTo (from: string, to: string, targetPort: number): Promise<number> {
+    if (!this.options.proxied) return targetPort
+    const proxy = new FaultProxy(targetPort)
+    this.links.push({ from, to, proxy })
+    return proxy.listen()
+  }
+
+  /** Each domain reaches each endpoint over a link of its own, so that cuts hit endpoints too. */
+  private async proxyEndpoints (): Promise<void> {
+    const views = new Map<string, EndpointInfo[]>()
+    for (const domain of this.options.domains) {
+      views.set(domain, await Promise.all(this.platform.endpoints.map(info => this.proxiedEndpoint(domain, info))))
+    }
+    this.platform.endpointsFrom = domain => (views.get(domain) ?? []).filter(e => this.platform.endpoints.some(p => p.id === e.id))
+  }
+
+  private async proxiedEndpoint (from: string, info: EndpointInfo): Promise<EndpointInfo> {
+    const port = Number(info.address.split(':')[1])
+    return { ...info, address: `127.0.0.1:${await this.linkTo(from, info.failureDomain, port)}` }
+  }
+}
+
+/** @returns true when the instance's health page says so */
+export async function isServing (instance: LocalInstance): Promise<boolean> {
+  try {
+    const res = await fetch(`${instance.callerUrl}/healthz`)
+    await res.arrayBuffer()
+    return res.status === 200
+  } catch {
+    return false
+  }
+}
+
+/** Waits. */
+export function sleep (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/packages/core/src/instance/instance.ts
+++ b/packages/core/src/instance/instance.ts
@@ -115,6 +115,7 @@
       case 'casOutcome': return this.contracts.casOutcome(input.attempt, input.result)
       case 'archiveOutcome': return this.contracts.archiveOutcome(input.through, input.ok)
       case 'instanceList': return this.instanceList(input)
+      case 'peers': return this.fixPeers(input)
       case 'change': return this.contracts.change(input.callId, input.request)
       case 'leave': return this.leave()
     }
@@ -205,6 +206,7 @@
 
   private receiveForward (from: InstanceId, forwarded: Extract<PeerMessage, { type: 'forward' }>['job']): void {
     const { submissionId, customer, job, remainingMs } = forwarded
+    if (!this.scheduling.noteForwarded(submissionId)) return
     const terms = this.contracts.db.terms(customer, job.kind)
     const weight = this.contracts.db.contract(customer)?.weight ?? 1
     if (this.state !== 'serving' || terms === undefined) {
@@ -230,6 +232,10 @@
     this.scheduling.pump()
   }
 
+  private fixPeers (input: Extract<Input, { type: 'peers' }>): void {
+    for (const peer of input.peers) this.membership.db.fixAddress(peer.instance, peer.address)
+  }
+
   private instanceList (input: Extract<Input, { type: 'instanceList' }>): void {
     for (const peer of input.peers) {
       if (peer.instance !== this.ctx.self.instance) this.membership.db.learnAddress(peer.instance, peer.address)
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -81,6 +81,7 @@
   | { readonly type: 'casOutcome', readonly attempt: number, readonly result: CasResult }
   | { readonly type: 'archiveOutcome', readonly through: number, readonly ok: boolean }
   | { readonly type: 'instanceList', readonly endpoints: readonly EndpointInfo[], readonly peers: readonly PeerAddress[] }
+  | { readonly type: 'peers', readonly peers: readonly PeerAddress[] }
   | { readonly type: 'change', readonly callId: string, readonly request: ChangeRequest }
   | { readonly type: 'leave' }
 
--- a/packages/core/src/jobs/jobsDecider.ts
+++ b/packages/core/src/jobs/jobsDecider.ts
@@ -2,7 +2,7 @@
  * A submission's life at the instance that accepted it: checks, claim if its kind must run at most once,
  * placement with a scheduler, and exactly one answer. Late or repeated answers find the job answered and are dropped.
  */
-import type { Answer, CodedError, CustomerId, InstanceId, JobSpec, KindTerms, MemberStatus, SubmissionId } from '@cranberryyard/protocol'
+import type { Answer, CodedError, CustomerId, InstanceId, JobSpec, KindTerms, MemberStatus, PeerMessage, SubmissionId } from '@cranberryyard/protocol'
 import { codedError, homeOf, isNotRun, ms } from '@cranberryyard/protocol'
 import type { Context } from '../instance/context.js'
 import { sendPeer } from '../instance/context.js'
@@ -108,7 +108,7 @@
   /** Takes back a job of which nothing was started. */
   returned (submissionId: SubmissionId, from: InstanceId): void {
     const job = this.db.get(submissionId)
-    if (job === undefined || job.scheduler?.instance !== from) return
+    if (job === undefined || job.state !== 'forwarded' || job.scheduler?.instance !== from) return
     job.excluded.add(from)
     this.step(job, 'returned')
     this.place(job)
@@ -124,12 +124,10 @@
 
   /** Answers a peer that asks for a submission of this instance. */
   receiveQuestion (from: InstanceId, customer: CustomerId, submissionId: SubmissionId, replyTo: string): void {
-    const address = this.parts.membership.db.addressOf(from)
-    if (address === undefined) return
     const retained = this.db.answerOf(submissionId)
     const answer = retained?.customer === customer ? retained.answer : null
     const pending = this.db.get(submissionId)?.customer === customer
-    sendPeer(this.ctx, from, address, { type: 'answerReply', replyTo, answer, pending })
+    this.tell(from, { type: 'answerReply', replyTo, answer, pending })
   }
 
   /** Takes a peer's reply about one of its submissions, for a waiting call or for a resubmission. */
@@ -224,18 +222,18 @@
         this.parts.scheduling.enqueue(this.orderOf(job))
         return
       case 'remote':
-        this.forward(job, placement.instance, placement.address)
+        this.forward(job, placement.instance)
     }
   }
 
-  private forward (job: FrontJob, to: InstanceId, address: string): void {
+  private forward (job: FrontJob, to: InstanceId): void {
     const member = this.parts.membership.db.get(to)
     this.step(job, 'placeRemote')
     job.scheduler = { instance: to, incarnation: member?.incarnation ?? 0 }
     const { submissionId, customer, job: spec } = job
     this.ctx.out.count('jobs.forwarded')
     const remainingMs = ms(job.deadline - this.ctx.now)
-    sendPeer(this.ctx, to, address, { type: 'forward', job: { submissionId, customer, job: spec, remainingMs } })
+    this.tell(to, { type: 'forward', job: { submissionId, customer, job: spec, remainingMs } })
   }
 
   private orderOf (job: FrontJob): JobOrder {
@@ -266,8 +264,12 @@
 
   private sendCancel (job: FrontJob): void {
     const { scheduler, submissionId } = job
-    const address = scheduler === undefined ? undefined : this.parts.membership.db.addressOf(scheduler.instance)
-    if (scheduler !== undefined && address !== undefined) sendPeer(this.ctx, scheduler.instance, address, { type: 'forwardCancel', submissionId })
+    if (scheduler !== undefined) this.tell(scheduler.instance, { type: 'forwardCancel', submissionId })
+  }
+
+  private tell (to: InstanceId, message: PeerMessage): void {
+    const address = this.parts.membership.db.addressOf(to)
+    if (address !== undefined) sendPeer(this.ctx, to, address, message)
   }
 
   /** The request was claimed by an earlier submission: its answer is fetched if its home can be reached. */
@@ -292,7 +294,7 @@
     }
     earlier.askAt = ms(this.ctx.now + EARLIER_ASK_MS)
     const { submissionId, customer } = job
-    sendPeer(this.ctx, member.instance, member.address, { type: 'answerRequest', submissionId: earlier.submissionId, customer, replyTo: submissionId })
+    this.tell(member.instance, { type: 'answerRequest', submissionId: earlier.submissionId, customer, replyTo: submissionId })
   }
 
   private earlierReply (job: FrontJob, answer: Answer | null, pending: boolean): void {
@@ -385,7 +387,7 @@
       this.replyToCall(callId, null, false)
       return
     }
-    sendPeer(this.ctx, home, member.address, { type: 'answerRequest', submissionId, customer, replyTo: callId })
+    this.tell(home, { type: 'answerRequest', submissionId, customer, replyTo: callId })
   }
 
   private replyToCall (callId: string, answer: Answer | null, pending: boolean, submissionId?: SubmissionId): void {
--- a/packages/core/src/membership/membershipDb.ts
+++ b/packages/core/src/membership/membershipDb.ts
@@ -12,6 +12,7 @@
 export class MembershipDb {
   private readonly members = new Map<InstanceId, Member>()
   private readonly addresses = new Map<InstanceId, string>()
+  private readonly fixedAddresses = new Map<InstanceId, string>()
   private readonly acknowledgedAt = new Map<InstanceId, Ms>()
   private readonly ownHeartbeats = new Map<number, Ms>()
 
@@ -53,14 +54,20 @@
     if (known !== undefined) this.members.set(instance, { ...known, linkDown: true })
   }
 
-  /** Learns an address from settings or the platform's list; gossip from the member itself wins. */
+  /** Learns an address from the platform's list; gossip from the member itself wins. */
   learnAddress (instance: InstanceId, address: string): void {
     if (!this.members.has(instance)) this.addresses.set(instance, address)
   }
 
+  /** Takes an address from the settings; it holds as seen from here and wins over all others. */
+  fixAddress (instance: InstanceId, address: string): void {
+    this.fixedAddresses.set(instance, address)
+    this.learnAddress(instance, address)
+  }
+
   /** @returns the peer address of an instance, if known */
   addressOf (instance: InstanceId): string | undefined {
-    return this.addresses.get(instance)
+    return this.fixedAddresses.get(instance) ?? this.addresses.get(instance)
   }
 
   /** @returns instances whose address is known but which have not been heard of */
@@ -82,6 +89,8 @@
   forget (instance: InstanceId): void {
     this.members.delete(instance)
     this.addresses.delete(instance)
+    const fixed = this.fixedAddresses.get(instance)
+    if (fixed !== undefined) this.addresses.set(instance, fixed)
     this.acknowledgedAt.delete(instance)
   }
 }
--- a/packages/core/src/routing/routingDecider.ts
+++ b/packages/core/src/routing/routingDecider.ts
@@ -26,7 +26,7 @@
 /** A straggler of twice the normal run time costs this much in the choice. */
 const SLOWNESS_PENALTY = 2
 
-type Scheduler = Pick<Member, 'instance' | 'incarnation' | 'address' | 'backlog'>
+type Scheduler = Pick<Member, 'instance' | 'incarnation' | 'backlog'>
 
 /** Decides where jobs are scheduled and tasks start. */
 export class RoutingDecider {
@@ -82,7 +82,7 @@
     const two = sample(this.ctx.random, open, 2).sort((a, b) => a.backlog - b.backlog)
     const chosen = two[0]
     if (chosen === undefined) return { type: 'here' }
-    return { type: 'remote', instance: chosen.instance, address: chosen.address }
+    return { type: 'remote', instance: chosen.instance }
   }
 
   /** @returns true when some endpoint, free or not, is large enough for a task */
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -28,4 +28,4 @@
 /** Where a job is scheduled. */
 export type Placement =
   | { readonly type: 'here' }
-  | { readonly type: 'remote', readonly instance: InstanceId, readonly address: string }
+  | { readonly type: 'remote', readonly instance: InstanceId }
--- a/packages/core/src/scheduling/schedulingDb.ts
+++ b/packages/core/src/scheduling/schedulingDb.ts
@@ -1,10 +1,13 @@
 /**
  * Jobs and running tasks of this instance's scheduler.
  */
-import type { SubmissionId, TaskId } from '@cranberryyard/protocol'
+import type { Ms, SubmissionId, TaskId } from '@cranberryyard/protocol'
 import { FairnessDecider } from '../fairness/fairnessDecider.js'
 import type { JobOrder, RunningTask, ScheduledJob } from './types.js'
 
+/** A repeated forward is recognised for this span, far longer than a message can be on its way. */
+const FORWARDED_KEPT_MS = 120_000
+
 /** State of the scheduling decision. */
 export class SchedulingDb {
   readonly queue = new FairnessDecider<ScheduledJob>()
@@ -13,6 +16,19 @@
   /** Expected work of all tasks that wait, in slot milliseconds. */
   queuedWorkMs = 0
 
+  private readonly forwarded = new Map<SubmissionId, Ms>()
+
+  /** Remembers a forwarded job. @returns false when it has arrived before */
+  addForwarded (submissionId: SubmissionId, now: Ms): boolean {
+    if (this.forwarded.has(submissionId)) return false
+    this.forwarded.set(submissionId, now)
+    for (const [id, at] of this.forwarded) {
+      if (now - at < FORWARDED_KEPT_MS) break
+      this.forwarded.delete(id)
+    }
+    return true
+  }
+
   /** @returns tasks of a job that may still run */
   runningOf (job: ScheduledJob): RunningTask[] {
     return [...this.running.values()].filter(t => t.job === job)
--- a/packages/core/src/scheduling/schedulingDecider.ts
+++ b/packages/core/src/scheduling/schedulingDecider.ts
@@ -43,6 +43,15 @@
     return this.db.jobs.size === 0 && this.db.running.size === 0
   }
 
+  /**
+   * Notes a job forwarded by another instance, so that a message that arrives twice starts nothing twice.
+   * @param submissionId - the job
+   * @returns false when it has arrived before
+   */
+  noteForwarded (submissionId: SubmissionId): boolean {
+    return this.db.addForwarded(submissionId, this.ctx.now)
+  }
+
   /**
    * Takes a job, or refuses it when its answer cannot be on time or too many tasks wait.
    * @param order - the job
--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -56,7 +56,7 @@
     })
     this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post)
     this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post)
-    this.platform = new PlatformTask(settings.platform, post)
+    this.platform = new PlatformTask(settings.platform, instance.failureDomain, post)
     this.metrics = new MetricsTask(settings.metrics, () => this.core.status())
   }
 
@@ -69,7 +69,7 @@
     const caller = await listen(this.callers.server, instance.address, ports.callerPort)
     const operator = await listen(this.operators.server, instance.address, ports.operatorPort)
     const known = peers.map(p => ({ instance: p.id as InstanceId, address: p.address }))
-    this.post({ type: 'instanceList', endpoints: [], peers: known })
+    this.post({ type: 'peers', peers: known })
     this.platform.startListing()
     this.ticker = setInterval(() => this.post({ type: 'tick' }), TICK_MS)
     this.post({ type: 'tick' })
--- a/packages/dispatcher/src/platform/platformTask.ts
+++ b/packages/dispatcher/src/platform/platformTask.ts
@@ -24,7 +24,7 @@
   private timer: NodeJS.Timeout | undefined
   private closed = false
 
-  constructor (private readonly settings: Settings['platform'], private readonly post: Post) {
+  constructor (private readonly settings: Settings['platform'], private readonly failureDomain: string, private readonly post: Post) {
     this.pool = new Pool(`http://${settings.address}`, { connections: 8, connect: { timeout: settings.requestTimeoutMs } })
   }
 
@@ -108,7 +108,7 @@
 
   private async list (): Promise<void> {
     try {
-      const { status, text } = await this.request('GET', '/v1/instances', undefined, this.settings.requestTimeoutMs)
+      const { status, text } = await this.request('GET', `/v1/instances?from=${this.failureDomain}`, undefined, this.settings.requestTimeoutMs)
       if (status !== 200) return
       const list = JSON.parse(text) as PlatformList
       this.post({ type: 'instanceList', endpoints: list.endpoints, peers: list.instances })
--- a/packages/fakes/src/platformFake.ts
+++ b/packages/fakes/src/platformFake.ts
@@ -39,6 +39,8 @@
   readonly calls = { reads: 0, writes: 0, watches: 0, lists: 0, overRate: 0 }
   endpoints: EndpointInfo[] = []
   instances: ListedInstance[] = []
+  /** Addresses of endpoints as a failure domain reaches them. */
+  endpointsFrom: (failureDomain: string) => EndpointInfo[] = () => this.endpoints
   private readonly watchers = new Set<{ key: string, after: number, wake: () => void }>()
   private second = 0
   private inSecond = { reads: 0, writes: 0 }
@@ -71,7 +73,7 @@
     }
     if (url.pathname === '/v1/instances') {
       this.calls.lists++
-      return sendJson(res, 200, { endpoints: this.endpoints, instances: this.instances })
+      return sendJson(res, 200, { endpoints: this.endpointsFrom(url.searchParams.get('from') ?? ''), instances: this.instances })
     }
     const key = decodeURIComponent(url.pathname.replace(/^\/v1\/(kv|watch)\//, ''))
     if (url.pathname.startsWith('/v1/watch/')) return this.watch(key, url, res)
