Permits belong to one life of an instance; fair queueing by arrival within a tolerance; routing measured

Change: loans and requests name holders (one life) on both sides, older requests are ignored; shortages back off by customer; permits are kept a little longer than needed and asked of few lenders; jobs are ordered by arrival while a customer stays within a tolerance of its fair part.

--- /dev/null
+++ b/packages/bench/src/measure/policyRun.ts
@@ -0,0 +1,146 @@
+/**
+ * Runs one routing policy over a planned workload in memory and compares it with the ideal.
+ */
+import { seededRandom } from '@cranberryyard/core'
+import { Oracle } from '../fuzz/oracle.js'
+import { MemoryFleet } from '../memory/memoryFleet.js'
+import type { CallRecord } from '../memory/memoryFleet.js'
+import { TEAM_KEY_HASH, testContract, testJob, testKeyHash } from '../memory/workload.js'
+import { idealResponses } from './ideal.js'
+import { quantiles } from './quantiles.js'
+import { SLOTS, planJobs, slotsOf } from './shapes.js'
+import type { PlannedJob, Shape } from './shapes.js'
+
+const WARM_UP_MS = 6000
+const NEAR_MS = 0.2
+/** Time for the last jobs to end. */
+const TAIL_MS = 30_000
+
+/** Routing policies that are compared. */
+export type Policy = 'random' | 'twoChoices' | 'scheduler'
+
+/** What to run. */
+export interface PolicyRunOptions {
+  readonly shape: Shape
+  readonly policy: Policy
+  readonly load: number
+  readonly durationMs: number
+  readonly seed: number
+  /** Changes to the routing settings. */
+  readonly routing?: Record<string, unknown>
+}
+
+/** What came out. */
+export interface PolicyResult {
+  readonly shape: string
+  readonly policy: Policy
+  readonly load: number
+  readonly jobs: number
+  readonly tasks: number
+  readonly responseOverIdealP50: number
+  readonly responseOverIdealP99: number
+  readonly wastedMessagesPerTask: number
+  readonly refusedStartsPerTask: number
+  readonly controlMessagesPerSecond: number
+  readonly controlMessagesPerTask: number
+  readonly storeCallsPerSecond: number
+  readonly limitOvershoot: number
+  readonly answeredOnTime: number
+  readonly answeredLate: number
+  readonly notAnswered: number
+}
+
+/**
+ * Runs a policy.
+ * @param options - shape, policy, load, length, seed
+ * @returns figures of the run
+ */
+export function runPolicy (options: PolicyRunOptions): PolicyResult {
+  const { shape, policy, load, durationMs, seed, routing = {} } = options
+  const jobs = planJobs(shape, load, durationMs, seededRandom(seed))
+  const fleet = makeFleet(shape, { policy, ...routing }, seed)
+  const oracle = new Oracle(fleet)
+  fleet.run(WARM_UP_MS)
+  const before = { ...fleet.counts }
+  const startedAt = fleet.time.now
+  const calls = jobs.map((job, i) => scheduleJob(fleet, job, i))
+  fleet.run(durationMs)
+  const during = { ...fleet.counts }
+  fleet.run(TAIL_MS)
+  const tasks = jobs.reduce((sum, j) => sum + j.runTimes.length, 0)
+  const wasted = fleet.counts.peerJob - before.peerJob + 2 * (fleet.counts.starts - before.starts - tasks) + 2 * (fleet.counts.endpointControl - before.endpointControl)
+  const seconds = durationMs / 1000
+  return {
+    shape: shape.name,
+    policy,
+    load,
+    jobs: jobs.length,
+    tasks,
+    ...ratios(shape, jobs, calls, startedAt),
+    wastedMessagesPerTask: round(wasted / tasks),
+    refusedStartsPerTask: round((fleet.counts.starts - before.starts - tasks) / tasks),
+    controlMessagesPerSecond: round((during.peerControl - before.peerControl) / seconds),
+    controlMessagesPerTask: round((during.peerControl - before.peerControl) / tasks),
+    storeCallsPerSecond: round((during.storeCalls - before.storeCalls) / seconds),
+    limitOvershoot: Math.max(0, oracle.overshoot),
+    ...timeliness(calls)
+  }
+}
+
+interface ScheduledCall {
+  call: CallRecord | undefined
+}
+
+function makeFleet (shape: Shape, routing: Record<string, unknown>, seed: number): MemoryFleet {
+  return new MemoryFleet({
+    seed,
+    domains: shape.domains.length,
+    instancesPerDomain: shape.instancesPerDomain,
+    endpointsPerDomain: shape.endpointsPerDomain,
+    endpointSize: { slots: SLOTS, cores: 32, memoryMb: 131_072, accelerators: 0 },
+    contracts: shape.customers.map(c => testContract(c.name, c.running)),
+    link: { nearMs: NEAR_MS, farMs: shape.farMs, jitterMs: 0.2, lossPerMille: 0, latePerMille: 0, doublePerMille: 0 },
+    settings: { routing },
+    teamKeyHash: TEAM_KEY_HASH,
+    skewMs: 50
+  })
+}
+
+function scheduleJob (fleet: MemoryFleet, job: PlannedJob, i: number): ScheduledCall {
+  const scheduled: ScheduledCall = { call: undefined }
+  const spec = testJob(job.customer, `measure-${i}`, job.kind, job.runTimes)
+  fleet.time.after(job.at, () => {
+    const node = fleet.nodes[job.instance]
+    if (node !== undefined) scheduled.call = fleet.submit(node, testKeyHash(job.customer), job.customer, spec)
+  })
+  return scheduled
+}
+
+function ratios (shape: Shape, jobs: readonly PlannedJob[], calls: readonly ScheduledCall[], startedAt: number): { responseOverIdealP50: number, responseOverIdealP99: number } {
+  const roundTrips = 2 * shape.callerMs + 2 * NEAR_MS
+  const ideal = idealResponses(jobs.map(j => ({ at: startedAt + j.at, runTimes: j.runTimes })), slotsOf(shape), roundTrips)
+  const values = calls.flatMap(({ call }, i) => {
+    const end = call?.answers[0]
+    if (call === undefined || end === undefined || end.answer.outcome !== 'complete') return []
+    return [(end.at - call.at + 2 * shape.callerMs) / (ideal[i] ?? 1)]
+  })
+  const [p50 = 0, p99 = 0] = quantiles(values, [50, 99])
+  return { responseOverIdealP50: round(p50), responseOverIdealP99: round(p99) }
+}
+
+function timeliness (calls: readonly ScheduledCall[]): { answeredOnTime: number, answeredLate: number, notAnswered: number } {
+  let answeredOnTime = 0
+  let answeredLate = 0
+  for (const { call } of calls) {
+    const answer = call?.answers[0]?.answer
+    if (answer?.outcome !== 'complete') continue
+    if (answer.late) answeredLate++
+    else answeredOnTime++
+  }
+  return { answeredOnTime, answeredLate, notAnswered: calls.length - answeredOnTime - answeredLate }
+}
+
+/** Rounds to four decimals. */
+export function round (n: number): number {
+  return Math.round(n * 10_000) / 10_000
+}
--- a/packages/core/src/fairness/fairnessDb.ts
+++ b/packages/core/src/fairness/fairnessDb.ts
@@ -1,20 +1,22 @@
 /**
- * Queues of jobs, one for each customer, with the tags that order them.
+ * Queues of jobs, one for each customer, with the times that order them.
  */
 import type { CustomerId } from '@cranberryyard/protocol'
 import type { QueuedJob } from './types.js'
 
-/** A job with its start tag in virtual time. */
+/** A job with the time at which its turn comes. */
 export interface TaggedJob<J extends QueuedJob> {
   readonly job: J
-  readonly startTag: number
+  readonly turn: number
   readonly arrival: number
 }
 
 /** One customer's queue. */
 export class Flow<J extends QueuedJob> {
   readonly jobs: TaggedJob<J>[] = []
-  finishTag = 0
+  /** The customer has used its fair part up to this time. */
+  aheadUntil = 0
+  weight = 1
   waiting = 0
 
   constructor (readonly customer: CustomerId) {}
--- a/packages/core/src/fairness/fairnessDecider.ts
+++ b/packages/core/src/fairness/fairnessDecider.ts
@@ -1,9 +1,11 @@
 /**
- * Weighted fair queueing between customers, by whole jobs. A job's start tag is the later of virtual time and
- * the finish tag of its customer's job before it; the smallest tag goes first. Customers within their share are
- * served in order of arrival, as by one central queue; a burst only pushes back the jobs behind it.
+ * Fair queueing between customers, by whole jobs. Each customer has a clock that runs ahead by a job's work over
+ * the customer's fair part of the slots. A job's turn is its arrival, or, for a customer that has run further
+ * ahead than the tolerance, the time at which its clock comes back within it; the earliest turn goes first.
+ * Customers within their fair part are so served in order of arrival, as by one central queue, and a burst pushes
+ * back only the jobs behind it.
  */
-import type { CustomerId } from '@cranberryyard/protocol'
+import type { CustomerId, Ms } from '@cranberryyard/protocol'
 import { Flow } from './fairnessDb.js'
 import type { TaggedJob } from './fairnessDb.js'
 import type { QueuedJob } from './types.js'
@@ -11,20 +13,38 @@
 /** Decides whose job is next. */
 export class FairnessDecider<J extends QueuedJob> {
   private readonly flows = new Map<CustomerId, Flow<J>>()
-  private virtualTime = 0
   private arrivals = 0
 
+  /** @param toleranceMs - time by which a customer may run ahead of its fair part before it is pushed back */
+  constructor (private readonly toleranceMs: number) {}
+
   /**
    * Adds a job at the end of its customer's queue.
    * @param job - the job
+   * @param now - time of arrival
+   * @param slots - slots that all customers share
    */
-  push (job: J): void {
+  push (job: J, now: Ms, slots: number): void {
+    const flow = this.flowOf(job)
+    flow.weight = job.weight
+    if (flow.waiting === 0) flow.aheadUntil = Math.min(flow.aheadUntil, now + this.toleranceMs)
+    const turn = Math.max(now, flow.aheadUntil - this.toleranceMs)
+    flow.waiting += job.waiting()
+    flow.aheadUntil = Math.max(now, flow.aheadUntil) + job.workMs / this.fairSlots(flow, slots)
+    flow.jobs.push({ job, turn, arrival: this.arrivals++ })
+  }
+
+  private flowOf (job: J): Flow<J> {
     const flow = this.flows.get(job.customer) ?? new Flow<J>(job.customer)
     this.flows.set(job.customer, flow)
-    const startTag = Math.max(this.virtualTime, flow.finishTag)
-    flow.finishTag = startTag + job.workMs / job.weight
-    flow.jobs.push({ job, startTag, arrival: this.arrivals++ })
-    flow.waiting += job.waiting()
+    return flow
+  }
+
+  /** The part of the slots that is a customer's while those who wait now share them. */
+  private fairSlots (flow: Flow<J>, slots: number): number {
+    let weights = 0
+    for (const f of this.flows.values()) if (f.waiting > 0) weights += f.weight
+    return Math.max(1, slots) * flow.weight / Math.max(flow.weight, weights)
   }
 
   /** Adjusts a customer's number of waiting tasks when a task starts, is put back, or is dropped. */
@@ -32,14 +52,12 @@
     const flow = this.flows.get(customer)
     if (flow === undefined) return
     flow.waiting += by
-    if (flow.waiting <= 0 && flow.head() === undefined) this.removeIdle(flow)
   }
 
   /** Puts a job back at the head of its queue after a start was refused. */
   putBack (job: J): void {
-    const flow = this.flows.get(job.customer) ?? new Flow<J>(job.customer)
-    this.flows.set(job.customer, flow)
-    if (!flow.jobs.some(t => t.job === job)) flow.jobs.unshift({ job, startTag: this.virtualTime, arrival: -1 })
+    const flow = this.flowOf(job)
+    if (!flow.jobs.some(t => t.job === job)) flow.jobs.unshift({ job, turn: 0, arrival: -1 })
   }
 
   /** @returns number of a customer's waiting tasks */
@@ -68,18 +86,8 @@
     }
     return first?.job
   }
-
-  /** Moves virtual time on to a job that is being served. */
-  serve (job: J): void {
-    const head = this.flows.get(job.customer)?.head()
-    if (head !== undefined && head.job === job) this.virtualTime = Math.max(this.virtualTime, head.startTag)
-  }
-
-  private removeIdle (flow: Flow<J>): void {
-    if (flow.finishTag <= this.virtualTime) this.flows.delete(flow.customer)
-  }
 }
 
-function precedes (a: { startTag: number, arrival: number }, b: { startTag: number, arrival: number }): boolean {
-  return a.startTag < b.startTag || (a.startTag === b.startTag && a.arrival < b.arrival)
+function precedes (a: { turn: number, arrival: number }, b: { turn: number, arrival: number }): boolean {
+  return a.turn < b.turn || (a.turn === b.turn && a.arrival < b.arrival)
 }
--- a/packages/core/src/instance/instance.ts
+++ b/packages/core/src/instance/instance.ts
@@ -134,9 +134,9 @@
       case 'forwardAnswer': return this.jobs.answered(message.answer)
       case 'answerRequest': return this.jobs.receiveQuestion(from, message.customer, message.submissionId, message.replyTo)
       case 'answerReply': return this.jobs.receiveReply(message.replyTo, message.answer, message.pending)
-      case 'permitRequest': return this.limits.receiveRequest(from, message.sequence, message.wishes)
+      case 'permitRequest': return this.limits.receiveRequest(from, message)
       case 'permitGrant':
-        this.limits.receiveGrant(from, message.sequence, message.validMs, message.grants)
+        this.limits.receiveGrant(message)
         return this.scheduling.pump()
       case 'claimRequest': return this.deduplication.receiveRequest(from, message.epoch, message.claim)
       case 'claimVote': return this.deduplication.receiveVote(from, message.epoch, message.submissionId, message.verdict)
--- a/packages/core/src/limits/limitsDb.ts
+++ b/packages/core/src/limits/limitsDb.ts
@@ -2,19 +2,19 @@
  * Counts of permits: this instance's shares under each version that may still be in force somewhere,
  * permits lent and borrowed, and tasks running.
  */
-import type { CustomerId, InstanceId, Ms } from '@cranberryyard/protocol'
+import type { CustomerId, HolderId, Ms } from '@cranberryyard/protocol'
 import { sameShares } from './shares.js'
 import type { BorrowedPermits, LentPermits, ShareTable } from './types.js'
 
-/** Loans by partner and customer. */
+/** Loans by customer and partner. A partner is one life of an instance: its next life holds nothing of it. */
 class LoanTable<L extends { readonly count: number, readonly until: Ms }> {
-  private readonly loans = new Map<InstanceId, Map<CustomerId, L>>()
+  private readonly loans = new Map<HolderId, Map<CustomerId, L>>()
 
-  get (partner: InstanceId, customer: CustomerId): L | undefined {
+  get (partner: HolderId, customer: CustomerId): L | undefined {
     return this.loans.get(partner)?.get(customer)
   }
 
-  set (partner: InstanceId, customer: CustomerId, loan: L): void {
+  set (partner: HolderId, customer: CustomerId, loan: L): void {
     const table = this.loans.get(partner) ?? new Map<CustomerId, L>()
     this.loans.set(partner, table)
     if (loan.count <= 0) table.delete(customer)
@@ -44,11 +44,11 @@
     return total
   }
 
-  partners (): InstanceId[] {
+  partners (): HolderId[] {
     return [...this.loans.keys()]
   }
 
-  customers (partner: InstanceId): CustomerId[] {
+  customers (partner: HolderId): CustomerId[] {
     return [...(this.loans.get(partner)?.keys() ?? [])]
   }
 
--- a/packages/core/src/limits/limitsDecider.ts
+++ b/packages/core/src/limits/limitsDecider.ts
@@ -7,8 +7,8 @@
  * While two fleet versions may both be in force, each instance keeps to the smaller of its shares, so the sum
  * stays within the limit of the version that the slowest instance still follows.
  */
-import type { CustomerId, Fleet, InstanceId, Ms, PermitCount, PermitWish, RosterEntry } from '@cranberryyard/protocol'
-import { ms } from '@cranberryyard/protocol'
+import type { CustomerId, Fleet, HolderId, InstanceId, Ms, PeerMessage, PermitCount, PermitWish, RosterEntry } from '@cranberryyard/protocol'
+import { holderId, ms } from '@cranberryyard/protocol'
 import type { Context } from '../instance/context.js'
 import { sendPeer } from '../instance/context.js'
 import type { MembershipDecider } from '../membership/membershipDecider.js'
@@ -18,9 +18,33 @@
 
 /** Pause after the first round of requests that a shortage triggers; it doubles while the shortage lasts. */
 const SHORTAGE_PAUSE_MIN_MS = 20
+/** Permits asked of one lender at least, where so many are missing; fewer lenders mean fewer messages. */
+const PERMITS_PER_REQUEST = 16
+/** Renewals after which half of a peak in demand is forgotten. */
+const PEAK_HALF_LIFE_RENEWALS = 4
 /** A task start costs one token; a bucket holds at most this part of a second's tokens, or one task. */
 const RATE_BURST_S = 0.25
 
+type PermitRequest = Extract<PeerMessage, { type: 'permitRequest' }>
+type PermitGrant = Extract<PeerMessage, { type: 'permitGrant' }>
+
+/** What is asked of one lender. */
+interface LenderPlan {
+  readonly wishes: PermitWish[]
+  wantsMore: boolean
+}
+
+/** Highest recent demand. */
+interface Peak {
+  readonly need: number
+  readonly at: Ms
+}
+
+interface Shortage {
+  readonly askAt: Ms
+  readonly pauseMs: number
+}
+
 interface OutstandingRequest {
   readonly sequence: number
   readonly sentAt: Ms
@@ -29,7 +53,8 @@
 /** Decides whether one more task of a customer may run. */
 export class LimitsDecider {
   readonly db = new LimitsDb()
-  private readonly requests = new Map<InstanceId, OutstandingRequest>()
+  private readonly requests = new Map<HolderId, OutstandingRequest>()
+  private readonly lastSequence = new Map<HolderId, number>()
   private readonly removalUntil = new Map<string, Ms>()
   private readonly tokens = new Map<CustomerId, { level: number, at: Ms }>()
   private fleet: Fleet | undefined
@@ -37,8 +62,8 @@
   private inForce = 0
   private sequence = 0
   private nextRenewAt = 0
-  private shortageAt = -Infinity
-  private shortagePauseMs = SHORTAGE_PAUSE_MIN_MS
+  private readonly peaks = new Map<CustomerId, Peak>()
+  private readonly shortages = new Map<CustomerId, Shortage>()
   private lending = true
 
   constructor (
@@ -64,7 +89,7 @@
     this.refresh()
     if (now < this.nextRenewAt) return
     this.nextRenewAt = now + this.ctx.cfg.limits.loanRenewMs
-    this.requestPermits()
+    this.requestPermits(true)
   }
 
   /** Version whose limits this instance keeps to in full; told to the others with each heartbeat. */
@@ -119,28 +144,37 @@
     return Math.max(0, -this.free(customer))
   }
 
-  /** Asks for more permits when the scheduler has run out of them; ever more rarely while nobody has any. */
-  noteShortage (): void {
-    const { now, cfg } = this.ctx
-    const sinceLast = now - this.shortageAt
-    if (sinceLast < this.shortagePauseMs) return
-    const isNew = sinceLast > 2 * cfg.limits.loanRenewMs
-    this.shortagePauseMs = isNew ? SHORTAGE_PAUSE_MIN_MS : Math.min(cfg.limits.loanRenewMs, 2 * this.shortagePauseMs)
-    this.shortageAt = now
-    this.requestPermits()
+  /**
+   * Asks for more permits when the scheduler has run out of them; ever more rarely while nobody has any.
+   * @param customers - those whose tasks wait for permits
+   */
+  noteShortage (customers: readonly CustomerId[]): void {
+    const due = customers.filter(c => this.ctx.now >= (this.shortages.get(c)?.askAt ?? 0))
+    if (due.length === 0) return
+    for (const customer of due) this.backOffShortage(customer)
+    this.requestPermits(false)
+  }
+
+  private backOffShortage (customer: CustomerId): void {
+    const pauseMs = this.shortages.get(customer)?.pauseMs ?? SHORTAGE_PAUSE_MIN_MS
+    const longer = Math.min(this.ctx.cfg.limits.loanRenewMs, 2 * pauseMs)
+    this.shortages.set(customer, { askAt: ms(this.ctx.now + pauseMs), pauseMs: longer })
   }
 
   /**
    * Answers a borrower. A lender that its domain does not acknowledge stays silent, so that its loans end
    * before the others may use its share; no loan outlasts the acknowledgement it was given under.
    */
-  receiveRequest (from: InstanceId, sequence: number, wishes: readonly PermitWish[]): void {
+  receiveRequest (from: InstanceId, request: PermitRequest): void {
+    const { borrower, lender, sequence, wishes } = request
     const address = this.membership.db.addressOf(from)
     const validMs = this.loanValidity()
-    if (address === undefined || validMs <= 0) return
-    this.forgetUnlisted(from, wishes)
-    const grants = wishes.map(wish => this.lend(from, wish, validMs))
-    sendPeer(this.ctx, from, address, { type: 'permitGrant', sequence, validMs, grants })
+    if (address === undefined || validMs <= 0 || lender !== this.ctx.self.holder) return
+    if (sequence <= (this.lastSequence.get(borrower) ?? 0)) return
+    this.lastSequence.set(borrower, sequence)
+    this.forgetUnlisted(borrower, wishes)
+    const grants = wishes.map(wish => this.lend(borrower, wish, validMs))
+    sendPeer(this.ctx, from, address, { type: 'permitGrant', lender, sequence, validMs, grants })
   }
 
   private loanValidity (): Ms {
@@ -149,12 +183,13 @@
   }
 
   /** Takes a lender's answer; only the answer to the newest request counts. */
-  receiveGrant (from: InstanceId, sequence: number, validMs: Ms, grants: readonly PermitCount[]): void {
-    const request = this.requests.get(from)
+  receiveGrant (grant: PermitGrant): void {
+    const { lender, sequence, validMs, grants } = grant
+    const request = this.requests.get(lender)
     if (request === undefined || request.sequence !== sequence) return
-    this.requests.delete(from)
+    this.requests.delete(lender)
     const until = ms(request.sentAt + Math.min(validMs, this.ctx.cfg.limits.loanMs))
-    for (const grant of grants) this.takeGrant(from, grant, until)
+    for (const count of grants) this.takeGrant(lender, count, until)
   }
 
   /** @returns for each customer, permits held and used here */
@@ -195,7 +230,7 @@
     return enough
   }
 
-  private lend (to: InstanceId, wish: PermitWish, validMs: Ms): PermitCount {
+  private lend (to: HolderId, wish: PermitWish, validMs: Ms): PermitCount {
     const { customer, hold, want } = wish
     const { now, cfg } = this.ctx
     const { startWindowMs, clockSkewMs, taskLeaseMs } = cfg.limits
@@ -209,7 +244,7 @@
   }
 
   /** A borrower that no longer names a customer keeps none of its permits. */
-  private forgetUnlisted (from: InstanceId, wishes: readonly PermitWish[]): void {
+  private forgetUnlisted (from: HolderId, wishes: readonly PermitWish[]): void {
     const named = new Set(wishes.map(w => w.customer))
     for (const customer of this.db.lent.customers(from)) {
       if (!named.has(customer)) this.db.lent.set(from, customer, { count: 0, until: this.ctx.now })
@@ -222,14 +257,16 @@
     return base - kept - this.usedOfShare(customer) - this.queued(customer)
   }
 
-  private takeGrant (from: InstanceId, grant: PermitCount, until: Ms): void {
+  private takeGrant (from: HolderId, grant: PermitCount, until: Ms): void {
     const held = this.neededFrom(from, grant.customer)
+    const before = this.activeLoan(from, grant.customer)
     const count = Math.max(grant.count, held)
+    if (count > before) this.shortages.delete(grant.customer)
     this.db.borrowed.set(from, grant.customer, { count, until })
   }
 
   /** Borrowed permits that running tasks occupy stay borrowed until the tasks end. */
-  private neededFrom (from: InstanceId, customer: CustomerId): number {
+  private neededFrom (from: HolderId, customer: CustomerId): number {
     const { now } = this.ctx
     const loan = this.db.borrowed.get(from, customer)
     if (loan === undefined || now >= loan.until) return 0
@@ -237,68 +274,88 @@
     return Math.min(loan.count, Math.max(0, this.db.runningOf(customer) - others))
   }
 
-  private requestPermits (): void {
+  /** Asks lenders: all that hold something when renewing, else only those that more is wanted from. */
+  private requestPermits (renews: boolean): void {
     const lenders = this.lenders()
     if (lenders.length === 0) return
-    const wishes = this.composeWishes(lenders)
-    for (const lender of lenders) this.sendRequest(lender, wishes.get(lender) ?? [])
+    const plan = this.composeWishes(lenders)
+    for (const lender of lenders) {
+      const { wishes, wantsMore } = plan.get(lender.holder) ?? { wishes: [], wantsMore: false }
+      if (renews || wantsMore) this.sendRequest(lender, wishes)
+    }
   }
 
-  private lenders (): InstanceId[] {
-    const roster = new Set(this.fleet?.roster.entries.map(e => e.instance))
-    return this.membership.serving().map(m => m.instance).filter(id => roster.has(id))
+  /** Live roster entries in the life that the roster names. */
+  private lenders (): RosterEntry[] {
+    const live = new Set(this.membership.serving().map(m => holderId(m.instance, m.incarnation)))
+    return this.fleet?.roster.entries.filter(e => live.has(e.holder)) ?? []
   }
 
-  private composeWishes (lenders: readonly InstanceId[]): Map<InstanceId, PermitWish[]> {
-    const wishes = new Map<InstanceId, PermitWish[]>()
+  private composeWishes (lenders: readonly RosterEntry[]): Map<HolderId, LenderPlan> {
+    const plan = new Map<HolderId, LenderPlan>()
+    const holders = lenders.map(l => l.holder)
     for (const customer of this.db.customers()) {
-      const running = this.db.runningOf(customer)
-      const queued = this.queued(customer)
-      if (running + queued === 0 && this.db.borrowed.sum(customer, this.ctx.now) === 0) continue
-      this.wishFor(customer, running + queued, lenders, wishes)
+      const need = this.smoothedNeed(customer)
+      if (need === 0 && this.db.borrowed.sum(customer, this.ctx.now) === 0) continue
+      this.planCustomer(customer, need, holders, plan)
     }
-    return wishes
+    return plan
+  }
+
+  /** Demand of the last moments: permits are kept a little longer than needed, so that bursts need no new loans. */
+  private smoothedNeed (customer: CustomerId): number {
+    const { now, cfg } = this.ctx
+    const need = this.db.runningOf(customer) + this.queued(customer)
+    const limit = this.fleet?.contracts.find(r => r.contract.customer === customer)?.contract.limits.running ?? 0
+    const peak = this.peaks.get(customer)
+    const faded = peak === undefined ? 0 : Math.floor(peak.need * Math.pow(0.5, (now - peak.at) / (PEAK_HALF_LIFE_RENEWALS * cfg.limits.loanRenewMs)))
+    const smoothed = Math.min(limit, Math.max(need, faded))
+    if (need >= faded) this.peaks.set(customer, { need, at: now })
+    return smoothed
   }
 
-  /** Spreads what is missing beyond the own share and present loans evenly over the lenders. */
-  private wishFor (customer: CustomerId, need: number, lenders: readonly InstanceId[], wishes: Map<InstanceId, PermitWish[]>): void {
+  /** Asks few lenders for large parts rather than all for small ones; gives back what is no longer needed. */
+  private planCustomer (customer: CustomerId, need: number, lenders: readonly HolderId[], plan: Map<HolderId, LenderPlan>): void {
     const own = this.base(customer) - this.db.lent.sum(customer, this.ctx.now)
     const held = lenders.map(l => this.activeLoan(l, customer))
-    const missing = need - own - held.reduce((a, b) => a + b, 0)
+    let missing = need - own - held.reduce((a, b) => a + b, 0)
     let surplus = Math.max(0, -missing)
-    const extra = missing > 0 ? Math.ceil(missing / lenders.length) : 0
-    lenders.forEach((lender, i) => {
-      const have = held[i] ?? 0
+    const part = Math.max(Math.ceil(missing / lenders.length), Math.min(missing, PERMITS_PER_REQUEST))
+    const first = this.ctx.random.below(lenders.length)
+    for (let i = 0; i < lenders.length; i++) {
+      const at = (first + i) % lenders.length
+      const lender = lenders[at]
+      if (lender === undefined) continue
+      const have = held[at] ?? 0
       const give = Math.min(have, surplus)
       surplus -= give
-      const keep = have - give
-      if (keep + extra === 0) return
-      const list = wishes.get(lender) ?? []
-      list.push({ customer, hold: keep, want: keep + extra })
-      wishes.set(lender, list)
-    })
+      const extra = Math.max(0, Math.min(part, missing))
+      missing -= extra
+      addWish(plan, lender, { customer, hold: have - give, want: have - give + extra })
+    }
   }
 
-  private activeLoan (lender: InstanceId, customer: CustomerId): number {
+  private activeLoan (lender: HolderId, customer: CustomerId): number {
     const loan = this.db.borrowed.get(lender, customer)
     return loan !== undefined && this.ctx.now < loan.until ? loan.count : 0
   }
 
-  private sendRequest (lender: InstanceId, wishes: readonly PermitWish[]): void {
-    const { now, out } = this.ctx
+  private sendRequest (entry: RosterEntry, wishes: readonly PermitWish[]): void {
+    const { now, out, self } = this.ctx
+    const { holder: lender, instance } = entry
     const holds = this.db.borrowed.customers(lender).length > 0
     if (wishes.length === 0 && !holds) return
-    const address = this.membership.db.addressOf(lender)
+    const address = this.membership.db.addressOf(instance)
     if (address === undefined) return
     this.keepOnly(lender, wishes)
     this.sequence++
     this.requests.set(lender, { sequence: this.sequence, sentAt: now })
     out.count('permits.requested')
-    sendPeer(this.ctx, lender, address, { type: 'permitRequest', sequence: this.sequence, wishes })
+    sendPeer(this.ctx, instance, address, { type: 'permitRequest', borrower: self.holder, lender, sequence: this.sequence, wishes })
   }
 
   /** What a request gives back is given up before it is sent. */
-  private keepOnly (lender: InstanceId, wishes: readonly PermitWish[]): void {
+  private keepOnly (lender: HolderId, wishes: readonly PermitWish[]): void {
     for (const customer of this.db.borrowed.customers(lender)) {
       const loan = this.db.borrowed.get(lender, customer)
       const hold = wishes.find(w => w.customer === customer)?.hold ?? 0
@@ -368,3 +425,11 @@
 function covers (table: ShareTable, used: ReadonlyMap<CustomerId, number>): boolean {
   return [...used].every(([customer, count]) => count <= (table.shares.get(customer) ?? 0))
 }
+
+function addWish (plan: Map<HolderId, LenderPlan>, lender: HolderId, wish: PermitWish): void {
+  if (wish.want === 0) return
+  const entry = plan.get(lender) ?? { wishes: [], wantsMore: false }
+  entry.wishes.push(wish)
+  entry.wantsMore ||= wish.want > wish.hold
+  plan.set(lender, entry)
+}
--- a/packages/core/src/scheduling/schedulingDb.ts
+++ b/packages/core/src/scheduling/schedulingDb.ts
@@ -10,12 +10,17 @@
 
 /** State of the scheduling decision. */
 export class SchedulingDb {
-  readonly queue = new FairnessDecider<ScheduledJob>()
+  readonly queue: FairnessDecider<ScheduledJob>
   readonly jobs = new Map<SubmissionId, ScheduledJob>()
   readonly running = new Map<TaskId, RunningTask>()
   /** Expected work of all tasks that wait, in slot milliseconds. */
   queuedWorkMs = 0
 
+  /** @param burstToleranceMs - see FairnessDecider */
+  constructor (burstToleranceMs: number) {
+    this.queue = new FairnessDecider<ScheduledJob>(burstToleranceMs)
+  }
+
   private readonly forwarded = new Map<SubmissionId, Ms>()
 
   /** Remembers a forwarded job. @returns false when it has arrived before */
--- a/packages/core/src/scheduling/schedulingDecider.ts
+++ b/packages/core/src/scheduling/schedulingDecider.ts
@@ -28,10 +28,12 @@
 
 /** Decides when and where tasks start. */
 export class SchedulingDecider {
-  readonly db = new SchedulingDb()
+  readonly db: SchedulingDb
   private readonly active = new Set<CustomerId>()
 
-  constructor (private readonly ctx: Context, private readonly parts: SchedulingParts, private readonly listener: SchedulingListener) {}
+  constructor (private readonly ctx: Context, private readonly parts: SchedulingParts, private readonly listener: SchedulingListener) {
+    this.db = new SchedulingDb(ctx.cfg.routing.burstToleranceMs)
+  }
 
   /** @returns number of tasks that wait here */
   get backlog (): number {
@@ -66,7 +68,7 @@
       return
     }
     this.db.jobs.set(order.submissionId, scheduled)
-    this.db.queue.push(scheduled)
+    this.db.queue.push(scheduled, this.ctx.now, this.parts.routing.slots())
     this.db.queuedWorkMs += scheduled.workMs
     this.active.add(customer)
     this.pump()
@@ -75,7 +77,7 @@
   /** Starts as many tasks as slots and permits allow. */
   pump (): void {
     const skipped = new Set<CustomerId>()
-    let shortage = false
+    const short: CustomerId[] = []
     for (;;) {
       const job = this.db.queue.next(skipped)
       if (job === undefined) break
@@ -83,10 +85,10 @@
       const step = this.startNext(job)
       if (step === 'started') continue
       if (step === 'noSlot' && !this.parts.routing.hasFreeSlot()) break
-      if (step === 'noPermit') shortage = true
+      if (step === 'noPermit') short.push(job.customer)
       skipped.add(job.customer)
     }
-    if (shortage) this.parts.limits.noteShortage()
+    if (short.length > 0) this.parts.limits.noteShortage(short)
   }
 
   /** Renews leases, gives up tasks whose lease has run out, and starts what has become possible. */
@@ -191,7 +193,6 @@
     if (!this.parts.limits.tryStart(job.customer)) return 'noPermit'
     if (job.refusedIndexes.length > 0) job.refusedIndexes.shift()
     else job.nextIndex++
-    this.db.queue.serve(job)
     this.db.queue.adjustWaiting(job.customer, -1)
     this.db.queuedWorkMs -= job.meanMs
     this.start(job, index, endpoint)
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -75,8 +75,8 @@
   | { readonly type: 'forwardAnswer', readonly answer: Answer }
   | { readonly type: 'answerRequest', readonly submissionId: SubmissionId, readonly customer: CustomerId, readonly replyTo: string }
   | { readonly type: 'answerReply', readonly replyTo: string, readonly answer: Answer | null, readonly pending: boolean }
-  | { readonly type: 'permitRequest', readonly sequence: number, readonly wishes: readonly PermitWish[] }
-  | { readonly type: 'permitGrant', readonly sequence: number, readonly validMs: Ms, readonly grants: readonly PermitCount[] }
+  | { readonly type: 'permitRequest', readonly borrower: HolderId, readonly lender: HolderId, readonly sequence: number, readonly wishes: readonly PermitWish[] }
+  | { readonly type: 'permitGrant', readonly lender: HolderId, readonly sequence: number, readonly validMs: Ms, readonly grants: readonly PermitCount[] }
   | { readonly type: 'claimRequest', readonly epoch: number, readonly claim: Claim }
   | { readonly type: 'claimVote', readonly epoch: number, readonly submissionId: SubmissionId, readonly verdict: ClaimVerdict }
   | { readonly type: 'claimRelease', readonly customer: CustomerId, readonly requestId: RequestId, readonly submissionId: SubmissionId }
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -58,6 +58,7 @@
   policy: z.enum(['scheduler', 'twoChoices', 'random']).default('scheduler').describe('`scheduler` is the design; the others are baselines for measurement.'),
   startsPerScheduler: z.number().int().min(1).default(6000).describe('Task starts a second that one scheduler is planned for; more schedulers are used above it.'),
   expectedStartsPerSecond: z.number().int().min(1).default(1000).describe('Peak task starts a second of the deployment, summed over the fleet.'),
+  burstToleranceMs: z.number().int().min(0).max(3_600_000).default(8000).describe('Time by which a customer may run ahead of its fair part of the slots before its jobs are pushed back.'),
   messageWeight: z.number().min(0).max(1).default(0.5).describe('0 prefers response time, 1 prefers fewer messages.'),
   connectionsPerEndpoint: z.number().int().min(1).max(64).default(16).describe('Largest number of connections to one endpoint.')
 })
