Claims handed over by a later life of a holder do not count; light customers go first; measure and slopes commands

And with a tolerance of 8 s a burst of 6800 tasks moved a steady customer's p99 from 204 ms to 5698 ms. Change: only the lives named as sources count; a customer of whom little waits goes before all others.

--- a/packages/bench/src/measure/policyRun.ts
+++ b/packages/bench/src/measure/policyRun.ts
@@ -3,16 +3,14 @@
  */
 import { seededRandom } from '@cranberryyard/core'
 import { Oracle } from '../fuzz/oracle.js'
-import { MemoryFleet } from '../memory/memoryFleet.js'
-import type { CallRecord } from '../memory/memoryFleet.js'
-import { TEAM_KEY_HASH, testContract, testJob, testKeyHash } from '../memory/workload.js'
+import type { CallRecord, MemoryFleet } from '../memory/memoryFleet.js'
+import { testJob, testKeyHash } from '../memory/workload.js'
 import { idealResponses } from './ideal.js'
+import { NEAR_MS, WARM_UP_MS, makeShapedFleet } from './memoryShape.js'
 import { quantiles } from './quantiles.js'
-import { SLOTS, planJobs, slotsOf } from './shapes.js'
+import { planJobs, slotsOf } from './shapes.js'
 import type { PlannedJob, Shape } from './shapes.js'
 
-const WARM_UP_MS = 6000
-const NEAR_MS = 0.2
 /** Time for the last jobs to end. */
 const TAIL_MS = 30_000
 
@@ -58,7 +56,7 @@
 export function runPolicy (options: PolicyRunOptions): PolicyResult {
   const { shape, policy, load, durationMs, seed, routing = {} } = options
   const jobs = planJobs(shape, load, durationMs, seededRandom(seed))
-  const fleet = makeFleet(shape, { policy, ...routing }, seed)
+  const fleet = makeShapedFleet(shape, seed, { policy, ...routing })
   const oracle = new Oracle(fleet)
   fleet.run(WARM_UP_MS)
   const before = { ...fleet.counts }
@@ -91,21 +89,6 @@
   call: CallRecord | undefined
 }
 
-function makeFleet (shape: Shape, routing: Record<string, unknown>, seed: number): MemoryFleet {
-  return new MemoryFleet({
-    seed,
-    domains: shape.domains.length,
-    instancesPerDomain: shape.instancesPerDomain,
-    endpointsPerDomain: shape.endpointsPerDomain,
-    endpointSize: { slots: SLOTS, cores: 32, memoryMb: 131_072, accelerators: 0 },
-    contracts: shape.customers.map(c => testContract(c.name, c.running)),
-    link: { nearMs: NEAR_MS, farMs: shape.farMs, jitterMs: 0.2, lossPerMille: 0, latePerMille: 0, doublePerMille: 0 },
-    settings: { routing },
-    teamKeyHash: TEAM_KEY_HASH,
-    skewMs: 50
-  })
-}
-
 function scheduleJob (fleet: MemoryFleet, job: PlannedJob, i: number): ScheduledCall {
   const scheduled: ScheduledCall = { call: undefined }
   const spec = testJob(job.customer, `measure-${i}`, job.kind, job.runTimes)
--- /dev/null
+++ b/packages/bench/src/measure/slopes.ts
@@ -0,0 +1,177 @@
+/**
+ * What control costs a daemon, measured on real processes at several sizes: processor time, resident memory,
+ * bytes between instances, store calls, and the time until a change is in force. Nothing is submitted meanwhile.
+ */
+import { randomUUID } from 'node:crypto'
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { Contract } from '@cranberryyard/protocol'
+import { linearRegression, linearRegressionLine } from 'simple-statistics'
+import { request } from 'undici'
+import { testContract } from '../memory/workload.js'
+import { LocalFleet, sleep } from '../processes/localFleet.js'
+import { usageOf } from '../processes/procStat.js'
+import { quantiles } from './quantiles.js'
+import { round } from './policyRun.js'
+
+const TEAM_KEY = 'slopes-team'
+const REST_MS = 10_000
+const CHANGES = 12
+const DOMAIN_INSTANCES = 3
+
+/** A size to measure at. */
+export interface Size {
+  readonly domains: number
+  readonly endpoints: number
+  readonly customers: number
+}
+
+/** Figures at one size, the mean over all daemons. */
+export interface SizeFigures extends Size {
+  readonly instances: number
+  readonly cpuPercent: number
+  readonly residentMb: number
+  readonly peerBytesPerSecond: number
+  readonly storeCallsPerSecondPerInstance: number
+  readonly changeInForceP50Ms: number
+  readonly changeInForceMaxMs: number
+  readonly peerBytesPerChange: number
+  readonly cpuMsPerChange: number
+}
+
+/** A straight line through measured points. */
+export interface Slope {
+  readonly figure: string
+  readonly per: 'instances' | 'endpoints' | 'customers'
+  readonly base: number
+  readonly slope: number
+  readonly points: readonly { readonly at: number, readonly measured: number, readonly residual: number }[]
+}
+
+const INSTANCE_SIZES: readonly Size[] = [1, 3, 5, 8].map(domains => ({ domains, endpoints: 30, customers: 4 }))
+const ENDPOINT_SIZES: readonly Size[] = [300, 1000, 2100].map(endpoints => ({ domains: 1, endpoints, customers: 4 }))
+const CUSTOMER_SIZES: readonly Size[] = [16, 32, 56].map(customers => ({ domains: 1, endpoints: 30, customers }))
+
+/** Measures all sizes. @returns figures by size and slopes */
+export async function measureSlopes (progress: (text: string) => void): Promise<{ sizes: SizeFigures[], slopes: Slope[] }> {
+  const sizes: SizeFigures[] = []
+  for (const size of [...INSTANCE_SIZES, ...ENDPOINT_SIZES, ...CUSTOMER_SIZES]) {
+    const figures = await measureSize(size)
+    progress(JSON.stringify(figures))
+    sizes.push(figures)
+  }
+  const smallest = sizes[0]
+  const inEndpoints = sizes.filter(s => s === smallest || ENDPOINT_SIZES.some(e => e.endpoints === s.endpoints))
+  const inCustomers = sizes.filter(s => s === smallest || CUSTOMER_SIZES.some(c => c.customers === s.customers))
+  const inInstances = sizes.slice(0, INSTANCE_SIZES.length)
+  return { sizes, slopes: [...slopesOf(inInstances, 'instances'), ...slopesOf(inEndpoints, 'endpoints'), ...slopesOf(inCustomers, 'customers')] }
+}
+
+const FIGURES = ['cpuPercent', 'residentMb', 'peerBytesPerSecond', 'storeCallsPerSecondPerInstance', 'changeInForceP50Ms', 'peerBytesPerChange', 'cpuMsPerChange'] as const
+
+function slopesOf (sizes: readonly SizeFigures[], per: Slope['per']): Slope[] {
+  return FIGURES.map((figure) => {
+    const points = sizes.map(s => [s[per], s[figure]])
+    const { m, b } = linearRegression(points)
+    const line = linearRegressionLine({ m, b })
+    return {
+      figure,
+      per,
+      base: round(b),
+      slope: Math.round(m * 1e6) / 1e6,
+      points: points.map(([at = 0, measured = 0]) => ({ at, measured, residual: round(measured - line(at)) }))
+    }
+  })
+}
+
+async function measureSize (size: Size): Promise<SizeFigures> {
+  const domains = Array.from({ length: size.domains }, (_, i) => `d${i + 1}`)
+  const contracts = Array.from({ length: size.customers }, (_, i) => testContract(`customer-${i + 1}`, 400))
+  const fleet = new LocalFleet({
+    folder: mkdtempSync(join(tmpdir(), 'cranberryyard-')),
+    domains,
+    instancesPerDomain: DOMAIN_INSTANCES,
+    endpointsPerDomain: 0,
+    slots: 8,
+    contracts,
+    teamKey: TEAM_KEY,
+    proxied: true,
+    listedEndpoints: size.endpoints,
+    settings: { platform: { listPeriodMs: 5000 } }
+  })
+  await fleet.start()
+  try {
+    await fleet.waitReady()
+    await sleep(2000)
+    return { ...size, instances: fleet.instances.length, ...await measureRest(fleet), ...await measureChanges(fleet, contracts) }
+  } finally {
+    await fleet.stop()
+  }
+}
+
+interface Totals {
+  readonly cpuSeconds: number
+  readonly residentMb: number
+  readonly peerBytes: number
+  readonly storeCalls: number
+  readonly at: number
+}
+
+function totals (fleet: LocalFleet): Totals {
+  const usages = fleet.instances.map(i => usageOf(i.process?.pid ?? 0))
+  const { calls } = fleet.platform
+  return {
+    cpuSeconds: usages.reduce((sum, u) => sum + u.cpuSeconds, 0),
+    residentMb: usages.reduce((sum, u) => sum + u.residentMb, 0),
+    peerBytes: fleet.instances.reduce((sum, i) => sum + fleet.peerBytes(i), 0),
+    storeCalls: calls.reads + calls.writes + calls.watches + calls.lists,
+    at: performance.now()
+  }
+}
+
+async function measureRest (fleet: LocalFleet): Promise<Pick<SizeFigures, 'cpuPercent' | 'residentMb' | 'peerBytesPerSecond' | 'storeCallsPerSecondPerInstance'>> {
+  const before = totals(fleet)
+  await sleep(REST_MS)
+  const after = totals(fleet)
+  const seconds = (after.at - before.at) / 1000
+  const n = fleet.instances.length
+  return {
+    cpuPercent: round(100 * (after.cpuSeconds - before.cpuSeconds) / seconds / n),
+    residentMb: round(after.residentMb / n),
+    peerBytesPerSecond: Math.round((after.peerBytes - before.peerBytes) / seconds / n),
+    storeCallsPerSecondPerInstance: round((after.storeCalls - before.storeCalls) / seconds / n)
+  }
+}
+
+async function measureChanges (fleet: LocalFleet, contracts: readonly Contract[]): Promise<Pick<SizeFigures, 'changeInForceP50Ms' | 'changeInForceMaxMs' | 'peerBytesPerChange' | 'cpuMsPerChange'>> {
+  const before = totals(fleet)
+  const times: number[] = []
+  for (let i = 0; i < CHANGES; i++) times.push(await changeOnce(fleet, contracts[i % contracts.length], i))
+  const after = totals(fleet)
+  const n = fleet.instances.length
+  const [p50 = 0, max = 0] = quantiles(times, [50, 100])
+  return {
+    changeInForceP50Ms: Math.round(p50),
+    changeInForceMaxMs: Math.round(max),
+    peerBytesPerChange: Math.round((after.peerBytes - before.peerBytes) / n / CHANGES),
+    cpuMsPerChange: round((after.cpuSeconds - before.cpuSeconds) * 1000 / n / CHANGES)
+  }
+}
+
+/** Changes a limit at one instance. @returns time until it is in force everywhere */
+async function changeOnce (fleet: LocalFleet, contract: Contract | undefined, i: number): Promise<number> {
+  const url = fleet.instances[i % fleet.instances.length]?.operatorUrl ?? ''
+  if (contract === undefined) return 0
+  const headers = { authorization: `Bearer ${TEAM_KEY}`, 'content-type': 'application/json' }
+  const current = await request(`${url}/v1/contracts`, { headers })
+  const { contracts } = await current.body.json() as { contracts: { revision: number, contract: Contract }[] }
+  const record = contracts.find(r => r.contract.customer === contract.customer)
+  const changed = { ...contract, limits: { ...contract.limits, running: 401 + i } }
+  const body = { changeId: randomUUID(), reason: 'measurement', change: { type: 'contract', contract: changed, expectedRevision: record?.revision ?? 0 } }
+  const startedAt = performance.now()
+  const res = await request(`${url}/v1/changes`, { method: 'POST', headers, body: JSON.stringify(body) })
+  const reply = await res.body.json() as { inForce?: boolean }
+  if (reply.inForce !== true) throw new Error(`a change was not in force: ${JSON.stringify(reply)}`)
+  return performance.now() - startedAt
+}
--- a/packages/bench/src/processes/localFleet.ts
+++ b/packages/bench/src/processes/localFleet.ts
@@ -29,6 +29,8 @@
   /** Puts every link between instances, and to endpoints and platform, behind a fault proxy. */
   readonly proxied: boolean
   readonly settings?: Record<string, Record<string, unknown>>
+  /** Endpoints that are only listed, with nothing behind them, to measure what a listing costs. */
+  readonly listedEndpoints?: number
   /** First port; 0 takes any free ports. */
   readonly basePort?: number
   readonly keepsLog?: boolean
@@ -62,6 +64,8 @@
 interface ProxiedLink {
   readonly from: string
   readonly to: string
+  /** Instance that connects over the link; empty for a domain's shared links. */
+  readonly owner: string
   readonly proxy: FaultProxy
 }
 
@@ -89,6 +93,7 @@
     const fleet = { ...EMPTY_FLEET, version: 1, contracts: this.options.contracts.map(contract => ({ revision: 1, contract })) }
     this.platform.store.write('fleet', JSON.stringify(fleet), 0)
     for (const domain of this.options.domains) await this.startEndpoints(domain)
+    this.listMore(this.options.listedEndpoints ?? 0)
     for (const domain of this.options.domains) await this.prepareInstances(domain)
     await this.writeSettings()
     for (const instance of this.instances) this.launch(instance)
@@ -139,6 +144,11 @@
     for (const { proxy } of this.links) proxy.reset()
   }
 
+  /** @returns bytes on links that an instance opened to its peers, both directions */
+  peerBytes (instance: LocalInstance): number {
+    return this.links.filter(l => l.owner === instance.id && l.to !== PLATFORM_DOMAIN).reduce((sum, l) => sum + l.proxy.bytes, 0)
+  }
+
   /** Ends everything. */
   async stop (): Promise<void> {
     for (const { process: child } of this.instances) child?.kill('SIGKILL')
@@ -166,6 +176,15 @@
     }
   }
 
+  private listMore (count: number): void {
+    const { domains } = this.options
+    for (let i = 0; i < count; i++) {
+      const failureDomain = (domains[i % domains.length] ?? '') as FailureDomain
+      const size = { slots: 8, cores: 32, memoryMb: 131_072, accelerators: i % 8 === 0 ? 8 : 0 }
+      this.platform.endpoints.push({ id: `listed-${i}` as EndpointId, failureDomain, rack: `rack-${Math.floor(i / 8)}`, address: '127.0.0.1:9', leaving: false, ...size })
+    }
+  }
+
   private async prepareInstances (domain: string): Promise<void> {
     for (let i = 0; i < this.options.instancesPerDomain; i++) {
       const id = `entry-${domain}-${i + 1}` as InstanceId
@@ -197,7 +216,7 @@
       const ports = this.ports.get(instance.id)
       if (ports === undefined) continue
       const peers = await this.peersOf(instance)
-      const platform = await this.linkTo(instance.domain, PLATFORM_DOMAIN, this.platformPort)
+      const platform = await this.linkTo(instance.domain, PLATFORM_DOMAIN, this.platformPort, instance.id)
       const settings = {
         instance: { id: instance.id, failureDomain: instance.domain },
         listen: { callerPort: ports.caller, operatorPort: ports.operator, peerPort: ports.peer },
@@ -218,15 +237,15 @@
     const others = this.instances.filter(i => i.id !== instance.id)
     return Promise.all(others.map(async (other) => {
       const port = this.ports.get(other.id)?.peer ?? 0
-      return { id: other.id, address: `127.0.0.1:${await this.linkTo(instance.domain, other.domain, port)}` }
+      return { id: other.id, address: `127.0.0.1:${await this.linkTo(instance.domain, other.domain, port, instance.id)}` }
     }))
   }
 
   /** @returns the port to use for a link: the target's own, or that of a proxy in front of it */
-  private async linkTo (from: string, to: string, targetPort: number): Promise<number> {
+  private async linkTo (from: string, to: string, targetPort: number, owner = ''): Promise<number> {
     if (!this.options.proxied) return targetPort
     const proxy = new FaultProxy(targetPort)
-    this.links.push({ from, to, proxy })
+    this.links.push({ from, to, owner, proxy })
     return proxy.listen()
   }
 
--- a/packages/core/src/deduplication/deduplicationDecider.ts
+++ b/packages/core/src/deduplication/deduplicationDecider.ts
@@ -308,10 +308,13 @@
     this.db.put({ customer: c.customer, requestId: c.requestId, submissionId: c.submissionId, expiresAt: ms(now + c.ttlMs) })
   }
 
-  /** So many earlier holders must answer that every earlier majority has a member among them. */
+  /**
+   * So many earlier holders must answer that every earlier majority has a member among them. A later life of a
+   * holder answers under the same name but remembers nothing, and does not count.
+   */
   private noteImported (bucket: number, holder: HolderId): void {
     const i = this.db.imports.get(bucket)
-    if (i === undefined) return
+    if (i === undefined || !i.sources.includes(holder)) return
     i.received.add(holder)
     const total = this.previousTable.of(bucket).length
     if (i.received.size >= total - majorityOf(total) + 1) this.db.imports.delete(bucket)
--- a/packages/core/src/fairness/fairnessDb.ts
+++ b/packages/core/src/fairness/fairnessDb.ts
@@ -21,6 +21,11 @@
 
   constructor (readonly customer: CustomerId) {}
 
+  /** @returns expected work of all tasks that wait, in slot milliseconds */
+  waitingMs (): number {
+    return this.jobs.reduce((sum, t) => sum + t.job.waiting() * t.job.meanMs, 0)
+  }
+
   /** @returns the first job that still waits for starts; finished ones are dropped on the way */
   head (): TaggedJob<J> | undefined {
     while (this.jobs.length > 0 && this.jobs[0]?.job.waiting() === 0) this.jobs.shift()
--- a/packages/core/src/fairness/fairnessDecider.ts
+++ b/packages/core/src/fairness/fairnessDecider.ts
@@ -3,13 +3,17 @@
  * the customer's fair part of the slots. A job's turn is its arrival, or, for a customer that has run further
  * ahead than the tolerance, the time at which its clock comes back within it; the earliest turn goes first.
  * Customers within their fair part are so served in order of arrival, as by one central queue, and a burst pushes
- * back only the jobs behind it.
+ * back only the jobs behind it. A customer of whom little waits goes before all others: that delays them hardly,
+ * and keeps its response where it is while others burst.
  */
 import type { CustomerId, Ms } from '@cranberryyard/protocol'
 import { Flow } from './fairnessDb.js'
 import type { TaggedJob } from './fairnessDb.js'
 import type { QueuedJob } from './types.js'
 
+/** Little waits when a customer's fair part of the slots could run it in this time. */
+const LIGHT_MS = 250
+
 /** Decides whose job is next. */
 export class FairnessDecider<J extends QueuedJob> {
   private readonly flows = new Map<CustomerId, Flow<J>>()
@@ -28,9 +32,12 @@
     const flow = this.flowOf(job)
     flow.weight = job.weight
     if (flow.waiting === 0) flow.aheadUntil = Math.min(flow.aheadUntil, now + this.toleranceMs)
-    const turn = Math.max(now, flow.aheadUntil - this.toleranceMs)
+    const pushedBack = Math.max(now, flow.aheadUntil - this.toleranceMs)
     flow.waiting += job.waiting()
-    flow.aheadUntil = Math.max(now, flow.aheadUntil) + job.workMs / this.fairSlots(flow, slots)
+    const fairSlots = this.fairSlots(flow, slots)
+    flow.aheadUntil = Math.max(now, flow.aheadUntil) + job.workMs / fairSlots
+    const isLight = flow.waitingMs() + job.workMs <= LIGHT_MS * fairSlots
+    const turn = isLight ? now - this.toleranceMs : pushedBack
     flow.jobs.push({ job, turn, arrival: this.arrivals++ })
   }
 
@@ -57,7 +64,7 @@
   /** Puts a job back at the head of its queue after a start was refused. */
   putBack (job: J): void {
     const flow = this.flowOf(job)
-    if (!flow.jobs.some(t => t.job === job)) flow.jobs.unshift({ job, turn: 0, arrival: -1 })
+    if (!flow.jobs.some(t => t.job === job)) flow.jobs.unshift({ job, turn: -Infinity, arrival: -1 })
   }
 
   /** @returns number of a customer's waiting tasks */
--- a/packages/core/src/fairness/types.ts
+++ b/packages/core/src/fairness/types.ts
@@ -8,6 +8,8 @@
   readonly customer: CustomerId
   /** Expected work of the whole job in slot milliseconds. */
   readonly workMs: number
+  /** Expected run time of one task. */
+  readonly meanMs: number
   readonly weight: number
   /** @returns number of tasks that still wait for a start */
   waiting (): number
--- a/packages/fakes/src/faultProxy.ts
+++ b/packages/fakes/src/faultProxy.ts
@@ -22,6 +22,8 @@
 /** A proxied link on a port. */
 export class FaultProxy {
   readonly faults: LinkFaults = { delayMs: 0, cutForward: false, cutBackward: false }
+  /** Bytes passed on in both directions. */
+  bytes = 0
   private readonly pairs = new Set<Pair>()
   private server: Server | undefined
 
@@ -83,6 +85,7 @@
   private pipe (from: Socket, to: Socket, isCut: () => boolean): void {
     from.on('data', (chunk) => {
       if (isCut()) return
+      this.bytes += chunk.length
       if (this.faults.delayMs <= 0) to.write(chunk)
       else setTimeout(() => to.writable && to.write(chunk), this.faults.delayMs)
     })
