messageWeight decides how many permits are asked of one lender

Cause: permit renewals were most of the control messages beyond heartbeats, and the setting had no effect yet. Change: at weight 1 a borrower asks few lenders for up to 64 permits each, at 0 it spreads requests over all. Failed try, reverted: small jobs started by the accepting instance while the scheduler's last heartbeat showed free slots. Ruled out on paper: slots lent to fronts cost more renewals than forwards they save.

--- a/packages/core/src/limits/limitsDecider.ts
+++ b/packages/core/src/limits/limitsDecider.ts
@@ -18,8 +18,8 @@
 
 /** Pause after the first round of requests that a shortage triggers; it doubles while the shortage lasts. */
 const SHORTAGE_PAUSE_MIN_MS = 20
-/** Permits asked of one lender at least, where so many are missing; fewer lenders mean fewer messages. */
-const PERMITS_PER_REQUEST = 16
+/** Permits asked of one lender at least, when messages weigh all; fewer lenders mean fewer messages. */
+const PERMITS_PER_REQUEST_MAX = 64
 /** Renewals after which half of a peak in demand is forgotten. */
 const PEAK_HALF_LIFE_RENEWALS = 4
 /** A task start costs one token; a bucket holds at most this part of a second's tokens, or one task. */
@@ -320,10 +320,8 @@
     const held = lenders.map(l => this.activeLoan(l, customer))
     let missing = need - own - held.reduce((a, b) => a + b, 0)
     let surplus = Math.max(0, -missing)
-    const part = Math.max(Math.ceil(missing / lenders.length), Math.min(missing, PERMITS_PER_REQUEST))
-    const first = this.ctx.random.below(lenders.length)
-    for (let i = 0; i < lenders.length; i++) {
-      const at = (first + i) % lenders.length
+    const part = Math.max(Math.ceil(missing / lenders.length), Math.min(missing, this.permitsPerRequest()))
+    for (let at = 0; at < lenders.length; at++) {
       const lender = lenders[at]
       if (lender === undefined) continue
       const have = held[at] ?? 0
@@ -335,6 +333,10 @@
     }
   }
 
+  private permitsPerRequest (): number {
+    return Math.ceil(PERMITS_PER_REQUEST_MAX * this.ctx.cfg.routing.messageWeight)
+  }
+
   private activeLoan (lender: HolderId, customer: CustomerId): number {
     const loan = this.db.borrowed.get(lender, customer)
     return loan !== undefined && this.ctx.now < loan.until ? loan.count : 0
