Fair turns follow the customers that wait now; traces and rules as tests; ports of test daemons

Cause: a turn fixed at arrival let a customer that came first alone keep an advantage over a heavier one (test: gives a heavier customer its turn earlier). Daemons of test fleets did not serve when a proxy had taken their port first. Change: a job's turn is worked out when it is looked at; test daemons use ports below the system's own range; the proof and fuzz specs.

--- /dev/null
+++ b/packages/bench/src/fuzz/fuzz.spec.ts
@@ -0,0 +1,49 @@
+import { expect } from 'chai'
+import { execFile } from 'node:child_process'
+import { fileURLToPath } from 'node:url'
+import { promisify } from 'node:util'
+import { MUTATIONS } from './mutations.js'
+import { runFuzz } from './runFuzz.js'
+
+const run = promisify(execFile)
+const MUTANT = fileURLToPath(new URL('./mutant.js', import.meta.url))
+const AT_ONCE = 4
+const SEED = 7
+const RUNS_MAX = 60
+
+interface MutantReport {
+  readonly name: string
+  readonly caught: boolean
+  readonly reason: string
+}
+
+async function fuzzMutant (name: string): Promise<MutantReport> {
+  const { stdout } = await run(process.execPath, [MUTANT, name, String(SEED), String(RUNS_MAX)])
+  return JSON.parse(stdout.trim().split('\n').at(-1) ?? '{}') as MutantReport
+}
+
+async function fuzzMutants (names: string[]): Promise<MutantReport[]> {
+  const reports: MutantReport[] = []
+  const worker = async (): Promise<void> => {
+    for (let name = names.shift(); name !== undefined; name = names.shift()) reports.push(await fuzzMutant(name))
+  }
+  await Promise.all(Array.from({ length: AT_ONCE }, worker))
+  return reports
+}
+
+describe('stateful fuzzing against the oracle', function () {
+  this.timeout(280_000)
+
+  for (const seed of [1, 7]) {
+    it(`keeps every promise with seed ${seed}`, async () => {
+      const outcome = await runFuzz({ seed, runs: 12, commandsMax: 40 })
+      expect(outcome.failed, `${outcome.reason}\n${outcome.report}`).to.equal(false)
+    })
+  }
+
+  it('catches every seeded mutation of core', async () => {
+    const reports = await fuzzMutants(MUTATIONS.map(m => m.name))
+    const missed = reports.filter(r => !r.caught).map(r => r.name)
+    expect(missed).to.deep.equal([])
+  })
+})
--- a/packages/bench/src/processes/localFleet.ts
+++ b/packages/bench/src/processes/localFleet.ts
@@ -11,6 +11,7 @@
 import { mkdirSync, openSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { join } from 'node:path'
+import process from 'node:process'
 import { fileURLToPath } from 'node:url'
 import { stringify } from 'smol-toml'
 
@@ -31,7 +32,7 @@
   readonly settings?: Record<string, Record<string, unknown>>
   /** Endpoints that are only listed, with nothing behind them, to measure what a listing costs. */
   readonly listedEndpoints?: number
-  /** First port; 0 takes any free ports. */
+  /** First port; without it, free ports are looked for. */
   readonly basePort?: number
   readonly keepsLog?: boolean
 }
@@ -69,6 +70,10 @@
   readonly proxy: FaultProxy
 }
 
+const TEST_PORTS_FROM = 15_000
+const TEST_PORT_RANGES = 80
+const TEST_PORT_RANGE = 200
+
 /** Name of the platform in links. */
 export const PLATFORM_DOMAIN = 'platform'
 
@@ -83,7 +88,7 @@
   private nextPort: number
 
   constructor (private readonly options: LocalOptions) {
-    this.nextPort = options.basePort ?? 0
+    this.nextPort = options.basePort ?? TEST_PORTS_FROM + (process.pid % TEST_PORT_RANGES) * TEST_PORT_RANGE
   }
 
   /** Starts stand-ins and daemons. */
@@ -202,13 +207,11 @@
     }
   }
 
+  /** Ports of daemons lie below those that the system hands out, so that no proxy can take one meanwhile. */
   private async port (): Promise<number> {
-    if (this.nextPort > 0) return this.nextPort++
-    const server = createServer()
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    const address = server.address()
-    await new Promise<void>(resolve => server.close(() => resolve()))
-    return typeof address === 'object' && address !== null ? address.port : 0
+    if (this.options.basePort !== undefined) return this.nextPort++
+    while (!await isFree(this.nextPort)) this.nextPort++
+    return this.nextPort++
   }
 
   private async writeSettings (): Promise<void> {
@@ -264,6 +267,14 @@
   }
 }
 
+function isFree (port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
+
 /** @returns true when the instance's health page says so */
 export async function isServing (instance: LocalInstance): Promise<boolean> {
   try {
--- a/packages/core/src/fairness/fairnessDb.ts
+++ b/packages/core/src/fairness/fairnessDb.ts
@@ -4,18 +4,23 @@
 import type { CustomerId } from '@cranberryyard/protocol'
 import type { QueuedJob } from './types.js'
 
-/** A job with the time at which its turn comes. */
-export interface TaggedJob<J extends QueuedJob> {
+/** A job with what its turn follows from. */
+export interface WaitingJob<J extends QueuedJob> {
   readonly job: J
-  readonly turn: number
+  readonly arrivedAt: number
+  /** Work that its customer asked for before it while busy, in slot milliseconds. */
+  readonly workBeforeMs: number
+  readonly isLight: boolean
   readonly arrival: number
 }
 
 /** One customer's queue. */
 export class Flow<J extends QueuedJob> {
-  readonly jobs: TaggedJob<J>[] = []
-  /** The customer has used its fair part up to this time. */
-  aheadUntil = 0
+  readonly jobs: WaitingJob<J>[] = []
+  /** Since when the customer has had tasks waiting without a pause. */
+  busySince = 0
+  /** Work asked for since then, in slot milliseconds. */
+  workMs = 0
   weight = 1
   waiting = 0
 
@@ -27,7 +32,7 @@
   }
 
   /** @returns the first job that still waits for starts; finished ones are dropped on the way */
-  head (): TaggedJob<J> | undefined {
+  head (): WaitingJob<J> | undefined {
     while (this.jobs.length > 0 && this.jobs[0]?.job.waiting() === 0) this.jobs.shift()
     return this.jobs[0]
   }
--- a/packages/fakes/src/endpointModel.ts
+++ b/packages/fakes/src/endpointModel.ts
@@ -11,6 +11,7 @@
 export interface StartLogEntry {
   readonly taskId: TaskId
   readonly holder: string
+  readonly payload: unknown
   readonly startedAt: number
   endedAt: number | undefined
 }
@@ -69,7 +70,7 @@
       return
     }
     this.remember(request.taskId)
-    const log: StartLogEntry = { taskId: request.taskId, holder: request.holder, startedAt: now, endedAt: undefined }
+    const log: StartLogEntry = { taskId: request.taskId, holder: request.holder, payload: request.payload, startedAt: now, endedAt: undefined }
     if (this.keepsLog) this.log.push(log)
     this.running.set(request.taskId, { request, log, finish, endsAt: now + this.runMs(request), leaseUntil: now + request.leaseMs })
   }
