Peer codec refuses what is no envelope; heartbeats as lists; traces

Cause: daemons crashed with 'Cannot read properties of undefined (reading type)' when a daemon of another build connected to their port. Maps with names made an entry of a heartbeat about three times as long as needed.

--- a/packages/bench/src/fuzz/mutant.ts
+++ b/packages/bench/src/fuzz/mutant.ts
@@ -1,5 +1,6 @@
 /**
- * Fuzzes core with one mutation: `node mutant.js NAME SEED RUNS`. Prints whether the oracle caught it.
+ * Runs the traces and the fuzzer on core with one mutation: `node mutant.js NAME SEED RUNS`. Prints whether the
+ * oracle caught it.
  */
 import { register } from 'node:module'
 import process from 'node:process'
@@ -10,8 +11,22 @@
 if (mutation === undefined) throw new Error(`no mutation ${name ?? ''}`)
 register('./mutationHooks.js', import.meta.url, { data: mutation })
 
+const { Violation } = await import('./oracle.js')
+const { TRACES } = await import('./traces.js')
 const { runFuzz } = await import('./runFuzz.js')
+
+for (const trace of TRACES) {
+  try {
+    trace.run()
+  } catch (err) {
+    if (!(err instanceof Violation)) throw err
+    report(trace.name, err.message)
+  }
+}
 const outcome = await runFuzz({ seed: Number(seed), runs: Number(runs), commandsMax: 40, endOnFailure: true })
-const reason = outcome.reason
-console.log(JSON.stringify({ name, caught: outcome.failed, runs: outcome.runs, reason }))
-process.exit(0)
+report(outcome.failed ? 'fuzzing' : '', outcome.reason)
+
+function report (by: string, reason: string): never {
+  console.log(JSON.stringify({ name, caught: by !== '', by, reason }))
+  process.exit(0)
+}
--- a/packages/bench/src/processes/processes.spec.ts
+++ b/packages/bench/src/processes/processes.spec.ts
@@ -41,9 +41,14 @@
     proxied: true,
     ...options
   })
-  await fleet.start()
-  await fleet.waitReady()
-  return fleet
+  try {
+    await fleet.start()
+    await fleet.waitReady()
+    return fleet
+  } catch (err) {
+    await fleet.stop()
+    throw err
+  }
 }
 
 /** Loads instances for a while; the requests are the same for the same seed. */
--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -16,7 +16,7 @@
 import { log } from './utils/log.js'
 
 /** Period of the core task's tick. */
-const TICK_MS = 25
+const TICK_MS = 50
 
 /** Ports that are bound. */
 export interface BoundPorts {
--- a/packages/dispatcher/src/peers/peerService.ts
+++ b/packages/dispatcher/src/peers/peerService.ts
@@ -1,20 +1,13 @@
 /**
- * The service between entry instances: one client-streaming gRPC method that carries envelopes, encoded with
- * MessagePack. docs/design/peer-protocol.md says why there is no schema compiler in between.
+ * The service between entry instances: one client-streaming gRPC method that carries envelopes.
+ * docs/design/peer-protocol.md says why there is no schema compiler in between.
  */
-import { decode, encode } from '@msgpack/msgpack'
-import type { ServiceDefinition } from '@grpc/grpc-js'
 import { makeGenericClientConstructor } from '@grpc/grpc-js'
-import type { InstanceId, PeerMessage } from '@cranberryyard/protocol'
-
-/** A message with its sender. */
-export interface Envelope {
-  readonly from: InstanceId
-  readonly message: PeerMessage
-}
+import type { ServiceDefinition } from '@grpc/grpc-js'
+import { decodeEnvelope, encodeEnvelope } from './peerCodec.js'
 
-const serialize = (value: unknown): Buffer => Buffer.from(encode(value, { ignoreUndefined: true }))
-const deserialize = (bytes: Buffer): unknown => decode(bytes)
+const emptyResponse = (): Buffer => Buffer.alloc(0)
+const ignoreResponse = (): object => ({})
 
 /** The service's definition. */
 export const peerService = {
@@ -22,10 +15,10 @@
     path: '/cranberryyard.Peer/Channel',
     requestStream: true,
     responseStream: false,
-    requestSerialize: serialize,
-    requestDeserialize: deserialize,
-    responseSerialize: serialize,
-    responseDeserialize: deserialize
+    requestSerialize: encodeEnvelope,
+    requestDeserialize: decodeEnvelope,
+    responseSerialize: emptyResponse,
+    responseDeserialize: ignoreResponse
   }
 } satisfies ServiceDefinition
 
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -8,7 +8,7 @@
 import { readFileSync } from 'node:fs'
 import type { EffectOf, Post } from '../messages.js'
 import { PeerClient, peerService } from './peerService.js'
-import type { Envelope } from './peerService.js'
+import type { Envelope } from './peerCodec.js'
 
 /** A peer that cannot be connected to within this span does not get the message. */
 const CONNECT_TIMEOUT_MS = 800
@@ -47,7 +47,7 @@
   private closed = false
 
   constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: Post) {
-    this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
+    this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
   }
 
   /** Listens. @returns the port */
@@ -80,8 +80,10 @@
     this.server.forceShutdown()
   }
 
-  private receive (call: ServerReadableStream<Envelope, unknown>, done: sendUnaryData<unknown>): void {
-    call.on('data', (envelope: Envelope) => this.post({ type: 'peer', from: envelope.from, message: envelope.message }))
+  private receive (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>): void {
+    call.on('data', (envelope: Envelope | undefined) => {
+      if (envelope !== undefined) this.post({ type: 'peer', from: envelope.from, message: envelope.message })
+    })
     call.on('end', () => done(null, {}))
     call.on('error', () => {})
   }
