--- /dev/null
+++ b/packages/bench/src/docs/render.ts
@@ -0,0 +1,101 @@
+/**
+ * Renders the pages that follow from code: settings, metrics, state charts. A test compares them with the files.
+ */
+import { CHART_NAMES, COUNTERS, readChart } from '@cranberryyard/core'
+import type { ChartName } from '@cranberryyard/core'
+import { GAUGES, TIMELINESS_COUNTERS } from '@cranberryyard/dispatcher'
+import { settingsSchema } from '@cranberryyard/protocol'
+import { z } from 'zod'
+import { tableOf } from '../measure/report.js'
+
+interface JsonSchema {
+  readonly type?: string
+  readonly description?: string
+  readonly default?: unknown
+  readonly enum?: readonly unknown[]
+  readonly minimum?: number
+  readonly maximum?: number
+  readonly properties?: Readonly<Record<string, JsonSchema>>
+  readonly items?: JsonSchema
+}
+
+/** @returns docs/SETTINGS.md */
+export function renderSettings (): string {
+  const schema = z.toJSONSchema(settingsSchema, { io: 'input' }) as JsonSchema
+  const rows = rowsOf(schema, '')
+  return [
+    '# Settings',
+    '',
+    'One TOML file for each entry instance. `cranberryyardd --settings FILE --check` reports every fault with its key and line.',
+    'Keys that end in `Ms` are milliseconds. Keys without a default are needed. This page is rendered from the schema in',
+    '`packages/protocol/src/settings.ts`; an example stands in `examples/bantay/entry-1.toml`.',
+    '',
+    'Plain ports serve without TLS and only where a settings file says `plain = true`; the peers\' port uses mutual TLS.',
+    '',
+    tableOf(['key', 'type', 'default', 'meaning'], rows),
+    ''
+  ].join('\n')
+}
+
+function rowsOf (schema: JsonSchema, path: string): string[][] {
+  return Object.entries(schema.properties ?? {}).flatMap(([name, property]) => {
+    const key = path === '' ? name : `${path}.${name}`
+    if (property.properties !== undefined) return rowsOf(property, key)
+    const items = property.items?.properties === undefined ? [] : rowsOf(property.items, `${key}[]`)
+    const own = [`\`${key}\``, typeOf(property), property.default === undefined ? '' : `\`${JSON.stringify(property.default)}\``, property.description ?? '']
+    return [own, ...items]
+  })
+}
+
+function typeOf (schema: JsonSchema): string {
+  if (schema.enum !== undefined) return schema.enum.map(String).join(' or ')
+  const range = schema.minimum !== undefined && schema.maximum !== undefined ? ` ${schema.minimum} to ${schema.maximum}` : ''
+  return `${schema.type ?? ''}${range}`
+}
+
+/** @returns docs/METRICS.md */
+export function renderMetrics (): string {
+  const rows = (metrics: Readonly<Record<string, string>>, type: string): string[][] => Object.entries(metrics).map(([name, text]) => [`\`cranberryyard.${name}\``, type, text])
+  return [
+    '# Metrics',
+    '',
+    'Sent to statsd by `hot-shots` when `metrics.statsdAddress` is set. This page is rendered from the code. An example:',
+    '',
+    '```toml',
+    '[metrics]',
+    'statsdAddress = "127.0.0.1:8125"',
+    'flushMs = 1000',
+    '```',
+    '',
+    tableOf(['name', 'type', 'meaning'], [...rows(COUNTERS, 'counter'), ...rows(TIMELINESS_COUNTERS, 'counter'), ...rows(GAUGES, 'gauge')]),
+    ''
+  ].join('\n')
+}
+
+/** @returns docs/STATE-CHARTS.md */
+export function renderCharts (): string {
+  return [
+    '# State charts',
+    '',
+    'The files under `packages/core/src/charts/` are interpreted by the code (`utils/chart.ts`) and drawn here from the same files.',
+    '',
+    ...CHART_NAMES.flatMap(name => [`## ${name}`, '', '```mermaid', ...mermaidOf(name), '```', ''])
+  ].join('\n')
+}
+
+function mermaidOf (name: ChartName): string[] {
+  const { initial, states } = readChart(name)
+  const lines = ['stateDiagram-v2', `  [*] --> ${initial}`]
+  for (const [state, { on = {}, type }] of Object.entries(states)) {
+    for (const [event, target] of Object.entries(on)) lines.push(`  ${state} --> ${target}: ${event}`)
+    if (type === 'final') lines.push(`  ${state} --> [*]`)
+  }
+  return lines
+}
+
+/** Pages that follow from code, by file name below docs/. */
+export const RENDERED_PAGES: Readonly<Record<string, () => string>> = {
+  'SETTINGS.md': renderSettings,
+  'METRICS.md': renderMetrics,
+  'STATE-CHARTS.md': renderCharts
+}
--- a/packages/core/src/membership/membershipDecider.ts
+++ b/packages/core/src/membership/membershipDecider.ts
@@ -13,7 +13,7 @@
 /** Largest number of peers of the own domain that one heartbeat goes to. */
 const DOMAIN_FANOUT = 2
 /** Largest number of entries about other domains in one message; keeps a daemon within its bytes per second. */
-const REMOTE_ENTRIES_MAX = 6
+const REMOTE_ENTRIES_MAX = 4
 /** Silent members are forgotten after this span. */
 const FORGET_MS = 120_000
 
@@ -31,6 +31,7 @@
   readonly db = new MembershipDb()
   private heartbeat = 0
   private nextHeartbeatAt = 0
+  private remoteTurn = 0
   private readonly suspected = new Set<InstanceId>()
 
   constructor (private readonly ctx: Context, private readonly report: () => OwnReport) {}
@@ -159,12 +160,18 @@
   }
 
   private entries (): MemberEntry[] {
-    const { self, random } = this.ctx
     const known = this.db.all()
-    const domain = known.filter(m => m.failureDomain === self.failureDomain)
-    const remote = known.filter(m => m.failureDomain !== self.failureDomain && this.isLive(m))
-    const picked = remote.length <= REMOTE_ENTRIES_MAX ? remote : sample(random, remote, REMOTE_ENTRIES_MAX)
-    return [this.ownEntry(), ...[...domain, ...picked].map(toEntry)]
+    const domain = known.filter(m => m.failureDomain === this.ctx.self.failureDomain)
+    return [this.ownEntry(), ...[...domain, ...this.remoteEntries(known)].map(toEntry)]
+  }
+
+  /** Remote members take turns, so that news of each passes on at a steady pace. */
+  private remoteEntries (known: readonly Member[]): Member[] {
+    const remote = known.filter(m => m.failureDomain !== this.ctx.self.failureDomain && this.isLive(m))
+    if (remote.length <= REMOTE_ENTRIES_MAX) return remote
+    const picked = Array.from({ length: REMOTE_ENTRIES_MAX }, (_, i) => remote[(this.remoteTurn + i) % remote.length])
+    this.remoteTurn = (this.remoteTurn + REMOTE_ENTRIES_MAX) % remote.length
+    return picked.filter(m => m !== undefined)
   }
 
   private ownEntry (): MemberEntry {
