Several schedulers share the endpoints evenly; traces in three modes of scheduling

Cause: with one scheduler nobody contends for permits, so mutations of limits went unnoticed; and rendezvous could leave a scheduler without endpoints, where its jobs would have waited for ever. Change: endpoints are dealt out to schedulers, each with two at least; a task that fits no own endpoint may use any; fuzzing and traces run with one, some and each instance scheduling.

--- a/packages/bench/src/fuzz/runFuzz.ts
+++ b/packages/bench/src/fuzz/runFuzz.ts
@@ -37,12 +37,25 @@
   readonly report: string
 }
 
+/** How many instances schedule: one, some, or each its own jobs. The more do, the more permits are contended for. */
+export const SCHEDULING_MODES = ['one', 'some', 'each'] as const
+
+/** One of them. */
+export type SchedulingMode = typeof SCHEDULING_MODES[number]
+
+const MODE_ROUTING: Readonly<Record<SchedulingMode, Record<string, unknown>>> = {
+  one: {},
+  some: { expectedStartsPerSecond: 18_000 },
+  each: { policy: 'twoChoices' }
+}
+
 /**
  * Makes a fleet and its oracle.
  * @param seed - seed of the fleet's own randomness
+ * @param mode - how many instances schedule
  * @returns the world, warmed up
  */
-export function makeWorld (seed: number): World {
+export function makeWorld (seed: number, mode: SchedulingMode = 'one'): World {
   const fleet = new MemoryFleet({
     seed,
     domains: 3,
@@ -52,6 +65,7 @@
     contracts: FUZZ_CUSTOMERS.map(c => testContract(c.name, c.running)),
     link: { nearMs: 0.3, farMs: 1.5, jitterMs: 3, lossPerMille: 0, latePerMille: 0, doublePerMille: 0 },
     teamKeyHash: TEAM_KEY_HASH,
+    settings: { routing: MODE_ROUTING[mode] },
     skewMs: 100
   })
   const oracle = new Oracle(fleet)
@@ -86,7 +100,7 @@
 export async function runFuzz (options: FuzzOptions): Promise<FuzzOutcome> {
   const { seed, runs, commandsMax, path, endOnFailure = false } = options
   const property = fc.asyncProperty(fc.nat(0xffff), fc.commands(COMMANDS, { maxCommands: commandsMax, size: 'max' }), async (fleetSeed, commands) => {
-    const world = makeWorld(fleetSeed)
+    const world = makeWorld(fleetSeed, SCHEDULING_MODES[fleetSeed % SCHEDULING_MODES.length])
     const model: Model = {}
     await fc.asyncModelRun(() => ({ model, real: world }), commands)
     quiesce(world)
--- a/packages/bench/src/fuzz/traces.ts
+++ b/packages/bench/src/fuzz/traces.ts
@@ -6,7 +6,8 @@
 import type { ChangeId, CustomerId, RequestId } from '@cranberryyard/protocol'
 import type { MemoryNode } from '../memory/memoryFleet.js'
 import { TEAM_KEY_HASH, testJob, testKeyHash } from '../memory/workload.js'
-import { makeWorld, quiesce } from './runFuzz.js'
+import { SCHEDULING_MODES, makeWorld, quiesce } from './runFuzz.js'
+import type { SchedulingMode } from './runFuzz.js'
 import type { World } from './commands.js'
 
 /** One trace. */
@@ -86,19 +87,28 @@
   world.fleet.post(node, { type: 'change', callId: changeId, request: { changeId, keyHash: TEAM_KEY_HASH, reason: 'trace', change } })
 }
 
-function trace (name: string, seed: number, act: (world: World) => void): Trace {
+interface TraceScript {
+  readonly name: string
+  readonly seed: number
+  readonly act: (world: World) => void
+}
+
+function trace (name: string, seed: number, act: (world: World) => void): TraceScript {
+  return { name, seed, act }
+}
+
+function inMode ({ name, seed, act }: TraceScript, mode: SchedulingMode): Trace {
   return {
-    name,
+    name: `${name}; scheduling: ${mode}`,
     run: () => {
-      const world = makeWorld(seed)
+      const world = makeWorld(seed, mode)
       act(world)
       quiesce(world)
     }
   }
 }
 
-/** All traces. */
-export const TRACES: readonly Trace[] = [
+const SCRIPTS: readonly TraceScript[] = [
   trace('a forward arrives twice', 12177, (world) => {
     Object.assign(world.fleet.links.profile, { doublePerMille: 1000 })
     flood(world, 'alpha', 12, 1500)
@@ -207,3 +217,6 @@
     world.fleet.run(6000)
   })
 ]
+
+/** All traces, in every mode of scheduling. */
+export const TRACES: readonly Trace[] = SCHEDULING_MODES.flatMap(mode => SCRIPTS.map(script => inMode(script, mode)))
--- a/packages/core/src/routing/routingDecider.ts
+++ b/packages/core/src/routing/routingDecider.ts
@@ -19,6 +19,8 @@
 import { BUSY_PAUSE_MIN_MS, RoutingDb } from './routingDb.js'
 import type { EndpointState, Placement, TaskSize } from './types.js'
 
+/** A scheduler has at least this many endpoints. */
+const ENDPOINTS_PER_SCHEDULER_MIN = 2
 /** Longest pause after repeated refusals of one endpoint. */
 const BUSY_PAUSE_MAX_MS = 320
 /** An endpoint in another domain costs this much of a full endpoint in the choice. */
@@ -61,11 +63,18 @@
     const { self, cfg } = this.ctx
     const own: Scheduler[] = this.serving() ? [{ ...self, backlog: 0 }] : []
     const candidates = [...this.membership.serving(), ...own].sort(byAge)
-    const needed = Math.max(1, Math.ceil(cfg.routing.expectedStartsPerSecond / cfg.routing.startsPerScheduler))
-    this.schedulers = candidates.slice(0, cfg.routing.policy === 'scheduler' ? needed : candidates.length)
+    this.schedulers = candidates.slice(0, cfg.routing.policy === 'scheduler' ? this.schedulersNeeded() : candidates.length)
     this.assignEndpoints()
   }
 
+  /** As few as the expected rate needs, and never so many that one would have hardly any endpoints. */
+  private schedulersNeeded (): number {
+    const { expectedStartsPerSecond, startsPerScheduler } = this.ctx.cfg.routing
+    const byRate = Math.ceil(expectedStartsPerSecond / startsPerScheduler)
+    const byEndpoints = Math.floor(this.db.all().length / ENDPOINTS_PER_SCHEDULER_MIN)
+    return Math.max(1, Math.min(byRate, byEndpoints))
+  }
+
   /** @returns true when jobs that arrive here are scheduled here */
   isScheduler (): boolean {
     return this.schedulers.some(s => s.instance === this.ctx.self.instance)
@@ -97,9 +106,9 @@
     return total
   }
 
-  /** @returns true when an endpoint of this instance has a free slot */
+  /** @returns true when an endpoint that belongs to this instance has a free slot */
   hasFreeSlot (): boolean {
-    return this.db.all().some(e => this.isFree(e))
+    return this.db.all().some(e => e.ownedHere && this.isFree(e))
   }
 
   /**
@@ -130,8 +139,9 @@
   private best (size: TaskSize): EndpointState | undefined {
     let best: EndpointState | undefined
     let bestScore = Infinity
+    const anywhere = !this.db.all().some(e => e.ownedHere && fitsEmpty(e, size))
     for (const e of this.db.all()) {
-      if (!this.isFree(e) || !fits(e, size)) continue
+      if (!(e.ownedHere || anywhere) || !this.isFree(e) || !fits(e, size)) continue
       const score = this.score(e)
       if (score >= bestScore) continue
       best = e
@@ -154,7 +164,7 @@
   }
 
   private isFree (e: EndpointState): boolean {
-    if (!e.acceptsWork || !e.ownedHere || this.ctx.now < e.pausedUntil) return false
+    if (!e.acceptsWork || this.ctx.now < e.pausedUntil) return false
     return e.running < this.health.allowance(e.info.id, e.info.slots)
   }
 
@@ -173,9 +183,11 @@
     const key = shared ? 'shared' : this.schedulers.map(s => `${s.instance}#${s.incarnation}`).join()
     if (key === this.ownershipKey) return
     this.ownershipKey = key
-    for (const e of this.db.all()) {
-      e.ownedHere = shared || rendezvous(e.info.id, this.schedulers, s => s.instance)[0]?.instance === self.instance
-    }
+    const position = this.schedulers.findIndex(s => s.instance === self.instance)
+    const ordered = rendezvous('endpoints', this.db.all(), e => e.info.id)
+    ordered.forEach((e, i) => {
+      e.ownedHere = shared || i % this.schedulers.length === position
+    })
   }
 }
 
