News of a version in force travels at once instead of with heartbeats

Cause: with 24 instances in 8 domains a change was reported as not in force after 8 s (domain d8), though every instance followed it: the reports came by heartbeats of chance. Change: an instance tells its domain when a version comes into force or its status changes; the oldest of a domain tells the oldest of the others, which tell theirs. Ruled out: late adoption (all instances adopt within a store round trip and a push).

--- a/packages/core/src/membership/membershipDecider.ts
+++ b/packages/core/src/membership/membershipDecider.ts
@@ -32,12 +32,15 @@
   private heartbeat = 0
   private nextHeartbeatAt = 0
   private remoteTurn = 0
+  private toldInForce = 0
+  private readonly news = new Set<InstanceId>()
   private readonly suspected = new Set<InstanceId>()
 
   constructor (private readonly ctx: Context, private readonly report: () => OwnReport) {}
 
-  /** Sends a heartbeat when one is due. */
+  /** Passes news on, and sends a heartbeat when one is due. */
   tick (): void {
+    this.passNews()
     if (this.ctx.now < this.nextHeartbeatAt) return
     this.nextHeartbeatAt = this.ctx.now + this.ctx.cfg.membership.heartbeatMs
     this.beat()
@@ -61,7 +64,7 @@
     const { self } = this.ctx
     const mayAcknowledge = fleetVersion <= this.report().versionKnown
     for (const entry of entries) {
-      if (entry.instance !== self.instance) this.db.merge(entry, this.ctx.now)
+      if (entry.instance !== self.instance) this.take(entry)
       else if (mayAcknowledge && entry.incarnation === self.incarnation) this.db.acknowledge(from, entry.heartbeat)
     }
   }
@@ -124,6 +127,54 @@
       .filter(({ heardAt }) => heardAt === undefined || this.ctx.now - heardAt >= limit)
   }
 
+  private take (entry: MemberEntry): void {
+    const before = this.db.get(entry.instance)
+    if (!this.db.merge(entry, this.ctx.now)) return
+    if (before?.versionInForce !== entry.versionInForce || before.status !== entry.status) this.news.add(entry.instance)
+  }
+
+  /**
+   * A version that has come into force, or a status that has changed, does not wait for heartbeats: each instance
+   * tells its domain of itself, the oldest of the domain tells the oldest of the others, and these their domains.
+   */
+  private passNews (): void {
+    const ownNews = this.report().versionInForce !== this.toldInForce
+    if (!ownNews && this.news.size === 0) return
+    this.toldInForce = this.report().versionInForce
+    const domain = this.liveInDomain()
+    if (ownNews) {
+      this.nextOwnHeartbeat()
+      this.tellAll(domain, [this.ownEntry()])
+    }
+    if (domain.every(m => byAge(this.ctx.self, m) < 0)) this.relayNews(domain, ownNews)
+    this.news.clear()
+  }
+
+  private relayNews (domain: readonly Member[], ownNews: boolean): void {
+    const changed = this.db.all().filter(m => this.news.has(m.instance))
+    const isOwn = (m: Member): boolean => m.failureDomain === this.ctx.self.failureDomain
+    const outbound = changed.filter(isOwn).map(toEntry)
+    if (ownNews) outbound.push(this.ownEntry())
+    if (outbound.length > 0) this.tellAll(this.oldestOfOtherDomains(), outbound)
+    const inbound = changed.filter(m => !isOwn(m)).map(toEntry)
+    if (inbound.length > 0) this.tellAll(domain, inbound)
+  }
+
+  private oldestOfOtherDomains (): Member[] {
+    const oldest = new Map<FailureDomain, Member>()
+    for (const m of this.db.all().filter(o => this.isLive(o)).sort(byAge)) {
+      if (m.failureDomain !== this.ctx.self.failureDomain && !oldest.has(m.failureDomain)) oldest.set(m.failureDomain, m)
+    }
+    return [...oldest.values()]
+  }
+
+  private tellAll (members: readonly Member[], entries: readonly MemberEntry[]): void {
+    for (const member of members) {
+      const address = this.db.addressOf(member.instance)
+      if (address !== undefined) sendPeer(this.ctx, member.instance, address, { type: 'gossip', entries, fleetVersion: this.report().versionKnown })
+    }
+  }
+
   private heardAt (entry: RosterEntry): Ms | undefined {
     const member = this.db.get(entry.instance)
     return member?.incarnation === entry.incarnation ? member.advancedAt : undefined
