A frozen instance looks at its acknowledgement with each use; lenders are asked for no more than they own

Cause, found by a trace with every permit in demand: (1) with small limits a borrower asked the same two lenders for 32 permits each, which own one, so 8 of 12 permits were in use; (2) with that mended, the scheduler frozen for 5.5 s ran 13 of 12 tasks at the moment it woke: answers that had piled up were handled before the tick that notices the lost acknowledgement. Change: what is asked of a lender is bounded by its share, exhausted lenders are left out for a moment; the acknowledgement is a time, compared with each use.

--- a/packages/bench/src/fuzz/mutations.ts
+++ b/packages/bench/src/fuzz/mutations.ts
@@ -28,7 +28,7 @@
     file: 'limits/limitsDecider.js',
     find: 'this.db.lent.set(to, customer, { count: Math.max(kept, count), until });',
     replace: '',
-    caughtBy: 'the scheduler dies with every permit in use; scheduling: some'
+    caughtBy: 'a borrower is restarted while its earlier life\'s tasks run; scheduling: one'
   },
   {
     name: 'followsNewestShareOnly',
@@ -107,7 +107,7 @@
   {
     name: 'isolatedInstanceKeepsItsShare',
     file: 'limits/limitsDecider.js',
-    find: 'return this.acknowledged ? this.db.smallestShare(customer) : 0',
+    find: 'return this.isAcknowledged ? this.db.smallestShare(customer) : 0',
     replace: 'return this.db.smallestShare(customer)'
   },
   {
--- a/packages/bench/src/fuzz/traces.ts
+++ b/packages/bench/src/fuzz/traces.ts
@@ -166,6 +166,12 @@
       world.fleet.run(3000)
     }
   }),
+  trace('the scheduler dies just after it renewed its tasks\' leases', 8, (world) => {
+    keepFlooding(world, 'alpha', 12, 5000, 1000)
+    world.fleet.run(80)
+    die(world, schedulerOf(world))
+    keepFlooding(world, 'alpha', 12, 5000, 8000)
+  }),
   trace('instances of one domain die one after the other under load', 9, (world) => {
     for (const i of [3, 4, 6, 7]) {
       keepFlooding(world, 'alpha', 12, 2900, 2000)
--- a/packages/core/src/limits/limitsDecider.ts
+++ b/packages/core/src/limits/limitsDecider.ts
@@ -13,7 +13,7 @@
 import { sendPeer } from '../instance/context.js'
 import type { MembershipDecider } from '../membership/membershipDecider.js'
 import { LimitsDb } from './limitsDb.js'
-import { sharesOf } from './shares.js'
+import { shareOf, sharesOf } from './shares.js'
 import type { QueuedTasks, ShareTable } from './types.js'
 
 /** Pause after the first round of requests that a shortage triggers; it doubles while the shortage lasts. */
@@ -48,6 +48,7 @@
 interface OutstandingRequest {
   readonly sequence: number
   readonly sentAt: Ms
+  readonly wishes: readonly PermitWish[]
 }
 
 /** Decides whether one more task of a customer may run. */
@@ -58,10 +59,11 @@
   private readonly removalUntil = new Map<string, Ms>()
   private readonly tokens = new Map<CustomerId, { level: number, at: Ms }>()
   private fleet: Fleet | undefined
-  private acknowledged = false
+  private acknowledgedUntil = -Infinity
   private inForce = 0
   private sequence = 0
   private nextRenewAt = 0
+  private readonly exhaustedUntil = new Map<string, Ms>()
   private readonly peaks = new Map<CustomerId, Peak>()
   private readonly shortages = new Map<CustomerId, Shortage>()
   private lending = true
@@ -97,9 +99,12 @@
     return this.inForce
   }
 
-  /** @returns true while a majority of the own domain acknowledges this instance */
+  /**
+   * True while a majority of the own domain acknowledges this instance. Looked at with each use, since an instance
+   * that was frozen handles what has piled up before its next tick.
+   */
   get isAcknowledged (): boolean {
-    return this.acknowledged
+    return this.ctx.now < this.acknowledgedUntil
   }
 
   /** Stops lending, so that permits come back before the instance leaves. */
@@ -190,6 +195,7 @@
     this.requests.delete(lender)
     const until = ms(request.sentAt + Math.min(validMs, this.ctx.cfg.limits.loanMs))
     for (const count of grants) this.takeGrant(lender, count, until)
+    this.noteExhausted(lender, request.wishes, grants)
   }
 
   /** @returns for each customer, permits held and used here */
@@ -206,7 +212,7 @@
   }
 
   private base (customer: CustomerId): number {
-    return this.acknowledged ? this.db.smallestShare(customer) : 0
+    return this.isAcknowledged ? this.db.smallestShare(customer) : 0
   }
 
   /** Own share that running tasks and loans occupy. */
@@ -257,6 +263,15 @@
     return base - kept - this.usedOfShare(customer) - this.queued(customer)
   }
 
+  /** A lender that gave less than was wanted is not asked for more in the same moment; others are. */
+  private noteExhausted (lender: HolderId, wishes: readonly PermitWish[], grants: readonly PermitCount[]): void {
+    const until = ms(this.ctx.now + this.ctx.cfg.limits.loanRenewMs)
+    for (const wish of wishes) {
+      const granted = grants.find(g => g.customer === wish.customer)?.count ?? 0
+      if (granted < wish.want) this.exhaustedUntil.set(`${lender} ${wish.customer}`, until)
+    }
+  }
+
   private takeGrant (from: HolderId, grant: PermitCount, until: Ms): void {
     const held = this.neededFrom(from, grant.customer)
     const before = this.activeLoan(from, grant.customer)
@@ -306,7 +321,7 @@
   private smoothedNeed (customer: CustomerId): number {
     const { now, cfg } = this.ctx
     const need = this.db.runningOf(customer) + this.queued(customer)
-    const limit = this.fleet?.contracts.find(r => r.contract.customer === customer)?.contract.limits.running ?? 0
+    const limit = this.limitOf(customer)
     const peak = this.peaks.get(customer)
     const faded = peak === undefined ? 0 : Math.floor(peak.need * Math.pow(0.5, (now - peak.at) / (PEAK_HALF_LIFE_RENEWALS * cfg.limits.loanRenewMs)))
     const smoothed = Math.min(limit, Math.max(need, faded))
@@ -327,12 +342,23 @@
       const have = held[at] ?? 0
       const give = Math.min(have, surplus)
       surplus -= give
-      const extra = Math.max(0, Math.min(part, missing))
+      const extra = Math.max(0, Math.min(part, missing, this.askable(lender, customer) - have))
       missing -= extra
       addWish(plan, lender, { customer, hold: have - give, want: have - give + extra })
     }
   }
 
+  /** A lender can give no more than its own share, and nothing while it is known to have given all. */
+  private askable (lender: HolderId, customer: CustomerId): number {
+    if (this.ctx.now < (this.exhaustedUntil.get(`${lender} ${customer}`) ?? 0)) return 0
+    const holders = this.fleet?.roster.entries.map(e => e.holder) ?? []
+    return shareOf(this.limitOf(customer), customer, holders, lender)
+  }
+
+  private limitOf (customer: CustomerId): number {
+    return this.fleet?.contracts.find(r => r.contract.customer === customer)?.contract.limits.running ?? 0
+  }
+
   private permitsPerRequest (): number {
     return Math.ceil(PERMITS_PER_REQUEST_MAX * this.ctx.cfg.routing.messageWeight)
   }
@@ -351,7 +377,7 @@
     if (address === undefined) return
     this.keepOnly(lender, wishes)
     this.sequence++
-    this.requests.set(lender, { sequence: this.sequence, sentAt: now })
+    this.requests.set(lender, { sequence: this.sequence, sentAt: now, wishes })
     out.count('permits.requested')
     sendPeer(this.ctx, instance, address, { type: 'permitRequest', borrower: self.holder, lender, sequence: this.sequence, wishes })
   }
@@ -373,7 +399,7 @@
   private refresh (): void {
     const { fleet } = this
     if (fleet === undefined) return
-    this.acknowledged = this.membership.isAcknowledged(fleet.roster.entries)
+    this.acknowledgedUntil = this.ctx.now + this.membership.acknowledgedFor(fleet.roster.entries)
     if (this.inForce === fleet.version && this.db.tables.length === 1) return
     this.db.dropBelow(this.lowestVersionFollowed(fleet))
     this.inForce = Math.max(this.inForce, this.newestKept(fleet))
--- a/packages/core/src/membership/membershipDecider.ts
+++ b/packages/core/src/membership/membershipDecider.ts
@@ -90,17 +90,8 @@
   }
 
   /**
-   * Tells whether a majority of the own domain's roster has acknowledged a recent heartbeat of this instance.
-   * An instance without it must not use its share: others may already have taken it off the roster.
-   * @param roster - entries of the roster in force here
-   * @returns true when this instance may use its share
-   */
-  isAcknowledged (roster: readonly RosterEntry[]): boolean {
-    return this.acknowledgedFor(roster) > 0
-  }
-
-  /**
-   * Tells for how long the present acknowledgements will last.
+   * Tells for how long a majority of the own domain's roster has acknowledged this instance from now on. An instance
+   * without it must not use its share: others may already have taken it off the roster.
    * @param roster - entries of the roster in force here
    * @returns milliseconds, not above 0 when there is no majority, Infinity when none is needed
    */
