A front whose connection broke asks what became of its jobs; full measurement

Cause: in the real-process run a job whose forward was lost with a cut connection waited for its last grace of 80 s before it was given up, though its scheduler lived. Change: after a broken connection the front asks; the scheduler sends the answer again, or gives a job back that never arrived and remembers not to take it later.

--- a/packages/bench/src/fuzz/commands.ts
+++ b/packages/bench/src/fuzz/commands.ts
@@ -115,7 +115,7 @@
   if (how === 'all' || how === 'platform') links.cut(own, PLATFORM)
 }))
 
-const heal = fc.constant(command('heal()', world => world.fleet.links.heal()))
+const heal = fc.constant(command('heal()', world => world.fleet.heal()))
 
 const storeDown = fc.boolean().map(down => command(`storeDown(${down})`, (world) => {
   world.fleet.storeDown = down
--- a/packages/bench/src/fuzz/runFuzz.ts
+++ b/packages/bench/src/fuzz/runFuzz.ts
@@ -76,7 +76,7 @@
 /** Ends all faults and lets every call end. */
 export function quiesce (world: World): void {
   const { fleet, oracle } = world
-  fleet.links.heal()
+  fleet.heal()
   Object.assign(fleet.links.profile, { lossPerMille: 0, latePerMille: 0, doublePerMille: 0 })
   fleet.storeDown = false
   fleet.loseStoreReplies = 0
--- a/packages/bench/src/fuzz/traces.ts
+++ b/packages/bench/src/fuzz/traces.ts
@@ -152,7 +152,7 @@
       submitSerial(world, 0, `split-${i}`)
       submitSerial(world, 8, `split-${i}`)
       world.fleet.run(60)
-      world.fleet.links.heal()
+      world.fleet.heal()
       world.fleet.run(600)
     }
   }),
@@ -205,7 +205,7 @@
       if (i % 2 === 1) world.fleet.links.cut('domain-2', 'domain-1')
       setLimit(world, i, 'alpha', running)
       keepFlooding(world, 'alpha', 24, 1500, 4000)
-      world.fleet.links.heal()
+      world.fleet.heal()
     }
   }),
   trace('an old fleet value arrives after a newer one', 15, (world) => {
--- a/packages/bench/src/memory/memoryFleet.ts
+++ b/packages/bench/src/memory/memoryFleet.ts
@@ -84,7 +84,7 @@
   storeCalls: number
 }
 
-const JOB_TYPES = new Set(['forward', 'forwardCancel', 'forwardReturn', 'forwardAnswer', 'answerRequest', 'answerReply', 'claimRequest', 'claimVote', 'claimRelease'])
+const JOB_TYPES = new Set(['forward', 'forwardCheck', 'forwardCancel', 'forwardReturn', 'forwardAnswer', 'answerRequest', 'answerReply', 'claimRequest', 'claimVote', 'claimRelease'])
 
 /** The fleet. */
 export class MemoryFleet {
@@ -171,6 +171,16 @@
     this.time.after(durationMs, () => this.resume(node))
   }
 
+  /** Ends all cuts; connections across them break, as both sides then notice. */
+  heal (): void {
+    const broken = this.nodes.flatMap(a => this.nodes.filter(b => !this.links.reaches(a.domain, b.domain)).map(b => [a, b] as const))
+    this.links.heal()
+    for (const [a, b] of broken) {
+      this.post(a, { type: 'linkDown', peer: b.id })
+      this.post(b, { type: 'linkDown', peer: a.id })
+    }
+  }
+
   /** From now on nothing that an instance says reaches other instances or the store; it hears and works on. */
   silence (node: MemoryNode): void {
     node.silenced = true
--- a/packages/core/src/instance/context.ts
+++ b/packages/core/src/instance/context.ts
@@ -71,6 +71,7 @@
 
 const JOB_MESSAGES: ReadonlySet<PeerMessage['type']> = new Set([
   'forward',
+  'forwardCheck',
   'forwardCancel',
   'forwardReturn',
   'forwardAnswer',
--- a/packages/core/src/instance/instance.ts
+++ b/packages/core/src/instance/instance.ts
@@ -2,7 +2,7 @@
  * One entry instance's decisions behind one entry: inputs go in, effects come out. This module only wires the
  * decisions together; what each decides stands in its own folder. No I/O, no timers, no clock of its own.
  */
-import type { Answer, Fleet, InstanceId, MemberStatus, Ms, PeerMessage } from '@cranberryyard/protocol'
+import type { Answer, Fleet, InstanceId, MemberStatus, Ms, PeerMessage, SubmissionId } from '@cranberryyard/protocol'
 import { holderId, ms } from '@cranberryyard/protocol'
 import { ContractsDecider } from '../contracts/contractsDecider.js'
 import { DeadlinesDecider } from '../deadlines/deadlinesDecider.js'
@@ -130,6 +130,7 @@
       case 'fleet': return this.contracts.receiveFleet(from, message.fleet, message.storeRevision, message.confirmed)
       case 'forward': return this.receiveForward(from, message.job)
       case 'forwardCancel': return this.scheduling.cancel(message.submissionId)
+      case 'forwardCheck': return this.receiveCheck(from, message.submissionId, message.ageMs)
       case 'forwardReturn': return this.jobs.returned(message.submissionId, from)
       case 'forwardAnswer': return this.jobs.answered(message.answer)
       case 'answerRequest': return this.jobs.receiveQuestion(from, message.customer, message.submissionId, message.replyTo)
@@ -217,6 +218,17 @@
     this.scheduling.enqueue({ submissionId, customer, job, terms, weight, front: from, deadline })
   }
 
+  /** A front whose connection broke asks what became of a job; what never arrived is given back and never taken later. */
+  private receiveCheck (from: InstanceId, submissionId: SubmissionId, ageMs: Ms): void {
+    const state = this.scheduling.checkForwarded(submissionId, ageMs)
+    switch (state.type) {
+      case 'ended': return this.send(from, { type: 'forwardAnswer', answer: state.answer })
+      case 'neverArrived': return this.send(from, { type: 'forwardReturn', submissionId })
+      case 'held':
+      case 'forgotten':
+    }
+  }
+
   private sendFailed (to: InstanceId, message: PeerMessage): void {
     this.membership.db.markLinkDown(to)
     if (message.type === 'forward') this.jobs.returned(message.job.submissionId, to)
@@ -224,6 +236,7 @@
 
   private linkDown (peer: InstanceId): void {
     this.membership.db.markLinkDown(peer)
+    this.jobs.doubt(peer)
     this.routing.refresh()
   }
 
@@ -263,8 +276,12 @@
   }
 
   private deliver (order: JobOrder, answer: Answer): void {
-    if (order.front === undefined) this.jobs.answered(answer)
-    else this.send(order.front, { type: 'forwardAnswer', answer })
+    if (order.front === undefined) {
+      this.jobs.answered(answer)
+      return
+    }
+    this.scheduling.db.keepAnswer(answer, this.ctx.now)
+    this.send(order.front, { type: 'forwardAnswer', answer })
   }
 
   /** A leaving instance places its own jobs with others; with nobody left it says truthfully that they did not run. */
--- a/packages/core/src/jobs/jobsDecider.ts
+++ b/packages/core/src/jobs/jobsDecider.ts
@@ -19,6 +19,8 @@
 import { JobsDb } from './jobsDb.js'
 import type { FrontJob, JobEvent, JobState } from './types.js'
 
+/** Pause between two questions to a scheduler about a job whose connection broke. */
+const CHECK_PERIOD_MS = 1000
 /** Pause between two questions about an earlier submission's answer. */
 const EARLIER_ASK_MS = 150
 
@@ -137,6 +139,13 @@
     else this.replyToCall(replyTo, answer, pending)
   }
 
+  /** Notes that a connection to a scheduler broke: forwards and answers on it may be lost. */
+  doubt (scheduler: InstanceId): void {
+    for (const job of this.db.all()) {
+      if (job.state === 'forwarded' && job.scheduler?.instance === scheduler) job.checkAt ??= this.ctx.now
+    }
+  }
+
   /** Gives up jobs whose scheduler is lost or whose time is over. */
   tick (): void {
     for (const job of [...this.db.all()]) this.tickJob(job)
@@ -199,6 +208,8 @@
       state: this.chart.initial,
       waiting: [callId],
       scheduler: undefined,
+      forwardedAt: now,
+      checkAt: undefined,
       excluded: new Set(),
       earlier: undefined
     }
@@ -230,6 +241,8 @@
     const member = this.parts.membership.db.get(to)
     this.step(job, 'placeRemote')
     job.scheduler = { instance: to, incarnation: member?.incarnation ?? 0 }
+    job.forwardedAt = this.ctx.now
+    job.checkAt = undefined
     const { submissionId, customer, job: spec } = job
     this.ctx.out.count('jobs.forwarded')
     const remainingMs = ms(job.deadline - this.ctx.now)
@@ -321,10 +334,18 @@
       this.fail(job, 'schedulerLost', { name: 'schedulerLost', message: 'the instance that scheduled the job was lost', ran: 'maybe' })
       return
     }
+    this.checkForwarded(job)
     const end = job.acceptedAt + job.terms.answerWithinMs * cfg.jobs.lateGraceFactor
     if (now >= end) this.giveUp(job)
   }
 
+  private checkForwarded (job: FrontJob): void {
+    const { scheduler, checkAt, submissionId } = job
+    if (job.state !== 'forwarded' || scheduler === undefined || checkAt === undefined || this.ctx.now < checkAt) return
+    job.checkAt = ms(this.ctx.now + CHECK_PERIOD_MS)
+    this.tell(scheduler.instance, { type: 'forwardCheck', submissionId, ageMs: ms(this.ctx.now - job.forwardedAt) })
+  }
+
   private giveUp (job: FrontJob): void {
     switch (job.state) {
       case 'claiming':
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -19,6 +19,9 @@
   readonly waiting: string[]
   /** Instance that schedules the job, while forwarded. */
   scheduler: { readonly instance: InstanceId, readonly incarnation: number } | undefined
+  forwardedAt: Ms
+  /** When to ask the scheduler whether it has the job; set once the connection to it broke. */
+  checkAt: Ms | undefined
   readonly excluded: Set<string>
   /** Earlier submission of the same request whose answer is awaited. */
   earlier: { readonly submissionId: SubmissionId, askAt: Ms } | undefined
--- a/packages/core/src/scheduling/schedulingDb.ts
+++ b/packages/core/src/scheduling/schedulingDb.ts
@@ -1,12 +1,12 @@
 /**
  * Jobs and running tasks of this instance's scheduler.
  */
-import type { Ms, SubmissionId, TaskId } from '@cranberryyard/protocol'
+import type { Answer, Ms, SubmissionId, TaskId } from '@cranberryyard/protocol'
 import { FairnessDecider } from '../fairness/fairnessDecider.js'
 import type { JobOrder, RunningTask, ScheduledJob } from './types.js'
 
 /** A repeated forward is recognised for this span, far longer than a message can be on its way. */
-const FORWARDED_KEPT_MS = 120_000
+export const FORWARDED_KEPT_MS = 120_000
 
 /** State of the scheduling decision. */
 export class SchedulingDb {
@@ -22,6 +22,21 @@
   }
 
   private readonly forwarded = new Map<SubmissionId, Ms>()
+  private readonly answers = new Map<SubmissionId, { readonly answer: Answer, readonly at: Ms }>()
+
+  /** Keeps the answer to a forwarded job, in case the message with it is lost. */
+  keepAnswer (answer: Answer, now: Ms): void {
+    this.answers.set(answer.submissionId, { answer, at: now })
+    for (const [id, kept] of this.answers) {
+      if (now - kept.at < FORWARDED_KEPT_MS) break
+      this.answers.delete(id)
+    }
+  }
+
+  /** @returns the kept answer to a forwarded job */
+  keptAnswer (submissionId: SubmissionId): Answer | undefined {
+    return this.answers.get(submissionId)?.answer
+  }
 
   /** Remembers a forwarded job. @returns false when it has arrived before */
   addForwarded (submissionId: SubmissionId, now: Ms): boolean {
--- a/packages/core/src/scheduling/schedulingDecider.ts
+++ b/packages/core/src/scheduling/schedulingDecider.ts
@@ -10,8 +10,8 @@
 import type { LimitsDecider } from '../limits/limitsDecider.js'
 import type { RoutingDecider } from '../routing/routingDecider.js'
 import type { EndpointState, TaskSize } from '../routing/types.js'
-import { SchedulingDb, newScheduledJob } from './schedulingDb.js'
-import type { JobFailure, JobOrder, RunningTask, ScheduledJob, SchedulingListener } from './types.js'
+import { FORWARDED_KEPT_MS, SchedulingDb, newScheduledJob } from './schedulingDb.js'
+import type { ForwardedState, JobFailure, JobOrder, RunningTask, ScheduledJob, SchedulingListener } from './types.js'
 
 /** A lease is renewed when this part of it has passed. */
 const RENEW_PART = 1 / 3
@@ -54,6 +54,20 @@
     return this.db.addForwarded(submissionId, this.ctx.now)
   }
 
+  /**
+   * Tells what became of a forwarded job. One that never arrived is remembered, so that it is not taken later.
+   * @param submissionId - the job
+   * @param ageMs - time since it was forwarded; beyond what is remembered nothing can be said
+   * @returns its state
+   */
+  checkForwarded (submissionId: SubmissionId, ageMs: Ms): ForwardedState {
+    if (this.db.jobs.has(submissionId)) return { type: 'held' }
+    const answer = this.db.keptAnswer(submissionId)
+    if (answer !== undefined) return { type: 'ended', answer }
+    if (ageMs >= FORWARDED_KEPT_MS / 2) return { type: 'forgotten' }
+    return this.noteForwarded(submissionId) ? { type: 'neverArrived' } : { type: 'forgotten' }
+  }
+
   /**
    * Takes a job, or refuses it when its answer cannot be on time or too many tasks wait.
    * @param order - the job
--- a/packages/core/src/scheduling/types.ts
+++ b/packages/core/src/scheduling/types.ts
@@ -53,6 +53,13 @@
   jobReturned (order: JobOrder): void
 }
 
+/** What became of a forwarded job. */
+export type ForwardedState =
+  | { readonly type: 'held' }
+  | { readonly type: 'ended', readonly answer: Answer }
+  | { readonly type: 'neverArrived' }
+  | { readonly type: 'forgotten' }
+
 /** Why a job failed. */
 export interface JobFailure {
   readonly name: ResultName
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -81,11 +81,17 @@
   }
 
   private receive (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>): void {
+    let from: InstanceId | undefined
     call.on('data', (envelope: Envelope | undefined) => {
-      if (envelope !== undefined) this.post({ type: 'peer', from: envelope.from, message: envelope.message })
+      if (envelope === undefined) return
+      from = envelope.from
+      this.post({ type: 'peer', from, message: envelope.message })
     })
     call.on('end', () => done(null, {}))
     call.on('error', () => {})
+    call.on('cancelled', () => {
+      if (from !== undefined && !this.closed) this.post({ type: 'linkDown', peer: from })
+    })
   }
 
   private link (peer: InstanceId, address: string): Link {
