Borrowing is planned in a module of its own

Cause: limitsDecider.ts had grown to 463 lines with two jobs. Change: whom to ask for how many permits stands in loanPlanner.ts; no behaviour changed.

--- a/packages/core/src/limits/limitsDb.ts
+++ b/packages/core/src/limits/limitsDb.ts
@@ -90,6 +90,12 @@
     this.running.set(customer, this.runningOf(customer) + by)
   }
 
+  /** @returns permits of a customer on loan from a lender that may be used now */
+  activeLoan (lender: HolderId, customer: CustomerId, now: Ms): number {
+    const loan = this.borrowed.get(lender, customer)
+    return loan !== undefined && now < loan.until ? loan.count : 0
+  }
+
   /** @returns customers with running tasks or a share */
   customers (): CustomerId[] {
     const ids = new Set(this.running.keys())
--- a/packages/core/src/limits/limitsDecider.ts
+++ b/packages/core/src/limits/limitsDecider.ts
@@ -13,33 +13,19 @@
 import { sendPeer } from '../instance/context.js'
 import type { MembershipDecider } from '../membership/membershipDecider.js'
 import { LimitsDb } from './limitsDb.js'
-import { shareOf, sharesOf } from './shares.js'
+import { LoanPlanner } from './loanPlanner.js'
+import type { OwnPermits } from './loanPlanner.js'
+import { sharesOf } from './shares.js'
 import type { QueuedTasks, ShareTable } from './types.js'
 
 /** Pause after the first round of requests that a shortage triggers; it doubles while the shortage lasts. */
 const SHORTAGE_PAUSE_MIN_MS = 20
-/** Permits asked of one lender at least, when messages weigh all; fewer lenders mean fewer messages. */
-const PERMITS_PER_REQUEST_MAX = 64
-/** Renewals after which half of a peak in demand is forgotten. */
-const PEAK_HALF_LIFE_RENEWALS = 4
 /** A task start costs one token; a bucket holds at most this part of a second's tokens, or one task. */
 const RATE_BURST_S = 0.25
 
 type PermitRequest = Extract<PeerMessage, { type: 'permitRequest' }>
 type PermitGrant = Extract<PeerMessage, { type: 'permitGrant' }>
 
-/** What is asked of one lender. */
-interface LenderPlan {
-  readonly wishes: PermitWish[]
-  wantsMore: boolean
-}
-
-/** Highest recent demand. */
-interface Peak {
-  readonly need: number
-  readonly at: Ms
-}
-
 interface Shortage {
   readonly askAt: Ms
   readonly pauseMs: number
@@ -54,6 +40,7 @@
 /** Decides whether one more task of a customer may run. */
 export class LimitsDecider {
   readonly db = new LimitsDb()
+  private readonly planner: LoanPlanner
   private readonly requests = new Map<HolderId, OutstandingRequest>()
   private readonly lastSequence = new Map<HolderId, number>()
   private readonly removalUntil = new Map<string, Ms>()
@@ -63,8 +50,6 @@
   private inForce = 0
   private sequence = 0
   private nextRenewAt = 0
-  private readonly exhaustedUntil = new Map<string, Ms>()
-  private readonly peaks = new Map<CustomerId, Peak>()
   private readonly shortages = new Map<CustomerId, Shortage>()
   private lending = true
 
@@ -72,7 +57,10 @@
     private readonly ctx: Context,
     private readonly membership: MembershipDecider,
     private readonly queued: QueuedTasks
-  ) {}
+  ) {
+    const ownFree: OwnPermits = customer => this.base(customer) - this.db.lent.sum(customer, ctx.now)
+    this.planner = new LoanPlanner(ctx, this.db, ownFree, queued)
+  }
 
   /** Takes over a new version: remembers the old shares until no instance can follow them. */
   fleetAdopted (fleet: Fleet): void {
@@ -195,7 +183,7 @@
     this.requests.delete(lender)
     const until = ms(request.sentAt + Math.min(validMs, this.ctx.cfg.limits.loanMs))
     for (const count of grants) this.takeGrant(lender, count, until)
-    this.noteExhausted(lender, request.wishes, grants)
+    this.planner.noteExhausted(lender, request.wishes, grants)
   }
 
   /** @returns for each customer, permits held and used here */
@@ -263,18 +251,9 @@
     return base - kept - this.usedOfShare(customer) - this.queued(customer)
   }
 
-  /** A lender that gave less than was wanted is not asked for more in the same moment; others are. */
-  private noteExhausted (lender: HolderId, wishes: readonly PermitWish[], grants: readonly PermitCount[]): void {
-    const until = ms(this.ctx.now + this.ctx.cfg.limits.loanRenewMs)
-    for (const wish of wishes) {
-      const granted = grants.find(g => g.customer === wish.customer)?.count ?? 0
-      if (granted < wish.want) this.exhaustedUntil.set(`${lender} ${wish.customer}`, until)
-    }
-  }
-
   private takeGrant (from: HolderId, grant: PermitCount, until: Ms): void {
     const held = this.neededFrom(from, grant.customer)
-    const before = this.activeLoan(from, grant.customer)
+    const before = this.db.activeLoan(from, grant.customer, this.ctx.now)
     const count = Math.max(grant.count, held)
     if (count > before) this.shortages.delete(grant.customer)
     this.db.borrowed.set(from, grant.customer, { count, until })
@@ -293,7 +272,7 @@
   private requestPermits (renews: boolean): void {
     const lenders = this.lenders()
     if (lenders.length === 0) return
-    const plan = this.composeWishes(lenders)
+    const plan = this.planner.plan(this.fleet, lenders.map(l => l.holder))
     for (const lender of lenders) {
       const { wishes, wantsMore } = plan.get(lender.holder) ?? { wishes: [], wantsMore: false }
       if (renews || wantsMore) this.sendRequest(lender, wishes)
@@ -306,68 +285,6 @@
     return this.fleet?.roster.entries.filter(e => live.has(e.holder)) ?? []
   }
 
-  private composeWishes (lenders: readonly RosterEntry[]): Map<HolderId, LenderPlan> {
-    const plan = new Map<HolderId, LenderPlan>()
-    const holders = lenders.map(l => l.holder)
-    for (const customer of this.db.customers()) {
-      const need = this.smoothedNeed(customer)
-      if (need === 0 && this.db.borrowed.sum(customer, this.ctx.now) === 0) continue
-      this.planCustomer(customer, need, holders, plan)
-    }
-    return plan
-  }
-
-  /** Demand of the last moments: permits are kept a little longer than needed, so that bursts need no new loans. */
-  private smoothedNeed (customer: CustomerId): number {
-    const { now, cfg } = this.ctx
-    const need = this.db.runningOf(customer) + this.queued(customer)
-    const limit = this.limitOf(customer)
-    const peak = this.peaks.get(customer)
-    const faded = peak === undefined ? 0 : Math.floor(peak.need * Math.pow(0.5, (now - peak.at) / (PEAK_HALF_LIFE_RENEWALS * cfg.limits.loanRenewMs)))
-    const smoothed = Math.min(limit, Math.max(need, faded))
-    if (need >= faded) this.peaks.set(customer, { need, at: now })
-    return smoothed
-  }
-
-  /** Asks few lenders for large parts rather than all for small ones; gives back what is no longer needed. */
-  private planCustomer (customer: CustomerId, need: number, lenders: readonly HolderId[], plan: Map<HolderId, LenderPlan>): void {
-    const own = this.base(customer) - this.db.lent.sum(customer, this.ctx.now)
-    const held = lenders.map(l => this.activeLoan(l, customer))
-    let missing = need - own - held.reduce((a, b) => a + b, 0)
-    let surplus = Math.max(0, -missing)
-    const part = Math.max(Math.ceil(missing / lenders.length), Math.min(missing, this.permitsPerRequest()))
-    for (let at = 0; at < lenders.length; at++) {
-      const lender = lenders[at]
-      if (lender === undefined) continue
-      const have = held[at] ?? 0
-      const give = Math.min(have, surplus)
-      surplus -= give
-      const extra = Math.max(0, Math.min(part, missing, this.askable(lender, customer) - have))
-      missing -= extra
-      addWish(plan, lender, { customer, hold: have - give, want: have - give + extra })
-    }
-  }
-
-  /** A lender can give no more than its own share, and nothing while it is known to have given all. */
-  private askable (lender: HolderId, customer: CustomerId): number {
-    if (this.ctx.now < (this.exhaustedUntil.get(`${lender} ${customer}`) ?? 0)) return 0
-    const holders = this.fleet?.roster.entries.map(e => e.holder) ?? []
-    return shareOf(this.limitOf(customer), customer, holders, lender)
-  }
-
-  private limitOf (customer: CustomerId): number {
-    return this.fleet?.contracts.find(r => r.contract.customer === customer)?.contract.limits.running ?? 0
-  }
-
-  private permitsPerRequest (): number {
-    return Math.ceil(PERMITS_PER_REQUEST_MAX * this.ctx.cfg.routing.messageWeight)
-  }
-
-  private activeLoan (lender: HolderId, customer: CustomerId): number {
-    const loan = this.db.borrowed.get(lender, customer)
-    return loan !== undefined && this.ctx.now < loan.until ? loan.count : 0
-  }
-
   private sendRequest (entry: RosterEntry, wishes: readonly PermitWish[]): void {
     const { now, out, self } = this.ctx
     const { holder: lender, instance } = entry
@@ -453,11 +370,3 @@
 function covers (table: ShareTable, used: ReadonlyMap<CustomerId, number>): boolean {
   return [...used].every(([customer, count]) => count <= (table.shares.get(customer) ?? 0))
 }
-
-function addWish (plan: Map<HolderId, LenderPlan>, lender: HolderId, wish: PermitWish): void {
-  if (wish.want === 0) return
-  const entry = plan.get(lender) ?? { wishes: [], wantsMore: false }
-  entry.wishes.push(wish)
-  entry.wantsMore ||= wish.want > wish.hold
-  plan.set(lender, entry)
-}
