A change id used again for another content is refused

Cause: a new test that expected 4010 saw the second change reported as accepted, though its content was dropped: only author, customer and revision were compared. Change: audit entries carry the hash of the change as sent; a resent change must match it, also when it is settled from a newer value.

--- a/packages/core/src/contracts/auditChain.spec.ts
+++ b/packages/core/src/contracts/auditChain.spec.ts
@@ -8,6 +8,7 @@
   for (let i = 0; i < count; i++) {
     tail = appendAudit(tail, {
       changeId: `change-${i}` as ChangeId,
+      contentHash: '',
       by: 'team/team',
       at: ms(i),
       instance: 'entry-1' as InstanceId,
--- a/packages/core/src/contracts/auditChain.ts
+++ b/packages/core/src/contracts/auditChain.ts
@@ -19,11 +19,18 @@
  * @returns SHA-256 in hex
  */
 export function auditHash (entry: Omit<AuditEntry, 'hash'>): string {
-  const { sequence, changeId, by, at, instance, reason, subject, before, after, previousHash } = entry
-  const text = JSON.stringify([sequence, changeId, by, at, instance, reason, subject, before, after, previousHash])
+  const { sequence, changeId, contentHash, by, at, instance, reason, subject, before, after, previousHash } = entry
+  const text = JSON.stringify([sequence, changeId, contentHash, by, at, instance, reason, subject, before, after, previousHash])
   return createHash('sha256').update(text).digest('hex')
 }
 
+/**
+ * Hashes a change's content.
+ * @param change - the change as it was sent
+ * @returns SHA-256 in hex
+ */
+export const contentHash = (change: unknown): string => createHash('sha256').update(JSON.stringify(change)).digest('hex')
+
 /**
  * Appends an entry.
  * @param tail - the trail so far
--- a/packages/core/src/contracts/contractsDecider.ts
+++ b/packages/core/src/contracts/contractsDecider.ts
@@ -258,18 +258,17 @@
     return codedError('changeUnknown', 'the reply to the write was lost and the revision has moved on; read the history')
   }
 
+  /** Settles what stands in the value already; the same id with another content is a replay, not accepted. */
   private settleAccepted (): void {
+    const { fleet } = this.db
     for (const p of [...this.pending]) {
-      if (p.changeId !== undefined && findChange(this.db.fleet, { changeId: p.changeId }) !== undefined) this.settle(p, this.acceptance(p, this.db.fleet))
-      else if (p.mutation.type !== 'change' && this.isDone(p.mutation)) this.remove(p)
+      if (p.changeId !== undefined && findChange(fleet, { changeId: p.changeId }) === undefined) continue
+      const applied = applyMutation(fleet, p.mutation, this.world())
+      if (applied.isErr) this.settle(p, { type: 'rejected', error: applied.error })
+      else if (applied.value === fleet) this.settle(p, this.acceptance(p, fleet))
     }
   }
 
-  private isDone (mutation: Mutation): boolean {
-    const applied = applyMutation(this.db.fleet, mutation, this.world())
-    return applied.isOk && applied.value === this.db.fleet
-  }
-
   private acceptance (p: PendingMutation, fleet: Fleet): ChangeResult {
     return { type: 'accepted', version: fleet.version, revision: revisionAfter(p.mutation, fleet) }
   }
--- a/packages/core/src/contracts/mutations.ts
+++ b/packages/core/src/contracts/mutations.ts
@@ -5,7 +5,7 @@
 import { codedError } from '@cranberryyard/protocol'
 import { Result } from 'true-myth'
 import type { Change, ChangeRequest } from '../instance/types.js'
-import { appendAudit, trimAudit } from './auditChain.js'
+import { appendAudit, contentHash, trimAudit } from './auditChain.js'
 import { actorName, checkContractChange, checkEndpointChange, findContract, orderOf } from './changeRules.js'
 import type { Mutation, MutationWorld } from './types.js'
 
@@ -80,15 +80,9 @@
   }
 }
 
-/** A resent change has the same author and result; anything else under its id is a replay. */
+/** A resent change has the same author and content; anything else under its id is a replay. */
 function sameChange (earlier: Fleet['audit']['entries'][number], mutation: Extract<Mutation, { type: 'change' }>): boolean {
-  const { change } = mutation.request
-  if (earlier.by !== actorName(mutation.actor)) return false
-  if (change.type !== earlier.subject.type) return false
-  if (change.type === 'contract' && earlier.subject.type === 'contract') {
-    return earlier.subject.customer === change.contract.customer && earlier.subject.revision === change.expectedRevision + 1
-  }
-  return change.type === 'endpoint' && earlier.subject.type === 'endpoint' && earlier.subject.endpoint === change.endpoint
+  return earlier.by === actorName(mutation.actor) && earlier.contentHash === contentHash(mutation.request.change)
 }
 
 function applyContract (fleet: Fleet, mutation: Extract<Mutation, { type: 'change' }>, change: Extract<Change, { type: 'contract' }>): Result<Fleet, CodedError> {
@@ -125,7 +119,7 @@
 
 function auditOf (fleet: Fleet, mutation: Extract<Mutation, { type: 'change' }>, changed: Changed): Fleet['audit'] {
   const { request, actor, at, instance } = mutation
-  return appendAudit(fleet.audit, { changeId: request.changeId, by: actorName(actor), at, instance, reason: request.reason, ...changed })
+  return appendAudit(fleet.audit, { changeId: request.changeId, contentHash: contentHash(request.change), by: actorName(actor), at, instance, reason: request.reason, ...changed })
 }
 
 /**
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -71,6 +71,8 @@
 export interface AuditEntry {
   readonly sequence: number
   readonly changeId: ChangeId
+  /** Hash of the change as it was sent; the same id with another content is a replay. */
+  readonly contentHash: string
   readonly by: string
   readonly at: Ms
   readonly instance: InstanceId
