Only the life that a job was forwarded to can say that it never arrived

A restarted scheduler was asked about a job that its earlier life had started, said truthfully for itself that it never arrived, and the front placed the job again. Change: the question names the life it is for; any other stays silent, and the front learns of the loss by membership.

--- a/packages/bench/src/fuzz/traces.ts
+++ b/packages/bench/src/fuzz/traces.ts
@@ -172,6 +172,16 @@
     die(world, schedulerOf(world))
     keepFlooding(world, 'alpha', 12, 5000, 8000)
   }),
+  trace('a scheduler is restarted while a front asks what became of its job', 18, (world) => {
+    const scheduler = schedulerOf(world)
+    for (let i = 0; i < 12; i++) {
+      flood(world, 'alpha', 4, 400)
+      world.fleet.run(150)
+    }
+    restart(world, scheduler)
+    for (const node of world.fleet.nodes) world.fleet.post(node, { type: 'linkDown', peer: scheduler.id })
+    world.fleet.run(4000)
+  }),
   trace('instances of one domain die one after the other under load', 9, (world) => {
     for (const i of [3, 4, 6, 7]) {
       keepFlooding(world, 'alpha', 12, 2900, 2000)
--- a/packages/core/src/instance/instance.ts
+++ b/packages/core/src/instance/instance.ts
@@ -2,7 +2,7 @@
  * One entry instance's decisions behind one entry: inputs go in, effects come out. This module only wires the
  * decisions together; what each decides stands in its own folder. No I/O, no timers, no clock of its own.
  */
-import type { Answer, Fleet, InstanceId, MemberStatus, Ms, PeerMessage, SubmissionId } from '@cranberryyard/protocol'
+import type { Answer, Fleet, InstanceId, MemberStatus, Ms, PeerMessage } from '@cranberryyard/protocol'
 import { holderId, ms } from '@cranberryyard/protocol'
 import { ContractsDecider } from '../contracts/contractsDecider.js'
 import { DeadlinesDecider } from '../deadlines/deadlinesDecider.js'
@@ -130,7 +130,7 @@
       case 'fleet': return this.contracts.receiveFleet(from, message.fleet, message.storeRevision, message.confirmed)
       case 'forward': return this.receiveForward(from, message.job)
       case 'forwardCancel': return this.scheduling.cancel(message.submissionId)
-      case 'forwardCheck': return this.receiveCheck(from, message.submissionId, message.ageMs)
+      case 'forwardCheck': return this.receiveCheck(from, message)
       case 'forwardReturn': return this.jobs.returned(message.submissionId, from)
       case 'forwardAnswer': return this.jobs.answered(message.answer)
       case 'answerRequest': return this.jobs.receiveQuestion(from, message.customer, message.submissionId, message.replyTo)
@@ -218,8 +218,13 @@
     this.scheduling.enqueue({ submissionId, customer, job, terms, weight, front: from, deadline })
   }
 
-  /** A front whose connection broke asks what became of a job; what never arrived is given back and never taken later. */
-  private receiveCheck (from: InstanceId, submissionId: SubmissionId, ageMs: Ms): void {
+  /**
+   * A front whose connection broke asks what became of a job; what never arrived is given back and never taken later.
+   * Only the life that the job was forwarded to can tell: a later one does not know what the earlier has started.
+   */
+  private receiveCheck (from: InstanceId, check: Extract<PeerMessage, { type: 'forwardCheck' }>): void {
+    const { scheduler, submissionId, ageMs } = check
+    if (scheduler !== this.ctx.self.holder) return
     const state = this.scheduling.checkForwarded(submissionId, ageMs)
     switch (state.type) {
       case 'ended': return this.send(from, { type: 'forwardAnswer', answer: state.answer })
--- a/packages/core/src/jobs/jobsDecider.ts
+++ b/packages/core/src/jobs/jobsDecider.ts
@@ -3,7 +3,7 @@
  * placement with a scheduler, and exactly one answer. Late or repeated answers find the job answered and are dropped.
  */
 import type { Answer, CodedError, CustomerId, InstanceId, JobSpec, KindTerms, MemberStatus, PeerMessage, SubmissionId } from '@cranberryyard/protocol'
-import { codedError, homeOf, isNotRun, ms } from '@cranberryyard/protocol'
+import { codedError, holderId, homeOf, isNotRun, ms } from '@cranberryyard/protocol'
 import type { Context } from '../instance/context.js'
 import { sendPeer } from '../instance/context.js'
 import type { Timeliness } from '../instance/types.js'
@@ -343,7 +343,8 @@
     const { scheduler, checkAt, submissionId } = job
     if (job.state !== 'forwarded' || scheduler === undefined || checkAt === undefined || this.ctx.now < checkAt) return
     job.checkAt = ms(this.ctx.now + CHECK_PERIOD_MS)
-    this.tell(scheduler.instance, { type: 'forwardCheck', submissionId, ageMs: ms(this.ctx.now - job.forwardedAt) })
+    const holder = holderId(scheduler.instance, scheduler.incarnation)
+    this.tell(scheduler.instance, { type: 'forwardCheck', scheduler: holder, submissionId, ageMs: ms(this.ctx.now - job.forwardedAt) })
   }
 
   private giveUp (job: FrontJob): void {
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -71,7 +71,7 @@
   | { readonly type: 'fleet', readonly fleet: Fleet, readonly storeRevision: number, readonly confirmed: boolean }
   | { readonly type: 'forward', readonly job: ForwardedJob }
   | { readonly type: 'forwardCancel', readonly submissionId: SubmissionId }
-  | { readonly type: 'forwardCheck', readonly submissionId: SubmissionId, readonly ageMs: Ms }
+  | { readonly type: 'forwardCheck', readonly scheduler: HolderId, readonly submissionId: SubmissionId, readonly ageMs: Ms }
   | { readonly type: 'forwardReturn', readonly submissionId: SubmissionId }
   | { readonly type: 'forwardAnswer', readonly answer: Answer }
   | { readonly type: 'answerRequest', readonly submissionId: SubmissionId, readonly customer: CustomerId, readonly replyTo: string }
