One way to send a message by an instance's name; dead declarations removed

Cause: looking up an address and sending stood in six places; two types, a method and a re-export were used by nobody. Change: MembershipDecider.tell serves jobs, contracts, heartbeats and the instance; the unused declarations are gone. Behaviour unchanged.

--- a/packages/bench/src/fuzz/runFuzz.ts
+++ b/packages/bench/src/fuzz/runFuzz.ts
@@ -4,7 +4,6 @@
 import fc from 'fast-check'
 import type { Parameters } from 'fast-check'
 import { MemoryFleet } from '../memory/memoryFleet.js'
-import { PLATFORM } from '../memory/link.js'
 import { TEAM_KEY_HASH, testContract } from '../memory/workload.js'
 import { COMMANDS, FUZZ_CUSTOMERS } from './commands.js'
 import type { Model, World } from './commands.js'
@@ -111,6 +110,3 @@
   const reason = details.errorInstance instanceof Error ? details.errorInstance.message : ''
   return { failed: details.failed, runs: details.numRuns, reason, report }
 }
-
-/** Name of the platform as a place; re-exported for scenarios. */
-export { PLATFORM }
--- a/packages/core/src/contracts/contractsDecider.ts
+++ b/packages/core/src/contracts/contractsDecider.ts
@@ -103,10 +103,7 @@
 
   /** Answers a peer that asks for the value. */
   sendFleet (to: InstanceId): void {
-    const address = this.membership.db.addressOf(to)
-    if (address === undefined) return
-    const message = { type: 'fleet', fleet: this.db.fleet, storeRevision: this.db.storeRevision, confirmed: this.confirmed } as const
-    sendPeer(this.ctx, to, address, message)
+    this.membership.tell(to, { type: 'fleet', fleet: this.db.fleet, storeRevision: this.db.storeRevision, confirmed: this.confirmed })
   }
 
   /** Takes a peer's value. */
@@ -341,9 +338,7 @@
 
   /** A heartbeat-sized note; the peer asks for the value only when its own watch has not brought it. */
   private announce (to: InstanceId): void {
-    const address = this.membership.db.addressOf(to)
-    if (address === undefined) return
-    sendPeer(this.ctx, to, address, { type: 'gossip', entries: [], fleetVersion: this.version })
+    this.membership.tell(to, { type: 'gossip', entries: [], fleetVersion: this.version })
   }
 
   private request (from: InstanceId): void {
--- a/packages/core/src/instance/instance.ts
+++ b/packages/core/src/instance/instance.ts
@@ -19,7 +19,7 @@
 import type { JobOrder } from '../scheduling/types.js'
 import { Chart } from '../utils/chart.js'
 import { seededRandom } from '../utils/random.js'
-import { Outbox, sendPeer } from './context.js'
+import { Outbox } from './context.js'
 import type { Context } from './context.js'
 import type { StatusReport } from './status.js'
 import { composeStatus } from './status.js'
@@ -211,7 +211,7 @@
     const terms = this.contracts.db.terms(customer, job.kind)
     const weight = this.contracts.db.contract(customer)?.weight ?? 1
     if (this.state !== 'serving' || terms === undefined) {
-      this.send(from, { type: 'forwardReturn', submissionId })
+      this.membership.tell(from, { type: 'forwardReturn', submissionId })
       return
     }
     const deadline = ms(this.ctx.now + remainingMs)
@@ -227,8 +227,8 @@
     if (scheduler !== this.ctx.self.holder) return
     const state = this.scheduling.checkForwarded(submissionId, ageMs)
     switch (state.type) {
-      case 'ended': return this.send(from, { type: 'forwardAnswer', answer: state.answer })
-      case 'neverArrived': return this.send(from, { type: 'forwardReturn', submissionId })
+      case 'ended': return this.membership.tell(from, { type: 'forwardAnswer', answer: state.answer })
+      case 'neverArrived': return this.membership.tell(from, { type: 'forwardReturn', submissionId })
       case 'held':
       case 'forgotten':
     }
@@ -261,11 +261,6 @@
     this.routing.listEndpoints(input.endpoints)
   }
 
-  private send (to: InstanceId, message: PeerMessage): void {
-    const address = this.membership.db.addressOf(to)
-    if (address !== undefined) sendPeer(this.ctx, to, address, message)
-  }
-
   private makeScheduling (): SchedulingDecider {
     const { limits, routing, health, deadlines } = this
     const bounds: SchedulingParts['bounds'] = customer => this.contracts.db.contract(customer)?.limits
@@ -286,13 +281,13 @@
       return
     }
     this.scheduling.db.keepAnswer(answer, this.ctx.now)
-    this.send(order.front, { type: 'forwardAnswer', answer })
+    this.membership.tell(order.front, { type: 'forwardAnswer', answer })
   }
 
   /** A leaving instance places its own jobs with others; with nobody left it says truthfully that they did not run. */
   private giveBack (order: JobOrder): void {
     if (order.front !== undefined) {
-      this.send(order.front, { type: 'forwardReturn', submissionId: order.submissionId })
+      this.membership.tell(order.front, { type: 'forwardReturn', submissionId: order.submissionId })
       return
     }
     if (this.membership.serving().length > 0) this.jobs.returnedHere(order.submissionId)
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -18,7 +18,7 @@
   JobSpec,
   PeerMessage,
   Ran,
-  ResultCode,
+
   Settings,
   StartOutcome,
   StartRequest,
@@ -119,6 +119,3 @@
   readonly late: number
   readonly notAnswered: number
 }
-
-/** Codes of failed answers, for counters. */
-export type FailureCode = ResultCode
--- a/packages/core/src/jobs/jobsDecider.ts
+++ b/packages/core/src/jobs/jobsDecider.ts
@@ -2,10 +2,9 @@
  * A submission's life at the instance that accepted it: checks, claim if its kind must run at most once,
  * placement with a scheduler, and exactly one answer. Late or repeated answers find the job answered and are dropped.
  */
-import type { Answer, CodedError, CustomerId, InstanceId, JobSpec, KindTerms, MemberStatus, PeerMessage, SubmissionId } from '@cranberryyard/protocol'
+import type { Answer, CodedError, CustomerId, InstanceId, JobSpec, KindTerms, MemberStatus, SubmissionId } from '@cranberryyard/protocol'
 import { codedError, holderId, homeOf, isNotRun, ms } from '@cranberryyard/protocol'
 import type { Context } from '../instance/context.js'
-import { sendPeer } from '../instance/context.js'
 import type { Timeliness } from '../instance/types.js'
 import type { ContractsDecider } from '../contracts/contractsDecider.js'
 import type { DeduplicationDecider } from '../deduplication/deduplicationDecider.js'
@@ -129,7 +128,7 @@
     const retained = this.db.answerOf(submissionId)
     const answer = retained?.customer === customer ? retained.answer : null
     const pending = this.db.get(submissionId)?.customer === customer
-    this.tell(from, { type: 'answerReply', replyTo, answer, pending })
+    this.parts.membership.tell(from, { type: 'answerReply', replyTo, answer, pending })
   }
 
   /** Takes a peer's reply about one of its submissions, for a waiting call or for a resubmission. */
@@ -246,7 +245,7 @@
     const { submissionId, customer, job: spec } = job
     this.ctx.out.count('jobs.forwarded')
     const remainingMs = ms(job.deadline - this.ctx.now)
-    this.tell(to, { type: 'forward', job: { submissionId, customer, job: spec, remainingMs } })
+    this.parts.membership.tell(to, { type: 'forward', job: { submissionId, customer, job: spec, remainingMs } })
   }
 
   private orderOf (job: FrontJob): JobOrder {
@@ -277,12 +276,7 @@
 
   private sendCancel (job: FrontJob): void {
     const { scheduler, submissionId } = job
-    if (scheduler !== undefined) this.tell(scheduler.instance, { type: 'forwardCancel', submissionId })
-  }
-
-  private tell (to: InstanceId, message: PeerMessage): void {
-    const address = this.parts.membership.db.addressOf(to)
-    if (address !== undefined) sendPeer(this.ctx, to, address, message)
+    if (scheduler !== undefined) this.parts.membership.tell(scheduler.instance, { type: 'forwardCancel', submissionId })
   }
 
   /** The request was claimed by an earlier submission: its answer is fetched if its home can be reached. */
@@ -307,7 +301,7 @@
     }
     earlier.askAt = ms(this.ctx.now + EARLIER_ASK_MS)
     const { submissionId, customer } = job
-    this.tell(member.instance, { type: 'answerRequest', submissionId: earlier.submissionId, customer, replyTo: submissionId })
+    this.parts.membership.tell(member.instance, { type: 'answerRequest', submissionId: earlier.submissionId, customer, replyTo: submissionId })
   }
 
   private earlierReply (job: FrontJob, answer: Answer | null, pending: boolean): void {
@@ -344,7 +338,7 @@
     if (job.state !== 'forwarded' || scheduler === undefined || checkAt === undefined || this.ctx.now < checkAt) return
     job.checkAt = ms(this.ctx.now + CHECK_PERIOD_MS)
     const holder = holderId(scheduler.instance, scheduler.incarnation)
-    this.tell(scheduler.instance, { type: 'forwardCheck', scheduler: holder, submissionId, ageMs: ms(this.ctx.now - job.forwardedAt) })
+    this.parts.membership.tell(scheduler.instance, { type: 'forwardCheck', scheduler: holder, submissionId, ageMs: ms(this.ctx.now - job.forwardedAt) })
   }
 
   private giveUp (job: FrontJob): void {
@@ -409,7 +403,7 @@
       this.replyToCall(callId, null, false)
       return
     }
-    this.tell(home, { type: 'answerRequest', submissionId, customer, replyTo: callId })
+    this.parts.membership.tell(home, { type: 'answerRequest', submissionId, customer, replyTo: callId })
   }
 
   private replyToCall (callId: string, answer: Answer | null, pending: boolean, submissionId?: SubmissionId): void {
--- a/packages/core/src/limits/limitsDb.ts
+++ b/packages/core/src/limits/limitsDb.ts
@@ -44,10 +44,6 @@
     return total
   }
 
-  partners (): HolderId[] {
-    return [...this.loans.keys()]
-  }
-
   customers (partner: HolderId): CustomerId[] {
     return [...(this.loans.get(partner)?.keys() ?? [])]
   }
--- a/packages/core/src/membership/membershipDecider.ts
+++ b/packages/core/src/membership/membershipDecider.ts
@@ -3,7 +3,7 @@
  * Two questions are answered here: who may be given work, and whether this instance itself is still
  * acknowledged by a majority of its failure domain and so may go on using its share of the limits.
  */
-import type { FailureDomain, InstanceId, MemberEntry, MemberStatus, Ms, RosterEntry } from '@cranberryyard/protocol'
+import type { FailureDomain, InstanceId, MemberEntry, MemberStatus, Ms, PeerMessage, RosterEntry } from '@cranberryyard/protocol'
 import type { Context } from '../instance/context.js'
 import { sendPeer } from '../instance/context.js'
 import { sample } from '../utils/random.js'
@@ -47,6 +47,16 @@
     this.noteSuspects()
   }
 
+  /**
+   * Sends a message to an instance by name; without a known address it is not sent.
+   * @param to - the receiver
+   * @param message - what to say
+   */
+  tell (to: InstanceId, message: PeerMessage): void {
+    const address = this.db.addressOf(to)
+    if (address !== undefined) sendPeer(this.ctx, to, address, message)
+  }
+
   /** Tells every known member at once, for changes that must be known within seconds. */
   broadcast (): void {
     this.nextOwnHeartbeat()
@@ -160,10 +170,7 @@
   }
 
   private tellAll (members: readonly Member[], entries: readonly MemberEntry[]): void {
-    for (const member of members) {
-      const address = this.db.addressOf(member.instance)
-      if (address !== undefined) sendPeer(this.ctx, member.instance, address, { type: 'gossip', entries, fleetVersion: this.report().versionKnown })
-    }
+    for (const member of members) this.tell(member.instance, { type: 'gossip', entries, fleetVersion: this.report().versionKnown })
   }
 
   private heardAt (entry: RosterEntry): Ms | undefined {
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the membership decision.
  */
-import type { InstanceId, MemberEntry, Ms } from '@cranberryyard/protocol'
+import type { MemberEntry, Ms } from '@cranberryyard/protocol'
 
 /** A member with what this instance observed of it. */
 export interface Member extends MemberEntry {
@@ -10,6 +10,3 @@
   /** A broken connection makes a member suspect until its heartbeat grows again. */
   readonly linkDown: boolean
 }
-
-/** Sends a message to a member by name; false when its address is unknown. */
-export type SendTo = (to: InstanceId) => string | undefined
