--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
 })
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'run/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'run/**'] },
   ...tseslint.configs.recommended,
   standard,
   {
--- /dev/null
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -0,0 +1,81 @@
+/**
+ * Decides whose tasks start next and which jobs are turned away. Jobs that can still meet their objective go first, by
+ * the latest start that meets it; those that can only be late follow while room is left over. A job whose turn cannot
+ * come while its answer is of use is declined when it arrives.
+ * Load it answers: bursts of one kind or of all beyond the room of the shard, and a domain whose endpoints are lost;
+ * first come, first served would then make every job late.
+ */
+import type { Ms } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { AdmissionDb } from './admissionDb.js'
+import type { AdmissionVerdict, QueuedWork, ShardRoom } from './types.js'
+
+/** What one step of priority weighs against an earlier latest start. */
+const PRIORITY_STEP_MS = 40
+/** Share of the room that tasks of uneven size can fill. */
+const PACKING_SHARE = 0.85
+/** Least and longest time after which a declined caller is told to come back. */
+const RETRY_MIN_MS = 1000
+const RETRY_MAX_MS = 5000
+
+/** The admission decision. */
+export class AdmissionDecider<T extends QueuedWork> {
+  readonly db = new AdmissionDb<T>()
+
+  /**
+   * Decides on a job that arrives.
+   * @param job - the job
+   * @param room - the shard's room
+   * @param now - the time
+   */
+  judge (job: QueuedWork, room: ShardRoom, now: Ms): AdmissionVerdict {
+    const wait = this.expectedWait(job, room, now)
+    if (now + wait + job.chainMs <= job.usefulUntil) return { type: 'admit' }
+    return { type: 'decline', retryAfterMs: this.retryAfter(room) }
+  }
+
+  /** @returns jobs in the order in which their tasks start */
+  ordered (now: Ms): T[] {
+    return [...this.db.waiting].sort((a, b) => this.compare(a, b, now))
+  }
+
+  /** @returns true when the job's turn has come too late for its answer to be of use */
+  isHopeless (job: QueuedWork, now: Ms): boolean {
+    return now + job.chainMs > job.usefulUntil
+  }
+
+  /** @returns expected wait of a job that arrives now and takes its turn behind everything that waits */
+  backlogMs (room: ShardRoom): Ms {
+    const waiting = this.db.waitingWork()
+    if (waiting === 0) return ms(0)
+    return ms(Math.min(60_000, waiting / usableCpu(room)))
+  }
+
+  /** @returns when callers that are declined now had best come back */
+  retryAfter (room: ShardRoom): Ms {
+    return ms(Math.min(RETRY_MAX_MS, Math.max(RETRY_MIN_MS, this.backlogMs(room))))
+  }
+
+  private expectedWait (job: QueuedWork, room: ShardRoom, now: Ms): number {
+    let ahead = 0
+    for (const other of this.db.waiting) {
+      if (this.compare(other, job, now) <= 0) ahead += other.waitingWork()
+    }
+    return ahead === 0 ? 0 : ahead / usableCpu(room)
+  }
+
+  private compare (a: QueuedWork, b: QueuedWork, now: Ms): number {
+    const lateA = now + a.chainMs > a.onTimeUntil
+    const lateB = now + b.chainMs > b.onTimeUntil
+    if (lateA !== lateB) return lateA ? 1 : -1
+    return rank(a) - rank(b)
+  }
+}
+
+function rank (job: QueuedWork): number {
+  return job.onTimeUntil - job.chainMs + job.priority * PRIORITY_STEP_MS
+}
+
+function usableCpu (room: ShardRoom): number {
+  return Math.max(1, room.totalCpuMilli * PACKING_SHARE)
+}
--- /dev/null
+++ b/packages/core/src/admission/types.ts
@@ -0,0 +1,39 @@
+/**
+ * Types of the admission decision: a job's times, and what the owner's queue tells about its load.
+ */
+import type { Ms, Resources } from '@cranberryyard/protocol'
+
+/** Times of a job on this instance's clock. */
+export interface JobTimes {
+  /** End of the objective: an answer by then is on time. */
+  readonly onTimeUntil: Ms
+  /** An answer after this is of no use to the caller. */
+  readonly usefulUntil: Ms
+  /** Expected time of the longest chain of steps. */
+  readonly chainMs: Ms
+}
+
+/** What the queue has to know of a job. */
+export interface QueuedWork extends JobTimes {
+  readonly priority: number
+  /** Thousandths of a core times milliseconds that are still to be started. */
+  readonly waitingWork: () => number
+}
+
+/** Room of a shard as a whole. */
+export interface ShardRoom {
+  /** Thousandths of a core at endpoints that take work. */
+  readonly totalCpuMilli: number
+  readonly freeCpuMilli: number
+}
+
+/** Whether a job is taken. */
+export type AdmissionVerdict =
+  | { readonly type: 'admit' }
+  | { readonly type: 'decline', readonly retryAfterMs: Ms }
+
+/** A step's needs and expected time, as admission sees it. */
+export interface WorkItem {
+  readonly needs: Resources
+  readonly expectedMs: Ms
+}
--- /dev/null
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -0,0 +1,105 @@
+/**
+ * State of the endpoint ledger: endpoints of owned shards with their runs, and arithmetic on room and clocks.
+ */
+import type { EndpointClockMs, EndpointId, EndpointReport, Ms, Resources, TaskName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import type { LedgerEndpoint, LedgerRun } from './types.js'
+
+export const NO_RESOURCES: Resources = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+
+/** Room left at an endpoint; nothing while a run of unknown size is there. */
+export function freeRoom (endpoint: LedgerEndpoint): Resources {
+  const { capacity } = endpoint.report
+  let { cpuMilli, memoryMb, accelerators } = capacity
+  for (const run of endpoint.runs.values()) {
+    if (run.state === 'unclaimed') return NO_RESOURCES
+    cpuMilli -= run.needs.cpuMilli
+    memoryMb -= run.needs.memoryMb
+    accelerators -= run.needs.accelerators
+  }
+  return { cpuMilli, memoryMb, accelerators }
+}
+
+/** @returns true when the task fits into the room */
+export function fits (needs: Resources, room: Resources): boolean {
+  return needs.cpuMilli <= room.cpuMilli && needs.memoryMb <= room.memoryMb && needs.accelerators <= room.accelerators
+}
+
+/** Endpoints of the shards that this instance owns. */
+export class EndpointsDb {
+  private readonly endpoints = new Map<EndpointId, LedgerEndpoint>()
+  /** Where each task runs or may run; a task has at most one run at a time. */
+  private readonly byTask = new Map<TaskName, LedgerRun>()
+
+  /** @returns the endpoint, if it belongs to an owned shard */
+  get (id: EndpointId): LedgerEndpoint | undefined {
+    return this.endpoints.get(id)
+  }
+
+  /** @returns all endpoints of owned shards */
+  all (): IterableIterator<LedgerEndpoint> {
+    return this.endpoints.values()
+  }
+
+  /** Adds an endpoint about which nothing is known but its report. */
+  add (report: EndpointReport, now: Ms): LedgerEndpoint {
+    const endpoint: LedgerEndpoint = {
+      id: report.id,
+      report,
+      looked: false,
+      bornAt: undefined,
+      clockOffset: undefined,
+      runs: new Map(),
+      acknowledged: 0,
+      hold: undefined,
+      silent: 0,
+      answeredAt: now,
+      nextLookAt: now,
+      leaseHorizon: now,
+      quarantineUntil: now
+    }
+    this.endpoints.set(report.id, endpoint)
+    return endpoint
+  }
+
+  /** Forgets an endpoint and its runs. */
+  remove (id: EndpointId): void {
+    const endpoint = this.endpoints.get(id)
+    if (endpoint === undefined) return
+    for (const run of endpoint.runs.values()) this.byTask.delete(run.task)
+    this.endpoints.delete(id)
+  }
+
+  /** Adds a run; it takes room from now on. */
+  addRun (endpoint: LedgerEndpoint, run: LedgerRun): void {
+    endpoint.runs.set(run.task, run)
+    if (!this.byTask.has(run.task)) this.byTask.set(run.task, run)
+  }
+
+  /** Frees the room of a run. */
+  removeRun (endpoint: LedgerEndpoint, run: LedgerRun): void {
+    endpoint.runs.delete(run.task)
+    if (this.byTask.get(run.task) === run) this.byTask.delete(run.task)
+  }
+
+  /** @returns the run of a task, if there may be one */
+  runOf (task: TaskName): LedgerRun | undefined {
+    return this.byTask.get(task)
+  }
+}
+
+/**
+ * Estimates an endpoint's clock.
+ * @param endpoint - the endpoint; its clock must have been seen
+ * @param now - this instance's time
+ * @returns the clock's value now, a little behind the true one
+ */
+export function endpointClock (endpoint: LedgerEndpoint, now: Ms): EndpointClockMs {
+  return Math.floor(now + (endpoint.clockOffset ?? 0)) as EndpointClockMs
+}
+
+/** @returns the latest time at which a lease that ends at `until` may still run */
+export function horizonOf (endpoint: LedgerEndpoint, until: EndpointClockMs, now: Ms, drift: number, slack: Ms): Ms {
+  const left = Math.max(0, until - endpointClock(endpoint, now))
+  return ms(now + left * (1 + drift) + slack)
+}
--- /dev/null
+++ b/packages/core/src/execution/executionDecider.ts
@@ -0,0 +1,464 @@
+/**
+ * Carries a job through at the owner of a shard: admits it, starts its tasks as room and order allow, starts failed and
+ * lost tasks again, moves tasks off endpoints where they make no progress, and reports one outcome to the front.
+ */
+import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ShardMessage } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { AdmissionDecider } from '../admission/admissionDecider.js'
+import type { ShardRoom } from '../admission/types.js'
+import { fits, freeRoom } from '../endpoints/endpointsDb.js'
+import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
+import type { LedgerRun, RejectionReason, RunListener } from '../endpoints/types.js'
+import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
+import type { ShardContext } from '../shard/types.js'
+import { ExecutionDb, chainOf, isOpen, makeSteps } from './executionDb.js'
+import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
+
+/** A task that works slower than this against the expected time may be moved. */
+const MOVE_SLOWNESS = 2
+/** What a move costs: the stop, its listing, and the new start. */
+const MOVE_COST_MS = 80
+/** A task without any progress after this time, or after this share of its expected time, stands still. */
+const STALL_MIN_MS = 150
+const STALL_SHARE = 0.25
+/** Slowness noted for an endpoint where a task stands still. */
+const STALL_SLOWNESS = 10
+/** Progress figures are whole percents; below this they say too little about speed. */
+const PROGRESS_MIN_PERCENT = 2
+
+/** How the execution reaches fronts and the ownership. */
+export interface ExecutionPorts {
+  tell (front: FrontSession, message: ShardMessage): void
+  superseded (failureDomain: FailureDomain, token: FencingToken): void
+}
+
+/** The execution decision. */
+export class ExecutionDecider implements RunListener {
+  readonly db = new ExecutionDb()
+  readonly admission = new AdmissionDecider<OwnedJob>()
+  private pumpNeeded = false
+  endpoints!: EndpointsDecider
+
+  constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly ports: ExecutionPorts) {}
+
+  /** Takes a job from a front, or joins it to the one that is already here. */
+  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, startsFrom: Ms): void {
+    const { id } = order.job
+    const known = this.db.jobs.get(id)
+    if (known !== undefined) {
+      this.join(known, front)
+      return
+    }
+    const outcome = this.db.outcomeOf(id)
+    if (outcome !== undefined) {
+      this.ports.tell(front, { type: 'ended', jobId: id, outcome })
+      return
+    }
+    const job = this.makeJob(front, failureDomain, order, startsFrom)
+    if (this.claimRuns(job) || order.resumed || this.admit(job)) this.accept(job)
+  }
+
+  /** The caller left. */
+  cancel (id: JobId, from: InstanceId): void {
+    const job = this.db.jobs.get(id)
+    if (job !== undefined && job.front.instance === from) this.abandon(job, 'callerLeft')
+  }
+
+  /** Ends the jobs of a front that is lost: its callers send them again, to any front. */
+  frontLost (instance: InstanceId, incarnation: number | undefined): void {
+    for (const job of [...this.db.jobs.values()]) {
+      if (job.front.instance !== instance) continue
+      if (incarnation !== undefined && job.front.incarnation === incarnation) continue
+      this.abandon(job, 'frontLost')
+      this.ports.tell(job.front, { type: 'notOwner', jobId: job.id, failureDomain: job.failureDomain })
+    }
+  }
+
+  /** A front asks after jobs that it sent: ended ones are told again, unknown ones have to be sent again. */
+  check (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[]): void {
+    for (const id of ids) {
+      if (this.db.jobs.has(id)) continue
+      const outcome = this.db.outcomeOf(id)
+      this.ports.tell(front, outcome === undefined ? { type: 'notOwner', jobId: id, failureDomain } : { type: 'ended', jobId: id, outcome })
+    }
+  }
+
+  /** Forgets all jobs, as after a pause in which their fronts may have given them up. */
+  dropAll (): void {
+    for (const job of [...this.db.jobs.values()]) this.forget(job)
+    this.endpoints.disown()
+  }
+
+  /** Forgets the jobs of a shard without touching their runs; returns what is done of each, by front. */
+  release (failureDomain: FailureDomain): Map<FrontSession, JobProgress[]> {
+    const byFront = new Map<FrontSession, JobProgress[]>()
+    for (const job of [...this.db.jobs.values()]) {
+      if (job.failureDomain !== failureDomain) continue
+      const known = [...byFront.keys()].find(front => front.instance === job.front.instance) ?? job.front
+      byFront.set(known, [...byFront.get(known) ?? [], { jobId: job.id, done: doneTasks(job) }])
+      this.forget(job)
+    }
+    return byFront
+  }
+
+  /** Stops what nobody claimed, declines what can no longer be of use. */
+  tick (): void {
+    this.db.expire(this.ctx.now)
+    this.stopUnclaimed()
+    for (const job of [...this.db.jobs.values()]) this.tickJob(job)
+    if (this.admission.db.waiting.size > 0) this.pumpNeeded = true
+  }
+
+  /** Starts tasks if something changed since the last call. */
+  pump (): void {
+    if (!this.pumpNeeded) return
+    this.pumpNeeded = false
+    if (this.admission.db.waiting.size === 0) return
+    const candidates = this.candidates()
+    for (const job of this.admission.ordered(this.ctx.now)) {
+      if (job.startsFrom > this.ctx.now) continue
+      this.startTasks(job, candidates)
+    }
+  }
+
+  /** @returns room of all usable endpoints */
+  room (): ShardRoom {
+    let totalCpuMilli = 0
+    let freeCpuMilli = 0
+    for (const endpoint of this.endpoints.db.all()) {
+      if (!this.endpoints.usable(endpoint) || this.placement.isSetAside(endpoint.id)) continue
+      totalCpuMilli += endpoint.report.capacity.cpuMilli
+      freeCpuMilli += Math.max(0, freeRoom(endpoint).cpuMilli)
+    }
+    return { totalCpuMilli, freeCpuMilli }
+  }
+
+  runStarted (run: LedgerRun): void {
+    const found = this.db.find(run.task)
+    if (found === undefined || found.task.run !== run) this.endpoints.stop(run)
+  }
+
+  runEnded (run: LedgerRun, how: RunEnd): void {
+    this.pumpNeeded = true
+    const found = this.db.find(run.task)
+    if (how === 'done') this.ctx.out.count('shard.tasks.done')
+    if (how === 'failed') this.ctx.out.count('shard.tasks.failed')
+    if (found === undefined || found.task.run !== run) return
+    found.task.run = undefined
+    switch (how) {
+      case 'done': return this.taskDone(found.job, found.task, run)
+      case 'failed': return this.taskFailed(found.job, found.task, run)
+      case 'stopped':
+      case 'lapsed': return this.requeue(found.job)
+    }
+  }
+
+  runRejected (run: LedgerRun, reason: RejectionReason): void {
+    const found = this.db.find(run.task)
+    if (found === undefined || found.task.run !== run) return
+    const { job, task } = found
+    task.run = undefined
+    if (reason === 'unhealthy' || reason === 'invalid') {
+      task.avoid.add(run.endpoint)
+      this.placement.failed(run.endpoint)
+    }
+    this.ctx.out.log('task.rejected', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, reason })
+    this.requeue(job)
+  }
+
+  runLost (run: LedgerRun): void {
+    const found = this.db.find(run.task)
+    if (found === undefined || found.task.run !== run) return
+    found.task.run = undefined
+    this.ctx.out.log('task.lost', { job: found.job.id, task: run.task, run: run.run, endpoint: run.endpoint, ageMs: Math.round(this.ctx.now - run.orderedAt) })
+    this.requeue(found.job)
+  }
+
+  runFound (run: LedgerRun): void {
+    const found = this.db.find(run.task)
+    if (found !== undefined) this.adoptRun(found.job, found.task, run)
+  }
+
+  runProgressed (run: LedgerRun): void {
+    const found = this.db.find(run.task)
+    if (found === undefined || found.task.run !== run) return
+    const slowness = this.slownessOf(found.job, found.task, run)
+    if (slowness >= MOVE_SLOWNESS) this.move(found.job, found.task, run, slowness)
+  }
+
+  roomChanged (): void {
+    this.pumpNeeded = true
+  }
+
+  superseded (failureDomain: FailureDomain, token: FencingToken): void {
+    this.ports.superseded(failureDomain, token)
+  }
+
+  private makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, startsFrom: Ms): OwnedJob {
+    const { now, cfg } = this.ctx
+    const { queue, job } = order
+    const chainMs = chainOf(job.steps, this.admission.db.ratioOf(queue.name))
+    const sentAt = now - order.ageMs
+    const objective = queue.stretch * chainMs + queue.latencyObjectiveMs
+    const steps = makeSteps(order)
+    const callerUntil = ms(now + order.remainingMs)
+    const owned: OwnedJob = {
+      id: job.id,
+      failureDomain,
+      order,
+      steps,
+      receivedAt: now,
+      callerUntil,
+      front,
+      startsFrom,
+      firstStartAt: undefined,
+      mayHaveRun: order.resumed,
+      priority: queue.priority,
+      chainMs,
+      onTimeUntil: ms(sentAt + objective),
+      usefulUntil: ms(Math.min(callerUntil, sentAt + objective * cfg.usefulFactor)),
+      waitingWork: () => this.waitingWorkOf(owned)
+    }
+    return owned
+  }
+
+  private waitingWorkOf (job: OwnedJob): number {
+    const ratio = this.admission.db.ratioOf(job.order.queue.name)
+    let sum = 0
+    for (const step of job.steps) {
+      if (step.missing === 0) continue
+      const waiting = step.tasks.reduce((n, task) => n + (task.done || task.run !== undefined ? 0 : 1), 0)
+      sum += waiting * step.spec.needs.cpuMilli * step.spec.estimateMs * ratio
+    }
+    return sum
+  }
+
+  private join (job: OwnedJob, front: FrontSession): void {
+    const { out } = this.ctx
+    if (job.front.instance === front.instance && job.front.incarnation === front.incarnation) return
+    out.count('shard.jobs.joined')
+    out.log('job.joined', { job: job.id, front: front.instance, before: job.front.instance })
+    job.front = front
+  }
+
+  private admit (job: OwnedJob): boolean {
+    if (!this.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
+    const verdict = this.admission.judge(job, this.room(), this.ctx.now)
+    return verdict.type === 'admit' || this.decline(job, 'overloaded', verdict.retryAfterMs)
+  }
+
+  private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
+    const { out, now } = this.ctx
+    out.count('shard.jobs.declined')
+    out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.room())), waitingJobs: this.admission.db.waiting.size })
+    this.ports.tell(job.front, { type: 'declined', jobId: job.id, retryAfterMs })
+    return false
+  }
+
+  /** @returns false when some task fits no endpoint of this shard, however empty */
+  private canFit (job: OwnedJob): boolean {
+    const endpoints = [...this.endpoints.db.all()]
+    return job.steps.every(({ spec }) => endpoints.some(({ report }) =>
+      report.service === job.order.queue.service && fits(spec.needs, report.capacity) && (spec.requiredLabel === '' || report.labels.includes(spec.requiredLabel))))
+  }
+
+  private accept (job: OwnedJob): void {
+    this.db.jobs.set(job.id, job)
+    for (const step of job.steps) {
+      for (const task of step.tasks) {
+        const run = this.endpoints.db.runOf(task.name)
+        if (run !== undefined) this.adoptRun(job, task, run)
+      }
+    }
+    this.requeue(job)
+  }
+
+  private claimRuns (job: OwnedJob): boolean {
+    return job.steps.some(step => step.tasks.some(task => this.endpoints.db.runOf(task.name)?.state === 'unclaimed'))
+  }
+
+  private adoptRun (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
+    job.mayHaveRun = true
+    task.lastRun = Math.max(task.lastRun, run.run)
+    if (task.done || task.run !== undefined) {
+      this.endpoints.stop(run)
+      return
+    }
+    const step = job.steps[task.step]
+    if (step === undefined) return
+    if (run.state === 'unclaimed') this.endpoints.claim(run, step.spec.needs)
+    task.run = run
+    job.firstStartAt ??= this.ctx.now
+  }
+
+  private requeue (job: OwnedJob): void {
+    this.admission.db.waiting.add(job)
+    this.pumpNeeded = true
+  }
+
+  private candidates (): Candidate[] {
+    const candidates: Candidate[] = []
+    for (const endpoint of this.endpoints.db.all()) {
+      if (!this.endpoints.usable(endpoint)) continue
+      const room = freeRoom(endpoint)
+      if (room.cpuMilli > 0) candidates.push({ endpoint, room })
+    }
+    return candidates
+  }
+
+  private startTasks (job: OwnedJob, candidates: readonly Candidate[]): void {
+    let waiting = 0
+    for (const step of job.steps) {
+      if (step.missing === 0) continue
+      if (!isOpen(job, step)) {
+        waiting++
+        continue
+      }
+      for (const task of step.tasks) {
+        if (task.done || task.run !== undefined) continue
+        if (!this.startTask(job, step, task, candidates)) waiting++
+      }
+    }
+    if (waiting === 0) this.admission.db.waiting.delete(job)
+  }
+
+  private startTask (job: OwnedJob, step: OwnedStep, task: OwnedTask, candidates: readonly Candidate[]): boolean {
+    if (this.endpoints.db.runOf(task.name) !== undefined) return false
+    const { needs, requiredLabel, preferredRack, maxPerEndpoint } = step.spec
+    const countAt = maxPerEndpoint > 0 ? (id: EndpointId) => countRuns(step, id) : undefined
+    const chosen = this.placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, countAt, maxPerEndpoint }, candidates)
+    if (chosen === undefined) return false
+    task.lastRun++
+    task.run = this.endpoints.start(chosen.endpoint, task.name, task.lastRun, job.order.job.spec, needs)
+    this.placement.placed(chosen.endpoint.id)
+    chosen.room = subtract(chosen.room, needs)
+    this.noteFirstStart(job)
+    return true
+  }
+
+  private noteFirstStart (job: OwnedJob): void {
+    if (job.firstStartAt !== undefined) return
+    const { now, out } = this.ctx
+    job.firstStartAt = now
+    job.mayHaveRun = true
+    out.push({ type: 'observe', histogram: 'queueWaitMs', label: job.order.queue.name, valueMs: now - job.receivedAt })
+  }
+
+  private taskDone (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
+    const step = job.steps[task.step]
+    if (step === undefined || task.done) return
+    task.done = true
+    step.missing--
+    this.learn(job, step, run)
+    if (job.steps.every(s => s.missing === 0)) this.end(job, 'completed')
+  }
+
+  private learn (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
+    const ranMs = this.ctx.now - run.startedAt
+    const expected = this.expectedMs(job, step)
+    this.placement.ended(run.endpoint, ranMs / Math.max(1, expected))
+    if (!this.placement.isSetAside(run.endpoint)) this.admission.db.learn(job.order.queue.name, ranMs / Math.max(1, step.spec.estimateMs))
+  }
+
+  private expectedMs (job: OwnedJob, step: OwnedStep): number {
+    return step.spec.estimateMs * this.admission.db.ratioOf(job.order.queue.name)
+  }
+
+  private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
+    task.failedAttempts++
+    task.avoid.add(run.endpoint)
+    this.placement.failed(run.endpoint)
+    this.ctx.out.log('task.failed', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, attempts: task.failedAttempts, allowed: job.order.queue.maxAttempts })
+    if (task.failedAttempts >= job.order.queue.maxAttempts) this.end(job, 'failed')
+    else this.requeue(job)
+  }
+
+  private slownessOf (job: OwnedJob, task: OwnedTask, run: LedgerRun): number {
+    const step = job.steps[task.step]
+    if (step === undefined) return 1
+    const expected = this.expectedMs(job, step)
+    const ranMs = this.ctx.now - run.startedAt
+    if (run.percent < PROGRESS_MIN_PERCENT) return ranMs > Math.max(STALL_MIN_MS, expected * STALL_SHARE) ? STALL_SLOWNESS : 1
+    if (this.ctx.now - run.percentAt > Math.max(STALL_MIN_MS, expected * STALL_SHARE)) return STALL_SLOWNESS
+    return (ranMs * 100 / run.percent) / Math.max(1, expected)
+  }
+
+  /** Stops a run that would end sooner if it were started again elsewhere. */
+  private move (job: OwnedJob, task: OwnedTask, run: LedgerRun, slowness: number): void {
+    const step = job.steps[task.step]
+    if (step === undefined || run.state !== 'running') return
+    const expected = this.expectedMs(job, step)
+    const remaining = expected * slowness * (100 - run.percent) / 100
+    if (remaining <= expected + MOVE_COST_MS) return
+    this.placement.stalled(run.endpoint, slowness)
+    const elsewhere = this.candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.room) && !this.placement.isSetAside(candidate.endpoint.id))
+    if (!elsewhere) return
+    task.avoid.add(run.endpoint)
+    this.ctx.out.count('shard.tasks.moved')
+    this.ctx.out.log('task.moved', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, percent: run.percent, ranMs: Math.round(this.ctx.now - run.startedAt), expectedMs: Math.round(expected) })
+    this.endpoints.stop(run)
+  }
+
+  private end (job: OwnedJob, outcome: JobOutcome): void {
+    const { now, out } = this.ctx
+    this.db.keepOutcome(job.id, outcome, now)
+    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.onTimeUntil })
+    this.ports.tell(job.front, { type: 'ended', jobId: job.id, outcome })
+    this.stopRuns(job)
+    this.forget(job)
+  }
+
+  private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost'): void {
+    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined })
+    this.stopRuns(job)
+    this.forget(job)
+  }
+
+  private stopRuns (job: OwnedJob): void {
+    for (const step of job.steps) {
+      for (const task of step.tasks) {
+        if (task.run !== undefined) this.endpoints.stop(task.run)
+      }
+    }
+  }
+
+  private forget (job: OwnedJob): void {
+    this.db.jobs.delete(job.id)
+    this.admission.db.waiting.delete(job)
+  }
+
+  private stopUnclaimed (): void {
+    const { now, cfg, out } = this.ctx
+    for (const endpoint of this.endpoints.db.all()) {
+      for (const run of endpoint.runs.values()) {
+        if (run.state !== 'unclaimed' || now - run.startedAt < cfg.claimGraceMs) continue
+        out.count('shard.tasks.unclaimed')
+        out.log('task.unclaimed', { task: run.task, run: run.run, endpoint: endpoint.id })
+        this.endpoints.stop(run)
+      }
+    }
+  }
+
+  private tickJob (job: OwnedJob): void {
+    const { now } = this.ctx
+    if (now > job.callerUntil) {
+      this.abandon(job, 'callerDeadline')
+      return
+    }
+    if (job.mayHaveRun || !this.admission.isHopeless(job, now)) return
+    this.decline(job, 'tooLate', this.admission.retryAfter(this.room()))
+    this.forget(job)
+  }
+}
+
+function doneTasks (job: OwnedJob): string[] {
+  return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
+}
+
+function countRuns (step: OwnedStep, id: EndpointId): number {
+  return step.tasks.reduce((n, task) => n + (task.run?.endpoint === id ? 1 : 0), 0)
+}
+
+function subtract (room: Candidate['room'], needs: Candidate['room']): Candidate['room'] {
+  return { cpuMilli: room.cpuMilli - needs.cpuMilli, memoryMb: room.memoryMb - needs.memoryMb, accelerators: room.accelerators - needs.accelerators }
+}
--- /dev/null
+++ b/packages/core/src/execution/types.ts
@@ -0,0 +1,59 @@
+/**
+ * Types of the execution decision: jobs at the owner of a shard, task by task.
+ */
+import type { DispatchOrder, EndpointId, FailureDomain, InstanceId, JobId, JobOutcome, Ms, StepSpec, TaskName } from '@cranberryyard/protocol'
+import type { QueuedWork } from '../admission/types.js'
+import type { LedgerRun } from '../endpoints/types.js'
+
+/** One life of the instance that answers the caller. */
+export interface FrontSession {
+  readonly instance: InstanceId
+  readonly incarnation: number
+  readonly address: string
+}
+
+/** One task of a job. */
+export interface OwnedTask {
+  readonly name: TaskName
+  readonly step: number
+  readonly index: number
+  done: boolean
+  /** The run that takes room, if any. */
+  run: LedgerRun | undefined
+  /** Number of the latest run; the next one is higher. */
+  lastRun: number
+  failedAttempts: number
+  readonly avoid: Set<EndpointId>
+}
+
+/** One step of a job. */
+export interface OwnedStep {
+  readonly spec: StepSpec
+  readonly tasks: readonly OwnedTask[]
+  /** Tasks that are not done. */
+  missing: number
+}
+
+/** A job at its owner. */
+export interface OwnedJob extends QueuedWork {
+  readonly id: JobId
+  readonly failureDomain: FailureDomain
+  readonly order: DispatchOrder
+  readonly steps: readonly OwnedStep[]
+  readonly receivedAt: Ms
+  /** The caller does not wait any longer. */
+  readonly callerUntil: Ms
+  front: FrontSession
+  /** Starts are held back until then: runs of an earlier owner may still exist at endpoints not seen yet. */
+  startsFrom: Ms
+  /** When the first task started; undefined while none has. */
+  firstStartAt: Ms | undefined
+  /** A run of the job existed at some time, here or at an earlier owner. */
+  mayHaveRun: boolean
+}
+
+/** A job that ended, kept to answer a caller that sends it again. */
+export interface EndedJob {
+  readonly outcome: JobOutcome
+  readonly until: Ms
+}
--- /dev/null
+++ b/packages/core/src/placement/placementDb.ts
@@ -0,0 +1,28 @@
+/**
+ * State of the placement decision: trust in each endpoint.
+ */
+import type { EndpointId } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import type { EndpointTrust } from './types.js'
+
+/** Pause before the first trial of an endpoint that was set aside. */
+export const FIRST_TRIAL_PAUSE_MS = ms(600)
+
+/** Trust by endpoint. */
+export class PlacementDb {
+  private readonly trust = new Map<EndpointId, EndpointTrust>()
+
+  /** @returns the endpoint's trust; full for one that is new */
+  of (id: EndpointId): EndpointTrust {
+    const known = this.trust.get(id)
+    if (known !== undefined) return known
+    const fresh: EndpointTrust = { slowness: 1, failures: 0, setAside: false, trialAt: ms(0), trialPauseMs: FIRST_TRIAL_PAUSE_MS }
+    this.trust.set(id, fresh)
+    return fresh
+  }
+
+  /** Forgets an endpoint; another life starts with full trust. */
+  forget (id: EndpointId): void {
+    this.trust.delete(id)
+  }
+}
--- /dev/null
+++ b/packages/core/src/shard/counters.ts
@@ -0,0 +1,32 @@
+/** Counters of the shard decisions with their meaning; docs/METRICS.md is checked against this list. */
+export const SHARD_COUNTERS = {
+  'shard.jobs.received': 'Jobs that callers sent to this instance.',
+  'shard.jobs.completed': 'Jobs answered as completed.',
+  'shard.jobs.failed': 'Jobs answered as failed after the allowed attempts.',
+  'shard.jobs.refused': 'Jobs refused; nothing of them has run.',
+  'shard.jobs.lost': 'Jobs given up with an unknown outcome; the caller may send them again.',
+  'shard.jobs.joined': 'Submissions joined to a job that was already known.',
+  'shard.jobs.declined': 'Jobs that an owner turned away before any start.',
+  'shard.tasks.started': 'Start orders sent to endpoints, repeats included.',
+  'shard.tasks.startSilent': 'Start orders without an answer in time.',
+  'shard.tasks.startRejected': 'Start orders that an endpoint rejected.',
+  'shard.tasks.done': 'Runs that ended done.',
+  'shard.tasks.failed': 'Runs that ended failed.',
+  'shard.tasks.stopped': 'Stop orders sent, repeats included.',
+  'shard.tasks.moved': 'Runs stopped because they made too little progress.',
+  'shard.tasks.lost': 'Runs whose endpoint was lost.',
+  'shard.tasks.adopted': 'Runs of an earlier owner that went on under this one.',
+  'shard.tasks.unclaimed': 'Runs of an earlier owner that nobody claimed and that were stopped.',
+  'shard.holds.sent': 'Holds and looks sent to endpoints.',
+  'shard.holds.silent': 'Holds and looks without an answer in time.',
+  'shard.endpoints.reborn': 'Endpoints that started again under the same id.',
+  'shard.endpoints.setAside': 'Endpoints set aside for slowness or failures.',
+  'shard.owner.claims': 'Claims on a shard written or tried.',
+  'shard.owner.takeovers': 'Shards taken over.',
+  'shard.owner.superseded': 'Shards lost to a newer owner.',
+  'shard.peers.lost': 'Peers that fell silent or refused connections.',
+  'shard.pauses': 'Times this process stood still for longer than the limit.'
+} as const
+
+/** Name of a counter. */
+export type ShardCounterName = keyof typeof SHARD_COUNTERS
--- /dev/null
+++ b/packages/core/src/shard/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Public surface of the shard decisions: an instance that answers callers and owns endpoints under fencing tokens.
+ */
+export { ShardInstance } from './shardInstance.js'
+export type { ShardInstanceOptions } from './shardInstance.js'
+export { SHARD_DEFAULTS } from './settings.js'
+export type { ShardSettings } from './settings.js'
+export { SHARD_COUNTERS } from './counters.js'
+export type { ShardCounterName } from './counters.js'
+export type { CallerReply, ClaimResult, LogFields, RefusalCause, ShardEffect, ShardInput, ShardSelf } from './types.js'
+export { seededRandom } from '../utils/random.js'
--- /dev/null
+++ b/packages/core/src/shard/settings.ts
@@ -0,0 +1,68 @@
+/**
+ * Settings of an instance that owns or uses shards of endpoints, with defaults. All spans are milliseconds.
+ * Bounds that the platform states (lease, stop, resend) are filled in at start.
+ */
+import type { Ms } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+
+/** Settings of the shard decisions. */
+export interface ShardSettings {
+  /** Period of pings from fronts to owners. */
+  readonly pingMs: Ms
+  /** Silence after which a connection to a peer is replaced. */
+  readonly relinkMs: Ms
+  /** Silence after which a peer counts as lost. A lost front's tasks must be gone before its callers send again. */
+  readonly peerTimeoutMs: Ms
+  /** Added for each successor before this one, so that they do not all claim at once. */
+  readonly succession: Ms
+  /** Longest wait for the store's answer to a claim before a successor takes over by its rank. */
+  readonly claimTimeoutMs: Ms
+  /** Longest lease an endpoint grants (platform's bound). */
+  readonly leaseMs: Ms
+  /** Share by which an endpoint's clock may be slow (platform's bound). */
+  readonly clockDrift: number
+  /** Time after which a start must be refused by the endpoint; short, since its room stays taken until then. */
+  readonly startValidMs: Ms
+  /** Longest wait for the answer to a start or stop; several round trips. */
+  readonly orderTimeoutMs: Ms
+  /** How long a hold waits at an endpoint with work for an end; also the period of progress figures. */
+  readonly holdWaitMs: Ms
+  /** Period of looks at an endpoint without work. */
+  readonly idleLookMs: Ms
+  /** Period of looks at an endpoint that does not answer. */
+  readonly silentLookMs: Ms
+  /** Slack of the scheduler and the network added to lease horizons. */
+  readonly leaseSlackMs: Ms
+  /** Runs found after a takeover that no front claims within this span are stopped. */
+  readonly claimGraceMs: Ms
+  /** How long a front waits for a new owner before it gives its jobs up. */
+  readonly ownerWaitMs: Ms
+  /** An event loop that stood still for longer drops its sessions: others have acted meanwhile. */
+  readonly pauseMs: Ms
+  /** Factor of the objective up to which a late answer is of use (platform's bound). */
+  readonly usefulFactor: number
+  /** Entries of endpoints that are missing in the store's list are kept this long after the store came back. */
+  readonly missingMs: Ms
+}
+
+/** Defaults for a platform that states nothing else. */
+export const SHARD_DEFAULTS: ShardSettings = {
+  pingMs: ms(150),
+  relinkMs: ms(320),
+  peerTimeoutMs: ms(600),
+  succession: ms(150),
+  claimTimeoutMs: ms(250),
+  leaseMs: ms(1000),
+  clockDrift: 0.02,
+  startValidMs: ms(300),
+  orderTimeoutMs: ms(100),
+  holdWaitMs: ms(250),
+  idleLookMs: ms(700),
+  silentLookMs: ms(200),
+  leaseSlackMs: ms(60),
+  claimGraceMs: ms(250),
+  ownerWaitMs: ms(1200),
+  pauseMs: ms(400),
+  usefulFactor: 3,
+  missingMs: ms(2500)
+}
--- /dev/null
+++ b/packages/core/src/shard/shardInstance.ts
@@ -0,0 +1,318 @@
+/**
+ * One instance that answers callers and, where it owns a shard, gives orders to endpoints. This module wires the
+ * decisions together; inputs go in, effects come out. No I/O, no timers, no clock of its own.
+ */
+import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OwnedShard, ShardMessage } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { DesiredDecider } from '../desired/desiredDecider.js'
+import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
+import { ExecutionDecider } from '../execution/executionDecider.js'
+import type { FrontSession } from '../execution/types.js'
+import { IntakeDecider } from '../intake/intakeDecider.js'
+import { OwnershipDecider } from '../ownership/ownershipDecider.js'
+import { PlacementDecider } from '../placement/placementDecider.js'
+import { SessionsDecider } from '../sessions/sessionsDecider.js'
+import type { ShardSettings } from './settings.js'
+import { ShardOutbox } from './types.js'
+import type { ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
+
+/** Least time between two registrations; the list may be read a few seconds old. */
+const REGISTER_PAUSE_MS = 5000
+
+/** What an instance is made from. */
+export interface ShardInstanceOptions {
+  readonly self: ShardSelf
+  readonly cfg: ShardSettings
+}
+
+/** The decisions of one instance. */
+export class ShardInstance {
+  readonly ctx: ShardContext
+  readonly sessions: SessionsDecider
+  readonly desired: DesiredDecider
+  readonly ownership: OwnershipDecider
+  readonly placement: PlacementDecider
+  readonly execution: ExecutionDecider
+  readonly endpoints: EndpointsDecider
+  readonly intake: IntakeDecider
+  private readonly reports = new Map<EndpointId, { report: EndpointReport, missingSince: Ms | undefined }>()
+  private lastAt: Ms | undefined
+  private lastWall: Ms | undefined
+  private ready = false
+  private leaving = false
+  private drained = false
+  private storeReachable = false
+  private registeredAt: Ms = ms(0)
+
+  constructor ({ self, cfg }: ShardInstanceOptions) {
+    this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0) }
+    const { ctx } = this
+    this.sessions = new SessionsDecider(ctx, () => this.desired.db.version(), {
+      peerLost: instance => this.peerLost(instance),
+      peerHeard: instance => this.peerHeard(instance)
+    })
+    this.desired = new DesiredDecider(ctx, (to, message) => this.sessions.tell(to, message))
+    this.ownership = new OwnershipDecider(ctx, this.sessions, {
+      ownershipGained: failureDomain => this.ownershipGained(failureDomain),
+      ownershipLost: (failureDomain, successor) => this.ownershipLost(failureDomain, successor)
+    })
+    this.placement = new PlacementDecider(ctx)
+    this.execution = new ExecutionDecider(ctx, this.placement, {
+      tell: (front, message) => this.deliver(front.instance, message),
+      superseded: failureDomain => this.ownership.superseded(failureDomain)
+    })
+    this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, this.execution)
+    this.execution.endpoints = this.endpoints
+    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, (to, message) => this.deliver(to, message))
+  }
+
+  /**
+   * Handles one input.
+   * @param input - what happened
+   * @param now - monotonic time
+   * @param wall - wall-clock time
+   * @returns what the shell is to do, in order
+   */
+  handle (input: ShardInput, now: Ms, wall: Ms): ShardEffect[] {
+    this.ctx.now = now
+    this.noticePause(now, wall)
+    this.dispatch(input)
+    this.execution.pump()
+    this.updateState()
+    return this.ctx.out.take()
+  }
+
+  /** Registers this instance and starts to look around. */
+  start (now: Ms): ShardEffect[] {
+    const { self, out } = this.ctx
+    this.ctx.now = now
+    this.registeredAt = now
+    out.push({ type: 'writeMember', record: { ...self } })
+    return out.take()
+  }
+
+  /** @returns true when the desired state has a queue for the path */
+  hasQueue (host: string, path: string): boolean {
+    return this.desired.db.queueFor(host, path) !== undefined
+  }
+
+  private dispatch (input: ShardInput): void {
+    switch (input.type) {
+      case 'tick': return this.tick()
+      case 'submit': return this.intake.submit(input.callId, input.host, input.path, input.job, input.deadlineMs)
+      case 'callerLeft': return this.intake.callerLeft(input.callId)
+      case 'peer': return this.receive(input.from, input.message)
+      case 'sendFailed': return this.sessions.unreachable(input.to)
+      case 'linkDown': return this.linkDown(input.peer)
+      case 'holdOutcome': return this.endpoints.holdOutcome(input.endpoint, input.orderId, input.outcome)
+      case 'taskStartOutcome': return this.endpoints.startOutcome(input.endpoint, input.orderId, input.outcome)
+      case 'taskStopOutcome': return this.endpoints.stopOutcome(input.endpoint, input.orderId, input.outcome)
+      case 'desired': return this.desired.take(input.state, 'store')
+      case 'endpoints': return this.takeReports(input.reports)
+      case 'records': return this.takeRecords(input)
+      case 'storeReachable': return this.noteStore(input.reachable)
+      case 'claimOutcome': return this.ownership.claimOutcome(input.claimId, input.result)
+      case 'leave': return this.leave()
+    }
+  }
+
+  private receive (from: InstanceId, message: ShardMessage): void {
+    if (from !== this.ctx.self.instance) {
+      const life = 'incarnation' in message ? message.incarnation : undefined
+      this.sessions.heard(from, life, 'address' in message ? message.address : '')
+    }
+    switch (message.type) {
+      case 'ping': return this.pinged(from, message.incarnation, message.desiredVersion)
+      case 'pong':
+        this.sessions.db.learnOwned(from, message.owned, this.ctx.now)
+        this.desired.heard(from, message.desiredVersion)
+        for (const { failureDomain } of message.owned) this.intake.ownerKnown(failureDomain)
+        return
+      case 'announce':
+        this.sessions.db.learnOwner({ failureDomain: message.failureDomain, owner: from, token: message.token })
+        this.ownership.announced(message.failureDomain, from, message.token)
+        return this.intake.ownerKnown(message.failureDomain)
+      case 'submit': return this.receiveSubmit({ instance: from, incarnation: message.incarnation, address: message.address }, message)
+      case 'checkJobs': return this.receiveCheck(from, message.failureDomain, message.jobIds)
+      case 'cancelJob': return this.execution.cancel(message.jobId, from)
+      case 'ended': return this.intake.ended(message.jobId, message.outcome)
+      case 'declined': return this.intake.declined(message.jobId, from, message.retryAfterMs)
+      case 'notOwner': return this.intake.unknownAt(message.jobId, from, message.failureDomain)
+      case 'moved': return this.intake.moved(from, message.failureDomain, message.progress)
+      case 'handover': return this.ownership.handedOver(message.failureDomain, message.revision, message.rank)
+      case 'desiredRequest': return this.desired.asked(from)
+      case 'desired': return this.desired.take(message.state, from)
+    }
+  }
+
+  /** Messages to this instance itself take the same way as those to others, without a connection. */
+  private deliver (to: InstanceId, message: ShardMessage): void {
+    if (to !== this.ctx.self.instance) this.sessions.tell(to, message)
+    else this.receive(to, message)
+  }
+
+  private tick (): void {
+    this.sessions.tick(this.pingTargets())
+    this.ownership.tick()
+    this.endpoints.tick()
+    this.execution.tick()
+    this.intake.tick()
+    this.forgetMissing()
+  }
+
+  private pingTargets (): Set<InstanceId> {
+    const targets = new Set<InstanceId>()
+    for (const shard of this.sessions.db.shards.values()) targets.add(shard.owner)
+    targets.delete(this.ctx.self.instance)
+    return targets
+  }
+
+  private pinged (from: InstanceId, incarnation: number, desiredVersion: number): void {
+    this.sessions.pinged(from)
+    this.execution.frontLost(from, incarnation)
+    this.desired.heard(from, desiredVersion)
+    const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
+    this.sessions.tell(from, { type: 'pong', incarnation: this.ctx.self.incarnation, owned, desiredVersion: this.desired.db.version() })
+  }
+
+  private load (): OwnedShard['load'] {
+    const room = this.execution.room()
+    const busyShare = room.totalCpuMilli === 0 ? 1 : 1 - room.freeCpuMilli / room.totalCpuMilli
+    return { waitMs: room.totalCpuMilli === 0 ? this.ctx.cfg.ownerWaitMs : this.execution.admission.backlogMs(room), busyShare }
+  }
+
+  private receiveSubmit (front: FrontSession, message: Extract<ShardMessage, { type: 'submit' }>): void {
+    const owned = this.ownership.db.owned.get(message.failureDomain)
+    if (owned === undefined) {
+      this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
+      return
+    }
+    const seenAll = this.ctx.now - owned.since > this.ctx.cfg.leaseMs + this.ctx.cfg.leaseSlackMs || this.allLooked(message.failureDomain)
+    const startsFrom = message.order.resumed && !seenAll ? ms(owned.since + this.ctx.cfg.leaseMs + this.ctx.cfg.leaseSlackMs) : this.ctx.now
+    this.execution.submit(front, message.failureDomain, message.order, startsFrom)
+  }
+
+  private allLooked (failureDomain: FailureDomain): boolean {
+    return [...this.endpoints.db.all()].every(endpoint => endpoint.report.failureDomain !== failureDomain || endpoint.looked)
+  }
+
+  private receiveCheck (from: InstanceId, failureDomain: FailureDomain, jobIds: readonly JobId[]): void {
+    const peer = this.sessions.db.peers.get(from)
+    const front = { instance: from, incarnation: peer?.incarnation ?? this.ctx.self.incarnation, address: peer?.address ?? '' }
+    this.execution.check(front, failureDomain, jobIds)
+  }
+
+  private linkDown (peer: InstanceId): void {
+    this.sessions.linkDown(peer)
+    this.intake.linkReplaced(peer)
+  }
+
+  private peerLost (instance: InstanceId): void {
+    this.execution.frontLost(instance, undefined)
+    this.intake.ownerLost(instance)
+  }
+
+  private peerHeard (instance: InstanceId): void {
+    for (const shard of this.sessions.db.shards.values()) {
+      if (shard.owner === instance) this.intake.ownerKnown(shard.failureDomain)
+    }
+  }
+
+  private ownershipGained (failureDomain: FailureDomain): void {
+    this.ctx.out.push({ type: 'owning', owning: true })
+    this.endpoints.adopt([...this.reports.values()].map(entry => entry.report).filter(report => report.failureDomain === failureDomain))
+    this.intake.ownerKnown(failureDomain)
+  }
+
+  private ownershipLost (failureDomain: FailureDomain, successor: InstanceId | undefined): void {
+    const shard = this.sessions.db.shards.get(failureDomain)
+    if (shard?.owner === this.ctx.self.instance) shard.disowned = true
+    const byFront = this.execution.release(failureDomain)
+    this.endpoints.release(failureDomain)
+    for (const [front, progress] of byFront) {
+      this.deliver(front.instance, { type: 'moved', failureDomain, to: successor ?? this.ctx.self.instance, progress })
+    }
+    if (!this.ownership.owns()) this.ctx.out.push({ type: 'owning', owning: false })
+  }
+
+  private takeReports (reports: readonly EndpointReport[]): void {
+    const { now } = this.ctx
+    const shown = new Set<EndpointId>()
+    for (const report of reports) {
+      shown.add(report.id)
+      this.reports.set(report.id, { report, missingSince: undefined })
+    }
+    for (const [id, entry] of this.reports) {
+      if (!shown.has(id)) entry.missingSince ??= now
+    }
+    this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)))
+  }
+
+  private forgetMissing (): void {
+    const { now, cfg, out } = this.ctx
+    if (!this.storeReachable) return
+    for (const [id, { missingSince, report }] of this.reports) {
+      if (missingSince === undefined || now - missingSince < cfg.missingMs) continue
+      this.reports.delete(id)
+      out.log('endpoint.gone', { endpoint: id, failureDomain: report.failureDomain, missingMs: Math.round(now - missingSince) })
+      this.endpoints.forget(id)
+      this.placement.db.forget(id)
+    }
+  }
+
+  private takeRecords (input: Extract<ShardInput, { type: 'records' }>): void {
+    const { self, out } = this.ctx
+    this.ownership.recordsRead(input.members, input.shards)
+    if (this.leaving || this.ownership.db.members.get(self.instance)?.incarnation === self.incarnation) return
+    if (this.ctx.now - this.registeredAt < REGISTER_PAUSE_MS) return
+    this.registeredAt = this.ctx.now
+    out.push({ type: 'writeMember', record: { ...self } })
+  }
+
+  private noteStore (reachable: boolean): void {
+    if (reachable === this.storeReachable) return
+    this.storeReachable = reachable
+    this.ctx.out.log(reachable ? 'store.regained' : 'store.lost', {}, reachable ? 'info' : 'warn')
+    if (!reachable) return
+    for (const entry of this.reports.values()) {
+      if (entry.missingSince !== undefined) entry.missingSince = this.ctx.now
+    }
+  }
+
+  private leave (): void {
+    this.leaving = true
+    this.ownership.leave()
+  }
+
+  /** A process that stood still cannot know what others did meanwhile; it starts over with what it has. */
+  private noticePause (now: Ms, wall: Ms): void {
+    const { cfg, out } = this.ctx
+    const steady = now - (this.lastAt ?? now)
+    const passed = Math.max(steady, wall - (this.lastWall ?? wall))
+    this.lastAt = now
+    this.lastWall = wall
+    if (passed < cfg.pauseMs) return
+    out.count('shard.pauses')
+    out.log('process.paused', { pausedMs: Math.round(passed), steadyMs: Math.round(steady), frontedJobs: this.intake.db.jobs.size, ownedJobs: this.execution.db.jobs.size }, 'warn')
+    this.intake.loseAll()
+    this.execution.dropAll()
+    this.endpoints.lookAgain()
+  }
+
+  private updateState (): void {
+    const ready = !this.leaving && this.desired.db.state !== undefined && this.hasOwner()
+    if (ready !== this.ready) {
+      this.ready = ready
+      this.ctx.out.push({ type: 'state', name: ready ? 'ready' : 'notReady' })
+      this.ctx.out.log('instance.state', { ready, leaving: this.leaving, desiredVersion: this.desired.db.version(), shards: this.sessions.db.shards.size })
+    }
+    if (this.leaving && !this.drained && this.intake.db.jobs.size === 0 && this.execution.db.jobs.size === 0) {
+      this.drained = true
+      this.ctx.out.push({ type: 'state', name: 'drained' })
+    }
+  }
+
+  private hasOwner (): boolean {
+    return [...this.sessions.db.shards.keys()].some(failureDomain => this.sessions.ownerOf(failureDomain) !== undefined)
+  }
+}
--- /dev/null
+++ b/packages/core/src/shard/types.ts
@@ -0,0 +1,123 @@
+/**
+ * Inputs and effects of an instance that owns or uses shards of endpoints, and the context its decisions share.
+ */
+import type {
+  DesiredState,
+  EndpointClockMs,
+  EndpointId,
+  EndpointReport,
+  FailureDomain,
+  FencingToken,
+  HoldOutcome,
+  InstanceId,
+  JobRequest,
+  JobOutcome,
+  MemberRecord,
+  Ms,
+  Revised,
+  ShardMessage,
+  ShardRecord,
+  TaskName,
+  TaskStartOutcome,
+  TaskStopOutcome
+} from '@cranberryyard/protocol'
+import type { ShardCounterName } from './counters.js'
+import type { ShardSettings } from './settings.js'
+
+/** Who this instance is. */
+export interface ShardSelf {
+  readonly instance: InstanceId
+  readonly incarnation: number
+  readonly failureDomain: FailureDomain
+  readonly address: string
+}
+
+/** How a conditional write to the store ended; `unknown` means that it may still take effect. */
+export type ClaimResult =
+  | { readonly type: 'written', readonly revision: number }
+  | { readonly type: 'conflict' }
+  | { readonly type: 'unavailable' }
+  | { readonly type: 'unknown' }
+
+export type ShardInput =
+  | { readonly type: 'tick' }
+  | { readonly type: 'submit', readonly callId: string, readonly host: string, readonly path: string, readonly job: JobRequest, readonly deadlineMs: Ms }
+  | { readonly type: 'callerLeft', readonly callId: string }
+  | { readonly type: 'peer', readonly from: InstanceId, readonly message: ShardMessage }
+  | { readonly type: 'sendFailed', readonly to: InstanceId, readonly message: ShardMessage }
+  | { readonly type: 'linkDown', readonly peer: InstanceId }
+  | { readonly type: 'holdOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: HoldOutcome }
+  | { readonly type: 'taskStartOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: TaskStartOutcome }
+  | { readonly type: 'taskStopOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: TaskStopOutcome }
+  | { readonly type: 'desired', readonly state: DesiredState }
+  | { readonly type: 'endpoints', readonly reports: readonly EndpointReport[] }
+  | { readonly type: 'records', readonly members: readonly Revised<MemberRecord>[], readonly shards: readonly Revised<ShardRecord>[] }
+  | { readonly type: 'storeReachable', readonly reachable: boolean }
+  | { readonly type: 'claimOutcome', readonly claimId: number, readonly result: ClaimResult }
+  | { readonly type: 'leave' }
+
+/** Why a job was not taken; nothing of it has run or will run. */
+export type RefusalCause = 'noDesiredState' | 'noQueue' | 'unsupported' | 'noOwner' | 'overloaded' | 'cannotFit' | 'leaving'
+
+/** What a caller gets. */
+export type CallerReply =
+  | { readonly type: 'ended', readonly outcome: JobOutcome }
+  /** Not run; worth sending again after the given time. */
+  | { readonly type: 'refused', readonly cause: RefusalCause, readonly retryAfterMs: Ms }
+  /** The job may have run; the caller may send it again. */
+  | { readonly type: 'lost' }
+
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
+
+export type ShardEffect =
+  | { readonly type: 'reply', readonly callId: string, readonly reply: CallerReply }
+  | { readonly type: 'send', readonly to: InstanceId, readonly address: string, readonly message: ShardMessage }
+  | { readonly type: 'resetLink', readonly peer: InstanceId }
+  | { readonly type: 'hold', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly extendTo: EndpointClockMs | undefined, readonly acknowledged: number, readonly waitMs: Ms, readonly timeoutMs: Ms }
+  | { readonly type: 'startTask', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly task: TaskName, readonly run: number, readonly spec: string, readonly notAfter: EndpointClockMs, readonly timeoutMs: Ms }
+  | { readonly type: 'stopTask', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly task: TaskName, readonly run: number, readonly timeoutMs: Ms }
+  | { readonly type: 'writeMember', readonly record: MemberRecord }
+  | { readonly type: 'claimShard', readonly claimId: number, readonly expectedRevision: number, readonly record: ShardRecord }
+  /** Read the records again now. */
+  | { readonly type: 'refreshRecords' }
+  /** Owners read the endpoint list more often. */
+  | { readonly type: 'owning', readonly owning: boolean }
+  | { readonly type: 'state', readonly name: 'ready' | 'notReady' | 'drained' }
+  | { readonly type: 'log', readonly level: 'info' | 'warn', readonly event: string, readonly fields: LogFields }
+  | { readonly type: 'observe', readonly histogram: 'jobMs' | 'queueWaitMs' | 'takeoverMs', readonly label: string, readonly valueMs: number }
+
+/** Collects the effects of one input. */
+export class ShardOutbox {
+  private effects: ShardEffect[] = []
+  readonly counters = new Map<ShardCounterName, number>()
+
+  /** @param effect - what the shell is to do */
+  push (effect: ShardEffect): void {
+    this.effects.push(effect)
+  }
+
+  /** @returns all effects since the last call */
+  take (): ShardEffect[] {
+    const taken = this.effects
+    this.effects = []
+    return taken
+  }
+
+  /** Logs one change of belief or one decision about a job. */
+  log (event: string, fields: LogFields, level: 'info' | 'warn' = 'info'): void {
+    this.push({ type: 'log', level, event, fields })
+  }
+
+  /** Adds to a counter. */
+  count (name: ShardCounterName, by = 1): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + by)
+  }
+}
+
+/** Given to every decision. `now` is the time of the input at hand. */
+export interface ShardContext {
+  readonly self: ShardSelf
+  readonly cfg: ShardSettings
+  readonly out: ShardOutbox
+  now: Ms
+}
--- a/packages/dispatcher/src/peers/peerCodec.ts
+++ b/packages/dispatcher/src/peers/peerCodec.ts
@@ -3,12 +3,15 @@
  * lists of values in a fixed order instead of maps with names.
  */
 import { decode, encode } from '@msgpack/msgpack'
-import type { InstanceId, MemberEntry, PeerMessage } from '@cranberryyard/protocol'
+import type { InstanceId, MemberEntry, PeerMessage, ShardMessage } from '@cranberryyard/protocol'
+
+/** Messages that instances send each other. */
+export type AnyPeerMessage = PeerMessage | ShardMessage
 
 /** A message with its sender. */
-export interface Envelope {
+export interface Envelope<M extends AnyPeerMessage = AnyPeerMessage> {
   readonly from: InstanceId
-  readonly message: PeerMessage
+  readonly message: M
 }
 
 /** Order of an entry's values on the wire; new fields are added at the end. */
@@ -26,7 +29,7 @@
 ] as const satisfies readonly (keyof MemberEntry)[]
 
 type WireEntry = readonly unknown[]
-type WireMessage = [from: InstanceId, message: PeerMessage] | [from: InstanceId, fleetVersion: number, entries: readonly WireEntry[]]
+type WireMessage = [from: InstanceId, message: AnyPeerMessage] | [from: InstanceId, fleetVersion: number, entries: readonly WireEntry[]]
 
 const HEARTBEAT_LENGTH = 3
 
@@ -61,7 +64,7 @@
   if (!Array.isArray(wire) || typeof wire[0] !== 'string') return undefined
   const from = wire[0] as InstanceId
   if (wire.length !== HEARTBEAT_LENGTH) {
-    const message = wire[1] as PeerMessage | undefined
+    const message = wire[1] as AnyPeerMessage | undefined
     return typeof message?.type === 'string' ? { from, message } : undefined
   }
   const [, fleetVersion, entries] = wire as [InstanceId, number, readonly WireEntry[]]
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -2,13 +2,12 @@
  * Owns the connections to other entry instances. Messages to one peer share one stream and keep their order.
  * A message counts as not sent only while no stream to its peer has been opened.
  */
-import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
+import { Server, ServerCredentials, connectivityState, credentials } from '@grpc/grpc-js'
 import type { ClientWritableStream, ServerReadableStream, sendUnaryData, Client } from '@grpc/grpc-js'
-import type { InstanceId, PeerMessage, Settings } from '@cranberryyard/protocol'
+import type { InstanceId, Settings } from '@cranberryyard/protocol'
 import { readFileSync } from 'node:fs'
-import type { EffectOf, Post } from '../messages.js'
 import { PeerClient, peerService } from './peerService.js'
-import type { Envelope } from './peerCodec.js'
+import type { AnyPeerMessage, Envelope } from './peerCodec.js'
 
 /** A peer that cannot be connected to within this span does not get the message. */
 const CONNECT_TIMEOUT_MS = 800
@@ -26,27 +25,39 @@
 
 type Stream = ClientWritableStream<Envelope>
 
+/** What happens on the connections to peers. */
+export type PeerEvent<M extends AnyPeerMessage> =
+  | { readonly type: 'peer', readonly from: InstanceId, readonly message: M }
+  | { readonly type: 'sendFailed', readonly to: InstanceId, readonly message: M }
+  | { readonly type: 'linkDown', readonly peer: InstanceId }
+
+/** How connections are made. */
+export interface PeerOptions {
+  /** A refused connection fails what waits for it at once instead of being tried until the timeout. */
+  readonly failFast: boolean
+}
+
 interface ChannelClient extends Client {
   channel (callback: (err: Error | null) => void): Stream
 }
 
-interface Link {
+interface Link<M> {
   readonly client: ChannelClient
   readonly address: string
   stream: Stream | undefined
   connecting: boolean
-  readonly waiting: PeerMessage[]
+  readonly waiting: M[]
 }
 
 /** Owns the peers' port and the links to peers. */
-export class PeerTask {
-  private readonly links = new Map<InstanceId, Link>()
+export class PeerTask<M extends AnyPeerMessage> {
+  private readonly links = new Map<InstanceId, Link<M>>()
   private readonly server = new Server(CHANNEL_OPTIONS)
   /** Bytes of messages sent, as encoded. */
   bytesSent = 0
   private closed = false
 
-  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: Post) {
+  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: (event: PeerEvent<M>) => void, private readonly options: PeerOptions = { failFast: false }) {
     this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
   }
 
@@ -58,7 +69,7 @@
   }
 
   /** Sends a message, connecting first if need be. */
-  send (effect: EffectOf<'send'>): void {
+  send (effect: { readonly to: InstanceId, readonly address: string, readonly message: M }): void {
     if (this.closed) return
     const link = this.link(effect.to, effect.address)
     if (link.stream !== undefined) {
@@ -70,6 +81,14 @@
     if (!link.connecting) this.connect(effect.to, link)
   }
 
+  /** Replaces the connection to a peer; messages that were on their way may be lost. */
+  reset (peer: InstanceId): void {
+    const link = this.links.get(peer)
+    if (link === undefined) return
+    this.drop(peer, link)
+    this.post({ type: 'linkDown', peer })
+  }
+
   /** Closes all links. */
   close (): void {
     this.closed = true
@@ -85,7 +104,7 @@
     call.on('data', (envelope: Envelope | undefined) => {
       if (envelope === undefined) return
       from = envelope.from
-      this.post({ type: 'peer', from, message: envelope.message })
+      this.post({ type: 'peer', from, message: envelope.message as M })
     })
     call.on('end', () => done(null, {}))
     call.on('error', () => {})
@@ -94,19 +113,21 @@
     })
   }
 
-  private link (peer: InstanceId, address: string): Link {
+  private link (peer: InstanceId, address: string): Link<M> {
     const known = this.links.get(peer)
     if (known !== undefined && known.address === address) return known
     known?.client.close()
     const client = new PeerClient(address, this.clientCredentials(), CHANNEL_OPTIONS) as unknown as ChannelClient
-    const link: Link = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
+    const link: Link<M> = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
     this.links.set(peer, link)
     return link
   }
 
-  private connect (peer: InstanceId, link: Link): void {
+  private connect (peer: InstanceId, link: Link<M>): void {
     link.connecting = true
+    if (this.options.failFast) this.watchRefusal(peer, link)
     link.client.waitForReady(Date.now() + CONNECT_TIMEOUT_MS, (err) => {
+      if (this.links.get(peer) !== link) return
       link.connecting = false
       const waiting = link.waiting.splice(0)
       if (err !== undefined && err !== null) {
@@ -118,24 +139,48 @@
     })
   }
 
-  private open (peer: InstanceId, link: Link): Stream {
+  /** Gives a link up as soon as its connection is refused; the next message starts with a new one. */
+  private watchRefusal (peer: InstanceId, link: Link<M>): void {
+    const channel = link.client.getChannel()
+    const state = channel.getConnectivityState(true)
+    if (state === connectivityState.READY || this.links.get(peer) !== link || !link.connecting) return
+    if (state === connectivityState.TRANSIENT_FAILURE) {
+      const waiting = link.waiting.splice(0)
+      this.drop(peer, link)
+      this.fail(peer, waiting)
+      return
+    }
+    channel.watchConnectivityState(state, Date.now() + CONNECT_TIMEOUT_MS, (err) => {
+      if (err === undefined) this.watchRefusal(peer, link)
+    })
+  }
+
+  private drop (peer: InstanceId, link: Link<M>): void {
+    if (this.links.get(peer) === link) this.links.delete(peer)
+    const { stream } = link
+    link.stream = undefined
+    stream?.cancel()
+    link.client.close()
+  }
+
+  private open (peer: InstanceId, link: Link<M>): Stream {
     const stream = link.client.channel(() => this.lost(peer, link, stream))
     stream.on('error', () => this.lost(peer, link, stream))
     link.stream = stream
     return stream
   }
 
-  private write (stream: Stream, message: PeerMessage): void {
+  private write (stream: Stream, message: M): void {
     stream.write({ from: this.self, message })
   }
 
-  private lost (peer: InstanceId, link: Link, stream: Stream): void {
+  private lost (peer: InstanceId, link: Link<M>, stream: Stream): void {
     if (link.stream !== stream || this.closed) return
     link.stream = undefined
     this.post({ type: 'linkDown', peer })
   }
 
-  private fail (to: InstanceId, messages: readonly PeerMessage[]): void {
+  private fail (to: InstanceId, messages: readonly M[]): void {
     if (this.closed) return
     for (const message of messages) this.post({ type: 'sendFailed', to, message })
   }
--- /dev/null
+++ b/packages/dispatcher/src/shard/metricsServer.ts
@@ -0,0 +1,71 @@
+/**
+ * Serves counters and latency histograms as text on the metrics address.
+ */
+import type { ShardCounterName } from '@cranberryyard/core/shard'
+import { SHARD_COUNTERS } from '@cranberryyard/core/shard'
+import { Counter, Histogram, Registry } from 'prom-client'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+
+/** Upper bounds of the histograms' buckets, from a quick task to the longest objective, in milliseconds. */
+const BUCKETS_MS = [5, 10, 20, 50, 100, 150, 200, 300, 500, 800, 1200, 2000, 3500, 6000, 10_000]
+
+/** Histograms, with their meaning; docs/METRICS.md is checked against this list. */
+export const SHARD_HISTOGRAMS = {
+  jobMs: 'From the receipt of a job to its reply, by queue.',
+  queueWaitMs: 'From the receipt at the owner to the first start, by queue.',
+  takeoverMs: 'From the loss of an owner to its successor, by way of succession.'
+} as const
+
+/** @returns the name under which a counter is served */
+export const metricName = (name: string): string => `cranberryyard_${name.replace(/([A-Z])/g, '_$1').replaceAll('.', '_').toLowerCase()}`
+
+/** Owns the metrics port. */
+export class MetricsServer {
+  private readonly registry = new Registry()
+  private readonly histograms = new Map<string, Histogram<'label'>>()
+  private server: Server | undefined
+
+  /** @param counters - totals to serve */
+  constructor (counters: ReadonlyMap<ShardCounterName, number>) {
+    for (const [name, help] of Object.entries(SHARD_COUNTERS)) this.addCounter(name as ShardCounterName, help, counters)
+    for (const [name, help] of Object.entries(SHARD_HISTOGRAMS)) {
+      this.histograms.set(name, new Histogram({ name: metricName(`shard.${name}`), help, labelNames: ['label'], buckets: BUCKETS_MS, registers: [this.registry] }))
+    }
+  }
+
+  /** Adds a value to a histogram. */
+  observe (histogram: keyof typeof SHARD_HISTOGRAMS, label: string, valueMs: number): void {
+    this.histograms.get(histogram)?.observe({ label }, valueMs)
+  }
+
+  /** Listens; any path is answered. */
+  listen (ip: string, port: number): void {
+    this.server = createServer((_req, res) => {
+      void this.registry.metrics().then((text) => {
+        res.writeHead(200, { 'content-type': this.registry.contentType }).end(text)
+      })
+    })
+    this.server.listen(port, ip)
+  }
+
+  /** Closes the port. */
+  close (): void {
+    this.server?.close()
+    this.server?.closeAllConnections()
+  }
+
+  private addCounter (name: ShardCounterName, help: string, counters: ReadonlyMap<ShardCounterName, number>): void {
+    let served = 0
+    new Counter({
+      name: metricName(name),
+      help,
+      registers: [this.registry],
+      collect () {
+        const total = counters.get(name) ?? 0
+        this.inc(total - served)
+        served = total
+      }
+    })
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -0,0 +1,156 @@
+/**
+ * One instance as a process: the tasks own sockets and timers, post inputs to the decisions and carry out effects.
+ */
+import { ShardInstance } from '@cranberryyard/core/shard'
+import type { ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
+import type { Clock, ShardMessage } from '@cranberryyard/protocol'
+import { PeerTask } from '../peers/peerTask.js'
+import { listen } from '../utils/httpServer.js'
+import { StructuredLog } from '../utils/structuredLog.js'
+import { JobServerTask } from './jobServerTask.js'
+import { MetricsServer } from './metricsServer.js'
+import { OrderTask } from './orderTask.js'
+import { StoreTask } from './storeTask.js'
+import type { PlatformWires } from './wires.js'
+
+/** Period of the decisions' clock. */
+const TICK_MS = 25
+/** Period of handing collected log lines to the system. */
+const LOG_FLUSH_MS = 250
+/** After a request to stop, callers' connections stay open at least this long, so that requests on their way arrive. */
+const LINGER_MS = 1200
+/** Longest time from the request to stop to the end; well within what the platform allows. */
+const STOP_MAX_MS = 4500
+const NO_TLS = { plain: true, certFile: '', keyFile: '', caFile: '' } as const
+
+/** An IP number and a port. */
+export interface ListenAddress {
+  readonly ip: string
+  readonly port: number
+}
+
+/** What a daemon is made from. */
+export interface ShardDaemonOptions {
+  readonly self: ShardSelf
+  readonly cfg: ShardSettings
+  readonly listen: {
+    readonly callers: ListenAddress
+    readonly readiness: ListenAddress
+    readonly peers: ListenAddress
+    readonly metrics: ListenAddress | undefined
+  }
+  readonly wires: PlatformWires
+  readonly clock: Clock
+  readonly random: () => number
+}
+
+/** One instance with its sockets. */
+export class ShardDaemon {
+  private readonly core: ShardInstance
+  private readonly log: StructuredLog
+  private readonly peers: PeerTask<ShardMessage>
+  private readonly orders: OrderTask
+  private readonly store: StoreTask
+  private readonly jobs: JobServerTask
+  private readonly metrics: MetricsServer
+  private readonly timers: NodeJS.Timeout[] = []
+  private drained: () => void = () => {}
+
+  constructor (private readonly options: ShardDaemonOptions) {
+    const { self, cfg, wires, clock, random } = options
+    const post = (input: ShardInput): void => this.post(input)
+    this.core = new ShardInstance({ self, cfg })
+    this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
+    this.peers = new PeerTask<ShardMessage>(self.instance, NO_TLS, post, { failFast: true })
+    this.orders = new OrderTask(wires.endpoints, post)
+    this.store = new StoreTask(wires.store, post, random)
+    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path))
+    this.metrics = new MetricsServer(this.core.ctx.out.counters)
+  }
+
+  /** Binds the ports and starts to work. */
+  async start (): Promise<void> {
+    const { listen: at, clock, self } = this.options
+    await this.peers.listen(at.peers.ip, at.peers.port)
+    await listen(this.jobs.callers, at.callers.ip, at.callers.port)
+    await listen(this.jobs.readiness, at.readiness.ip, at.readiness.port)
+    if (at.metrics !== undefined) this.metrics.listen(at.metrics.ip, at.metrics.port)
+    this.log.write('info', 'process.started', { address: self.address, callers: `${at.callers.ip}:${at.callers.port}`, uptimeMs: Math.round(process.uptime() * 1000) })
+    this.carryOutAll(this.core.start(clock.now()))
+    this.store.start()
+    this.timers.push(setInterval(() => this.post({ type: 'tick' }), TICK_MS))
+    this.timers.push(setInterval(() => this.log.flush(), LOG_FLUSH_MS))
+  }
+
+  /** Notes that settings were read again. */
+  reloaded (fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.log.write('info', 'process.reloaded', fields)
+  }
+
+  /** Finishes what is in flight, hands shards over, and closes. */
+  async stop (signal: string): Promise<void> {
+    const startedAt = this.options.clock.now()
+    this.log.write('info', 'process.stopping', { signal, openCalls: this.jobs.openCalls() })
+    this.jobs.leave()
+    const drained = new Promise<void>((resolve) => {
+      this.drained = resolve
+    })
+    this.post({ type: 'leave' })
+    await Promise.race([Promise.all([drained, sleep(LINGER_MS)]), sleep(STOP_MAX_MS)])
+    await this.closeCallers(startedAt)
+    this.log.write('info', 'process.stopped', { openCalls: this.jobs.openCalls(), tookMs: Math.round(this.options.clock.now() - startedAt) })
+    this.log.flushSync()
+  }
+
+  /** Notes why the process ends by itself. */
+  crashed (err: unknown): void {
+    this.log.write('warn', 'process.crashed', { message: err instanceof Error ? err.stack ?? err.message : String(err) })
+    this.log.flushSync()
+  }
+
+  /** Idle connections close at once, busy ones with their answer. */
+  private async closeCallers (startedAt: number): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.jobs.callers.close(() => resolve())
+    })
+    this.jobs.callers.closeIdleConnections()
+    const left = Math.max(0, STOP_MAX_MS - (this.options.clock.now() - startedAt))
+    await Promise.race([closed, sleep(left)])
+  }
+
+  private post (input: ShardInput): void {
+    const { clock } = this.options
+    this.carryOutAll(this.core.handle(input, clock.now(), clock.wall()))
+  }
+
+  private carryOutAll (effects: readonly ShardEffect[]): void {
+    for (const effect of effects) this.carryOut(effect)
+  }
+
+  private carryOut (effect: ShardEffect): void {
+    switch (effect.type) {
+      case 'reply': return this.jobs.reply(effect)
+      case 'send': return this.peers.send(effect)
+      case 'resetLink': return this.peers.reset(effect.peer)
+      case 'hold': return void this.orders.hold(effect)
+      case 'startTask': return void this.orders.start(effect)
+      case 'stopTask': return void this.orders.stop(effect)
+      case 'writeMember': return void this.store.writeMember(effect.record)
+      case 'claimShard': return void this.store.claim(effect)
+      case 'refreshRecords': return this.store.refreshRecords()
+      case 'owning': return this.store.setOwning(effect.owning)
+      case 'state': return this.enterState(effect.name)
+      case 'log': return this.log.write(effect.level, effect.event, effect.fields)
+      case 'observe': return this.metrics.observe(effect.histogram, effect.label, effect.valueMs)
+    }
+  }
+
+  private enterState (name: 'ready' | 'notReady' | 'drained'): void {
+    if (name === 'drained') this.drained()
+    else this.jobs.setReady(name === 'ready')
+  }
+}
+
+function sleep (span: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, span))
+}
--- /dev/null
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -0,0 +1,187 @@
+/**
+ * Owns the connection to the platform's store: watches the desired state, reads the lists of endpoints and records at
+ * a fixed slow pace, and carries out writes. Each call has a deadline; after a failure the pace falls.
+ */
+import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
+import type { EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { HttpCaller } from './httpCaller.js'
+import type { DesiredNews, HttpCall, HttpReply, Page, RecordEntry, StoreFailure, StoreWire } from './wires.js'
+
+type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
+
+/** How long a watch waits; short enough that one on a silent connection is renewed within the platform's grace. */
+const WATCH_MS = ms(2000)
+/** Slack over a watch's own wait. */
+const WATCH_SLACK_MS = 400
+/** Longest wait for a read; a slow store answers within a few hundred milliseconds. */
+const READ_TIMEOUT_MS = ms(800)
+/** Longest wait for a write. */
+const WRITE_TIMEOUT_MS = ms(800)
+/** Period in which owners read the endpoint list, so that a draining endpoint is noticed in time. */
+const OWNER_LIST_MS = 800
+/** Period in which others do; they only prepare for a takeover, and may read what is a little old. */
+const OTHER_LIST_MS = 3000
+/** Period of reading registrations and shard records. */
+const RECORDS_MS = 1500
+/** Pauses after failures: doubled up to the longest, with jitter so that instances do not call together. */
+const RETRY_MIN_MS = 100
+const RETRY_MAX_MS = 600
+/** Failures in a row from which the store counts as lost. */
+const LOST_AFTER = 2
+
+/** Owns the store connection. */
+export class StoreTask {
+  private readonly caller = new HttpCaller(4)
+  private owning = false
+  private closed = false
+  private reachable: boolean | undefined
+  private failures = 0
+  private wakeRecords: () => void = () => {}
+  /** The next read of the records must not be stale. */
+  private freshRecords = true
+
+  constructor (private readonly wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number) {}
+
+  /** Starts all loops. */
+  start (): void {
+    void this.followDesired()
+    void this.loop(async () => {
+      const ok = await this.readEndpoints()
+      return ok ? (this.owning ? OWNER_LIST_MS : OTHER_LIST_MS) : undefined
+    })
+    void this.loop(async () => await this.readRecords() ? RECORDS_MS : undefined, (wake) => {
+      this.wakeRecords = wake
+    })
+  }
+
+  /** Owners read the endpoint list more often and never stale. */
+  setOwning (owning: boolean): void {
+    this.owning = owning
+  }
+
+  /** Reads the records again at once. */
+  refreshRecords (): void {
+    this.freshRecords = true
+    this.wakeRecords()
+  }
+
+  /** Registers this instance. A failed write is repeated when the records show that it is missing. */
+  async writeMember (record: MemberRecord): Promise<void> {
+    await this.write(this.wire.writeMember(record))
+    this.refreshRecords()
+  }
+
+  /** Writes a claim. */
+  async claim (effect: EffectOf<'claimShard'>): Promise<void> {
+    const result = await this.write(this.wire.claimShard(effect.record, effect.expectedRevision))
+    this.post({ type: 'claimOutcome', claimId: effect.claimId, result })
+  }
+
+  /** Ends all loops. */
+  close (): Promise<void> {
+    this.closed = true
+    return this.caller.close()
+  }
+
+  private async followDesired (): Promise<void> {
+    let asOf: number | undefined
+    let failures = 0
+    while (!this.closed) {
+      const news = asOf === undefined
+        ? await this.read(this.wire.readDesired(), READ_TIMEOUT_MS, reply => this.wire.parseDesired(reply))
+        : await this.read(this.wire.watchDesired(asOf, WATCH_MS), ms(WATCH_MS + WATCH_SLACK_MS), reply => this.wire.parseDesiredWatch(reply))
+      if (news.type === 'unavailable' || news.type === 'unknown') {
+        await this.sleep(this.pause(failures++))
+        continue
+      }
+      failures = 0
+      asOf = this.takeDesired(news)
+    }
+  }
+
+  /** @returns the revision from which to go on, or undefined to read again */
+  private takeDesired (news: DesiredNews): number | undefined {
+    if (news.type === 'forgotten') return undefined
+    if (news.state !== undefined) this.post({ type: 'desired', state: news.state })
+    return news.asOf
+  }
+
+  private async readEndpoints (): Promise<boolean> {
+    const reports = await this.readPages<EndpointReport>(after => this.wire.listEndpoints(after, !this.owning), reply => this.wire.parseEndpoints(reply))
+    if (reports === undefined) return false
+    this.post({ type: 'endpoints', reports })
+    return true
+  }
+
+  private async readRecords (): Promise<boolean> {
+    const stale = !this.freshRecords
+    const entries = await this.readPages<RecordEntry>(after => this.wire.listRecords(after, stale), reply => this.wire.parseRecords(reply))
+    if (entries === undefined) return false
+    if (!stale) this.freshRecords = false
+    const members: Revised<MemberRecord>[] = []
+    const shards: Revised<ShardRecord>[] = []
+    for (const entry of entries) {
+      if (entry.type === 'member') members.push(entry.record)
+      else shards.push(entry.record)
+    }
+    this.post({ type: 'records', members, shards })
+    return true
+  }
+
+  private async readPages<T> (callFor: (after: string | undefined) => HttpCall, parse: (reply: HttpReply) => Page<T> | StoreFailure): Promise<T[] | undefined> {
+    const entries: T[] = []
+    let after: string | undefined
+    do {
+      const page = await this.read(callFor(after), READ_TIMEOUT_MS, parse)
+      if (page.type !== 'page') return undefined
+      entries.push(...page.entries)
+      after = page.nextAfter
+    } while (after !== undefined)
+    return entries
+  }
+
+  private async read<T extends { readonly type: string }> (call: HttpCall, timeoutMs: Ms, parse: (reply: HttpReply) => T | StoreFailure): Promise<T | StoreFailure> {
+    const result = await this.caller.call(this.wire.address, call, timeoutMs)
+    const parsed: T | StoreFailure = result.type === 'reply' ? parse(result.reply) : { type: result.type === 'refused' ? 'unavailable' : 'unknown' }
+    this.note(parsed.type !== 'unavailable' && parsed.type !== 'unknown')
+    return parsed
+  }
+
+  private async write (call: HttpCall): Promise<ReturnType<StoreWire['parseWrite']>> {
+    const result = await this.caller.call(this.wire.address, call, WRITE_TIMEOUT_MS)
+    if (result.type === 'reply') return this.wire.parseWrite(result.reply)
+    return { type: result.type === 'refused' ? 'unavailable' : 'unknown' }
+  }
+
+  private note (ok: boolean): void {
+    this.failures = ok ? 0 : this.failures + 1
+    const reachable = this.failures < LOST_AFTER
+    if (reachable === this.reachable || (!ok && reachable)) return
+    this.reachable = reachable
+    this.post({ type: 'storeReachable', reachable })
+  }
+
+  /** Repeats a step; the step says how long to wait, or undefined after a failure. */
+  private async loop (step: () => Promise<number | undefined>, onWake: (wake: () => void) => void = () => {}): Promise<void> {
+    let failures = 0
+    while (!this.closed) {
+      const next = await step()
+      failures = next === undefined ? failures + 1 : 0
+      let wake = (): void => {}
+      const woken = new Promise<void>((resolve) => {
+        wake = resolve
+      })
+      onWake(wake)
+      await Promise.race([this.sleep(next ?? this.pause(failures)), woken])
+    }
+  }
+
+  private pause (failures: number): number {
+    return Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures) * (0.5 + this.random())
+  }
+
+  private sleep (span: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, span).unref())
+  }
+}
