Shards in memory: stand-ins with fencing, an oracle, random faults; jobs are leased to owners by their fronts

Fuzzing found: room of a found run was free while it was being stopped; a decline of an earlier copy ended a job whose later copy started; a front that gave a job up left it running at its owner; two instances that cannot hear each other took a shard from each other in turns.

--- /dev/null
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -0,0 +1,121 @@
+/**
+ * Deliberate faults of the shard decisions, each of which the fuzzing oracle must catch. A mutation changes methods
+ * that all instances share and returns how to undo it.
+ */
+import { SHARD_DEFAULTS, ShardInstance } from '@cranberryyard/core/shard'
+import type { FailureDomain, InstanceId } from '@cranberryyard/protocol'
+import type { Rule } from './shardOracle.js'
+
+type Undo = () => void
+type Method = (...args: never[]) => unknown
+
+/** A fault and the rules of which at least one must be seen broken. */
+export interface ShardMutation {
+  readonly name: string
+  readonly breaks: readonly Rule[]
+  /** Seeds that show it, found by `npm run fuzz:shard`. */
+  readonly seeds: readonly number[]
+  readonly apply: () => Undo
+}
+
+const sample = new ShardInstance({ self: { instance: 'sample' as InstanceId, incarnation: 1, failureDomain: 'sample' as FailureDomain, address: 'sample' }, cfg: SHARD_DEFAULTS })
+
+/** Replaces a method for all instances. */
+function replace<T extends object> (object: T, method: string, make: (original: Method) => (this: T, ...args: never[]) => unknown): Undo {
+  const prototype = Object.getPrototypeOf(object) as Record<string, Method>
+  const original = prototype[method] as Method
+  prototype[method] = make(original) as Method
+  return () => {
+    prototype[method] = original
+  }
+}
+
+/** All mutations. */
+export const SHARD_MUTATIONS: readonly ShardMutation[] = [
+  {
+    name: 'a stop frees the room at once',
+    breaks: ['LIMIT'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => replace(sample.endpoints, 'stop', original => function (this: typeof sample.endpoints, ...args) {
+      const [run] = args as unknown as Parameters<typeof sample.endpoints.stop>
+      original.apply(this, args)
+      const endpoint = this.db.get(run.endpoint)
+      if (endpoint !== undefined) this.db.removeRun(endpoint, run)
+    })
+  },
+  {
+    name: 'a start without an answer frees the room at once',
+    breaks: ['LIMIT', 'TWICE'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => replace(sample.endpoints, 'retryStart', () => function (this: typeof sample.endpoints, ...args) {
+      const [endpoint, run] = args as unknown as [Parameters<typeof sample.endpoints.usable>[0], Parameters<typeof sample.endpoints.stop>[0]]
+      this.db.removeRun(endpoint, run)
+      sample.execution.runRejected.call((this as unknown as { listener: typeof sample.execution }).listener, run, 'neverArrived')
+    })
+  },
+  {
+    name: 'a new owner ignores the runs that it finds',
+    breaks: ['LIMIT', 'TWICE'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => replace(sample.endpoints, 'found', () => () => {})
+  },
+  {
+    name: 'the jobs of a lost front go on',
+    breaks: ['TWICE'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => {
+      const undoLost = replace(sample.execution, 'frontLost', () => () => {})
+      const undoUnwanted = replace(sample.execution, 'isUnwanted', () => () => false)
+      return () => {
+        undoLost()
+        undoUnwanted()
+      }
+    }
+  },
+  {
+    name: 'a decline of an earlier copy counts for the latest',
+    breaks: ['REFUSED'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => replace(sample.intake, 'declined', original => function (this: typeof sample.intake, ...args) {
+      const [id, from, , retryAfterMs] = args as unknown as Parameters<typeof sample.intake.declined>
+      const attempt = this.db.jobs.get(id)?.attempt ?? 0
+      return original.apply(this, [id, from, attempt, retryAfterMs] as never[])
+    })
+  },
+  {
+    name: 'a failed task counts as done',
+    breaks: ['MIXED'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => replace(sample.execution, 'taskFailed', () => function (this: typeof sample.execution, ...args) {
+      return (this as unknown as { taskDone: Method }).taskDone.apply(this, args)
+    })
+  },
+  {
+    name: 'draining endpoints get work',
+    breaks: ['DRAIN'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => replace(sample.endpoints, 'usable', () => function (this: typeof sample.endpoints, ...args) {
+      const [endpoint] = args as unknown as Parameters<typeof sample.endpoints.usable>
+      return endpoint.looked && endpoint.silent === 0
+    })
+  },
+  {
+    name: 'the desired state follows whoever speaks last',
+    breaks: ['CONFIG'],
+    seeds: [1, 2, 3, 4, 5, 6],
+    apply: () => {
+      const undoTake = replace(sample.desired, 'take', () => function (this: typeof sample.desired, ...args) {
+        const [state] = args as unknown as Parameters<typeof sample.desired.take>
+        this.db.state = state
+      })
+      const undoHeard = replace(sample.desired, 'heard', () => function (this: typeof sample.desired, ...args) {
+        const [from, version] = args as unknown as Parameters<typeof sample.desired.heard>
+        if (version !== this.db.version()) (this as unknown as { tell: (to: InstanceId, message: object) => void }).tell(from, { type: 'desiredRequest' })
+      })
+      return () => {
+        undoTake()
+        undoHeard()
+      }
+    }
+  }
+]
--- /dev/null
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -0,0 +1,216 @@
+/**
+ * Random runs of an in-memory fleet: steady jobs, and faults of every kind that overlap. One seed, one run.
+ */
+import type { FencedEndpointModel } from '@cranberryyard/fakes'
+import type { InstanceId } from '@cranberryyard/protocol'
+import { ShardFleet } from './shardFleet.js'
+import type { Violation } from './shardOracle.js'
+
+const DOMAINS = ['a', 'b', 'c'] as const
+const WARM_UP_MS = 2000
+const QUIET_END_MS = 8000
+const FAULT_PAUSE_MS = 700
+
+/** What a run came to. */
+export interface ScenarioResult {
+  readonly seed: number
+  readonly violations: readonly Violation[]
+  readonly jobs: number
+  readonly completed: number
+  readonly refused: number
+  /** Jobs without any reply at the end. */
+  readonly unanswered: number
+  /** Share of the jobs of the calm end that were completed. */
+  readonly calmShare: number
+  readonly faults: readonly string[]
+}
+
+type Fault = (fleet: ShardFleet) => string
+
+const FAULTS: readonly Fault[] = [
+  (fleet) => {
+    const name = pickInstance(fleet)
+    fleet.kill(name, 100 + fleet.below(1500))
+    return `kill ${name}`
+  },
+  (fleet) => {
+    const name = pickInstance(fleet)
+    const forMs = 300 + fleet.below(3500)
+    fleet.freeze(name, forMs)
+    return `freeze ${name} ${forMs}`
+  },
+  (fleet) => {
+    const name = pickInstance(fleet)
+    fleet.terminate(name, 300)
+    return `terminate ${name}`
+  },
+  (fleet) => {
+    const domain = pick(fleet, DOMAINS)
+    const forMs = 1000 + fleet.below(4000)
+    fleet.cutDomain(domain, forMs)
+    return `cut ${domain} ${forMs}`
+  },
+  (fleet) => {
+    const [a, b] = [pickInstance(fleet), pickInstance(fleet)]
+    const pairs = fleet.below(2) === 0 ? [`${a}>${b}`] : [`${a}>${b}`, `${b}>${a}`]
+    fleet.cutPairs(pairs, 500 + fleet.below(3000))
+    return `cut ${pairs.join()}`
+  },
+  (fleet) => {
+    const name = pickInstance(fleet)
+    const endpoint = pickEndpoint(fleet)
+    const pairs = fleet.below(2) === 0 ? [`${endpoint.id}>${name}`] : [`${name}>${endpoint.id}`, `${endpoint.id}>${name}`]
+    fleet.cutPairs(pairs, 500 + fleet.below(4000))
+    return `cut ${pairs.join()}`
+  },
+  (fleet) => {
+    const forMs = 1000 + fleet.below(4000)
+    fleet.storeFaults.down = true
+    fleet.time.after(forMs, () => {
+      fleet.storeFaults.down = false
+    })
+    return `store down ${forMs}`
+  },
+  (fleet) => {
+    const name = pickInstance(fleet)
+    fleet.storeFaults.deaf.add(name)
+    fleet.time.after(3000, () => fleet.storeFaults.deaf.delete(name))
+    return `store refuses ${name}`
+  },
+  (fleet) => {
+    fleet.storeFaults.lostReplyShare = 0.5
+    fleet.time.after(3000, () => {
+      fleet.storeFaults.lostReplyShare = 0
+    })
+    return 'store loses replies'
+  },
+  (fleet) => {
+    fleet.lateOrderShare = 0.06
+    fleet.time.after(4000, () => {
+      fleet.lateOrderShare = 0
+    })
+    return 'late orders'
+  },
+  (fleet) => {
+    fleet.lostAnswerShare = 0.1
+    fleet.time.after(4000, () => {
+      fleet.lostAnswerShare = 0
+    })
+    return 'lost answers'
+  },
+  (fleet) => {
+    for (const a of fleet.processes.keys()) {
+      for (const b of fleet.processes.keys()) {
+        if (a < b) fleet.time.after(fleet.below(2000), () => fleet.relink(a, b))
+      }
+    }
+    return 'connections replaced'
+  },
+  (fleet) => {
+    const endpoint = pickEndpoint(fleet)
+    fleet.rebirth(endpoint.id)
+    return `rebirth ${endpoint.id}`
+  },
+  (fleet) => {
+    const endpoint = pickEndpoint(fleet)
+    const kind = pick(fleet, ['slow', 'hangs', 'fails', 'refuses'] as const)
+    misbehave(endpoint, kind, true)
+    fleet.time.after(4000, () => misbehave(endpoint, kind, false))
+    return `${kind} ${endpoint.id}`
+  },
+  (fleet) => {
+    const endpoint = pickEndpoint(fleet)
+    if (fleet.drainingEndpoints.size > 2) return 'no drain'
+    fleet.drain(endpoint.id, 4000)
+    return `drain ${endpoint.id}`
+  },
+  (fleet) => {
+    fleet.changeDesired()
+    return 'desired state'
+  },
+  (fleet) => {
+    const domain = pick(fleet, DOMAINS)
+    for (const process of fleet.processes.values()) {
+      if (process.domain === domain) fleet.kill(process.name, 300 + fleet.below(600))
+    }
+    return `kill all of ${domain}`
+  }
+]
+
+/**
+ * Runs one scenario.
+ * @param seed - chooses everything
+ * @param faultyMs - how long faults go on
+ * @param perSecond - jobs a second
+ */
+export function runShardScenario (seed: number, faultyMs: number, perSecond: number): ScenarioResult {
+  const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed })
+  const faults: string[] = []
+  fleet.run(WARM_UP_MS)
+  const endAt = fleet.time.now + faultyMs + QUIET_END_MS
+  const submitNext = (): void => {
+    if (fleet.time.now > endAt) return
+    submitJob(fleet)
+    fleet.time.after(fleet.below(2000 / perSecond), submitNext)
+  }
+  submitNext()
+  const faultsUntil = fleet.time.now + faultyMs
+  const faultNext = (): void => {
+    if (fleet.time.now > faultsUntil) return
+    faults.push(`${Math.round(fleet.time.now)} ${pick(fleet, FAULTS)(fleet)}`)
+    fleet.time.after(fleet.below(FAULT_PAUSE_MS * 2), faultNext)
+  }
+  faultNext()
+  fleet.run(faultyMs + QUIET_END_MS)
+  fleet.run(QUIET_END_MS)
+  return report(seed, fleet, faults, endAt - 2500)
+}
+
+function report (seed: number, fleet: ShardFleet, faults: readonly string[], calmFrom: number): ScenarioResult {
+  const calm = fleet.jobs.filter(job => job.sentAt >= calmFrom)
+  const count = (reply: string | undefined): number => fleet.jobs.filter(job => job.reply === reply).length
+  return {
+    seed,
+    violations: fleet.oracle.violations,
+    jobs: fleet.jobs.length,
+    completed: count('completed'),
+    refused: count('refused'),
+    unanswered: count(undefined),
+    calmShare: calm.filter(job => job.reply === 'completed').length / Math.max(1, calm.length),
+    faults
+  }
+}
+
+function submitJob (fleet: ShardFleet): void {
+  const kind = pick(fleet, [{ tasks: 8, workMs: 60 }, { tasks: 4, workMs: 900 }, { tasks: 2, workMs: 200 }, { tasks: 2, workMs: 200 }, { tasks: 2, workMs: 200 }] as const)
+  const spec = { cpuMilli: 8000 + fleet.below(12_000), workMs: Math.round(kind.workMs * (0.6 + fleet.below(80) / 100)), fails: fleet.below(500) === 0 }
+  fleet.submit(pickInstance(fleet), kind.tasks, spec)
+}
+
+function misbehave (endpoint: FencedEndpointModel, kind: 'slow' | 'hangs' | 'fails' | 'refuses', on: boolean): void {
+  switch (kind) {
+    case 'slow':
+      endpoint.faults.slowness = on ? 6 : 1
+      return
+    case 'hangs':
+      endpoint.faults.hangs = on
+      return
+    case 'fails':
+      endpoint.faults.failsAll = on
+      return
+    case 'refuses':
+      endpoint.faults.refusesStarts = on
+  }
+}
+
+function pick<T> (fleet: ShardFleet, items: readonly T[]): T {
+  return items[fleet.below(items.length)] as T
+}
+
+function pickInstance (fleet: ShardFleet): InstanceId {
+  return pick(fleet, [...fleet.processes.keys()])
+}
+
+function pickEndpoint (fleet: ShardFleet): FencedEndpointModel {
+  return pick(fleet, [...fleet.endpoints.values()])
+}
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -12,7 +12,7 @@
   const { capacity } = endpoint.report
   let { cpuMilli, memoryMb, accelerators } = capacity
   for (const run of endpoint.runs.values()) {
-    if (run.state === 'unclaimed') return NO_RESOURCES
+    if (run.needs === undefined) return NO_RESOURCES
     cpuMilli -= run.needs.cpuMilli
     memoryMb -= run.needs.memoryMb
     accelerators -= run.needs.accelerators
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -19,7 +19,7 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
-import { EndpointsDb, NO_RESOURCES, endpointClock, horizonOf } from './endpointsDb.js'
+import { EndpointsDb, endpointClock, horizonOf } from './endpointsDb.js'
 import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener } from './types.js'
 
 /** Holds without an answer in a row after which leases are no longer renewed, so that runs there surely lapse. */
@@ -309,7 +309,7 @@
       task: row.task,
       run: row.run,
       endpoint: endpoint.id,
-      needs: NO_RESOURCES,
+      needs: undefined,
       state: 'unclaimed',
       spec: '',
       notAfter: 0 as EndpointClockMs,
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -24,7 +24,8 @@
   readonly task: TaskName
   readonly run: number
   readonly endpoint: EndpointId
-  needs: Resources
+  /** Unknown for a run that was found and never claimed; nothing else starts beside it. */
+  needs: Resources | undefined
   state: RunState
   /** Text handed to the task; kept while the start may have to be sent again. */
   readonly spec: string
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -15,7 +15,7 @@
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
 /** A task that works slower than this against the expected time may be moved. */
-const MOVE_SLOWNESS = 2
+const MOVE_SLOWNESS = 3
 /** What a move costs: the stop, its listing, and the new start. */
 const MOVE_COST_MS = 80
 /** A task without any progress after this time, or after this share of its expected time, stands still. */
@@ -23,6 +23,8 @@
 const STALL_SHARE = 0.25
 /** Slowness noted for an endpoint where a task stands still. */
 const STALL_SLOWNESS = 10
+/** A task avoids at most this many endpoints, so that one always remains. */
+const AVOIDED_MAX = 3
 /** Progress figures are whole percents; below this they say too little about speed. */
 const PROGRESS_MIN_PERCENT = 2
 
@@ -30,6 +32,8 @@
 export interface ExecutionPorts {
   tell (front: FrontSession, message: ShardMessage): void
   superseded (failureDomain: FailureDomain, token: FencingToken): void
+  /** False while runs of an earlier owner may exist that this owner has not seen. */
+  earlierRunsKnown (failureDomain: FailureDomain): boolean
 }
 
 /** The execution decision. */
@@ -42,11 +46,11 @@
   constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly ports: ExecutionPorts) {}
 
   /** Takes a job from a front, or joins it to the one that is already here. */
-  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, startsFrom: Ms): void {
+  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): void {
     const { id } = order.job
     const known = this.db.jobs.get(id)
     if (known !== undefined) {
-      this.join(known, front)
+      this.join(known, front, order)
       return
     }
     const outcome = this.db.outcomeOf(id)
@@ -54,8 +58,8 @@
       this.ports.tell(front, { type: 'ended', jobId: id, outcome })
       return
     }
-    const job = this.makeJob(front, failureDomain, order, startsFrom)
-    if (this.claimRuns(job) || order.resumed || this.admit(job)) this.accept(job)
+    const job = this.makeJob(front, failureDomain, order)
+    if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
   }
 
   /** The caller left. */
@@ -74,10 +78,14 @@
     }
   }
 
-  /** A front asks after jobs that it sent: ended ones are told again, unknown ones have to be sent again. */
+  /** A front asks after jobs that it sent and still wants: ended ones are told again, unknown ones have to be sent again. */
   check (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[]): void {
     for (const id of ids) {
-      if (this.db.jobs.has(id)) continue
+      const job = this.db.jobs.get(id)
+      if (job !== undefined) {
+        if (job.front.instance === front.instance) job.confirmedAt = this.ctx.now
+        continue
+      }
       const outcome = this.db.outcomeOf(id)
       this.ports.tell(front, outcome === undefined ? { type: 'notOwner', jobId: id, failureDomain } : { type: 'ended', jobId: id, outcome })
     }
@@ -116,7 +124,7 @@
     if (this.admission.db.waiting.size === 0) return
     const candidates = this.candidates()
     for (const job of this.admission.ordered(this.ctx.now)) {
-      if (job.startsFrom > this.ctx.now) continue
+      if (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain)) continue
       this.startTasks(job, candidates)
     }
   }
@@ -194,7 +202,7 @@
     this.ports.superseded(failureDomain, token)
   }
 
-  private makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, startsFrom: Ms): OwnedJob {
+  private makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): OwnedJob {
     const { now, cfg } = this.ctx
     const { queue, job } = order
     const chainMs = chainOf(job.steps, this.admission.db.ratioOf(queue.name))
@@ -210,9 +218,10 @@
       receivedAt: now,
       callerUntil,
       front,
-      startsFrom,
+      confirmedAt: now,
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
+      attempt: order.attempt,
       priority: queue.priority,
       chainMs,
       onTimeUntil: ms(sentAt + objective),
@@ -233,8 +242,10 @@
     return sum
   }
 
-  private join (job: OwnedJob, front: FrontSession): void {
+  private join (job: OwnedJob, front: FrontSession, order: DispatchOrder): void {
     const { out } = this.ctx
+    job.attempt = order.attempt
+    job.confirmedAt = this.ctx.now
     if (job.front.instance === front.instance && job.front.incarnation === front.incarnation) return
     out.count('shard.jobs.joined')
     out.log('job.joined', { job: job.id, front: front.instance, before: job.front.instance })
@@ -251,7 +262,7 @@
     const { out, now } = this.ctx
     out.count('shard.jobs.declined')
     out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.room())), waitingJobs: this.admission.db.waiting.size })
-    this.ports.tell(job.front, { type: 'declined', jobId: job.id, retryAfterMs })
+    this.ports.tell(job.front, { type: 'declined', jobId: job.id, attempt: job.attempt, retryAfterMs })
     return false
   }
 
@@ -273,8 +284,8 @@
     this.requeue(job)
   }
 
-  private claimRuns (job: OwnedJob): boolean {
-    return job.steps.some(step => step.tasks.some(task => this.endpoints.db.runOf(task.name)?.state === 'unclaimed'))
+  private hasRuns (job: OwnedJob): boolean {
+    return job.steps.some(step => step.tasks.some(task => this.endpoints.db.runOf(task.name) !== undefined))
   }
 
   private adoptRun (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
@@ -286,7 +297,7 @@
     }
     const step = job.steps[task.step]
     if (step === undefined) return
-    if (run.state === 'unclaimed') this.endpoints.claim(run, step.spec.needs)
+    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs)
     task.run = run
     job.firstStartAt ??= this.ctx.now
   }
@@ -366,13 +377,24 @@
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
     task.failedAttempts++
-    task.avoid.add(run.endpoint)
-    this.placement.failed(run.endpoint)
+    this.blameFailure(task, run)
     this.ctx.out.log('task.failed', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, attempts: task.failedAttempts, allowed: job.order.queue.maxAttempts })
     if (task.failedAttempts >= job.order.queue.maxAttempts) this.end(job, 'failed')
     else this.requeue(job)
   }
 
+  /** A first failure counts against the endpoint; once the task has failed at two, against neither. */
+  private blameFailure (task: OwnedTask, run: LedgerRun): void {
+    if (task.failedAt.size === 0) {
+      this.placement.failed(run.endpoint)
+    } else if (task.failedAttempts === 2) {
+      for (const id of task.failedAt) this.placement.forgive(id)
+    }
+    task.failedAt.add(run.endpoint)
+    if (task.avoid.size >= AVOIDED_MAX) task.avoid.clear()
+    task.avoid.add(run.endpoint)
+  }
+
   private slownessOf (job: OwnedJob, task: OwnedTask, run: LedgerRun): number {
     const step = job.steps[task.step]
     if (step === undefined) return 1
@@ -408,7 +430,7 @@
     this.forget(job)
   }
 
-  private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost'): void {
+  private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost' | 'unconfirmed'): void {
     this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined })
     this.stopRuns(job)
     this.forget(job)
@@ -439,12 +461,21 @@
     }
   }
 
+  /** A front that gave a job up may be unable to say so; its caller sends the job again, to any front. */
+  private isUnwanted (job: OwnedJob): boolean {
+    return this.ctx.now - job.confirmedAt > this.ctx.cfg.jobLeaseMs
+  }
+
   private tickJob (job: OwnedJob): void {
     const { now } = this.ctx
     if (now > job.callerUntil) {
       this.abandon(job, 'callerDeadline')
       return
     }
+    if (this.isUnwanted(job)) {
+      this.abandon(job, 'unconfirmed')
+      return
+    }
     if (job.mayHaveRun || !this.admission.isHopeless(job, now)) return
     this.decline(job, 'tooLate', this.admission.retryAfter(this.room()))
     this.forget(job)
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -23,6 +23,9 @@
   /** Number of the latest run; the next one is higher. */
   lastRun: number
   failedAttempts: number
+  /** Endpoints where a run of the task ended failed. */
+  readonly failedAt: Set<EndpointId>
+  /** Endpoints that the task does not go to again. */
   readonly avoid: Set<EndpointId>
 }
 
@@ -44,8 +47,10 @@
   /** The caller does not wait any longer. */
   readonly callerUntil: Ms
   front: FrontSession
-  /** Starts are held back until then: runs of an earlier owner may still exist at endpoints not seen yet. */
-  startsFrom: Ms
+  /** Latest time at which the front said that it still wants the job. */
+  confirmedAt: Ms
+  /** Number of the front's latest copy. */
+  attempt: number
   /** When the first task started; undefined while none has. */
   firstStartAt: Ms | undefined
   /** A run of the job existed at some time, here or at an earlier owner. */
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -15,8 +15,6 @@
 const REMOTE_PENALTY_MS = 15
 /** Share of room taken from which the own domain counts as full. */
 const FULL_SHARE = 0.97
-/** Period in which owners are asked after jobs that take long. */
-const CHECK_MS = 300
 /** How often a job is sent to an owner that does not know it. */
 const RESENDS_MAX = 3
 /** When callers had best come back after a refusal for want of an owner or a desired state. */
@@ -58,6 +56,7 @@
       retryAfterMs: NO_OWNER_RETRY_MS,
       where: { type: 'unplaced', since: now },
       done: [],
+      attempt: 0,
       resends: 0,
       checkedAt: now
     }
@@ -83,9 +82,9 @@
   }
 
   /** An owner has not started the job and will not. */
-  declined (id: JobId, from: InstanceId, retryAfterMs: Ms): void {
+  declined (id: JobId, from: InstanceId, attempt: number, retryAfterMs: Ms): void {
     const job = this.db.jobs.get(id)
-    if (job?.where.type !== 'atOwner' || job.where.owner !== from) return
+    if (job?.where.type !== 'atOwner' || job.where.owner !== from || job.attempt !== attempt) return
     job.declinedBy.add(job.where.failureDomain)
     job.retryAfterMs = retryAfterMs
     job.where = { type: 'unplaced', since: this.ctx.now }
@@ -147,7 +146,7 @@
 
   /** Gives up every job: this process stood still, and callers may have sent them elsewhere meanwhile. */
   loseAll (): void {
-    for (const job of [...this.db.jobs.values()]) this.finish(job, { type: 'lost' })
+    for (const job of [...this.db.jobs.values()]) this.giveUp(job)
   }
 
   private place (job: FrontedJob): void {
@@ -185,23 +184,24 @@
     const { now, self } = this.ctx
     job.where = { type: 'atOwner', failureDomain, owner, since: now }
     job.checkedAt = now
-    const order = { job: job.job, queue: job.queue, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerUntil - now), resumed, done: job.done }
+    job.attempt++
+    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerUntil - now), resumed, done: job.done }
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order })
   }
 
   private detach (job: FrontedJob, failureDomain: FailureDomain): void {
-    job.where = { type: 'detached', failureDomain, since: this.ctx.now }
+    const lastOwner = job.where.type === 'atOwner' ? job.where.owner : undefined
+    job.where = { type: 'detached', failureDomain, lastOwner, since: this.ctx.now }
   }
 
   private tickJob (job: FrontedJob): void {
     const { now, cfg } = this.ctx
     const { where } = job
     if (now > job.callerUntil) {
-      this.withdraw(job)
-      this.finish(job, { type: 'lost' })
+      this.giveUp(job)
     } else if (where.type === 'detached') {
       if (this.sessions.ownerOf(where.failureDomain) !== undefined) this.ownerKnown(where.failureDomain)
-      else if (now - where.since > cfg.ownerWaitMs) this.finish(job, { type: 'lost' })
+      else if (now - where.since > cfg.ownerWaitMs) this.giveUp(job)
     } else if (where.type === 'unplaced') {
       this.place(job)
       if (this.db.jobs.has(job.id) && job.where.type === 'unplaced' && now - where.since > cfg.ownerWaitMs) this.finish(job, { type: 'refused', cause: 'noOwner', retryAfterMs: NO_OWNER_RETRY_MS })
@@ -212,7 +212,7 @@
     const { now } = this.ctx
     const questions = new Map<string, { readonly owner: InstanceId, readonly failureDomain: FailureDomain, readonly ids: JobId[] }>()
     for (const job of this.db.jobs.values()) {
-      if (job.where.type !== 'atOwner' || now - job.checkedAt < CHECK_MS) continue
+      if (job.where.type !== 'atOwner' || now - job.checkedAt < this.ctx.cfg.confirmMs) continue
       job.checkedAt = now
       const { owner, failureDomain } = job.where
       const key = `${owner} ${failureDomain}`
@@ -223,8 +223,15 @@
     for (const { owner, failureDomain, ids } of questions.values()) this.deliver(owner, { type: 'checkJobs', failureDomain, jobIds: ids })
   }
 
+  private giveUp (job: FrontedJob): void {
+    this.withdraw(job)
+    this.finish(job, { type: 'lost' })
+  }
+
   private withdraw (job: FrontedJob): void {
-    if (job.where.type === 'atOwner') this.deliver(job.where.owner, { type: 'cancelJob', jobId: job.id })
+    const { where } = job
+    const owner = where.type === 'atOwner' ? where.owner : where.type === 'detached' ? where.lastOwner : undefined
+    if (owner !== undefined) this.deliver(owner, { type: 'cancelJob', jobId: job.id })
   }
 
   private finish (job: FrontedJob, reply: CallerReply): void {
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -7,7 +7,7 @@
 export type Whereabouts =
   | { readonly type: 'atOwner', readonly failureDomain: FailureDomain, readonly owner: InstanceId, readonly since: Ms }
   /** Its runs belong to the shard; only that shard's next owner may go on with it. */
-  | { readonly type: 'detached', readonly failureDomain: FailureDomain, readonly since: Ms }
+  | { readonly type: 'detached', readonly failureDomain: FailureDomain, readonly lastOwner: InstanceId | undefined, readonly since: Ms }
   /** No owner has ever had it. */
   | { readonly type: 'unplaced', readonly since: Ms }
 
@@ -27,6 +27,8 @@
   where: Whereabouts
   /** Tasks that an earlier owner reported as done. */
   done: DispatchOrder['done']
+  /** Number of the copy that was sent last, to any owner. */
+  attempt: number
   /** How often it was sent to the same owner again. */
   resends: number
   checkedAt: Ms
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -22,6 +22,7 @@
   private lastClaimAt = -Infinity
   private vacantSince: Ms | undefined
   private leaving = false
+  private reclaimFrom = -Infinity
 
   constructor (private readonly ctx: ShardContext, private readonly sessions: SessionsDecider, private readonly listener: OwnershipListener) {}
 
@@ -124,6 +125,7 @@
       return
     }
     this.vacantSince ??= now
+    if (now < this.reclaimFrom) return
     if (now - this.vacantSince < this.rankOf(own) * cfg.succession) return
     if (now - this.lastClaimAt >= CLAIM_PAUSE_MS) this.writeClaim(own)
   }
@@ -179,7 +181,7 @@
 
   private succeedByRank (own: FailureDomain): void {
     const record = this.db.records.get(own)
-    if (record === undefined || this.db.owned.has(own) || this.leaving || !this.isVacant(own)) return
+    if (record === undefined || this.db.owned.has(own) || this.leaving || !this.isVacant(own) || this.ctx.now < this.reclaimFrom) return
     const index = record.value.successors.indexOf(this.ctx.self.instance)
     const known = this.sessions.db.shards.get(own)
     if (index === -1 || (known !== undefined && known.token >= tokenOf(record.revision, index + 1))) return
@@ -227,6 +229,7 @@
     const mine = this.db.owned.get(failureDomain)
     if (mine === undefined) return
     this.db.owned.delete(failureDomain)
+    this.reclaimFrom = this.ctx.now + this.ctx.cfg.reclaimMs
     this.vacantSince = undefined
     this.ctx.out.count('shard.owner.superseded')
     this.ctx.out.log('shard.released', { failureDomain, why, token: mine.token, ownedMs: Math.round(this.ctx.now - mine.since), successor }, 'warn')
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -89,6 +89,13 @@
     if (trust.failures >= FAILURES_LIMIT || trust.setAside) this.setAside(id, trust, 'failures')
   }
 
+  /** Takes failures back: the task failed elsewhere too, so it is the task that fails. */
+  forgive (id: EndpointId): void {
+    const trust = this.db.of(id)
+    trust.failures = Math.max(0, trust.failures - 1)
+    if (trust.setAside && trust.failures < FAILURES_LIMIT && trust.slowness < SLOW_LIMIT) this.restore(id, trust)
+  }
+
   /** Learns from a run that made too little progress. */
   stalled (id: EndpointId, slowness: number): void {
     const trust = this.db.of(id)
@@ -130,7 +137,6 @@
 
   private restore (id: EndpointId, trust: EndpointTrust): void {
     trust.setAside = false
-    trust.failures = 0
     this.ctx.out.log('endpoint.trusted', { endpoint: id, slowness: Number(trust.slowness.toFixed(2)) })
   }
 }
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -13,6 +13,12 @@
   readonly relinkMs: Ms
   /** Silence after which a peer counts as lost. A lost front's tasks must be gone before its callers send again. */
   readonly peerTimeoutMs: Ms
+  /** An owner drops a job that its front has not confirmed for this long, well before callers send it again. */
+  readonly jobLeaseMs: Ms
+  /** Period in which fronts confirm their jobs to owners. */
+  readonly confirmMs: Ms
+  /** Pause before an instance that lost a shard claims it again; two that cannot hear each other would take turns. */
+  readonly reclaimMs: Ms
   /** Added for each successor before this one, so that they do not all claim at once. */
   readonly succession: Ms
   /** Longest wait for the store's answer to a claim before a successor takes over by its rank. */
@@ -50,6 +56,9 @@
   pingMs: ms(150),
   relinkMs: ms(320),
   peerTimeoutMs: ms(600),
+  jobLeaseMs: ms(700),
+  confirmMs: ms(200),
+  reclaimMs: ms(2500),
   succession: ms(150),
   claimTimeoutMs: ms(250),
   leaseMs: ms(1000),
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -59,7 +59,8 @@
     this.placement = new PlacementDecider(ctx)
     this.execution = new ExecutionDecider(ctx, this.placement, {
       tell: (front, message) => this.deliver(front.instance, message),
-      superseded: failureDomain => this.ownership.superseded(failureDomain)
+      superseded: failureDomain => this.ownership.superseded(failureDomain),
+      earlierRunsKnown: failureDomain => this.earlierRunsKnown(failureDomain)
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, this.execution)
     this.execution.endpoints = this.endpoints
@@ -136,7 +137,7 @@
       case 'checkJobs': return this.receiveCheck(from, message.failureDomain, message.jobIds)
       case 'cancelJob': return this.execution.cancel(message.jobId, from)
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
-      case 'declined': return this.intake.declined(message.jobId, from, message.retryAfterMs)
+      case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
       case 'notOwner': return this.intake.unknownAt(message.jobId, from, message.failureDomain)
       case 'moved': return this.intake.moved(from, message.failureDomain, message.progress)
       case 'handover': return this.ownership.handedOver(message.failureDomain, message.revision, message.rank)
@@ -187,13 +188,16 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
-    const seenAll = this.ctx.now - owned.since > this.ctx.cfg.leaseMs + this.ctx.cfg.leaseSlackMs || this.allLooked(message.failureDomain)
-    const startsFrom = message.order.resumed && !seenAll ? ms(owned.since + this.ctx.cfg.leaseMs + this.ctx.cfg.leaseSlackMs) : this.ctx.now
-    this.execution.submit(front, message.failureDomain, message.order, startsFrom)
+    this.execution.submit(front, message.failureDomain, message.order)
   }
 
-  private allLooked (failureDomain: FailureDomain): boolean {
-    return [...this.endpoints.db.all()].every(endpoint => endpoint.report.failureDomain !== failureDomain || endpoint.looked)
+  /** Runs of an earlier owner are all known once every endpoint was looked at, or gone once their leases have run out. */
+  private earlierRunsKnown (failureDomain: FailureDomain): boolean {
+    const { now, cfg } = this.ctx
+    const owned = this.ownership.db.owned.get(failureDomain)
+    if (owned === undefined) return false
+    if (now - owned.since > cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
+    return this.reports.size > 0 && [...this.reports.values()].every(({ report }) => report.failureDomain !== failureDomain || this.endpoints.db.get(report.id)?.looked === true)
   }
 
   private receiveCheck (from: InstanceId, failureDomain: FailureDomain, jobIds: readonly JobId[]): void {
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -105,6 +105,8 @@
   readonly ageMs: Ms
   /** How long the caller still waits. */
   readonly remainingMs: Ms
+  /** Counts how often the front sent the job; a decline of an earlier copy says nothing about a later one. */
+  readonly attempt: number
   /** Runs of an earlier owner may still exist. */
   readonly resumed: boolean
   /** Tasks known to be done, as `step.index`. */
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -44,7 +44,7 @@
   | { readonly type: 'cancelJob', readonly jobId: JobId }
   | { readonly type: 'ended', readonly jobId: JobId, readonly outcome: JobOutcome }
   /** No task of the job has started and none will. */
-  | { readonly type: 'declined', readonly jobId: JobId, readonly retryAfterMs: Ms }
+  | { readonly type: 'declined', readonly jobId: JobId, readonly attempt: number, readonly retryAfterMs: Ms }
   /** The receiver does not own the shard or does not know the job. */
   | { readonly type: 'notOwner', readonly jobId: JobId, readonly failureDomain: FailureDomain }
   /** The owner leaves; its jobs go on under the successor. */
