--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -1,7 +1,7 @@
 /**
- * Decides whose tasks start next and which jobs are turned away. Jobs that can still meet their objective go first, by
- * the latest start that meets it; those that can only be late follow while room is left over. A job whose turn cannot
- * come while its answer is of use is declined when it arrives.
+ * Decides whose tasks start next and which jobs are turned away. Jobs with tasks at work go on first; then those that
+ * can still meet their objective, by the latest start that meets it; those that can only be late follow while room is
+ * left over. A job whose turn cannot come while its answer is of use is declined when that becomes clear.
  * Load it answers: bursts of one kind or of all beyond the room of the shard, and a domain whose endpoints are lost;
  * first come, first served would then make every job late.
  */
@@ -39,11 +39,6 @@
     return [...this.db.waiting].sort((a, b) => this.compare(a, b, now))
   }
 
-  /** @returns true when the job's turn has come too late for its answer to be of use */
-  isHopeless (job: QueuedWork, now: Ms): boolean {
-    return now + job.chainMs > job.usefulUntil
-  }
-
   /** @returns expected wait of a job that arrives now and takes its turn behind everything that waits */
   backlogMs (room: ShardRoom): Ms {
     const waiting = this.db.waitingWork()
@@ -59,19 +54,23 @@
   private expectedWait (job: QueuedWork, room: ShardRoom, now: Ms): number {
     let ahead = 0
     for (const other of this.db.waiting) {
-      if (this.compare(other, job, now) <= 0) ahead += other.waitingWork()
+      if (other !== job && this.compare(other, job, now) <= 0) ahead += other.waitingWork()
     }
     return ahead === 0 ? 0 : ahead / usableCpu(room)
   }
 
   private compare (a: QueuedWork, b: QueuedWork, now: Ms): number {
-    const lateA = now + a.chainMs > a.onTimeUntil
-    const lateB = now + b.chainMs > b.onTimeUntil
-    if (lateA !== lateB) return lateA ? 1 : -1
-    return rank(a) - rank(b)
+    return tier(a, now) - tier(b, now) || rank(a) - rank(b)
   }
 }
 
+/** Smaller goes first: at work and of use, on time, late, of no use any more. */
+function tier (job: QueuedWork, now: Ms): number {
+  if (now + job.chainMs <= job.onTimeUntil) return job.hasStarted() ? 0 : 1
+  if (now > job.usefulUntil) return 3
+  return job.hasStarted() ? 0 : 2
+}
+
 function rank (job: QueuedWork): number {
   return job.onTimeUntil - job.chainMs + job.priority * PRIORITY_STEP_MS
 }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -16,6 +16,8 @@
 /** What the queue has to know of a job. */
 export interface QueuedWork extends JobTimes {
   readonly priority: number
+  /** Some task has started: the rest goes first, so that what is done is of use. */
+  readonly hasStarted: () => boolean
   /** Thousandths of a core times milliseconds that are still to be started. */
   readonly waitingWork: () => number
 }
--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -53,7 +53,7 @@
   const done = new Set(order.done)
   return order.job.steps.map((spec, step) => {
     const tasks = Array.from({ length: spec.count }, (_, index) => makeTask(order.job.id, step, index, done.has(`${step}.${index}`)))
-    return { spec, tasks, missing: tasks.filter(task => !task.done).length }
+    return { spec, tasks, missing: tasks.filter(task => !task.done).length, ranMs: [] }
   })
 }
 
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -15,7 +15,11 @@
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
 /** A task that works slower than this against the expected time may be moved. */
-const MOVE_SLOWNESS = 3
+const MOVE_SLOWNESS = 2.5
+/** Estimates are too low by up to about this factor; without other tasks of the step to compare with, it is allowed for. */
+const ESTIMATE_TOLERANCE = 1.7
+/** Tasks of a step that must have ended before their times replace its estimate. */
+const SIBLINGS_MIN = 2
 /** What a move costs: the stop, its listing, and the new start. */
 const MOVE_COST_MS = 80
 /** A task without any progress after this time, or after this share of its expected time, stands still. */
@@ -23,10 +27,19 @@
 const STALL_SHARE = 0.25
 /** Slowness noted for an endpoint where a task stands still. */
 const STALL_SLOWNESS = 10
+/** Period in which waiting jobs are judged again: others may have gone before them meanwhile. */
+const JUDGE_AGAIN_MS = 60
 /** A task avoids at most this many endpoints, so that one always remains. */
 const AVOIDED_MAX = 3
 /** Progress figures are whole percents; below this they say too little about speed. */
-const PROGRESS_MIN_PERCENT = 2
+const PROGRESS_MIN_PERCENT = 4
+
+/** A start that fits. */
+interface PlannedStart {
+  readonly step: OwnedStep
+  readonly task: OwnedTask
+  readonly candidate: Candidate
+}
 
 /** How the execution reaches fronts and the ownership. */
 export interface ExecutionPorts {
@@ -123,9 +136,11 @@
     this.pumpNeeded = false
     if (this.admission.db.waiting.size === 0) return
     const candidates = this.candidates()
+    let mayStartInPart = true
     for (const job of this.admission.ordered(this.ctx.now)) {
       if (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain)) continue
-      this.startTasks(job, candidates)
+      const complete = this.startTasks(job, candidates, mayStartInPart || job.firstStartAt !== undefined)
+      if (!complete && job.firstStartAt === undefined) mayStartInPart = false
     }
   }
 
@@ -219,6 +234,7 @@
       callerUntil,
       front,
       confirmedAt: now,
+      judgeAt: ms(now + JUDGE_AGAIN_MS),
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       attempt: order.attempt,
@@ -226,6 +242,7 @@
       chainMs,
       onTimeUntil: ms(sentAt + objective),
       usefulUntil: ms(Math.min(callerUntil, sentAt + objective * cfg.usefulFactor)),
+      hasStarted: () => owned.firstStartAt !== undefined,
       waitingWork: () => this.waitingWorkOf(owned)
     }
     return owned
@@ -317,34 +334,51 @@
     return candidates
   }
 
-  private startTasks (job: OwnedJob, candidates: readonly Candidate[]): void {
-    let waiting = 0
+  /**
+   * Starts a job's waiting tasks.
+   * @param inPart - whether some may start while the others wait; only one job at a time is spread over time so
+   * @returns true when every open task has started
+   */
+  private startTasks (job: OwnedJob, candidates: readonly Candidate[], inPart: boolean): boolean {
+    const plan: PlannedStart[] = []
+    let blocked = 0
+    let later = 0
     for (const step of job.steps) {
       if (step.missing === 0) continue
       if (!isOpen(job, step)) {
-        waiting++
+        later++
         continue
       }
       for (const task of step.tasks) {
         if (task.done || task.run !== undefined) continue
-        if (!this.startTask(job, step, task, candidates)) waiting++
+        if (!this.planStart(job, step, task, candidates, plan)) blocked++
       }
     }
-    if (waiting === 0) this.admission.db.waiting.delete(job)
+    if (blocked > 0 && !inPart) {
+      for (const { candidate, step } of plan) candidate.room = add(candidate.room, step.spec.needs)
+      return false
+    }
+    for (const start of plan) this.startTask(job, start)
+    if (blocked === 0 && later === 0) this.admission.db.waiting.delete(job)
+    return blocked === 0
   }
 
-  private startTask (job: OwnedJob, step: OwnedStep, task: OwnedTask, candidates: readonly Candidate[]): boolean {
+  private planStart (job: OwnedJob, step: OwnedStep, task: OwnedTask, candidates: readonly Candidate[], plan: PlannedStart[]): boolean {
     if (this.endpoints.db.runOf(task.name) !== undefined) return false
     const { needs, requiredLabel, preferredRack, maxPerEndpoint } = step.spec
-    const countAt = maxPerEndpoint > 0 ? (id: EndpointId) => countRuns(step, id) : undefined
-    const chosen = this.placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, countAt, maxPerEndpoint }, candidates)
-    if (chosen === undefined) return false
+    const countAt = maxPerEndpoint > 0 ? (id: EndpointId) => countRuns(step, id) + plan.filter(p => p.step === step && p.candidate.endpoint.id === id).length : undefined
+    const candidate = this.placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, countAt, maxPerEndpoint }, candidates)
+    if (candidate === undefined) return false
+    this.placement.placed(candidate.endpoint.id)
+    candidate.room = subtract(candidate.room, needs)
+    plan.push({ step, task, candidate })
+    return true
+  }
+
+  private startTask (job: OwnedJob, { step, task, candidate }: PlannedStart): void {
     task.lastRun++
-    task.run = this.endpoints.start(chosen.endpoint, task.name, task.lastRun, job.order.job.spec, needs)
-    this.placement.placed(chosen.endpoint.id)
-    chosen.room = subtract(chosen.room, needs)
+    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, job.order.job.spec, step.spec.needs)
     this.noteFirstStart(job)
-    return true
   }
 
   private noteFirstStart (job: OwnedJob): void {
@@ -361,16 +395,23 @@
     task.done = true
     step.missing--
     this.learn(job, step, run)
+    step.ranMs.push(this.ctx.now - run.startedAt)
     if (job.steps.every(s => s.missing === 0)) this.end(job, 'completed')
   }
 
   private learn (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
     const ranMs = this.ctx.now - run.startedAt
-    const expected = this.expectedMs(job, step)
-    this.placement.ended(run.endpoint, ranMs / Math.max(1, expected))
+    this.placement.ended(run.endpoint, ranMs / this.soundMs(job, step))
     if (!this.placement.isSetAside(run.endpoint)) this.admission.db.learn(job.order.queue.name, ranMs / Math.max(1, step.spec.estimateMs))
   }
 
+  /** Time that a task of the step takes at a sound endpoint: the median of its siblings, else the estimate and what it may be off. */
+  private soundMs (job: OwnedJob, step: OwnedStep): number {
+    if (step.ranMs.length < SIBLINGS_MIN) return Math.max(1, this.expectedMs(job, step) * ESTIMATE_TOLERANCE)
+    const sorted = [...step.ranMs].sort((a, b) => a - b)
+    return Math.max(1, sorted[Math.floor((sorted.length - 1) / 2)] ?? 1)
+  }
+
   private expectedMs (job: OwnedJob, step: OwnedStep): number {
     return step.spec.estimateMs * this.admission.db.ratioOf(job.order.queue.name)
   }
@@ -398,7 +439,7 @@
   private slownessOf (job: OwnedJob, task: OwnedTask, run: LedgerRun): number {
     const step = job.steps[task.step]
     if (step === undefined) return 1
-    const expected = this.expectedMs(job, step)
+    const expected = this.soundMs(job, step)
     const ranMs = this.ctx.now - run.startedAt
     if (run.percent < PROGRESS_MIN_PERCENT) return ranMs > Math.max(STALL_MIN_MS, expected * STALL_SHARE) ? STALL_SLOWNESS : 1
     if (this.ctx.now - run.percentAt > Math.max(STALL_MIN_MS, expected * STALL_SHARE)) return STALL_SLOWNESS
@@ -409,7 +450,7 @@
   private move (job: OwnedJob, task: OwnedTask, run: LedgerRun, slowness: number): void {
     const step = job.steps[task.step]
     if (step === undefined || run.state !== 'running') return
-    const expected = this.expectedMs(job, step)
+    const expected = this.soundMs(job, step)
     const remaining = expected * slowness * (100 - run.percent) / 100
     if (remaining <= expected + MOVE_COST_MS) return
     this.placement.stalled(run.endpoint, slowness)
@@ -476,8 +517,11 @@
       this.abandon(job, 'unconfirmed')
       return
     }
-    if (job.mayHaveRun || !this.admission.isHopeless(job, now)) return
-    this.decline(job, 'tooLate', this.admission.retryAfter(this.room()))
+    if (job.mayHaveRun || now < job.judgeAt) return
+    job.judgeAt = ms(now + JUDGE_AGAIN_MS)
+    const verdict = this.admission.judge(job, this.room(), now)
+    if (verdict.type === 'admit') return
+    this.decline(job, 'tooLate', verdict.retryAfterMs)
     this.forget(job)
   }
 }
@@ -490,6 +534,10 @@
   return step.tasks.reduce((n, task) => n + (task.run?.endpoint === id ? 1 : 0), 0)
 }
 
+function add (room: Candidate['room'], needs: Candidate['room']): Candidate['room'] {
+  return { cpuMilli: room.cpuMilli + needs.cpuMilli, memoryMb: room.memoryMb + needs.memoryMb, accelerators: room.accelerators + needs.accelerators }
+}
+
 function subtract (room: Candidate['room'], needs: Candidate['room']): Candidate['room'] {
   return { cpuMilli: room.cpuMilli - needs.cpuMilli, memoryMb: room.memoryMb - needs.memoryMb, accelerators: room.accelerators - needs.accelerators }
 }
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -35,6 +35,8 @@
   readonly tasks: readonly OwnedTask[]
   /** Tasks that are not done. */
   missing: number
+  /** Run times of the tasks that are done. */
+  readonly ranMs: number[]
 }
 
 /** A job at its owner. */
@@ -49,6 +51,8 @@
   front: FrontSession
   /** Latest time at which the front said that it still wants the job. */
   confirmedAt: Ms
+  /** When admission looks at the job again while it waits. */
+  judgeAt: Ms
   /** Number of the front's latest copy. */
   attempt: number
   /** When the first task started; undefined while none has. */
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -6,6 +6,8 @@
 import type { FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { DesiredDecider } from '../desired/desiredDecider.js'
+import { chainOf } from '../execution/executionDb.js'
+
 import type { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { CallerReply, RefusalCause, ShardContext } from '../shard/types.js'
 import { IntakeDb } from './intakeDb.js'
@@ -15,6 +17,10 @@
 const REMOTE_PENALTY_MS = 15
 /** Share of room taken from which the own domain counts as full. */
 const FULL_SHARE = 0.97
+/** Estimates are too low by up to this factor, queueing included; a leaving instance takes only what surely ends in time. */
+const LEAVING_SAFETY = 2.5
+/** When callers had best come back to another instance. */
+const LEAVING_RETRY_MS = ms(1000)
 /** How often a job is sent to an owner that does not know it. */
 const RESENDS_MAX = 3
 /** When callers had best come back after a refusal for want of an owner or a desired state. */
@@ -28,6 +34,7 @@
 /** The intake decision. */
 export class IntakeDecider {
   readonly db = new IntakeDb()
+  private leaveUntil: Ms | undefined
 
   constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly deliver: Deliver) {}
 
@@ -45,6 +52,7 @@
     const queue = this.desired.db.queueFor(host, path)
     if (queue === undefined) return this.refuseCall(callId, request.id, 'noQueue', NO_OWNER_RETRY_MS)
     if (request.features.length > 0 || queue.needsAdvice) return this.refuseCall(callId, request.id, 'unsupported', UNSUPPORTED_RETRY_MS)
+    if (!this.endsBeforeLeaving(request)) return this.refuseCall(callId, request.id, 'leaving', LEAVING_RETRY_MS)
     const job: FrontedJob = {
       id: request.id,
       job: request,
@@ -144,11 +152,20 @@
     this.askAfterJobs()
   }
 
+  /** From now on only jobs are taken that end before this process does. */
+  leave (): void {
+    this.leaveUntil = ms(this.ctx.now + this.ctx.cfg.leaveMs)
+  }
+
   /** Gives up every job: this process stood still, and callers may have sent them elsewhere meanwhile. */
   loseAll (): void {
     for (const job of [...this.db.jobs.values()]) this.giveUp(job)
   }
 
+  private endsBeforeLeaving (request: JobRequest): boolean {
+    return this.leaveUntil === undefined || this.ctx.now + chainOf(request.steps, LEAVING_SAFETY) <= this.leaveUntil
+  }
+
   private place (job: FrontedJob): void {
     const target = this.chooseShard(job)
     if (target !== undefined) {
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -45,6 +45,8 @@
   readonly ownerWaitMs: Ms
   /** An event loop that stood still for longer drops its sessions: others have acted meanwhile. */
   readonly pauseMs: Ms
+  /** From the request to stop to the end of this process (platform's grace, less the time to close). */
+  readonly leaveMs: Ms
   /** Factor of the objective up to which a late answer is of use (platform's bound). */
   readonly usefulFactor: number
   /** Entries of endpoints that are missing in the store's list are kept this long after the store came back. */
@@ -72,6 +74,7 @@
   claimGraceMs: ms(250),
   ownerWaitMs: ms(1200),
   pauseMs: ms(400),
+  leaveMs: ms(5200),
   usefulFactor: 3,
   missingMs: ms(2500)
 }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -285,6 +285,7 @@
 
   private leave (): void {
     this.leaving = true
+    this.intake.leave()
     this.ownership.leave()
   }
 
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -19,8 +19,8 @@
 const LOG_FLUSH_MS = 250
 /** After a request to stop, callers' connections stay open at least this long, so that requests on their way arrive. */
 const LINGER_MS = 1200
-/** Longest time from the request to stop to the end; well within what the platform allows. */
-const STOP_MAX_MS = 4500
+/** Time for the last answers to leave, after the decisions' own limit for jobs. */
+const CLOSE_MS = 200
 const NO_TLS = { plain: true, certFile: '', keyFile: '', caFile: '' } as const
 
 /** An IP number and a port. */
@@ -96,7 +96,7 @@
       this.drained = resolve
     })
     this.post({ type: 'leave' })
-    await Promise.race([Promise.all([drained, sleep(LINGER_MS)]), sleep(STOP_MAX_MS)])
+    await Promise.race([Promise.all([drained, sleep(LINGER_MS)]), sleep(this.options.cfg.leaveMs)])
     await this.closeCallers(startedAt)
     this.log.write('info', 'process.stopped', { openCalls: this.jobs.openCalls(), tookMs: Math.round(this.options.clock.now() - startedAt) })
     this.log.flushSync()
@@ -114,7 +114,7 @@
       this.jobs.callers.close(() => resolve())
     })
     this.jobs.callers.closeIdleConnections()
-    const left = Math.max(0, STOP_MAX_MS - (this.options.clock.now() - startedAt))
+    const left = Math.max(0, this.options.cfg.leaveMs + CLOSE_MS - (this.options.clock.now() - startedAt))
     await Promise.race([closed, sleep(left)])
   }
 
