--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -20,10 +20,12 @@
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { EndpointsDb, endpointClock, horizonOf } from './endpointsDb.js'
-import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener } from './types.js'
+import type { LedgerEndpoint, LedgerRun, PendingHold, RejectionReason, RunListener } from './types.js'
 
 /** Holds without an answer in a row after which leases are no longer renewed, so that runs there surely lapse. */
 const SILENT_HOLDS_MAX = 2
+/** Gap between two holds in which an end is still timed well enough to judge the endpoint's speed. */
+const SEAMLESS_MS = 15
 /** Start orders of one run before its room is only waited out. */
 const START_SENDS_MAX = 3
 /** Longest time after which an endpoint may carry out an order late (platform's figure). */
@@ -153,7 +155,7 @@
     const hold = endpoint.hold
     endpoint.hold = undefined
     if (outcome.type === 'listed') {
-      this.listed(endpoint, outcome.listing, hold.sentAt)
+      this.listed(endpoint, outcome.listing, hold)
       this.continueHolding(endpoint)
       return
     }
@@ -225,7 +227,7 @@
     if (extendTo !== undefined) endpoint.leaseHorizon = ms(Math.max(endpoint.leaseHorizon, horizonOf(endpoint, extendTo, now, cfg.clockDrift, cfg.leaseSlackMs)))
     const waitMs = extend && endpoint.silent === 0 ? cfg.holdWaitMs : ms(0)
     const orderId = ++this.orderCounter
-    endpoint.hold = { orderId, token, sentAt: now, acknowledged: endpoint.acknowledged }
+    endpoint.hold = { orderId, token, sentAt: now, seamless: now - endpoint.answeredAt <= SEAMLESS_MS || endpoint.runs.size === 1, acknowledged: endpoint.acknowledged }
     this.ctx.out.count('shard.holds.sent')
     this.ctx.out.push({
       type: 'hold',
@@ -256,7 +258,7 @@
     else endpoint.nextLookAt = ms(now + cfg.silentLookMs)
   }
 
-  private listed (endpoint: LedgerEndpoint, listing: EndpointListing, sentAt: Ms): void {
+  private listed (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
     const { now, out } = this.ctx
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.reborn(endpoint, listing.bornAt)
     if (endpoint.silent >= SILENT_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
@@ -264,21 +266,21 @@
     endpoint.clockOffset = listing.clock - now
     endpoint.silent = 0
     endpoint.answeredAt = now
-    this.takeEnds(endpoint, listing)
+    this.takeEnds(endpoint, listing, hold.seamless)
     this.takeRunning(endpoint, listing.running)
-    this.findMissing(endpoint, listing, sentAt)
+    this.findMissing(endpoint, listing, hold.sentAt)
     endpoint.looked = true
     this.listener.roomChanged()
   }
 
-  private takeEnds (endpoint: LedgerEndpoint, listing: EndpointListing): void {
+  private takeEnds (endpoint: LedgerEndpoint, listing: EndpointListing, seenAtOnce: boolean): void {
     for (const end of listing.ended) {
       if (end.sequence <= endpoint.acknowledged) continue
       endpoint.acknowledged = end.sequence
       const run = endpoint.runs.get(end.task)
       if (run === undefined || run.run !== end.run) continue
       this.db.removeRun(endpoint, run)
-      this.listener.runEnded(run, end.how)
+      this.listener.runEnded(run, end.how, seenAtOnce)
     }
   }
 
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -52,6 +52,8 @@
   readonly orderId: number
   readonly token: FencingToken
   readonly sentAt: Ms
+  /** The endpoint was being watched up to this hold, and the hold waits for an end. */
+  readonly seamless: boolean
   readonly acknowledged: number
 }
 
@@ -86,7 +88,8 @@
 /** Receives what becomes of runs. */
 export interface RunListener {
   runStarted (run: LedgerRun): void
-  runEnded (run: LedgerRun, how: RunEnd): void
+  /** @param seenAtOnce - a hold was waiting at the endpoint when the run ended, so that its time is known */
+  runEnded (run: LedgerRun, how: RunEnd, seenAtOnce: boolean): void
   /** The run has not started and will not. */
   runRejected (run: LedgerRun, reason: RejectionReason): void
   /** The endpoint was lost and the run can no longer live. */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -161,7 +161,7 @@
     if (found === undefined || found.task.run !== run) this.endpoints.stop(run)
   }
 
-  runEnded (run: LedgerRun, how: RunEnd): void {
+  runEnded (run: LedgerRun, how: RunEnd, seenAtOnce: boolean): void {
     this.pumpNeeded = true
     const found = this.db.find(run.task)
     if (how === 'done') this.ctx.out.count('shard.tasks.done')
@@ -169,7 +169,7 @@
     if (found === undefined || found.task.run !== run) return
     found.task.run = undefined
     switch (how) {
-      case 'done': return this.taskDone(found.job, found.task, run)
+      case 'done': return this.taskDone(found.job, found.task, run, seenAtOnce)
       case 'failed': return this.taskFailed(found.job, found.task, run)
       case 'stopped':
       case 'lapsed': return this.requeue(found.job)
@@ -389,19 +389,19 @@
     out.push({ type: 'observe', histogram: 'queueWaitMs', label: job.order.queue.name, valueMs: now - job.receivedAt })
   }
 
-  private taskDone (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
+  private taskDone (job: OwnedJob, task: OwnedTask, run: LedgerRun, seenAtOnce: boolean): void {
     const step = job.steps[task.step]
     if (step === undefined || task.done) return
     task.done = true
     step.missing--
-    this.learn(job, step, run)
-    step.ranMs.push(this.ctx.now - run.startedAt)
+    if (seenAtOnce) this.learn(job, step, run)
     if (job.steps.every(s => s.missing === 0)) this.end(job, 'completed')
   }
 
   private learn (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
     const ranMs = this.ctx.now - run.startedAt
     this.placement.ended(run.endpoint, ranMs / this.soundMs(job, step))
+    step.ranMs.push(ranMs)
     if (!this.placement.isSetAside(run.endpoint)) this.admission.db.learn(job.order.queue.name, ranMs / Math.max(1, step.spec.estimateMs))
   }
 
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -17,6 +17,10 @@
 const FAILURES_LIMIT = 2
 /** Weight of the latest run in the smoothed slowness. */
 const SLOWNESS_WEIGHT = 0.3
+/** Slowness from which one run is proof enough. */
+const STALLED_LIMIT = 6
+/** Weight of a run that was too slow, but not that slow. */
+const STALL_WEIGHT = 0.4
 /** Longest pause between trials. */
 const TRIAL_PAUSE_MAX_MS = ms(2400)
 /** Slowness below which endpoints count as equally fast; endpoints of one kind differ by about this much. */
@@ -96,11 +100,11 @@
     if (trust.setAside && trust.failures < FAILURES_LIMIT && trust.slowness < SLOW_LIMIT) this.restore(id, trust)
   }
 
-  /** Learns from a run that made too little progress. */
+  /** Learns from a run that made too little progress. One that is only somewhat slow may have more work than others. */
   stalled (id: EndpointId, slowness: number): void {
     const trust = this.db.of(id)
-    trust.slowness = Math.max(trust.slowness, slowness)
-    this.setAside(id, trust, 'stalled')
+    trust.slowness = slowness >= STALLED_LIMIT ? slowness : trust.slowness * (1 - STALL_WEIGHT) + slowness * STALL_WEIGHT
+    if (trust.slowness >= SLOW_LIMIT) this.setAside(id, trust, 'stalled')
   }
 
   private allowed (request: PlacementRequest, endpoint: LedgerEndpoint): boolean {
