--- /dev/null
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -0,0 +1,184 @@
+import { expect } from 'chai'
+import type { EndpointClockMs, EndpointId, EndpointListing, EndpointReport, FailureDomain, FencingToken, InstanceId, ListedEnd, ListedRun, ServiceName, TaskName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { ShardContext, ShardEffect } from '../shard/types.js'
+import { freeRoom } from './endpointsDb.js'
+import { EndpointsDecider } from './endpointsDecider.js'
+import type { LedgerEndpoint, LedgerRun, RunListener } from './types.js'
+
+const ID = 'e-1' as EndpointId
+const TASK = 'job.0.0.0' as TaskName
+const NEEDS = { cpuMilli: 14_000, memoryMb: 64, accelerators: 0 }
+const REPORT: EndpointReport = {
+  id: ID,
+  service: 's' as ServiceName,
+  address: 'e-1',
+  failureDomain: 'd' as FailureDomain,
+  draining: false,
+  capacity: { cpuMilli: 32_000, memoryMb: 1000, accelerators: 0 },
+  labels: [],
+  bornAt: 5
+}
+
+class Recorder implements RunListener {
+  readonly events: string[] = []
+  runStarted (run: LedgerRun): void {
+    this.events.push(`started ${run.run}`)
+  }
+
+  runEnded (run: LedgerRun, how: string): void {
+    this.events.push(`${how} ${run.run}`)
+  }
+
+  runRejected (run: LedgerRun, reason: string): void {
+    this.events.push(`rejected ${run.run} ${reason}`)
+  }
+
+  runLost (run: LedgerRun): void {
+    this.events.push(`lost ${run.run}`)
+  }
+
+  runProgressed (): void {}
+  runFound (run: LedgerRun): void {
+    this.events.push(`found ${run.run}`)
+  }
+
+  roomChanged (): void {}
+  superseded (): void {
+    this.events.push('superseded')
+  }
+}
+
+function setUp (): { ctx: ShardContext, ledger: EndpointsDecider, seen: Recorder, tokens: { value: number } } {
+  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const seen = new Recorder()
+  const tokens = { value: 7 }
+  return { ctx, seen, tokens, ledger: new EndpointsDecider(ctx, () => tokens.value as FencingToken, seen) }
+}
+
+type Of<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
+
+function taken<T extends ShardEffect['type']> (ctx: ShardContext, type: T): Of<T>[] {
+  return ctx.out.take().filter((effect): effect is Of<T> => effect.type === type)
+}
+
+function listing (clock: number, running: readonly ListedRun[] = [], ended: readonly ListedEnd[] = [], bornAt = 5): EndpointListing {
+  return { clock: clock as EndpointClockMs, bornAt, running, ended }
+}
+
+/** Answers the hold that was sent last. */
+function answerHold (ctx: ShardContext, ledger: EndpointsDecider, answer: EndpointListing): void {
+  const hold = taken(ctx, 'hold').at(-1)
+  ledger.holdOutcome(ID, hold?.orderId ?? 0, { type: 'listed', listing: answer })
+}
+
+function endpointOf (ledger: EndpointsDecider): LedgerEndpoint {
+  const endpoint = ledger.db.get(ID)
+  if (endpoint === undefined) throw new Error('endpoint is missing')
+  return endpoint
+}
+
+describe('the ledger of endpoints', () => {
+  it('uses an endpoint only after it answered under the token', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+    answerHold(ctx, ledger, listing(500))
+    expect(ledger.usable(endpointOf(ledger))).to.equal(true)
+  })
+
+  it('keeps the room of a start without an answer until the start can no longer take effect', () => {
+    const { ctx, ledger, seen } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS)
+    for (let i = 0; i < 3; i++) {
+      ctx.now = ms(ctx.now + 100)
+      ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    }
+    expect(freeRoom(endpointOf(ledger)).cpuMilli).to.equal(18_000)
+    answerHold(ctx, ledger, listing(run.notAfter))
+    expect(seen.events).to.deep.equal([])
+    ctx.now = ms(ctx.now + 10)
+    answerHold(ctx, ledger, listing(run.notAfter + 1))
+    expect(seen.events).to.deep.equal(['rejected 1 neverArrived'])
+    expect(freeRoom(endpointOf(ledger)).cpuMilli).to.equal(32_000)
+  })
+
+  it('gives nothing to an endpoint with a found run of unknown size, also while that run is being stopped', () => {
+    const { ctx, ledger, seen } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500, [{ task: TASK, run: 3, percent: 10 }]))
+    expect(seen.events).to.deep.equal(['found 3'])
+    const run = ledger.db.runOf(TASK)
+    if (run === undefined) throw new Error('run is missing')
+    ledger.stop(run)
+    expect(freeRoom(endpointOf(ledger)).cpuMilli).to.equal(0)
+    answerHold(ctx, ledger, listing(540, [], [{ sequence: 1, task: TASK, run: 3, how: 'stopped' }]))
+    expect(freeRoom(endpointOf(ledger)).cpuMilli).to.equal(32_000)
+  })
+
+  it('takes runs of a silent endpoint for lost only once their lease has run out', () => {
+    const { ctx, ledger, seen } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS)
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const holdSentAt = ctx.now
+    for (let i = 0; i < 40 && seen.events.length < 2; i++) {
+      const hold = taken(ctx, 'hold').at(-1)
+      ctx.now = ms(ctx.now + 100)
+      if (hold !== undefined) ledger.holdOutcome(ID, hold.orderId, { type: 'silent' })
+      ledger.tick()
+    }
+    expect(seen.events).to.deep.equal(['started 1', 'lost 1'])
+    expect(ctx.now - holdSentAt).to.be.greaterThan(SHARD_DEFAULTS.leaseMs)
+  })
+
+  it('stops renewing leases at an endpoint that does not answer, so that they run out', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS)
+    const extensions: (number | undefined)[] = []
+    for (let i = 0; i < 12; i++) {
+      const hold = taken(ctx, 'hold').at(-1)
+      ctx.now = ms(ctx.now + 100)
+      if (hold !== undefined) {
+        extensions.push(hold.extendTo)
+        ledger.holdOutcome(ID, hold.orderId, { type: 'silent' })
+      }
+      ledger.tick()
+    }
+    expect(extensions.slice(0, 2).every(extension => extension !== undefined)).to.equal(true)
+    expect(extensions.slice(2).every(extension => extension === undefined)).to.equal(true)
+  })
+
+  it('forgets the runs of an endpoint that was born again, and waits while a start of the earlier life may arrive', () => {
+    const { ctx, ledger, seen } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS)
+    answerHold(ctx, ledger, listing(3, [], [], 900))
+    expect(seen.events).to.deep.equal(['lost 1'])
+    ledger.update([{ ...REPORT, bornAt: 900 }])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+  })
+
+  it('takes a refused token for a lost shard only if it is the one in force', () => {
+    const { ctx, ledger, seen, tokens } = setUp()
+    ledger.adopt([REPORT])
+    const hold = taken(ctx, 'hold').at(-1)
+    tokens.value = 8
+    ledger.holdOutcome(ID, hold?.orderId ?? 0, { type: 'fenced' })
+    expect(seen.events).to.deep.equal([])
+    const next = taken(ctx, 'hold').at(-1)
+    ctx.now = ms(ctx.now + 1000)
+    ledger.tick()
+    const again = next ?? taken(ctx, 'hold').at(-1)
+    ledger.holdOutcome(ID, again?.orderId ?? 0, { type: 'fenced' })
+    expect(seen.events).to.deep.equal(['superseded'])
+  })
+})
--- /dev/null
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai'
+import type { DesiredState, FailureDomain, FencingToken, InstanceId, JobId, JobRequest, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { DesiredDecider } from '../desired/desiredDecider.js'
+import { SessionsDecider } from '../sessions/sessionsDecider.js'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { CallerReply, ShardContext } from '../shard/types.js'
+import { IntakeDecider } from './intakeDecider.js'
+
+const OWNER = 'owner' as InstanceId
+const DOMAIN = 'd' as FailureDomain
+const STATE: DesiredState = {
+  version: 3,
+  queues: [{ name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }],
+  services: []
+}
+
+function job (id: string, estimateMs = 100): JobRequest {
+  return { id: id as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(estimateMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+}
+
+function setUp (): { ctx: ShardContext, intake: IntakeDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
+  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const sessions = new SessionsDecider(ctx, () => 3, { peerLost: () => {}, peerHeard: () => {} })
+  const desired = new DesiredDecider(ctx, () => {})
+  desired.take(STATE, 'test')
+  sessions.heard(OWNER, 1, 'owner')
+  sessions.db.learnOwner({ failureDomain: DOMAIN, owner: OWNER, token: 1 as FencingToken })
+  const sent: ShardMessage[] = []
+  const intake = new IntakeDecider(ctx, desired, sessions, (_to, message) => sent.push(message))
+  const replies = (): CallerReply[] => ctx.out.take().flatMap(effect => effect.type === 'reply' ? [effect.reply] : [])
+  return { ctx, intake, sessions, sent, replies }
+}
+
+const types = (messages: readonly ShardMessage[]): string[] => messages.map(message => message.type)
+
+describe('intake', () => {
+  it('sends a job to the owner and passes its outcome on', () => {
+    const { intake, sent, replies } = setUp()
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    expect(types(sent)).to.deep.equal(['submit'])
+    intake.ended('a' as JobId, 'completed')
+    expect(replies()).to.deep.equal([{ type: 'ended', outcome: 'completed' }])
+  })
+
+  it('refuses at once what has no queue or is not served', () => {
+    const { intake, sent, replies } = setUp()
+    intake.submit('c1', 'h', '/other/a', job('a'), ms(1500))
+    intake.submit('c2', 'h', '/q/b', { ...job('b'), features: ['stored'] }, ms(1500))
+    expect(sent).to.deep.equal([])
+    expect(replies().map(reply => reply.type === 'refused' && reply.cause)).to.deep.equal(['noQueue', 'unsupported'])
+  })
+
+  it('ignores a decline of an earlier copy: the later one may have started', () => {
+    const { intake, sent, replies } = setUp()
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    intake.linkReplaced(OWNER)
+    expect(types(sent)).to.deep.equal(['submit', 'submit'])
+    intake.declined('a' as JobId, OWNER, 1, ms(1000))
+    expect(replies()).to.deep.equal([])
+    intake.declined('a' as JobId, OWNER, 2, ms(1000))
+    expect(replies().map(reply => reply.type)).to.deep.equal(['refused'])
+  })
+
+  it('goes on with a job at the next owner of its shard, and gives it up as lost when there is none', () => {
+    const { ctx, intake, sessions, sent, replies } = setUp()
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(9000))
+    sessions.unreachable(OWNER)
+    intake.ownerLost(OWNER)
+    const next = 'next' as InstanceId
+    sessions.heard(next, 1, 'next')
+    sessions.db.learnOwner({ failureDomain: DOMAIN, owner: next, token: 2 as FencingToken })
+    intake.ownerKnown(DOMAIN)
+    const last = sent.at(-1)
+    expect(last?.type === 'submit' && last.order.resumed).to.equal(true)
+    sessions.unreachable(next)
+    intake.ownerLost(next)
+    ctx.now = ms(ctx.now + SHARD_DEFAULTS.ownerWaitMs + 1)
+    intake.tick()
+    expect(replies().map(reply => reply.type)).to.deep.equal(['lost'])
+    expect(sent.at(-1)?.type).to.equal('cancelJob')
+  })
+
+  it('joins a job that is sent twice and answers both calls', () => {
+    const { intake, sent, replies } = setUp()
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    intake.submit('c2', 'h', '/q/a', job('a'), ms(1500))
+    expect(sent.length).to.equal(1)
+    intake.ended('a' as JobId, 'failed')
+    expect(replies().length).to.equal(2)
+  })
+
+  it('takes back a job whose caller left', () => {
+    const { intake, sent } = setUp()
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    intake.callerLeft('c1')
+    expect(types(sent)).to.deep.equal(['submit', 'cancelJob'])
+  })
+
+  it('takes only jobs that end before a leaving process does', () => {
+    const { ctx, intake, sent, replies } = setUp()
+    intake.leave()
+    ctx.now = ms(ctx.now + 3500)
+    intake.submit('c1', 'h', '/q/a', job('a', 900), ms(9000))
+    intake.submit('c2', 'h', '/q/b', job('b', 60), ms(1500))
+    expect(replies().map(reply => reply.type === 'refused' && reply.cause)).to.deep.equal(['leaving'])
+    expect(types(sent)).to.deep.equal(['submit'])
+  })
+})
--- /dev/null
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -0,0 +1,117 @@
+import { expect } from 'chai'
+import type { FailureDomain, InstanceId, MemberRecord, Revised, ShardRecord } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { SessionsDecider } from '../sessions/sessionsDecider.js'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { ShardContext, ShardEffect } from '../shard/types.js'
+import { tokenOf } from './ownershipDb.js'
+import { OwnershipDecider } from './ownershipDecider.js'
+
+const DOMAIN = 'd' as FailureDomain
+const member = (name: string, incarnation = 1): MemberRecord => ({ instance: name as InstanceId, incarnation, failureDomain: DOMAIN, address: name })
+
+function setUp (): { ctx: ShardContext, ownership: OwnershipDecider, sessions: SessionsDecider, changes: string[] } {
+  const ctx: ShardContext = { self: { ...member('me') }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerHeard: () => {} })
+  const changes: string[] = []
+  const ownership = new OwnershipDecider(ctx, sessions, {
+    ownershipGained: (_domain, token) => changes.push(`gained ${token}`),
+    ownershipLost: (_domain, successor) => changes.push(`lost to ${successor ?? 'unknown'}`)
+  })
+  return { ctx, ownership, sessions, changes }
+}
+
+const members = (...names: string[]): Revised<MemberRecord>[] => names.map(name => ({ revision: 1, value: member(name) }))
+const record = (revision: number, owner: string, ...successors: string[]): Revised<ShardRecord> => ({ revision, value: { failureDomain: DOMAIN, owner: member(owner), successors: successors as InstanceId[] } })
+
+function claims (ctx: ShardContext): Extract<ShardEffect, { type: 'claimShard' }>[] {
+  return ctx.out.take().filter(effect => effect.type === 'claimShard')
+}
+
+describe('ownership', () => {
+  it('claims a shard without a record and owns it with the token of the write', () => {
+    const { ctx, ownership, changes } = setUp()
+    ownership.recordsRead(members('me', 'other'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    expect(claim?.expectedRevision).to.equal(0)
+    expect(claim?.record.successors).to.deep.equal(['other'])
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    expect(changes).to.deep.equal([`gained ${tokenOf(40, 0)}`])
+  })
+
+  it('leaves a shard to an owner that is heard, and claims it once the owner is lost', () => {
+    const { ctx, ownership, sessions } = setUp()
+    ownership.recordsRead(members('me', 'owner'), [record(40, 'owner', 'me')])
+    sessions.heard('owner' as InstanceId, 1, 'owner')
+    ownership.tick()
+    expect(claims(ctx)).to.deep.equal([])
+    sessions.unreachable('owner' as InstanceId)
+    ownership.tick()
+    expect(claims(ctx).map(claim => claim.expectedRevision)).to.deep.equal([40])
+  })
+
+  it('lets successors claim one after the other', () => {
+    const { ctx, ownership, sessions } = setUp()
+    ownership.recordsRead(members('me', 'owner', 'first'), [record(40, 'owner', 'first', 'me')])
+    sessions.unreachable('owner' as InstanceId)
+    ownership.tick()
+    expect(claims(ctx)).to.deep.equal([])
+    ctx.now = ms(ctx.now + SHARD_DEFAULTS.succession)
+    ownership.tick()
+    expect(claims(ctx).length).to.equal(1)
+  })
+
+  it('takes over by its place in the record while the store does not answer, with a token above the owner\'s', () => {
+    const { ctx, ownership, sessions, changes } = setUp()
+    ownership.recordsRead(members('me', 'owner'), [record(40, 'owner', 'me')])
+    sessions.unreachable('owner' as InstanceId)
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'unavailable' })
+    expect(changes).to.deep.equal([`gained ${tokenOf(40, 1)}`])
+    expect(tokenOf(40, 1)).to.be.greaterThan(tokenOf(40, 0))
+    expect(tokenOf(41, 0)).to.be.greaterThan(tokenOf(40, 1))
+  })
+
+  it('steps down for a newer record and does not claim back at once', () => {
+    const { ctx, ownership, sessions, changes } = setUp()
+    ownership.recordsRead(members('me', 'other'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    ownership.recordsRead(members('me', 'other'), [record(41, 'other', 'me')])
+    expect(changes.at(-1)).to.equal('lost to other')
+    sessions.unreachable('other' as InstanceId)
+    ownership.tick()
+    expect(claims(ctx)).to.deep.equal([])
+    ctx.now = ms(ctx.now + SHARD_DEFAULTS.reclaimMs)
+    ownership.tick()
+    expect(claims(ctx).length).to.equal(1)
+  })
+
+  it('hands its shard to a live successor when it leaves', () => {
+    const { ctx, ownership, sessions, changes } = setUp()
+    ownership.recordsRead(members('me', 'other'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    sessions.heard('other' as InstanceId, 1, 'other')
+    ctx.out.take()
+    ownership.leave()
+    const sent = ctx.out.take().find(effect => effect.type === 'send')
+    expect(sent?.type === 'send' && sent.message).to.deep.equal({ type: 'handover', failureDomain: DOMAIN, revision: 40, rank: 1 })
+    expect(changes.at(-1)).to.equal('lost to other')
+  })
+
+  it('keeps its shard to the end when there is no successor', () => {
+    const { ctx, ownership } = setUp()
+    ownership.recordsRead(members('me'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    ownership.leave()
+    expect(ownership.owns()).to.equal(true)
+  })
+})
--- /dev/null
+++ b/packages/core/src/placement/placementDecider.spec.ts
@@ -0,0 +1,86 @@
+import { expect } from 'chai'
+import type { EndpointId, EndpointReport, FailureDomain, InstanceId, ServiceName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { EndpointsDb, freeRoom } from '../endpoints/endpointsDb.js'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { ShardContext } from '../shard/types.js'
+import { PlacementDecider } from './placementDecider.js'
+import type { Candidate } from './placementDecider.js'
+import type { PlacementRequest } from './types.js'
+
+const SERVICE = 's' as ServiceName
+const REQUEST: PlacementRequest = {
+  service: SERVICE,
+  needs: { cpuMilli: 14_000, memoryMb: 1, accelerators: 0 },
+  requiredLabel: '',
+  preferredRack: '',
+  avoid: new Set(),
+  countAt: undefined,
+  maxPerEndpoint: 0
+}
+
+function setUp (): { ctx: ShardContext, placement: PlacementDecider } {
+  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  return { ctx, placement: new PlacementDecider(ctx) }
+}
+
+function candidates (...specs: readonly { id: string, cpuMilli: number, labels?: readonly string[] }[]): Candidate[] {
+  const db = new EndpointsDb()
+  return specs.map(({ id, cpuMilli, labels = [] }) => {
+    const report: EndpointReport = { id: id as EndpointId, service: SERVICE, address: id, failureDomain: 'd' as FailureDomain, draining: false, capacity: { cpuMilli, memoryMb: 100, accelerators: 0 }, labels, bornAt: 0 }
+    const endpoint = db.add(report, ms(0))
+    return { endpoint, room: freeRoom(endpoint) }
+  })
+}
+
+const chosen = (placement: PlacementDecider, from: readonly Candidate[], request = REQUEST): string | undefined => placement.choose(request, from)?.endpoint.id
+
+describe('placement', () => {
+  it('takes the endpoint that the task fills best', () => {
+    const { placement } = setUp()
+    expect(chosen(placement, candidates({ id: 'wide', cpuMilli: 48_000 }, { id: 'tight', cpuMilli: 16_000 }, { id: 'small', cpuMilli: 8000 }))).to.equal('tight')
+  })
+
+  it('keeps to labels, racks near the data and endpoints to avoid', () => {
+    const { placement } = setUp()
+    const from = candidates({ id: 'plain', cpuMilli: 16_000 }, { id: 'labelled', cpuMilli: 48_000, labels: ['gpu', 'r-1'] })
+    expect(chosen(placement, from, { ...REQUEST, requiredLabel: 'gpu' })).to.equal('labelled')
+    expect(chosen(placement, from, { ...REQUEST, preferredRack: 'r-1' })).to.equal('labelled')
+    expect(chosen(placement, from, { ...REQUEST, avoid: new Set(['plain' as EndpointId]) })).to.equal('labelled')
+  })
+
+  it('sets an endpoint aside after two failures and trusts it again after one good run', () => {
+    const { ctx, placement } = setUp()
+    const from = candidates({ id: 'bad', cpuMilli: 16_000 })
+    const id = 'bad' as EndpointId
+    placement.failed(id)
+    expect(chosen(placement, from)).to.equal('bad')
+    placement.failed(id)
+    expect(chosen(placement, from)).to.equal(undefined)
+    ctx.now = ms(ctx.now + 600)
+    expect(chosen(placement, from)).to.equal('bad')
+    placement.placed(id)
+    expect(chosen(placement, from)).to.equal(undefined)
+    placement.ended(id, 1)
+    expect(chosen(placement, from)).to.equal('bad')
+  })
+
+  it('takes failures back when the task failed elsewhere too', () => {
+    const { placement } = setUp()
+    const id = 'good' as EndpointId
+    placement.failed(id)
+    placement.failed(id)
+    placement.forgive(id)
+    expect(placement.isSetAside(id)).to.equal(false)
+  })
+
+  it('is not moved by one run that is somewhat slow, but by one that stands still', () => {
+    const { placement } = setUp()
+    const id = 'e' as EndpointId
+    placement.stalled(id, 3)
+    expect(placement.isSetAside(id)).to.equal(false)
+    placement.stalled(id, 10)
+    expect(placement.isSetAside(id)).to.equal(true)
+  })
+})
