--- /dev/null
+++ b/packages/dispatcher/src/utils/structuredLog.spec.ts
@@ -0,0 +1,26 @@
+import { expect } from 'chai'
+import { LineBudget, StructuredLog } from './structuredLog.js'
+
+describe('structured log', () => {
+  it('bounds lines a second, jobs apart from the rest, and counts what it leaves out', () => {
+    const budget = new LineBudget()
+    const written = Array.from({ length: 1000 }, () => budget.take('job.ended', 10)).filter(Boolean).length
+    expect(written).to.be.within(1, 999)
+    expect(budget.take('shard.owned', 20)).to.equal(true)
+    expect(budget.takeSuppressed()).to.equal(1000 - written)
+    expect(budget.take('job.ended', 1200)).to.equal(true)
+  })
+
+  it('writes one JSON object a line and reports suppressed lines', () => {
+    const lines: string[] = []
+    let now = 0
+    const log = new StructuredLog({ instance: 'i' }, () => now, { write: line => void lines.push(line) })
+    for (let i = 0; i < 500; i++) log.write('info', 'job.ended', { job: `j${i}` })
+    now = 1500
+    log.write('info', 'shard.owned', { token: 5 })
+    const parsed = lines.map(line => JSON.parse(line) as Record<string, unknown>)
+    expect(parsed[0]).to.include({ event: 'job.ended', job: 'j0', instance: 'i' })
+    const suppressed = parsed.find(line => line.event === 'log.suppressed')
+    expect(Number(suppressed?.lines) + parsed.filter(line => line.event === 'job.ended').length).to.equal(500)
+  })
+})
