--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -5,7 +5,7 @@
 import type { ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
 import { SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
-import { FencedEndpointModel, RecordStoreModel } from '@cranberryyard/fakes'
+import { FencedEndpointModel, RecordStoreModel, ShardOracle } from '@cranberryyard/fakes'
 import type { ModelTask } from '@cranberryyard/fakes'
 import type {
   DesiredState,
@@ -26,7 +26,6 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { Timeline } from '../memory/timeline.js'
-import { ShardOracle } from './shardOracle.js'
 
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
 
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -4,7 +4,7 @@
  */
 import { SHARD_DEFAULTS, ShardInstance } from '@cranberryyard/core/shard'
 import type { FailureDomain, InstanceId } from '@cranberryyard/protocol'
-import type { Rule } from './shardOracle.js'
+import type { Rule } from '@cranberryyard/fakes'
 
 type Undo = () => void
 type Method = (...args: never[]) => unknown
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -1,10 +1,9 @@
 /**
  * Random runs of an in-memory fleet: steady jobs, and faults of every kind that overlap. One seed, one run.
  */
-import type { FencedEndpointModel } from '@cranberryyard/fakes'
+import type { FencedEndpointModel, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import type { Violation } from './shardOracle.js'
 
 const DOMAINS = ['a', 'b', 'c'] as const
 const WARM_UP_MS = 2000
--- a/packages/bench/src/shard/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -1,12 +1,12 @@
 /**
- * Watches endpoints and callers of an in-memory fleet and notes every broken promise:
+ * Watches endpoints and callers of a fleet and notes every broken promise:
  * capacity exceeded, two runs of one task at once, a start for a job whose every submission was refused, a completed
  * job with a task that never ended done, a start on an endpoint that has been draining for too long.
  */
-import type { FencedEndpointModel, ModelEnd, ModelRun } from '@cranberryyard/fakes'
+import type { FencedEndpointModel, ModelEnd, ModelRun } from './fencedEndpointModel.js'
 
 /** Names of the checks. */
-export type Rule = 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'DRAIN' | 'CONFIG'
+export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'DRAIN' | 'CONFIG'
 
 /** A broken promise. */
 export interface Violation {
@@ -92,7 +92,8 @@
     if (fate !== undefined && fate.started && fate.open === 0 && fate.otherReplies === 0) this.note('REFUSED', at, `${id} was refused ${fate.refusals} times and has started`)
   }
 
-  private note (rule: Rule, at: number, detail: string): void {
+  /** Notes a broken promise. */
+  note (rule: Rule, at: number, detail: string): void {
     this.violations.push({ rule, at, detail })
   }
 }
