A fresh owner waits for runs it may not know; links fail and reconnect on their own; no jobs long after SIGTERM

It now waits for the leases unless it has had the list long enough. Found in logs: a job whose tasks all take longer than estimated was moved again and again; siblings at work now count.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -87,6 +87,8 @@
   readonly endpoints = new Map<string, FencedEndpointModel>()
   readonly drainingEndpoints = new Set<string>()
   readonly goneEndpoints = new Set<string>()
+  /** Endpoints whose entry in the store lapsed and is not back yet. */
+  readonly lapsedEntries = new Set<string>()
   readonly store = new RecordStoreModel()
   readonly storeFaults: StoreFaults = { down: false, deaf: new Set(), lostReplyShare: 0 }
   readonly jobs: CallerJob[] = []
@@ -186,6 +188,15 @@
     this.time.after(forMs, () => pairs.forEach(pair => this.cuts.delete(pair)))
   }
 
+  /** Entries of a domain's endpoints lapse and come back one by one. */
+  lapseEntries (domain: string): void {
+    for (const id of this.endpoints.keys()) {
+      if (this.domainOf.get(id) !== domain) continue
+      this.lapsedEntries.add(id)
+      this.time.after(300 + this.below(1500), () => this.lapsedEntries.delete(id))
+    }
+  }
+
   /** The connections of two instances are replaced. */
   relink (a: InstanceId, b: InstanceId): void {
     this.post(this.process(a), { type: 'linkDown', peer: b })
@@ -286,7 +297,7 @@
   }
 
   private reports (): EndpointReport[] {
-    return [...this.endpoints.values()].filter(endpoint => !this.goneEndpoints.has(endpoint.id)).map(endpoint => ({
+    return [...this.endpoints.values()].filter(endpoint => !this.goneEndpoints.has(endpoint.id) && !this.lapsedEntries.has(endpoint.id)).map(endpoint => ({
       id: endpoint.id as EndpointId,
       service: SERVICE,
       address: endpoint.id,
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -59,6 +59,12 @@
     seeds: [1, 2, 3, 4, 5, 6],
     apply: () => replace(sample.endpoints, 'found', () => () => {})
   },
+  {
+    name: 'a new owner trusts a list that it has only just read',
+    breaks: ['TWICE'],
+    seeds: [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12],
+    apply: () => replace(sample, 'earlierRunsKnown', () => () => true)
+  },
   {
     name: 'the jobs of a lost front go on',
     breaks: ['TWICE'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -105,6 +105,16 @@
     }
     return 'connections replaced'
   },
+  (fleet) => {
+    const domain = pick(fleet, DOMAINS)
+    const names = [...fleet.processes.values()].filter(process => process.domain === domain).map(process => process.name)
+    const restarted = pick(fleet, names)
+    const cutOff = pick(fleet, names)
+    fleet.kill(restarted, 100)
+    fleet.time.after(90, () => fleet.lapseEntries(domain))
+    fleet.time.after(150, () => fleet.cutPairs(names.flatMap(name => name === cutOff ? [] : [`${name}>${cutOff}`, `${cutOff}>${name}`]), 900))
+    return `lapse entries of ${domain}, restart ${restarted}, cut off ${cutOff}`
+  },
   (fleet) => {
     const endpoint = pickEndpoint(fleet)
     fleet.rebirth(endpoint.id)
--- /dev/null
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -0,0 +1,195 @@
+import { expect } from 'chai'
+import type { DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, FencingToken, InstanceId, JobId, ListedEnd, ListedRun, QueueName, ServiceName, ShardMessage, TaskName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
+import { PlacementDecider } from '../placement/placementDecider.js'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { ShardContext, ShardEffect } from '../shard/types.js'
+import { ExecutionDecider } from './executionDecider.js'
+import type { FrontSession } from './types.js'
+
+const DOMAIN = 'd' as FailureDomain
+const SERVICE = 's' as ServiceName
+const FRONT: FrontSession = { instance: 'front' as InstanceId, incarnation: 1, address: 'front' }
+const OTHER: FrontSession = { instance: 'other' as InstanceId, incarnation: 1, address: 'other' }
+
+function report (id: string): EndpointReport {
+  return { id: id as EndpointId, service: SERVICE, address: id, failureDomain: DOMAIN, draining: false, capacity: { cpuMilli: 14_000, memoryMb: 100, accelerators: 0 }, labels: [], bornAt: 0 }
+}
+
+function order (id: string, count: number, estimateMs: number, overrides: Partial<DispatchOrder> = {}): DispatchOrder {
+  const step = { count, needs: { cpuMilli: 14_000, memoryMb: 1, accelerators: 0 }, estimateMs: ms(estimateMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }
+  const queue = { name: 'q' as QueueName, host: 'h', prefix: '/', service: SERVICE, priority: 0, maxAttempts: 2, stretch: 1.6, latencyObjectiveMs: ms(60), needsAdvice: false }
+  return { job: { id: id as JobId, spec: '', features: [], steps: [step] }, queue, ageMs: ms(0), remainingMs: ms(10_000), attempt: 1, resumed: false, done: [], ...overrides }
+}
+
+/** An owner over endpoints that hold one task each; tests answer its orders by hand. */
+class Owner {
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  readonly told: ShardMessage[] = []
+  readonly execution: ExecutionDecider
+  readonly ledger: EndpointsDecider
+  private readonly holds = new Map<EndpointId, number>()
+  private readonly sequences = new Map<EndpointId, number>()
+  starts: Extract<ShardEffect, { type: 'startTask' }>[] = []
+  stops: Extract<ShardEffect, { type: 'stopTask' }>[] = []
+
+  constructor (endpoints: number) {
+    this.execution = new ExecutionDecider(this.ctx, new PlacementDecider(this.ctx), {
+      tell: (_front, message) => this.told.push(message),
+      superseded: () => {},
+      earlierRunsKnown: () => true
+    })
+    this.ledger = new EndpointsDecider(this.ctx, () => 1 as FencingToken, this.execution)
+    this.execution.endpoints = this.ledger
+    const reports = Array.from({ length: endpoints }, (_, i) => report(`e-${i}`))
+    this.ledger.adopt(reports)
+    this.collect()
+    for (const { id } of reports) this.list(id, [])
+  }
+
+  submit (job: DispatchOrder, front = FRONT): void {
+    this.execution.submit(front, DOMAIN, job)
+    this.settle()
+  }
+
+  /** Confirms every start that waits for its answer. */
+  confirmStarts (): void {
+    for (const start of this.starts.splice(0)) this.ledger.startOutcome(start.endpoint, start.orderId, { type: 'started', clock: Math.floor(this.ctx.now) as EndpointClockMs })
+    this.settle()
+  }
+
+  list (id: EndpointId, running: readonly ListedRun[], ends: readonly Omit<ListedEnd, 'sequence'>[] = []): void {
+    const ended = ends.map((end) => {
+      const sequence = (this.sequences.get(id) ?? 0) + 1
+      this.sequences.set(id, sequence)
+      return { ...end, sequence }
+    })
+    this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'listed', listing: { clock: Math.floor(this.ctx.now) as EndpointClockMs, bornAt: 0, running, ended } })
+    this.settle()
+  }
+
+  /** Lists the end of the task's run at its endpoint. */
+  end (task: string, how: ListedEnd['how']): void {
+    const run = this.ledger.db.runOf(task as TaskName)
+    if (run === undefined) throw new Error(`${task} does not run`)
+    this.list(run.endpoint, [], [{ task: run.task, run: run.run, how }])
+  }
+
+  /** Lists a run's progress at its endpoint. */
+  progress (task: string, percent: number): void {
+    const run = this.ledger.db.runOf(task as TaskName)
+    if (run === undefined) throw new Error(`${task} does not run`)
+    this.list(run.endpoint, [{ task: run.task, run: run.run, percent }])
+  }
+
+  pass (span: number): void {
+    this.ctx.now = ms(this.ctx.now + span)
+  }
+
+  settle (): void {
+    this.execution.pump()
+    this.collect()
+  }
+
+  private collect (): void {
+    for (const effect of this.ctx.out.take()) {
+      if (effect.type === 'hold') this.holds.set(effect.endpoint, effect.orderId)
+      if (effect.type === 'startTask') this.starts.push(effect)
+      if (effect.type === 'stopTask') this.stops.push(effect)
+    }
+  }
+}
+
+describe('execution', () => {
+  it('tells the front once every task has ended done', () => {
+    const owner = new Owner(2)
+    owner.submit(order('a', 2, 100))
+    owner.confirmStarts()
+    owner.end('a.0.0.0', 'done')
+    expect(owner.told).to.deep.equal([])
+    owner.end('a.0.0.1', 'done')
+    expect(owner.told).to.deep.equal([{ type: 'ended', jobId: 'a', outcome: 'completed' }])
+  })
+
+  it('starts a failed task elsewhere, and fails the job after the allowed attempts', () => {
+    const owner = new Owner(2)
+    owner.submit(order('a', 1, 100))
+    const first = owner.starts[0]?.endpoint
+    owner.confirmStarts()
+    owner.end('a.0.0.0', 'failed')
+    expect(owner.starts[0]?.endpoint).to.not.equal(first)
+    owner.confirmStarts()
+    owner.end('a.0.0.0', 'failed')
+    expect(owner.told).to.deep.equal([{ type: 'ended', jobId: 'a', outcome: 'failed' }])
+  })
+
+  it('finishes a job at work before it starts another, and starts no second job in part', () => {
+    const owner = new Owner(3)
+    owner.submit(order('a', 4, 200))
+    owner.submit(order('b', 2, 100))
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['a.0.0.0', 'a.0.0.1', 'a.0.0.2'])
+    owner.confirmStarts()
+    owner.pass(50)
+    owner.end('a.0.0.0', 'done')
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['a.0.0.3'])
+    owner.confirmStarts()
+    owner.end('a.0.0.1', 'done')
+    owner.end('a.0.0.2', 'done')
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['b.0.0.0', 'b.0.0.1'])
+  })
+
+  it('joins a job that arrives from another front and answers the new one', () => {
+    const owner = new Owner(1)
+    owner.submit(order('a', 1, 100))
+    owner.submit(order('a', 1, 100), OTHER)
+    expect(owner.starts.length).to.equal(1)
+    owner.execution.frontLost(FRONT.instance, undefined)
+    owner.settle()
+    expect(owner.stops).to.deep.equal([])
+  })
+
+  it('stops the tasks of a front that is lost, and those that are not confirmed', () => {
+    const owner = new Owner(2)
+    owner.submit(order('a', 1, 100))
+    owner.submit(order('b', 1, 100), OTHER)
+    owner.confirmStarts()
+    owner.execution.frontLost(FRONT.instance, undefined)
+    owner.settle()
+    expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.0'])
+    owner.pass(SHARD_DEFAULTS.jobLeaseMs + 1)
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.stops.map(stop => stop.task)).to.include('b.0.0.0')
+  })
+
+  it('moves the one task that makes no progress', () => {
+    const owner = new Owner(5)
+    owner.submit(order('a', 4, 400))
+    owner.confirmStarts()
+    owner.pass(200)
+    for (const index of [0, 1, 2]) owner.progress(`a.0.0.${index}`, 50)
+    owner.progress('a.0.0.3', 0)
+    expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.3'])
+  })
+
+  it('moves nothing when all tasks of a job take longer than estimated', () => {
+    const owner = new Owner(5)
+    owner.submit(order('a', 4, 100))
+    owner.confirmStarts()
+    for (const percent of [10, 20, 30]) {
+      owner.pass(70)
+      for (const index of [0, 1, 2, 3]) owner.progress(`a.0.0.${index}`, percent)
+    }
+    expect(owner.stops).to.deep.equal([])
+  })
+
+  it('declines what no endpoint can hold', () => {
+    const owner = new Owner(1)
+    const wide = order('a', 1, 100)
+    const step = { ...wide.job.steps[0], needs: { cpuMilli: 99_000, memoryMb: 1, accelerators: 0 } } as DispatchOrder['job']['steps'][number]
+    owner.submit({ ...wide, job: { ...wide.job, steps: [step] } })
+    expect(owner.told.map(message => message.type)).to.deep.equal(['declined'])
+  })
+})
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -31,6 +31,8 @@
 const JUDGE_AGAIN_MS = 60
 /** A task avoids at most this many endpoints, so that one always remains. */
 const AVOIDED_MAX = 3
+/** Before that the time of a run says too little about its speed: answers take a few milliseconds each way. */
+const JUDGE_RUN_MS = 60
 /** Progress figures are whole percents; below this they say too little about speed. */
 const PROGRESS_MIN_PERCENT = 4
 
@@ -400,16 +402,29 @@
 
   private learn (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
     const ranMs = this.ctx.now - run.startedAt
-    this.placement.ended(run.endpoint, ranMs / this.soundMs(job, step))
+    this.placement.ended(run.endpoint, ranMs / this.soundMs(job, step, run))
     step.ranMs.push(ranMs)
     if (!this.placement.isSetAside(run.endpoint)) this.admission.db.learn(job.order.queue.name, ranMs / Math.max(1, step.spec.estimateMs))
   }
 
-  /** Time that a task of the step takes at a sound endpoint: the median of its siblings, else the estimate and what it may be off. */
-  private soundMs (job: OwnedJob, step: OwnedStep): number {
-    if (step.ranMs.length < SIBLINGS_MIN) return Math.max(1, this.expectedMs(job, step) * ESTIMATE_TOLERANCE)
-    const sorted = [...step.ranMs].sort((a, b) => a - b)
-    return Math.max(1, sorted[Math.floor((sorted.length - 1) / 2)] ?? 1)
+  /**
+   * Time that a task of the step takes at a sound endpoint: the median of its siblings, ended or at work; with too few
+   * of them at least the estimate and what that may be off.
+   */
+  private soundMs (job: OwnedJob, step: OwnedStep, run: LedgerRun): number {
+    const siblings = this.siblingsMs(step, run).sort((a, b) => a - b)
+    const median = siblings[Math.floor((siblings.length - 1) / 2)] ?? 0
+    if (siblings.length >= SIBLINGS_MIN) return Math.max(1, median)
+    return Math.max(1, median, this.expectedMs(job, step) * ESTIMATE_TOLERANCE)
+  }
+
+  /** @returns times of the step's other tasks: as they ended, or as they will at their present speed */
+  private siblingsMs (step: OwnedStep, except: LedgerRun): number[] {
+    const atWork = step.tasks.flatMap(({ run }) => {
+      if (run === undefined || run === except || run.percent < PROGRESS_MIN_PERCENT) return []
+      return [(run.percentAt - run.startedAt) * 100 / run.percent]
+    })
+    return [...step.ranMs, ...atWork]
   }
 
   private expectedMs (job: OwnedJob, step: OwnedStep): number {
@@ -439,18 +454,20 @@
   private slownessOf (job: OwnedJob, task: OwnedTask, run: LedgerRun): number {
     const step = job.steps[task.step]
     if (step === undefined) return 1
-    const expected = this.soundMs(job, step)
+    const expected = this.soundMs(job, step, run)
     const ranMs = this.ctx.now - run.startedAt
+    if (ranMs < JUDGE_RUN_MS) return 1
     if (run.percent < PROGRESS_MIN_PERCENT) return ranMs > Math.max(STALL_MIN_MS, expected * STALL_SHARE) ? STALL_SLOWNESS : 1
     if (this.ctx.now - run.percentAt > Math.max(STALL_MIN_MS, expected * STALL_SHARE)) return STALL_SLOWNESS
-    return (ranMs * 100 / run.percent) / Math.max(1, expected)
+    const othersUnknown = step.tasks.length > SIBLINGS_MIN && this.siblingsMs(step, run).length < SIBLINGS_MIN
+    return othersUnknown ? 1 : (ranMs * 100 / run.percent) / expected
   }
 
   /** Stops a run that would end sooner if it were started again elsewhere. */
   private move (job: OwnedJob, task: OwnedTask, run: LedgerRun, slowness: number): void {
     const step = job.steps[task.step]
     if (step === undefined || run.state !== 'running') return
-    const expected = this.soundMs(job, step)
+    const expected = this.soundMs(job, step, run)
     const remaining = expected * slowness * (100 - run.percent) / 100
     if (remaining <= expected + MOVE_COST_MS) return
     this.placement.stalled(run.endpoint, slowness)
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -17,8 +17,10 @@
 const REMOTE_PENALTY_MS = 15
 /** Share of room taken from which the own domain counts as full. */
 const FULL_SHARE = 0.97
-/** Estimates are too low by up to this factor, queueing included; a leaving instance takes only what surely ends in time. */
-const LEAVING_SAFETY = 2.5
+/** Estimates are too low by up to this factor; a leaving instance takes only what surely ends in time. */
+const LEAVING_SAFETY = 2
+/** Wait for room that a leaving instance allows for; callers leave what waits longer. */
+const LEAVING_WAIT_MS = 1000
 /** When callers had best come back to another instance. */
 const LEAVING_RETRY_MS = ms(1000)
 /** How often a job is sent to an owner that does not know it. */
@@ -34,7 +36,7 @@
 /** The intake decision. */
 export class IntakeDecider {
   readonly db = new IntakeDb()
-  private leaveUntil: Ms | undefined
+  private leavingSince: Ms | undefined
 
   constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly deliver: Deliver) {}
 
@@ -154,7 +156,7 @@
 
   /** From now on only jobs are taken that end before this process does. */
   leave (): void {
-    this.leaveUntil = ms(this.ctx.now + this.ctx.cfg.leaveMs)
+    this.leavingSince = this.ctx.now
   }
 
   /** Gives up every job: this process stood still, and callers may have sent them elsewhere meanwhile. */
@@ -163,7 +165,10 @@
   }
 
   private endsBeforeLeaving (request: JobRequest): boolean {
-    return this.leaveUntil === undefined || this.ctx.now + chainOf(request.steps, LEAVING_SAFETY) <= this.leaveUntil
+    const { now, cfg } = this.ctx
+    if (this.leavingSince === undefined) return true
+    const passed = now - this.leavingSince
+    return passed <= cfg.leaveTakeMs && passed + LEAVING_WAIT_MS + chainOf(request.steps, LEAVING_SAFETY) <= cfg.leaveMs
   }
 
   private place (job: FrontedJob): void {
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -41,12 +41,16 @@
   readonly leaseSlackMs: Ms
   /** Runs found after a takeover that no front claims within this span are stopped. */
   readonly claimGraceMs: Ms
+  /** Longest time until an owner that was superseded gives no more orders: one hold and its answer. */
+  readonly supersededMs: Ms
   /** How long a front waits for a new owner before it gives its jobs up. */
   readonly ownerWaitMs: Ms
   /** An event loop that stood still for longer drops its sessions: others have acted meanwhile. */
   readonly pauseMs: Ms
   /** From the request to stop to the end of this process (platform's grace, less the time to close). */
   readonly leaveMs: Ms
+  /** A leaving instance takes jobs on connections that are still open this long; later ones are refused. */
+  readonly leaveTakeMs: Ms
   /** Factor of the objective up to which a late answer is of use (platform's bound). */
   readonly usefulFactor: number
   /** Entries of endpoints that are missing in the store's list are kept this long after the store came back. */
@@ -72,9 +76,11 @@
   silentLookMs: ms(200),
   leaseSlackMs: ms(60),
   claimGraceMs: ms(250),
+  supersededMs: ms(400),
   ownerWaitMs: ms(1200),
   pauseMs: ms(400),
   leaveMs: ms(5200),
+  leaveTakeMs: ms(1800),
   usefulFactor: 3,
   missingMs: ms(2500)
 }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -42,6 +42,8 @@
   private leaving = false
   private drained = false
   private storeReachable = false
+  /** When the list of endpoints was first read. */
+  private listedSince: Ms | undefined
   private registeredAt: Ms = ms(0)
 
   constructor ({ self, cfg }: ShardInstanceOptions) {
@@ -191,13 +193,17 @@
     this.execution.submit(front, message.failureDomain, message.order)
   }
 
-  /** Runs of an earlier owner are all known once every endpoint was looked at, or gone once their leases have run out. */
+  /**
+   * Runs of an earlier owner are all known once every endpoint was looked at, or gone once their leases have run out.
+   * An instance that has read the list only lately may miss entries that lapsed and are not back yet.
+   */
   private earlierRunsKnown (failureDomain: FailureDomain): boolean {
     const { now, cfg } = this.ctx
     const owned = this.ownership.db.owned.get(failureDomain)
     if (owned === undefined) return false
-    if (now - owned.since > cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
-    return this.reports.size > 0 && [...this.reports.values()].every(({ report }) => report.failureDomain !== failureDomain || this.endpoints.db.get(report.id)?.looked === true)
+    if (now - owned.since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
+    if (this.listedSince === undefined || owned.since - this.listedSince < cfg.missingMs) return false
+    return [...this.reports.values()].every(({ report }) => report.failureDomain !== failureDomain || this.endpoints.db.get(report.id)?.looked === true)
   }
 
   private receiveCheck (from: InstanceId, failureDomain: FailureDomain, jobIds: readonly JobId[]): void {
@@ -242,6 +248,7 @@
   private takeReports (reports: readonly EndpointReport[]): void {
     const { now } = this.ctx
     const shown = new Set<EndpointId>()
+    this.listedSince ??= now
     for (const report of reports) {
       shown.add(report.id)
       this.reports.set(report.id, { report, missingSince: undefined })
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -23,6 +23,9 @@
   'grpc.max_receive_message_length': 16 * 1024 * 1024
 }
 
+/** A link of its own tries at once instead of waiting out the pause after another link's refused connection. */
+const FAIL_FAST_OPTIONS = { ...CHANNEL_OPTIONS, 'grpc.use_local_subchannel_pool': 1 }
+
 type Stream = ClientWritableStream<Envelope>
 
 /** What happens on the connections to peers. */
@@ -117,7 +120,7 @@
     const known = this.links.get(peer)
     if (known !== undefined && known.address === address) return known
     known?.client.close()
-    const client = new PeerClient(address, this.clientCredentials(), CHANNEL_OPTIONS) as unknown as ChannelClient
+    const client = new PeerClient(address, this.clientCredentials(), this.options.failFast ? FAIL_FAST_OPTIONS : CHANNEL_OPTIONS) as unknown as ChannelClient
     const link: Link<M> = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
     this.links.set(peer, link)
     return link
