--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -3,7 +3,9 @@
  */
 import { CHART_NAMES, COUNTERS, readChart } from '@cranberryyard/core'
 import type { ChartName } from '@cranberryyard/core'
+import { SHARD_COUNTERS } from '@cranberryyard/core/shard'
 import { GAUGES, TIMELINESS_COUNTERS } from '@cranberryyard/dispatcher'
+import { SHARD_HISTOGRAMS, metricName } from '@cranberryyard/dispatcher/shard'
 import { settingsSchema } from '@cranberryyard/protocol'
 import { z } from 'zod'
 import { tableOf } from '../measure/report.js'
@@ -53,6 +55,10 @@
   return `${schema.type ?? ''}${range}`
 }
 
+function shardRows (metrics: Readonly<Record<string, string>>, type: string): string[][] {
+  return Object.entries(metrics).map(([name, text]) => [`\`${metricName(name.startsWith('shard.') ? name : `shard.${name}`)}\``, type, text])
+}
+
 /** @returns docs/METRICS.md */
 export function renderMetrics (): string {
   const rows = (metrics: Readonly<Record<string, string>>, type: string): string[][] => Object.entries(metrics).map(([name, text]) => [`\`cranberryyard.${name}\``, type, text])
@@ -68,6 +74,12 @@
     '```',
     '',
     tableOf(['name', 'type', 'meaning'], [...rows(COUNTERS, 'counter'), ...rows(TIMELINESS_COUNTERS, 'counter'), ...rows(GAUGES, 'gauge')]),
+    '',
+    '## On the platform',
+    '',
+    'Served as text on the metrics address (`deploy/system.toml`). Histograms have the label `label`: queue or way of succession.',
+    '',
+    tableOf(['name', 'type', 'meaning'], [...shardRows(SHARD_COUNTERS, 'counter'), ...shardRows(SHARD_HISTOGRAMS, 'histogram, ms')]),
     ''
   ].join('\n')
 }
--- a/packages/dispatcher/src/shard/index.ts
+++ b/packages/dispatcher/src/shard/index.ts
@@ -4,3 +4,4 @@
 export { ShardDaemon } from './shardDaemon.js'
 export type { ListenAddress, ShardDaemonOptions } from './shardDaemon.js'
 export type * from './wires.js'
+export { SHARD_HISTOGRAMS, metricName } from './metricsServer.js'
