--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -63,7 +63,7 @@
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
     this.peers = new PeerTask<ShardMessage>(self.instance, NO_TLS, post, { failFast: true })
     this.orders = new OrderTask(wires.endpoints, post)
-    this.store = new StoreTask(wires.store, post, random)
+    this.store = new StoreTask(wires.store, post, random, (list, entries) => this.log.write('warn', 'store.unreadable', { list, entries }))
     this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path))
     this.metrics = new MetricsServer(this.core.ctx.out.counters)
   }
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -30,6 +30,9 @@
 /** Failures in a row from which the store counts as lost. */
 const LOST_AFTER = 2
 
+/** Logs entries of a list that could not be understood; called when their number changes. */
+export type LogUnreadable = (list: 'desiredState' | 'endpoints' | 'records', entries: number) => void
+
 /** Owns the store connection. */
 export class StoreTask {
   private readonly caller = new HttpCaller(4)
@@ -37,11 +40,12 @@
   private closed = false
   private reachable: boolean | undefined
   private failures = 0
+  private readonly unreadable = new Map<string, number>()
   private wakeRecords: () => void = () => {}
   /** The next read of the records must not be stale. */
   private freshRecords = true
 
-  constructor (private readonly wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number) {}
+  constructor (private readonly wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly log: LogUnreadable) {}
 
   /** Starts all loops. */
   start (): void {
@@ -103,12 +107,13 @@
   /** @returns the revision from which to go on, or undefined to read again */
   private takeDesired (news: DesiredNews): number | undefined {
     if (news.type === 'forgotten') return undefined
+    this.noteUnreadable('desiredState', news.unreadable ? 1 : 0)
     if (news.state !== undefined) this.post({ type: 'desired', state: news.state })
     return news.asOf
   }
 
   private async readEndpoints (): Promise<boolean> {
-    const reports = await this.readPages<EndpointReport>(after => this.wire.listEndpoints(after, !this.owning), reply => this.wire.parseEndpoints(reply))
+    const reports = await this.readPages<EndpointReport>('endpoints', after => this.wire.listEndpoints(after, !this.owning), reply => this.wire.parseEndpoints(reply))
     if (reports === undefined) return false
     this.post({ type: 'endpoints', reports })
     return true
@@ -116,7 +121,7 @@
 
   private async readRecords (): Promise<boolean> {
     const stale = !this.freshRecords
-    const entries = await this.readPages<RecordEntry>(after => this.wire.listRecords(after, stale), reply => this.wire.parseRecords(reply))
+    const entries = await this.readPages<RecordEntry>('records', after => this.wire.listRecords(after, stale), reply => this.wire.parseRecords(reply))
     if (entries === undefined) return false
     if (!stale) this.freshRecords = false
     const members: Revised<MemberRecord>[] = []
@@ -129,15 +134,18 @@
     return true
   }
 
-  private async readPages<T> (callFor: (after: string | undefined) => HttpCall, parse: (reply: HttpReply) => Page<T> | StoreFailure): Promise<T[] | undefined> {
+  private async readPages<T> (list: 'endpoints' | 'records', callFor: (after: string | undefined) => HttpCall, parse: (reply: HttpReply) => Page<T> | StoreFailure): Promise<T[] | undefined> {
     const entries: T[] = []
+    let unreadable = 0
     let after: string | undefined
     do {
       const page = await this.read(callFor(after), READ_TIMEOUT_MS, parse)
       if (page.type !== 'page') return undefined
       entries.push(...page.entries)
+      unreadable += page.unreadable
       after = page.nextAfter
     } while (after !== undefined)
+    this.noteUnreadable(list, unreadable)
     return entries
   }
 
@@ -154,6 +162,12 @@
     return { type: result.type === 'refused' ? 'unavailable' : 'unknown' }
   }
 
+  private noteUnreadable (list: Parameters<LogUnreadable>[0], entries: number): void {
+    if (entries === (this.unreadable.get(list) ?? 0)) return
+    this.unreadable.set(list, entries)
+    this.log(list, entries)
+  }
+
   private note (ok: boolean): void {
     this.failures = ok ? 0 : this.failures + 1
     const reachable = this.failures < LOST_AFTER
