--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the admission decision: a job's times, and what the owner's queue tells about its load.
  */
-import type { Ms, Resources } from '@cranberryyard/protocol'
+import type { Ms } from '@cranberryyard/protocol'
 
 /** Times of a job on this instance's clock. */
 export interface JobTimes {
@@ -33,9 +33,3 @@
 export type AdmissionVerdict =
   | { readonly type: 'admit' }
   | { readonly type: 'decline', readonly retryAfterMs: Ms }
-
-/** A step's needs and expected time, as admission sees it. */
-export interface WorkItem {
-  readonly needs: Resources
-  readonly expectedMs: Ms
-}
--- a/packages/core/src/desired/desiredDb.ts
+++ b/packages/core/src/desired/desiredDb.ts
@@ -1,7 +1,7 @@
 /**
  * The desired state in force at this instance. It only moves to a higher version.
  */
-import type { DesiredState, QueueTerms, ServiceTerms, ServiceName } from '@cranberryyard/protocol'
+import type { DesiredState, QueueTerms } from '@cranberryyard/protocol'
 
 /** State of the desired state. */
 export class DesiredDb {
@@ -12,11 +12,6 @@
     return this.state?.version ?? 0
   }
 
-  /** @returns the terms of a service */
-  service (name: ServiceName): ServiceTerms | undefined {
-    return this.state?.services.find(service => service.name === name)
-  }
-
   /** @returns the queue with the longest prefix that the path begins with */
   queueFor (host: string, path: string): QueueTerms | undefined {
     let best: QueueTerms | undefined
