Orders use the HTTP client's dispatch interface; owners hand shards to clearly stronger instances

Cause: half of an owner's processor time went into promises, streams and abort signals of the HTTP client's request interface, and on sites with unequal instances any instance could own a shard and stay too slow for it. Member records now carry the processor time of an instance; successors are ordered by it.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -34,6 +34,9 @@
 const RECORDS_MS = 1500
 const WATCH_DELAY_MS = 50
 const CALLER_RESEND_MS = 1300
+/** One instance of each domain has more processor time than the others; owners hand their shards to it. */
+const STRONG_CPU_MILLI = 1350
+const WEAK_CPU_MILLI = 324
 /** A process counts as in touch after this long without trouble. */
 const CONTACT_MS = 3000
 const SERVICE = 'workers' as ServiceName
@@ -235,7 +238,7 @@
 
   private makeCore (name: InstanceId, domain: FailureDomain, life: number): ShardInstance {
     const cfg = { ...SHARD_DEFAULTS, ...this.shape.cfg }
-    return new ShardInstance({ self: { instance: name, incarnation: life, failureDomain: domain, address: name }, cfg })
+    return new ShardInstance({ self: { instance: name, incarnation: life, failureDomain: domain, address: name, cpuMilli: name.endsWith('-1') ? STRONG_CPU_MILLI : WEAK_CPU_MILLI }, cfg })
   }
 
   private process (name: InstanceId): Process {
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -18,7 +18,7 @@
   readonly apply: () => Undo
 }
 
-const sample = new ShardInstance({ self: { instance: 'sample' as InstanceId, incarnation: 1, failureDomain: 'sample' as FailureDomain, address: 'sample' }, cfg: SHARD_DEFAULTS })
+const sample = new ShardInstance({ self: { instance: 'sample' as InstanceId, incarnation: 1, failureDomain: 'sample' as FailureDomain, address: 'sample', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
 
 /** Replaces a method for all instances. */
 function replace<T extends object> (object: T, method: string, make: (original: Method) => (this: T, ...args: never[]) => unknown): Undo {
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -52,7 +52,7 @@
 }
 
 function setUp (): { ctx: ShardContext, ledger: EndpointsDecider, seen: Recorder, tokens: { value: number } } {
-  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
   const seen = new Recorder()
   const tokens = { value: 7 }
   return { ctx, seen, tokens, ledger: new EndpointsDecider(ctx, () => tokens.value as FencingToken, seen) }
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -26,7 +26,7 @@
 
 /** An owner over endpoints that hold one task each; tests answer its orders by hand. */
 class Owner {
-  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
   readonly told: ShardMessage[] = []
   readonly execution: ExecutionDecider
   readonly ledger: EndpointsDecider
--- a/packages/core/src/ownership/ownershipDb.ts
+++ b/packages/core/src/ownership/ownershipDb.ts
@@ -24,10 +24,10 @@
   claim: PendingClaim | undefined
   recordsRead = false
 
-  /** @returns members of a failure domain but one, in an order that all instances share */
+  /** @returns members of a failure domain but one, those with the most processor time first; all instances share the order */
   membersOf (failureDomain: FailureDomain, except: InstanceId): MemberRecord[] {
     return [...this.members.values()]
       .filter(member => member.failureDomain === failureDomain && member.instance !== except)
-      .sort((a, b) => a.instance < b.instance ? -1 : 1)
+      .sort((a, b) => b.cpuMilli - a.cpuMilli || (a.instance < b.instance ? -1 : 1))
   }
 }
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -9,7 +9,8 @@
 import { OwnershipDecider } from './ownershipDecider.js'
 
 const DOMAIN = 'd' as FailureDomain
-const member = (name: string, incarnation = 1): MemberRecord => ({ instance: name as InstanceId, incarnation, failureDomain: DOMAIN, address: name })
+const CPU_MILLI = 500
+const member = (name: string, incarnation = 1, cpuMilli = CPU_MILLI): MemberRecord => ({ instance: name as InstanceId, incarnation, failureDomain: DOMAIN, address: name, cpuMilli })
 
 function setUp (): { ctx: ShardContext, ownership: OwnershipDecider, sessions: SessionsDecider, changes: string[] } {
   const ctx: ShardContext = { self: { ...member('me') }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
@@ -105,6 +106,24 @@
     expect(changes.at(-1)).to.equal('lost to other')
   })
 
+  it('hands its shard to a live successor with clearly more processor time, once it has settled', () => {
+    const { ctx, ownership, sessions, changes } = setUp()
+    const strong = { revision: 1, value: member('strong', 1, CPU_MILLI * 2) }
+    const equal = { revision: 1, value: member('equal', 1, CPU_MILLI) }
+    ownership.recordsRead([equal, strong, ...members('me')], [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    expect(claim?.record.successors).to.deep.equal(['strong', 'equal'])
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    ctx.now = ms(ctx.now + 10_000)
+    sessions.heard('equal' as InstanceId, 1, 'equal')
+    ownership.tick()
+    expect(ownership.owns()).to.equal(true)
+    sessions.heard('strong' as InstanceId, 1, 'strong')
+    ownership.tick()
+    expect(changes.at(-1)).to.equal('lost to strong')
+  })
+
   it('keeps its shard to the end when there is no successor', () => {
     const { ctx, ownership } = setUp()
     ownership.recordsRead(members('me'), [])
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -14,6 +14,10 @@
 const REWRITE_PAUSE_MS = 3000
 /** Least time between two claims that the store did not take. */
 const CLAIM_PAUSE_MS = 300
+/** An owner hands its shard to a live successor with this many times its processor time. */
+const STRONGER_FACTOR = 1.5
+/** Least time for which an owner keeps a shard before it does so; members have registered by then. */
+const SETTLE_MS = 2000
 
 /** The ownership decision. */
 export class OwnershipDecider {
@@ -42,8 +46,12 @@
     const own = this.ctx.self.failureDomain
     this.expireClaim(own)
     if (this.leaving || this.db.claim !== undefined) return
-    if (this.db.owned.has(own)) this.keepRecord(own)
-    else this.watchVacancy(own)
+    if (!this.db.owned.has(own)) {
+      this.watchVacancy(own)
+      return
+    }
+    this.keepRecord(own)
+    this.yieldToStronger(own)
   }
 
   /** Takes the store's answer to a claim. */
@@ -84,15 +92,7 @@
   /** Hands owned shards to a live successor; an owner without one keeps its shard to the end. */
   leave (): void {
     this.leaving = true
-    for (const [failureDomain, mine] of [...this.db.owned]) {
-      const record = this.db.records.get(failureDomain)
-      const successors = record?.value.successors ?? []
-      const index = successors.findIndex((instance, i) => i + 1 > mine.rank && this.sessions.isLive(instance))
-      const successor = successors[index]
-      if (record === undefined || successor === undefined || record.revision !== mine.revision) continue
-      this.sessions.tell(successor, { type: 'handover', failureDomain, revision: record.revision, rank: index + 1 })
-      this.stepDown(failureDomain, 'leaving', successor)
-    }
+    for (const failureDomain of [...this.db.owned.keys()]) this.handOver(failureDomain, 'leaving', () => true)
   }
 
   /** @returns true while this instance owns some shard */
@@ -100,6 +100,28 @@
     return this.db.owned.size > 0
   }
 
+  /** An owner with little processor time is late with its orders; a stronger successor takes its place while all is calm. */
+  private yieldToStronger (own: FailureDomain): void {
+    const { now, self } = this.ctx
+    const mine = this.db.owned.get(own)
+    if (mine === undefined || this.db.claim !== undefined || now - mine.since < SETTLE_MS) return
+    const enough = self.cpuMilli * STRONGER_FACTOR
+    this.handOver(own, 'stronger', instance => (this.db.members.get(instance)?.cpuMilli ?? 0) >= enough)
+  }
+
+  /** Hands a shard to the first live successor that will do; without one this instance keeps it. */
+  private handOver (failureDomain: FailureDomain, why: string, willDo: (instance: InstanceId) => boolean): void {
+    const mine = this.db.owned.get(failureDomain)
+    const record = this.db.records.get(failureDomain)
+    if (mine === undefined || record === undefined || record.revision !== mine.revision) return
+    const { successors } = record.value
+    const index = successors.findIndex((instance, i) => i + 1 > mine.rank && this.sessions.isLive(instance) && willDo(instance))
+    const successor = successors[index]
+    if (successor === undefined) return
+    this.sessions.tell(successor, { type: 'handover', failureDomain, revision: record.revision, rank: index + 1 })
+    this.stepDown(failureDomain, why, successor)
+  }
+
   private takeRecord (record: Revised<ShardRecord>): void {
     const { failureDomain, owner } = record.value
     const known = this.db.records.get(failureDomain)
@@ -152,7 +174,7 @@
     const known = this.db.records.get(own)
     const record: ShardRecord = {
       failureDomain: own,
-      owner: { instance: self.instance, incarnation: self.incarnation, failureDomain: own, address: self.address },
+      owner: { ...self },
       successors: this.db.membersOf(own, self.instance).map(member => member.instance)
     }
     this.db.claim = { claimId: ++this.claimCounter, sentAt: now }
@@ -191,8 +213,7 @@
   private won (failureDomain: FailureDomain, revision: number): void {
     const { self } = this.ctx
     const successors = this.db.membersOf(failureDomain, self.instance).map(member => member.instance)
-    const owner = { instance: self.instance, incarnation: self.incarnation, failureDomain, address: self.address }
-    this.db.records.set(failureDomain, { revision, value: { failureDomain, owner, successors } })
+    this.db.records.set(failureDomain, { revision, value: { failureDomain, owner: { ...self }, successors } })
     this.gain(failureDomain, revision, 0, 'store')
   }
 
--- a/packages/core/src/placement/placementDecider.spec.ts
+++ b/packages/core/src/placement/placementDecider.spec.ts
@@ -21,7 +21,7 @@
 }
 
 function setUp (): { ctx: ShardContext, placement: PlacementDecider } {
-  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i' }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
   return { ctx, placement: new PlacementDecider(ctx) }
 }
 
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -6,7 +6,6 @@
   EndpointClockMs,
   EndpointId,
   EndpointReport,
-  FailureDomain,
   FencingToken,
   HoldOutcome,
   InstanceId,
@@ -25,12 +24,7 @@
 import type { ShardSettings } from './settings.js'
 
 /** Who this instance is. */
-export interface ShardSelf {
-  readonly instance: InstanceId
-  readonly incarnation: number
-  readonly failureDomain: FailureDomain
-  readonly address: string
-}
+export type ShardSelf = MemberRecord
 
 /** How a conditional write to the store ended; `unknown` means that it may still take effect. */
 export type ClaimResult =
--- /dev/null
+++ b/packages/dispatcher/src/shard/httpCaller.spec.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai'
+import { ms } from '@cranberryyard/protocol'
+import { listenHttp, sendJson } from '@cranberryyard/fakes'
+import { HttpCaller } from './httpCaller.js'
+
+const call = { method: 'POST', path: '/x', body: '{"a":1}' } as const
+/** Far above what a reply over loopback takes. */
+const PATIENT = ms(5000)
+
+describe('the HTTP caller', () => {
+  it('returns status and whole body', async () => {
+    const long = 'x'.repeat(300_000)
+    const server = await listenHttp(0, (_req, res) => {
+      sendJson(res, 409, { long })
+    })
+    const caller = new HttpCaller(2)
+    const result = await caller.call(`127.0.0.1:${server.port}`, call, PATIENT)
+    await caller.close()
+    await server.close()
+    expect(result).to.deep.equal({ type: 'reply', reply: { status: 409, body: JSON.stringify({ long }) } })
+  })
+
+  it('tells a refused connection from a silent one', async () => {
+    const server = await listenHttp(0, () => {})
+    const caller = new HttpCaller(2)
+    const silent = await caller.call(`127.0.0.1:${server.port}`, call, ms(50))
+    const { port } = server
+    await caller.close()
+    await server.close()
+    const next = new HttpCaller(2)
+    const refused = await next.call(`127.0.0.1:${port}`, call, PATIENT)
+    await next.close()
+    expect([silent.type, refused.type]).to.deep.equal(['silent', 'refused'])
+  })
+
+  it('never sends a call whose time was up while it waited for a connection', async () => {
+    const seen: string[] = []
+    let release = (): void => {}
+    const server = await listenHttp(0, (req, res) => {
+      seen.push(req.url ?? '')
+      if (req.url === '/first') release = () => sendJson(res, 200, {})
+      else sendJson(res, 200, {})
+    })
+    const address = `127.0.0.1:${server.port}`
+    const caller = new HttpCaller(1)
+    const first = caller.call(address, { method: 'GET', path: '/first' }, PATIENT)
+    const late = await caller.call(address, { method: 'GET', path: '/late' }, ms(50))
+    release()
+    expect((await first).type).to.equal('reply')
+    expect((await caller.call(address, { method: 'GET', path: '/next' }, PATIENT)).type).to.equal('reply')
+    await caller.close()
+    await server.close()
+    expect(late.type).to.equal('silent')
+    expect(seen).to.deep.equal(['/first', '/next'])
+  })
+})
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -4,6 +4,7 @@
  */
 import type { Ms } from '@cranberryyard/protocol'
 import { Pool } from 'undici'
+import type { Dispatcher } from 'undici'
 import type { HttpCall, HttpReply } from './wires.js'
 
 /** How a call ended. `refused`: nobody listens; nothing was sent. `silent`: no complete answer; it may take effect. */
@@ -17,6 +18,58 @@
 /** Longest time to connect; a few round trips. */
 const CONNECT_TIMEOUT_MS = 400
 
+/** One call on its way: collects the answer and reports once, at the latest when its time is up. */
+class PendingCall implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined
+  private status = 0
+  private readonly chunks: Buffer[] = []
+  private ended = false
+  private readonly timer: NodeJS.Timeout
+
+  constructor (timeoutMs: Ms, private readonly report: (result: CallResult) => void) {
+    this.timer = setTimeout(() => this.giveUp(), timeoutMs)
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.controller = controller
+    // The time was up while the call waited for a connection: nothing is sent.
+    if (this.ended) this.abort()
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
+    this.status = status
+  }
+
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.chunks.push(chunk)
+  }
+
+  onResponseEnd (): void {
+    const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks)
+    this.end({ type: 'reply', reply: { status: this.status, body: body.toString('utf8') } })
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
+    this.end({ type: isRefusal(err) ? 'refused' : 'silent' })
+  }
+
+  private giveUp (): void {
+    this.end({ type: 'silent' })
+    this.abort()
+  }
+
+  private abort (): void {
+    this.controller?.abort(new Error('no answer in time'))
+  }
+
+  private end (result: CallResult): void {
+    if (this.ended) return
+    this.ended = true
+    clearTimeout(this.timer)
+    this.report(result)
+  }
+}
+
 /** Connections to any number of addresses. */
 export class HttpCaller {
   private readonly pools = new Map<string, Pool>()
@@ -30,23 +83,16 @@
    * @param call - what to send
    * @param timeoutMs - longest time until the answer is complete
    */
-  async call (address: string, call: HttpCall, timeoutMs: Ms): Promise<CallResult> {
-    const abort = new AbortController()
-    const timer = setTimeout(() => abort.abort(), timeoutMs)
-    try {
-      const res = await this.pool(address).request({
+  call (address: string, call: HttpCall, timeoutMs: Ms): Promise<CallResult> {
+    return new Promise((resolve) => {
+      const pending = new PendingCall(timeoutMs, resolve)
+      this.pool(address).dispatch({
         method: call.method,
         path: call.path,
         headers: { 'content-type': 'application/json', ...call.headers },
-        body: call.body ?? null,
-        signal: abort.signal
-      })
-      return { type: 'reply', reply: { status: res.statusCode, body: await res.body.text() } }
-    } catch (err) {
-      return { type: isRefusal(err) ? 'refused' : 'silent' }
-    } finally {
-      clearTimeout(timer)
-    }
+        body: call.body ?? null
+      }, pending)
+    })
   }
 
   /** Closes the connections to an address. */
@@ -66,7 +112,13 @@
   private pool (address: string): Pool {
     const known = this.pools.get(address)
     if (known !== undefined) return known
-    const pool = new Pool(`http://${address}`, { connections: this.connections, keepAliveTimeout: KEEP_ALIVE_MS, connect: { timeout: CONNECT_TIMEOUT_MS } })
+    const pool = new Pool(`http://${address}`, {
+      connections: this.connections,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0
+    })
     this.pools.set(address, pool)
     return pool
   }
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -183,6 +183,8 @@
   readonly incarnation: number
   readonly failureDomain: FailureDomain
   readonly address: string
+  /** Processor time that the instance may use, in thousandths of a core; owners need the most. */
+  readonly cpuMilli: number
 }
 
 /** Who owns the endpoints of a failure domain, and who follows if the owner is lost, in order. */
