--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -12,7 +12,8 @@
 import { OperatorTask } from './operators/operatorTask.js'
 import { PeerTask } from './peers/peerTask.js'
 import { PlatformTask } from './platform/platformTask.js'
-import { listen, makeServer } from './utils/httpServer.js'
+import { makeServer } from './utils/httpServer.js'
+import { listen } from './utils/plainServer.js'
 import { log } from './utils/log.js'
 
 /** Period of the core task's tick. */
--- a/packages/dispatcher/src/peers/peerCodec.ts
+++ b/packages/dispatcher/src/peers/peerCodec.ts
@@ -2,7 +2,7 @@
  * Encodes envelopes with MessagePack. Heartbeats are by far the most frequent messages, so their entries travel as
  * lists of values in a fixed order instead of maps with names.
  */
-import { decode, encode } from '@msgpack/msgpack'
+import { Encoder, decode } from '@msgpack/msgpack'
 import type { InstanceId, MemberEntry, PeerMessage, ShardMessage } from '@cranberryyard/protocol'
 
 /** Messages that instances send each other. */
@@ -32,6 +32,8 @@
 type WireMessage = [from: InstanceId, message: AnyPeerMessage] | [from: InstanceId, fleetVersion: number, entries: readonly WireEntry[]]
 
 const HEARTBEAT_LENGTH = 3
+/** One for all messages: its buffer is used again. */
+const encoder = new Encoder({ ignoreUndefined: true })
 
 /**
  * Encodes an envelope.
@@ -43,7 +45,8 @@
   const wire: WireMessage = message.type === 'gossip'
     ? [from, message.fleetVersion, message.entries.map(toWire)]
     : [from, message]
-  return Buffer.from(encode(wire, { ignoreUndefined: true }))
+  const { buffer, byteOffset, byteLength } = encoder.encode(wire)
+  return Buffer.from(buffer, byteOffset, byteLength)
 }
 
 /**
@@ -54,13 +57,18 @@
  */
 export function decodeEnvelope (bytes: Buffer): Envelope | undefined {
   try {
-    return readWire(decode(bytes))
+    return readEnvelope(decode(bytes))
   } catch {
     return undefined
   }
 }
 
-function readWire (wire: unknown): Envelope | undefined {
+/**
+ * Reads an envelope from its decoded form.
+ * @param wire - what MessagePack gave
+ * @returns sender and message, or undefined for anything else
+ */
+export function readEnvelope (wire: unknown): Envelope | undefined {
   if (!Array.isArray(wire) || typeof wire[0] !== 'string') return undefined
   const from = wire[0] as InstanceId
   if (wire.length !== HEARTBEAT_LENGTH) {
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -2,7 +2,7 @@
  * Owns the connections to other entry instances. Messages to one peer share one stream and keep their order.
  * A message counts as not sent only while no stream to its peer has been opened.
  */
-import { Server, ServerCredentials, connectivityState, credentials } from '@grpc/grpc-js'
+import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
 import type { ClientWritableStream, ServerReadableStream, sendUnaryData, Client } from '@grpc/grpc-js'
 import type { InstanceId, Settings } from '@cranberryyard/protocol'
 import { readFileSync } from 'node:fs'
@@ -23,9 +23,6 @@
   'grpc.max_receive_message_length': 16 * 1024 * 1024
 }
 
-/** A link of its own tries at once instead of waiting out the pause after another link's refused connection. */
-const FAIL_FAST_OPTIONS = { ...CHANNEL_OPTIONS, 'grpc.use_local_subchannel_pool': 1 }
-
 type Stream = ClientWritableStream<Envelope>
 
 /** What happens on the connections to peers. */
@@ -34,12 +31,6 @@
   | { readonly type: 'sendFailed', readonly to: InstanceId, readonly message: M }
   | { readonly type: 'linkDown', readonly peer: InstanceId }
 
-/** How connections are made. */
-export interface PeerOptions {
-  /** A refused connection fails what waits for it at once instead of being tried until the timeout. */
-  readonly failFast: boolean
-}
-
 interface ChannelClient extends Client {
   channel (callback: (err: Error | null) => void): Stream
 }
@@ -60,7 +51,7 @@
   bytesSent = 0
   private closed = false
 
-  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: (event: PeerEvent<M>) => void, private readonly options: PeerOptions = { failFast: false }) {
+  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: (event: PeerEvent<M>) => void) {
     this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
   }
 
@@ -84,14 +75,6 @@
     if (!link.connecting) this.connect(effect.to, link)
   }
 
-  /** Replaces the connection to a peer; messages that were on their way may be lost. */
-  reset (peer: InstanceId): void {
-    const link = this.links.get(peer)
-    if (link === undefined) return
-    this.drop(peer, link)
-    this.post({ type: 'linkDown', peer })
-  }
-
   /** Closes all links. */
   close (): void {
     this.closed = true
@@ -120,7 +103,7 @@
     const known = this.links.get(peer)
     if (known !== undefined && known.address === address) return known
     known?.client.close()
-    const client = new PeerClient(address, this.clientCredentials(), this.options.failFast ? FAIL_FAST_OPTIONS : CHANNEL_OPTIONS) as unknown as ChannelClient
+    const client = new PeerClient(address, this.clientCredentials(), CHANNEL_OPTIONS) as unknown as ChannelClient
     const link: Link<M> = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
     this.links.set(peer, link)
     return link
@@ -128,7 +111,6 @@
 
   private connect (peer: InstanceId, link: Link<M>): void {
     link.connecting = true
-    if (this.options.failFast) this.watchRefusal(peer, link)
     link.client.waitForReady(Date.now() + CONNECT_TIMEOUT_MS, (err) => {
       if (this.links.get(peer) !== link) return
       link.connecting = false
@@ -142,30 +124,6 @@
     })
   }
 
-  /** Gives a link up as soon as its connection is refused; the next message starts with a new one. */
-  private watchRefusal (peer: InstanceId, link: Link<M>): void {
-    const channel = link.client.getChannel()
-    const state = channel.getConnectivityState(true)
-    if (state === connectivityState.READY || this.links.get(peer) !== link || !link.connecting) return
-    if (state === connectivityState.TRANSIENT_FAILURE) {
-      const waiting = link.waiting.splice(0)
-      this.drop(peer, link)
-      this.fail(peer, waiting)
-      return
-    }
-    channel.watchConnectivityState(state, Date.now() + CONNECT_TIMEOUT_MS, (err) => {
-      if (err === undefined) this.watchRefusal(peer, link)
-    })
-  }
-
-  private drop (peer: InstanceId, link: Link<M>): void {
-    if (this.links.get(peer) === link) this.links.delete(peer)
-    const { stream } = link
-    link.stream = undefined
-    stream?.cancel()
-    link.client.close()
-  }
-
   private open (peer: InstanceId, link: Link<M>): Stream {
     const stream = link.client.channel(() => this.lost(peer, link, stream))
     stream.on('error', () => this.lost(peer, link, stream))
--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -5,7 +5,7 @@
 import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import { ms } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { makeServer } from '../utils/httpServer.js'
+import { makePlainServer } from '../utils/plainServer.js'
 import type { CallerAnswer, CallerRequest, CallerWire } from './wires.js'
 
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
@@ -14,7 +14,6 @@
 const SENDER_TIMEOUT_MS = 3000
 /** Largest body; a few times what a job with the longest text takes. */
 const BODY_BYTES_MAX = 1_048_576
-const PLAIN = { plain: true, certFile: '', keyFile: '', caFile: '' }
 
 /** Answers whether a path belongs to a queue. */
 export type HasQueue = (host: string, path: string) => boolean
@@ -29,8 +28,8 @@
   private leaving = false
 
   constructor (private readonly wire: CallerWire, private readonly post: (input: ShardInput) => void, private readonly hasQueue: HasQueue) {
-    this.callers = makeServer(PLAIN, SENDER_TIMEOUT_MS, (req, res) => this.handle(req, res))
-    this.readiness = makeServer(PLAIN, SENDER_TIMEOUT_MS, (req, res) => {
+    this.callers = makePlainServer(SENDER_TIMEOUT_MS, (req, res) => this.handle(req, res))
+    this.readiness = makePlainServer(SENDER_TIMEOUT_MS, (req, res) => {
       req.resume()
       res.writeHead(this.ready ? 200 : 503).end()
     })
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -3,11 +3,11 @@
  */
 import { ShardInstance } from '@cranberryyard/core/shard'
 import type { ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
-import type { Clock, ShardMessage } from '@cranberryyard/protocol'
-import { PeerTask } from '../peers/peerTask.js'
-import { listen } from '../utils/httpServer.js'
+import type { Clock } from '@cranberryyard/protocol'
+import { listen } from '../utils/plainServer.js'
 import { StructuredLog } from '../utils/structuredLog.js'
 import { JobServerTask } from './jobServerTask.js'
+import { LinkTask } from './linkTask.js'
 import { MetricsServer } from './metricsServer.js'
 import { OrderTask } from './orderTask.js'
 import { StoreTask } from './storeTask.js'
@@ -21,7 +21,6 @@
 const LINGER_MS = 1200
 /** Time for the last answers to leave, after the decisions' own limit for jobs. */
 const CLOSE_MS = 200
-const NO_TLS = { plain: true, certFile: '', keyFile: '', caFile: '' } as const
 
 /** An IP number and a port. */
 export interface ListenAddress {
@@ -48,7 +47,7 @@
 export class ShardDaemon {
   private readonly core: ShardInstance
   private readonly log: StructuredLog
-  private readonly peers: PeerTask<ShardMessage>
+  private readonly links: LinkTask
   private readonly orders: OrderTask
   private readonly store: StoreTask
   private readonly jobs: JobServerTask
@@ -61,7 +60,7 @@
     const post = (input: ShardInput): void => this.post(input)
     this.core = new ShardInstance({ self, cfg })
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
-    this.peers = new PeerTask<ShardMessage>(self.instance, NO_TLS, post, { failFast: true })
+    this.links = new LinkTask(self.instance, post)
     this.orders = new OrderTask(wires.endpoints, post)
     this.store = new StoreTask(wires.store, post, random, (list, entries) => this.log.write('warn', 'store.unreadable', { list, entries }))
     this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path))
@@ -71,7 +70,7 @@
   /** Binds the ports and starts to work. */
   async start (): Promise<void> {
     const { listen: at, clock, self } = this.options
-    await this.peers.listen(at.peers.ip, at.peers.port)
+    await this.links.listen(at.peers.ip, at.peers.port)
     await listen(this.jobs.callers, at.callers.ip, at.callers.port)
     await listen(this.jobs.readiness, at.readiness.ip, at.readiness.port)
     if (at.metrics !== undefined) this.metrics.listen(at.metrics.ip, at.metrics.port)
@@ -130,8 +129,8 @@
   private carryOut (effect: ShardEffect): void {
     switch (effect.type) {
       case 'reply': return this.jobs.reply(effect)
-      case 'send': return this.peers.send(effect)
-      case 'resetLink': return this.peers.reset(effect.peer)
+      case 'send': return this.links.send(effect)
+      case 'resetLink': return this.links.reset(effect.peer)
       case 'hold': return void this.orders.hold(effect)
       case 'startTask': return void this.orders.start(effect)
       case 'stopTask': return void this.orders.stop(effect)
--- a/packages/dispatcher/src/utils/httpServer.ts
+++ b/packages/dispatcher/src/utils/httpServer.ts
@@ -1,19 +1,17 @@
 /**
- * HTTP listening with TLS by settings, bounded bodies, and senders that must not dawdle.
+ * HTTP servers with TLS by settings, bounded bodies, and JSON answers with result codes.
  */
 import type { CodedError, ResultName, Settings } from '@cranberryyard/protocol'
 import { MAX_BODY_BYTES, RESULT_CODES, codedError } from '@cranberryyard/protocol'
 import { readFileSync } from 'node:fs'
-import { createServer as createPlain } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer as createTls } from 'node:https'
 import { Result } from 'true-myth'
+import { makePlainServer, senderLimits } from './plainServer.js'
+import type { RequestHandler } from './plainServer.js'
 
 type Tls = Settings['callerTls']
 
-/** Handles a request; it reads the body itself. */
-export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void
-
 /**
  * Makes a server, with TLS unless the settings say plain.
  * @param tls - the port's TLS settings
@@ -22,28 +20,10 @@
  * @returns the server, not listening yet
  */
 export function makeServer (tls: Tls, senderTimeoutMs: number, handler: RequestHandler): Server {
-  const limits = { requestTimeout: senderTimeoutMs, headersTimeout: senderTimeoutMs, connectionsCheckingInterval: 500, keepAliveTimeout: 30_000 }
-  if (tls.plain) return createPlain(limits, handler)
+  if (tls.plain) return makePlainServer(senderTimeoutMs, handler)
   const files = { cert: readFileSync(tls.certFile), key: readFileSync(tls.keyFile) }
   const ca = tls.caFile === '' ? {} : { ca: readFileSync(tls.caFile), requestCert: true, rejectUnauthorized: true }
-  return createTls({ ...limits, ...files, ...ca }, handler)
-}
-
-/**
- * Listens on an address.
- * @param server - the server
- * @param address - IP number
- * @param port - port, 0 for any
- * @returns the port
- */
-export function listen (server: Server, address: string, port: number): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, address, () => {
-      const bound = server.address()
-      resolve(typeof bound === 'object' && bound !== null ? bound.port : port)
-    })
-  })
+  return createTls({ ...senderLimits(senderTimeoutMs), ...files, ...ca }, handler)
 }
 
 /**
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -2,17 +2,17 @@
 import { build } from 'esbuild'
 import { fileURLToPath } from 'node:url'
 
-/** Packages of which only a part goes into the bundle, by exact name. */
+/** What goes into the bundle instead of a package or one of its modules, by the name under which it is imported. */
 const PARTS = {
-  'undici': 'undici.cjs',
-  'prom-client': 'promClient.cjs',
-  '@grpc/proto-loader': 'none.cjs'
+  undici: 'undici.js',
+  'prom-client': 'promClient.js',
+  './client-h2.js': 'none.js'
 }
 
 const parts = {
   name: 'parts',
   setup ({ onResolve }) {
-    onResolve({ filter: /^(undici|prom-client|@grpc\/proto-loader)$/ }, ({ path }) => ({
+    onResolve({ filter: /^(undici|prom-client|\.\/client-h2\.js)$/ }, ({ path }) => ({
       path: fileURLToPath(new URL(`parts/${PARTS[path]}`, import.meta.url))
     }))
   }
--- a/scripts/parts/none.cjs
+++ /dev/null
@@ -1,1 +0,0 @@
-// Stands for packages that are loaded with another one and never called here.
