--- a/packages/dispatcher/src/shard/httpCaller.spec.ts
+++ b/packages/dispatcher/src/shard/httpCaller.spec.ts
@@ -7,6 +7,11 @@
 /** Far above what a reply over loopback takes. */
 const PATIENT = ms(5000)
 
+function standStill (forMs: number): void {
+  const until = performance.now() + forMs
+  while (performance.now() < until);
+}
+
 describe('the HTTP caller', () => {
   it('returns status and whole body', async () => {
     const long = 'x'.repeat(300_000)
@@ -33,6 +38,20 @@
     expect([silent.type, refused.type]).to.deep.equal(['silent', 'refused'])
   })
 
+  it('takes an answer that arrived in time although the event loop was behind', async () => {
+    const timeoutMs = ms(100)
+    const server = await listenHttp(0, (_req, res) => {
+      // The answer is on its way; nothing is read until the time is up.
+      res.on('finish', () => standStill(2 * timeoutMs))
+      sendJson(res, 200, {})
+    })
+    const caller = new HttpCaller(1)
+    const result = await caller.call(`127.0.0.1:${server.port}`, call, timeoutMs)
+    await caller.close()
+    await server.close()
+    expect(result.type).to.equal('reply')
+  })
+
   it('never sends a call whose time was up while it waited for a connection', async () => {
     const seen: string[] = []
     let release = (): void => {}
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -27,7 +27,8 @@
   private readonly timer: NodeJS.Timeout
 
   constructor (timeoutMs: Ms, private readonly report: (result: CallResult) => void) {
-    this.timer = setTimeout(() => this.giveUp(), timeoutMs)
+    // An event loop that is behind runs timers before it reads what has arrived; the answer may be waiting there.
+    this.timer = setTimeout(() => setImmediate(() => this.giveUp()), timeoutMs)
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -54,6 +55,7 @@
   }
 
   private giveUp (): void {
+    if (this.ended) return
     this.end({ type: 'silent' })
     this.abort()
   }
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -13,8 +13,10 @@
 import { StoreTask } from './storeTask.js'
 import type { PlatformWires } from './wires.js'
 
-/** Period of the decisions' clock. */
-const TICK_MS = 25
+/** Period of the decisions' clock at an owner, which repeats orders and judges waiting jobs. */
+const OWNER_TICK_MS = 25
+/** The same elsewhere; each wake-up costs processor time. */
+const TICK_MS = 50
 /** Period of handing collected log lines to the system. */
 const LOG_FLUSH_MS = 250
 /** After a request to stop, callers' connections stay open at least this long, so that requests on their way arrive. */
@@ -52,7 +54,7 @@
   private readonly store: StoreTask
   private readonly jobs: JobServerTask
   private readonly metrics: MetricsServer
-  private readonly timers: NodeJS.Timeout[] = []
+  private owning = false
   private drained: () => void = () => {}
 
   constructor (private readonly options: ShardDaemonOptions) {
@@ -77,8 +79,8 @@
     this.log.write('info', 'process.started', { address: self.address, callers: `${at.callers.ip}:${at.callers.port}`, uptimeMs: Math.round(process.uptime() * 1000) })
     this.carryOutAll(this.core.start(clock.now()))
     this.store.start()
-    this.timers.push(setInterval(() => this.post({ type: 'tick' }), TICK_MS))
-    this.timers.push(setInterval(() => this.log.flush(), LOG_FLUSH_MS))
+    this.tick()
+    setInterval(() => this.log.flush(), LOG_FLUSH_MS)
   }
 
   /** Notes that settings were read again. */
@@ -117,6 +119,16 @@
     await Promise.race([closed, sleep(left)])
   }
 
+  private tick (): void {
+    this.post({ type: 'tick' })
+    setTimeout(() => this.tick(), this.owning ? OWNER_TICK_MS : TICK_MS)
+  }
+
+  private setOwning (owning: boolean): void {
+    this.owning = owning
+    this.store.setOwning(owning)
+  }
+
   private post (input: ShardInput): void {
     const { clock } = this.options
     this.carryOutAll(this.core.handle(input, clock.now(), clock.wall()))
@@ -137,7 +149,7 @@
       case 'writeMember': return void this.store.writeMember(effect.record)
       case 'claimShard': return void this.store.claim(effect)
       case 'refreshRecords': return this.store.refreshRecords()
-      case 'owning': return this.store.setOwning(effect.owning)
+      case 'owning': return this.setOwning(effect.owning)
       case 'state': return this.enterState(effect.name)
       case 'log': return this.log.write(effect.level, effect.event, effect.fields)
       case 'observe': return this.metrics.observe(effect.histogram, effect.label, effect.valueMs)
