--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -36,6 +36,9 @@
 /** Progress figures are whole percents; below this they say too little about speed. */
 const PROGRESS_MIN_PERCENT = 4
 
+/** Fronts ask for the room many times a tick; it is counted once in this span. */
+const ROOM_AGE_MS = 20
+
 /** A start that fits. */
 interface PlannedStart {
   readonly step: OwnedStep
@@ -56,6 +59,7 @@
   readonly db = new ExecutionDb()
   readonly admission = new AdmissionDecider<OwnedJob>()
   private pumpNeeded = false
+  private roomSeen: { readonly at: Ms, readonly room: ShardRoom } | undefined
   endpoints!: EndpointsDecider
 
   constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly ports: ExecutionPorts) {}
@@ -146,8 +150,14 @@
     }
   }
 
-  /** @returns room of all usable endpoints */
+  /** @returns room of all usable endpoints, at most a few milliseconds old */
   room (): ShardRoom {
+    const { now } = this.ctx
+    if (this.roomSeen === undefined || now - this.roomSeen.at >= ROOM_AGE_MS) this.roomSeen = { at: now, room: this.countRoom() }
+    return this.roomSeen.room
+  }
+
+  private countRoom (): ShardRoom {
     let totalCpuMilli = 0
     let freeCpuMilli = 0
     for (const endpoint of this.endpoints.db.all()) {
