--- a/packages/core/src/admission/admissionDecider.spec.ts
+++ b/packages/core/src/admission/admissionDecider.spec.ts
@@ -11,7 +11,7 @@
 
 function work (name: string, overrides: Partial<Omit<QueuedWork, 'waitingWork' | 'hasStarted'>> & { work?: number, started?: boolean } = {}): NamedWork {
   const { work: waiting = 1_000_000, started = false, ...times } = overrides
-  return { name, priority: 0, chainMs: ms(100), onTimeUntil: ms(1200), usefulUntil: ms(2000), waitingWork: () => waiting, hasStarted: () => started, ...times }
+  return { name, priority: 0, chainMs: ms(100), onTimeUntil: ms(1200), usefulUntil: ms(2000), mayHaveRun: started, waitingWork: () => waiting, hasStarted: () => started, ...times }
 }
 
 describe('admission', () => {
@@ -43,6 +43,16 @@
     if (verdict.type === 'decline') expect(verdict.retryAfterMs).to.be.within(1000, 5000)
   })
 
+  it('declines of a burst only what is too much, and never what has run', () => {
+    const admission = new AdmissionDecider<NamedWork>()
+    // Each job takes the room for 11.8 ms; 76 of them end their wait within the 900 ms that are of use.
+    for (let i = 0; i < 100; i++) admission.db.waiting.add(work(`burst ${i}`))
+    admission.db.waiting.add(work('has run', { mayHaveRun: true, onTimeUntil: ms(5000), chainMs: ms(1) }))
+    const declined = admission.hopeless(ROOM, ms(1000)).map(job => job.name)
+    expect(declined.length).to.be.within(20, 30)
+    expect(declined).not.to.include('has run')
+  })
+
   it('admits what has its turn in time', () => {
     const admission = new AdmissionDecider<NamedWork>()
     for (let i = 0; i < 10; i++) admission.db.waiting.add(work(`ahead ${i}`))
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -36,7 +36,26 @@
 
   /** @returns jobs in the order in which their tasks start */
   ordered (now: Ms): T[] {
-    return [...this.db.waiting].sort((a, b) => this.compare(a, b, now))
+    const ranked = [...this.db.waiting].map(job => ({ job, tier: tier(job, now), rank: rank(job) }))
+    return ranked.sort((a, b) => a.tier - b.tier || a.rank - b.rank).map(({ job }) => job)
+  }
+
+  /**
+   * Judges all waiting jobs again, in the order in which they start. Work that is declined makes way for what follows,
+   * so that a burst costs only the jobs that are too many.
+   * @param room - the shard's room
+   * @param now - the time
+   * @returns jobs whose turn cannot come while their answer is of use
+   */
+  hopeless (room: ShardRoom, now: Ms): T[] {
+    const declined: T[] = []
+    const usable = usableCpu(room)
+    let ahead = 0
+    for (const job of this.ordered(now)) {
+      if (!job.mayHaveRun && now + ahead / usable + job.chainMs > job.usefulUntil) declined.push(job)
+      else ahead += job.waitingWork()
+    }
+    return declined
   }
 
   /** @returns expected wait of a job that arrives now and takes its turn behind everything that waits */
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -18,6 +18,8 @@
   readonly priority: number
   /** Some task has started: the rest goes first, so that what is done is of use. */
   readonly hasStarted: () => boolean
+  /** A run of the job existed at some time; it can no longer be declined. */
+  readonly mayHaveRun: boolean
   /** Thousandths of a core times milliseconds that are still to be started. */
   readonly waitingWork: () => number
 }
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -59,6 +59,7 @@
   readonly db = new ExecutionDb()
   readonly admission = new AdmissionDecider<OwnedJob>()
   private pumpNeeded = false
+  private judgeAt = ms(0)
   private roomSeen: { readonly at: Ms, readonly room: ShardRoom } | undefined
   endpoints!: EndpointsDecider
 
@@ -133,6 +134,7 @@
     this.db.expire(this.ctx.now)
     this.stopUnclaimed()
     for (const job of [...this.db.jobs.values()]) this.tickJob(job)
+    this.judgeAgain()
     if (this.admission.db.waiting.size > 0) this.pumpNeeded = true
   }
 
@@ -142,6 +144,7 @@
     this.pumpNeeded = false
     if (this.admission.db.waiting.size === 0) return
     const candidates = this.candidates()
+    if (candidates.length === 0) return
     let mayStartInPart = true
     for (const job of this.admission.ordered(this.ctx.now)) {
       if (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain)) continue
@@ -246,7 +249,6 @@
       callerUntil,
       front,
       confirmedAt: now,
-      judgeAt: ms(now + JUDGE_AGAIN_MS),
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       attempt: order.attempt,
@@ -363,13 +365,11 @@
       }
       for (const task of step.tasks) {
         if (task.done || task.run !== undefined) continue
-        if (!this.planStart(job, step, task, candidates, plan)) blocked++
+        if (this.planStart(job, step, task, candidates, plan)) continue
+        if (!inPart) return undo(plan)
+        blocked++
       }
     }
-    if (blocked > 0 && !inPart) {
-      for (const { candidate, step } of plan) candidate.room = add(candidate.room, step.spec.needs)
-      return false
-    }
     for (const start of plan) this.startTask(job, start)
     if (blocked === 0 && later === 0) this.admission.db.waiting.delete(job)
     return blocked === 0
@@ -540,17 +540,25 @@
       this.abandon(job, 'callerDeadline')
       return
     }
-    if (this.isUnwanted(job)) {
-      this.abandon(job, 'unconfirmed')
-      return
-    }
-    if (job.mayHaveRun || now < job.judgeAt) return
-    job.judgeAt = ms(now + JUDGE_AGAIN_MS)
-    const verdict = this.admission.judge(job, this.room(), now)
-    if (verdict.type === 'admit') return
-    this.decline(job, 'tooLate', verdict.retryAfterMs)
-    this.forget(job)
+    if (this.isUnwanted(job)) this.abandon(job, 'unconfirmed')
   }
+
+  /** Declines waiting jobs that others have gone before, and those whose room was lost. */
+  private judgeAgain (): void {
+    const { now } = this.ctx
+    if (now < this.judgeAt || this.admission.db.waiting.size === 0) return
+    this.judgeAt = ms(now + JUDGE_AGAIN_MS)
+    const room = this.room()
+    const hopeless = this.admission.hopeless(room, now)
+    for (const job of hopeless) this.forget(job)
+    for (const job of hopeless) this.decline(job, 'tooLate', this.admission.retryAfter(room))
+  }
+}
+
+/** Gives the room of planned starts back. @returns false, as nothing of the job starts */
+function undo (plan: readonly PlannedStart[]): false {
+  for (const { candidate, step } of plan) candidate.room = add(candidate.room, step.spec.needs)
+  return false
 }
 
 function doneTasks (job: OwnedJob): string[] {
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -51,13 +51,10 @@
   front: FrontSession
   /** Latest time at which the front said that it still wants the job. */
   confirmedAt: Ms
-  /** When admission looks at the job again while it waits. */
-  judgeAt: Ms
   /** Number of the front's latest copy. */
   attempt: number
   /** When the first task started; undefined while none has. */
   firstStartAt: Ms | undefined
-  /** A run of the job existed at some time, here or at an earlier owner. */
   mayHaveRun: boolean
 }
 
