Owners add their load to what they tell fronts; fronts ping only owners that are silent

Cause: with 39 fronts and 3 owners, pings and their answers were 1,560 of some 4,700 messages a second, most of them beside other messages on the same links that say the same.

--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -26,6 +26,7 @@
       heardAt: undefined,
       pingedSince: undefined,
       lastPingAt: undefined,
+      loadToldAt: undefined,
       relinked: false,
       pingsUs: false,
       lost: false
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -2,7 +2,7 @@
  * Watches peers: fronts ping the owners they use, owners answer. A silent connection is replaced once; a peer that
  * stays silent, refuses connections or comes back as another life is lost, and whoever depends on it is told.
  */
-import type { FailureDomain, InstanceId, ShardMessage } from '@cranberryyard/protocol'
+import type { FailureDomain, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { SessionsDb } from './sessionsDb.js'
 import type { PeerSession, SessionListener } from './types.js'
@@ -60,13 +60,15 @@
     if (peer !== undefined && peer.address !== '') this.ping(peer)
   }
 
-  /** Pings the owners that this instance uses; watches all peers that were heard. */
-  tick (targets: ReadonlySet<InstanceId>): void {
-    const { now, cfg } = this.ctx
+  /**
+   * Pings the owners that this instance uses when they are silent; watches all peers that were heard.
+   * @param targets - owners with the silence after which each is pinged
+   */
+  tick (targets: ReadonlyMap<InstanceId, Ms>): void {
     for (const peer of this.db.peers.values()) {
-      const target = targets.has(peer.instance)
-      if (target && now - (peer.lastPingAt ?? -Infinity) >= (peer.lost ? LOST_PING_MS : cfg.pingMs)) this.ping(peer)
-      if (target || peer.pingsUs) this.watch(peer)
+      const periodMs = targets.get(peer.instance)
+      if (periodMs !== undefined && this.isPingDue(peer, periodMs)) this.ping(peer)
+      if (periodMs !== undefined || peer.pingsUs) this.watch(peer)
       else peer.heardAt = undefined
     }
   }
@@ -91,6 +93,13 @@
     return shard.owner === this.ctx.self.instance || this.isLive(shard.owner) ? shard.owner : undefined
   }
 
+  private isPingDue (peer: PeerSession, periodMs: Ms): boolean {
+    const { now } = this.ctx
+    const pinged = peer.lastPingAt ?? -Infinity
+    if (peer.lost) return now - pinged >= LOST_PING_MS
+    return now - Math.max(pinged, peer.heardAt ?? -Infinity) >= periodMs
+  }
+
   private ping (peer: PeerSession): void {
     const { now, self } = this.ctx
     peer.lastPingAt = now
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -14,6 +14,8 @@
   /** First ping since the peer was last heard. */
   pingedSince: Ms | undefined
   lastPingAt: Ms | undefined
+  /** When this instance last told the peer the load of its shards. */
+  loadToldAt: Ms | undefined
   /** The connection was replaced since the peer was last heard. */
   relinked: boolean
   /** The peer uses a shard that this instance owns. */
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -7,8 +7,10 @@
 
 /** Settings of the shard decisions. */
 export interface ShardSettings {
-  /** Period of pings from fronts to owners. */
+  /** Silence after which a front pings the owner of its own failure domain. */
   readonly pingMs: Ms
+  /** The same for other owners, which a front uses only when its own domain has no room. */
+  readonly remotePingMs: Ms
   /** Silence after which a connection to a peer is replaced. */
   readonly relinkMs: Ms
   /** Silence after which a peer counts as lost. A lost front's tasks must be gone before its callers send again. */
@@ -60,7 +62,8 @@
 /** Defaults for a platform that states nothing else. */
 export const SHARD_DEFAULTS: ShardSettings = {
   pingMs: ms(150),
-  relinkMs: ms(320),
+  remotePingMs: ms(250),
+  relinkMs: ms(400),
   peerTimeoutMs: ms(600),
   jobLeaseMs: ms(700),
   confirmMs: ms(200),
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -60,7 +60,7 @@
     })
     this.placement = new PlacementDecider(ctx)
     this.execution = new ExecutionDecider(ctx, this.placement, {
-      tell: (front, message) => this.deliver(front.instance, message),
+      tell: (front, message) => this.tellFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
       earlierRunsKnown: failureDomain => this.earlierRunsKnown(failureDomain)
     })
@@ -163,19 +163,38 @@
     this.forgetMissing()
   }
 
-  private pingTargets (): Set<InstanceId> {
-    const targets = new Set<InstanceId>()
-    for (const shard of this.sessions.db.shards.values()) targets.add(shard.owner)
-    targets.delete(this.ctx.self.instance)
+  private pingTargets (): Map<InstanceId, Ms> {
+    const { self, cfg } = this.ctx
+    const targets = new Map<InstanceId, Ms>()
+    for (const shard of this.sessions.db.shards.values()) {
+      const periodMs = shard.failureDomain === self.failureDomain ? cfg.pingMs : cfg.remotePingMs
+      if (periodMs < (targets.get(shard.owner) ?? Infinity)) targets.set(shard.owner, periodMs)
+    }
+    targets.delete(self.instance)
     return targets
   }
 
+  /** What an owner tells a front brings its load along, so that fronts with jobs need no pings. */
+  private tellFront (front: InstanceId, message: ShardMessage): void {
+    this.deliver(front, message)
+    const peer = this.sessions.db.peers.get(front)
+    if (peer === undefined || front === this.ctx.self.instance || !this.ownership.owns()) return
+    if (this.ctx.now - (peer.loadToldAt ?? -Infinity) >= this.ctx.cfg.pingMs) this.tellLoad(front)
+  }
+
+  private tellLoad (to: InstanceId): void {
+    const { self, now } = this.ctx
+    const peer = this.sessions.db.peers.get(to)
+    if (peer !== undefined) peer.loadToldAt = now
+    const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
+    this.sessions.tell(to, { type: 'pong', incarnation: self.incarnation, owned, desiredVersion: this.desired.db.version() })
+  }
+
   private pinged (from: InstanceId, incarnation: number, desiredVersion: number): void {
     this.sessions.pinged(from)
     this.execution.frontLost(from, incarnation)
     this.desired.heard(from, desiredVersion)
-    const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
-    this.sessions.tell(from, { type: 'pong', incarnation: this.ctx.self.incarnation, owned, desiredVersion: this.desired.db.version() })
+    this.tellLoad(from)
   }
 
   private load (): OwnedShard['load'] {
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -30,9 +30,9 @@
 export type JobOutcome = 'completed' | 'failed'
 
 export type ShardMessage =
-  /** Front to owner, periodic; keeps the front's jobs alive at the owner. */
+  /** Front to an owner that it has not heard for a while. */
   | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number }
-  /** Answer to a ping. */
+  /** Answer to a ping; also sent along with what an owner tells a front. */
   | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly desiredVersion: number }
   /** A new owner makes itself known. */
   | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken }
