--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -174,6 +174,22 @@
     expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.3'])
   })
 
+  it('stops a task that stands still although no room is free, and starts it first once there is', () => {
+    const owner = new Owner(2)
+    owner.submit(order('a', 1, 400))
+    owner.submit(order('b', 1, 400))
+    owner.submit(order('c', 1, 400))
+    owner.confirmStarts()
+    owner.pass(300)
+    owner.progress('b.0.0.0', 60)
+    owner.progress('a.0.0.0', 0)
+    expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.0'])
+    owner.end('a.0.0.0', 'stopped')
+    owner.pass(100)
+    owner.end('b.0.0.0', 'done')
+    expect(owner.starts.map(start => start.task)[0]).to.equal('a.0.0.0')
+  })
+
   it('moves nothing when all tasks of a job take longer than estimated', () => {
     const owner = new Owner(5)
     owner.submit(order('a', 4, 100))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -473,7 +473,10 @@
     return othersUnknown ? 1 : (ranMs * 100 / run.percent) / expected
   }
 
-  /** Stops a run that would end sooner if it were started again elsewhere. */
+  /**
+   * Stops a run that would end sooner if it were started again elsewhere. One that stands still is stopped also while
+   * there is no room: it gains nothing where it is, and takes the next room that becomes free.
+   */
   private move (job: OwnedJob, task: OwnedTask, run: LedgerRun, slowness: number): void {
     const step = job.steps[task.step]
     if (step === undefined || run.state !== 'running') return
@@ -481,7 +484,7 @@
     const remaining = expected * slowness * (100 - run.percent) / 100
     if (remaining <= expected + MOVE_COST_MS) return
     this.placement.stalled(run.endpoint, slowness)
-    const elsewhere = this.candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.room) && !this.placement.isSetAside(candidate.endpoint.id))
+    const elsewhere = slowness >= STALL_SLOWNESS || this.candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.room) && !this.placement.isSetAside(candidate.endpoint.id))
     if (!elsewhere) return
     task.avoid.add(run.endpoint)
     this.ctx.out.count('shard.tasks.moved')
