--- a/packages/bench/src/docs/docs.spec.ts
+++ b/packages/bench/src/docs/docs.spec.ts
@@ -60,12 +60,23 @@
   }))
 }
 
+/** Ports of this run; other runs on the machine use others. */
+const LESSON_PORTS_FROM = 31_000
+const LESSON_PORT_RANGE = 100
+const LESSON_PORT_RANGES = 17
+const lessonPort = LESSON_PORTS_FROM + (process.pid % LESSON_PORT_RANGES) * LESSON_PORT_RANGE
+
+/** The page names the ports that `npm run local` has by default. */
+function withLessonPorts (command: string): string {
+  return command.replace(/127\.0\.0\.1:74(\d\d)/g, (_, offset: string) => `127.0.0.1:${lessonPort + Number(offset)}`)
+}
+
 describe('the lesson', function () {
   this.timeout(90_000)
   let local: ChildProcess
 
   before(async () => {
-    local = spawn(process.execPath, [`${ROOT}packages/bench/dist/local.js`], { cwd: ROOT, stdio: ['ignore', 'pipe', 'inherit'] })
+    local = spawn(process.execPath, [`${ROOT}packages/bench/dist/local.js`, '--base-port', String(lessonPort)], { cwd: ROOT, stdio: ['ignore', 'pipe', 'inherit'] })
     await new Promise<void>((resolve, reject) => {
       local.stdout?.on('data', chunk => String(chunk).includes('ready') && resolve())
       local.once('exit', code => reject(new Error(`the local run ended with ${code}`)))
@@ -83,7 +94,7 @@
     const steps = stepsOf(read('docs/LESSON.md'))
     expect(steps.length).to.be.greaterThan(8)
     for (const step of steps) {
-      const { code, output } = runShell(step.command)
+      const { code, output } = runShell(withLessonPorts(step.command))
       expect(code, `${step.command}\n${output}`).to.equal(step.exitCode)
       expect(output, step.command).to.include(step.shows)
     }
--- a/packages/bench/src/local.ts
+++ b/packages/bench/src/local.ts
@@ -1,16 +1,17 @@
 /**
  * `npm run local`: nine entry instances, thirty endpoint stand-ins and a platform stand-in in three failure domains
- * on loopback. Stays up until interrupted.
+ * on loopback, from port 7400 or `--base-port` on. Stays up until interrupted.
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import process from 'node:process'
+import { parseArgs } from 'node:util'
 import { hashKey } from '@cranberryyard/dispatcher'
 import { contractSchema } from '@cranberryyard/protocol'
 import type { Contract } from '@cranberryyard/protocol'
 import { stringify } from 'smol-toml'
 import { LocalFleet } from './processes/localFleet.js'
 
-const BASE_PORT = 7400
+const { values } = parseArgs({ options: { 'base-port': { type: 'string', default: '7400' } } })
 const FOLDER = 'run'
 const DOMAINS = ['pampanga', 'tarlac', 'bulacan']
 /** Keys of the local run only; they are printed and stand in no other place. */
@@ -40,7 +41,7 @@
   contracts,
   teamKey: KEYS.team,
   proxied: false,
-  basePort: BASE_PORT,
+  basePort: Number(values['base-port']),
   keepsLog: false
 })
 
