Jobs without an owner are held only while their answer is of use

The caller now hears sooner. The test of the longest wait uses a longer job, as its short one is now given up earlier.

--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -1,7 +1,7 @@
 /**
  * State of the execution decision: jobs of owned shards, and outcomes that may be asked for again.
  */
-import type { DispatchOrder, JobId, JobOutcome, Ms, StepSpec, TaskName } from '@cranberryyard/protocol'
+import type { DispatchOrder, JobId, JobOutcome, Ms, QueueTerms, StepSpec, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { EndedJob, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
@@ -66,6 +66,11 @@
   return step.spec.after.every(number => job.steps[number]?.missing === 0)
 }
 
+/** @returns time from the receipt of a job within which its answer is on time */
+export function objectiveOf (queue: QueueTerms, chainMs: Ms): Ms {
+  return ms(queue.stretch * chainMs + queue.latencyObjectiveMs)
+}
+
 /**
  * Adds up the longest chain of steps.
  * @param steps - the job's steps; each names only earlier ones
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -11,7 +11,7 @@
 import type { LedgerRun, RejectionReason, RunListener } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
-import { ExecutionDb, chainOf, isOpen, makeSteps } from './executionDb.js'
+import { ExecutionDb, chainOf, isOpen, makeSteps, objectiveOf } from './executionDb.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
 /** A task that works slower than this against the expected time may be moved. */
@@ -237,7 +237,7 @@
     const { queue, job } = order
     const chainMs = chainOf(job.steps, this.admission.db.ratioOf(queue.name))
     const sentAt = now - order.ageMs
-    const objective = queue.stretch * chainMs + queue.latencyObjectiveMs
+    const objective = objectiveOf(queue, chainMs)
     const steps = makeSteps(order)
     const callerUntil = ms(now + order.remainingMs)
     const owned: OwnedJob = {
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -65,7 +65,7 @@
 
   it('goes on with a job at the next owner of its shard, and gives it up as lost when there is none', () => {
     const { ctx, intake, sessions, sent, replies } = setUp()
-    intake.submit('c1', 'h', '/q/a', job('a'), ms(9000))
+    intake.submit('c1', 'h', '/q/a', job('a', 2000), ms(9000))
     sessions.unreachable(OWNER)
     intake.ownerLost(OWNER)
     const next = 'next' as InstanceId
@@ -82,6 +82,22 @@
     expect(sent.at(-1)?.type).to.equal('cancelJob')
   })
 
+  it('does not hold a job without an owner longer than its answer is of use', () => {
+    const { ctx, intake, sessions, replies } = setUp()
+    // On time within 1.5 x 100 + 50 ms, of use within three times that.
+    const usefulMs = 600
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(9000))
+    sessions.unreachable(OWNER)
+    intake.ownerLost(OWNER)
+    intake.submit('c2', 'h', '/q/b', job('b'), ms(9000))
+    ctx.now = ms(ctx.now + usefulMs)
+    intake.tick()
+    expect(replies()).to.deep.equal([])
+    ctx.now = ms(ctx.now + 1)
+    intake.tick()
+    expect(replies().map(reply => reply.type)).to.deep.equal(['lost', 'refused'])
+  })
+
   it('joins a job that is sent twice and answers both calls', () => {
     const { intake, sent, replies } = setUp()
     intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -6,8 +6,7 @@
 import type { FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { DesiredDecider } from '../desired/desiredDecider.js'
-import { chainOf } from '../execution/executionDb.js'
-
+import { chainOf, objectiveOf } from '../execution/executionDb.js'
 import type { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { CallerReply, RefusalCause, ShardContext } from '../shard/types.js'
 import { IntakeDb } from './intakeDb.js'
@@ -42,7 +41,7 @@
 
   /** Takes a job from a caller. */
   submit (callId: string, host: string, path: string, request: JobRequest, deadlineMs: Ms): void {
-    const { now, out } = this.ctx
+    const { now, cfg, out } = this.ctx
     out.count('shard.jobs.received')
     const known = this.db.jobs.get(request.id)
     if (known !== undefined) {
@@ -61,6 +60,7 @@
       queue,
       receivedAt: now,
       callerUntil: ms(now + deadlineMs),
+      usefulUntil: ms(now + objectiveOf(queue, chainOf(request.steps, 1)) * cfg.usefulFactor),
       calls: new Set(),
       declinedBy: new Set(),
       retryAfterMs: NO_OWNER_RETRY_MS,
@@ -223,10 +223,10 @@
       this.giveUp(job)
     } else if (where.type === 'detached') {
       if (this.sessions.ownerOf(where.failureDomain) !== undefined) this.ownerKnown(where.failureDomain)
-      else if (now - where.since > cfg.ownerWaitMs) this.giveUp(job)
+      else if (now > Math.min(where.since + cfg.ownerWaitMs, job.usefulUntil)) this.giveUp(job)
     } else if (where.type === 'unplaced') {
       this.place(job)
-      if (this.db.jobs.has(job.id) && job.where.type === 'unplaced' && now - where.since > cfg.ownerWaitMs) this.finish(job, { type: 'refused', cause: 'noOwner', retryAfterMs: NO_OWNER_RETRY_MS })
+      if (this.db.jobs.has(job.id) && job.where.type === 'unplaced' && now > Math.min(where.since + cfg.ownerWaitMs, job.usefulUntil)) this.finish(job, { type: 'refused', cause: 'noOwner', retryAfterMs: NO_OWNER_RETRY_MS })
     }
   }
 
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -19,6 +19,8 @@
   readonly receivedAt: Ms
   /** The caller waits no longer than this. */
   readonly callerUntil: Ms
+  /** An answer after this is of no use to the caller. */
+  readonly usefulUntil: Ms
   /** Calls that wait for the outcome; the same job may have been sent twice. */
   readonly calls: Set<string>
   /** Domains whose owners declined it. */
