--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai'
+import type { InstanceId } from '@cranberryyard/protocol'
+import { ShardFleet } from './shardFleet.js'
 import { SHARD_MUTATIONS } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
 
@@ -17,6 +19,29 @@
     })
   }
 
+  // Seed 9314 of 2026-12-04: TWICE. An instance that had read the list once, while entries were missing, took over.
+  it('keep every promise when a shard goes to an instance that knows only part of its endpoints', () => {
+    const violations = [1, 2, 3, 4].flatMap((seed) => {
+      const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 5, seed })
+      fleet.run(5000)
+      // Instance 2 starts again and reads the list once, without the entries that lapsed; later it is the last one left.
+      fleet.kill('a-2' as InstanceId, 900)
+      fleet.lapseEntries('a')
+      fleet.time.after(950, () => {
+        fleet.storeFaults.down = true
+      })
+      for (let at = 1500; at < 5500; at += 150) {
+        fleet.time.after(at, () => fleet.submit('a-2' as InstanceId, 2, { cpuMilli: 14_000, workMs: 700, fails: false }))
+      }
+      fleet.time.after(4000, () => {
+        for (const name of ['a-0', 'a-1']) fleet.kill(name as InstanceId, 2000)
+      })
+      fleet.run(7000)
+      return fleet.oracle.violations
+    })
+    expect(violations).to.deep.equal([])
+  })
+
   for (const mutation of SHARD_MUTATIONS) {
     it(`shows when ${mutation.name}`, () => {
       const undo = mutation.apply()
