--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -56,7 +56,8 @@
       answeredAt: now,
       nextLookAt: now,
       leaseHorizon: now,
-      quarantineUntil: now
+      quarantineUntil: now,
+      unlisted: false
     }
     this.endpoints.set(report.id, endpoint)
     return endpoint
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -107,6 +107,32 @@
     expect(freeRoom(endpointOf(ledger)).cpuMilli).to.equal(32_000)
   })
 
+  it('goes on with what runs at an endpoint that is no longer listed, and gives it nothing more', () => {
+    const { ctx, ledger, seen } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS)
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 510 as EndpointClockMs })
+    ledger.forget(ID)
+    expect(seen.events).to.deep.equal(['started 1'])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+    ctx.now = ms(ctx.now + 100)
+    answerHold(ctx, ledger, listing(600, [], [{ sequence: 1, task: TASK, run: 1, how: 'done' }]))
+    ledger.tick()
+    expect(seen.events).to.deep.equal(['started 1', 'done 1'])
+    expect(ledger.db.get(ID)).to.equal(undefined)
+  })
+
+  it('uses an endpoint again that is listed again', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS)
+    ledger.forget(ID)
+    ledger.update([REPORT])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(true)
+  })
+
   it('gives nothing to an endpoint with a found run of unknown size, also while that run is being stopped', () => {
     const { ctx, ledger, seen } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -51,16 +51,19 @@
     for (const report of reports) {
       const known = this.db.get(report.id)
       if (known === undefined) this.look(this.db.add(report, this.ctx.now))
-      else known.report = report
+      else Object.assign(known, { report, unlisted: false })
     }
   }
 
-  /** Forgets an endpoint that is gone for good; its runs are lost. */
+  /**
+   * Gives an endpoint that is no longer listed no more work. What runs there goes on while the endpoint answers; it is
+   * forgotten once nothing runs there.
+   */
   forget (id: EndpointId): void {
     const endpoint = this.db.get(id)
     if (endpoint === undefined) return
-    this.loseRuns(endpoint)
-    this.db.remove(id)
+    endpoint.unlisted = true
+    this.removeUnlisted(endpoint)
   }
 
   /** Forgets all endpoints of a shard without judging their runs; another instance owns them now. */
@@ -81,8 +84,8 @@
 
   /** @returns true when the endpoint may be given work */
   usable (endpoint: LedgerEndpoint): boolean {
-    const { report, looked, silent, bornAt, quarantineUntil } = endpoint
-    return looked && silent === 0 && !report.draining && bornAt === report.bornAt && quarantineUntil <= this.ctx.now
+    const { report, looked, silent, bornAt, quarantineUntil, unlisted } = endpoint
+    return looked && silent === 0 && !report.draining && !unlisted && bornAt === report.bornAt && quarantineUntil <= this.ctx.now
   }
 
   /** Starts a run. The caller has checked room and `usable`. */
@@ -104,7 +107,8 @@
       sends: 0,
       lastSentAt: now,
       percent: 0,
-      percentAt: now
+      percentAt: now,
+      foundPercent: undefined
     }
     this.db.addRun(endpoint, run)
     this.sendStart(endpoint, run)
@@ -141,7 +145,8 @@
 
   /** Repeats orders without an answer, renews leases, notices endpoints that are lost. */
   tick (): void {
-    for (const endpoint of this.db.all()) {
+    for (const endpoint of [...this.db.all()]) {
+      this.removeUnlisted(endpoint)
       for (const run of endpoint.runs.values()) this.tickRun(endpoint, run)
       if (endpoint.silent > 0 && endpoint.runs.size > 0 && this.ctx.now > endpoint.leaseHorizon) this.loseRuns(endpoint)
       if (endpoint.hold === undefined && this.ctx.now >= endpoint.nextLookAt) this.renew(endpoint)
@@ -198,6 +203,10 @@
     if (outcome.type === 'stopping' && endpoint.hold === undefined) this.renew(endpoint)
   }
 
+  private removeUnlisted (endpoint: LedgerEndpoint): void {
+    if (endpoint.unlisted && endpoint.runs.size === 0) this.db.remove(endpoint.id)
+  }
+
   private findOrdered (endpoint: LedgerEndpoint, orderId: number): LedgerRun | undefined {
     for (const run of endpoint.runs.values()) {
       if (run.orderId === orderId && run.state === 'ordered') return run
@@ -323,7 +332,8 @@
       sends: 0,
       lastSentAt: now,
       percent: row.percent,
-      percentAt: now
+      percentAt: now,
+      foundPercent: row.percent
     }
     this.db.addRun(endpoint, run)
     this.listener.runFound(run)
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -45,6 +45,8 @@
   lastSentAt: Ms
   percent: number
   percentAt: Ms
+  /** Progress when this owner found the run; undefined for a run that it started itself. */
+  readonly foundPercent: number | undefined
 }
 
 /** One hold that has not been answered. */
@@ -80,6 +82,8 @@
   leaseHorizon: Ms
   /** Starts of an earlier life that may still arrive; nothing is placed before this time. */
   quarantineUntil: Ms
+  /** The store's list has not shown the endpoint for a while; it gets no more work. */
+  unlisted: boolean
 }
 
 /** Why a run has not started and will not. */
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -28,6 +28,7 @@
 class Owner {
   readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
   readonly told: ShardMessage[] = []
+  private readonly placement = new PlacementDecider(this.ctx)
   readonly execution: ExecutionDecider
   readonly ledger: EndpointsDecider
   private readonly holds = new Map<EndpointId, number>()
@@ -36,7 +37,7 @@
   stops: Extract<ShardEffect, { type: 'stopTask' }>[] = []
 
   constructor (endpoints: number) {
-    this.execution = new ExecutionDecider(this.ctx, new PlacementDecider(this.ctx), {
+    this.execution = new ExecutionDecider(this.ctx, this.placement, {
       tell: (_front, message) => this.told.push(message),
       superseded: () => {},
       earlierRunsKnown: () => true
@@ -84,6 +85,10 @@
     this.list(run.endpoint, [{ task: run.task, run: run.run, percent }])
   }
 
+  isSetAside (id: string): boolean {
+    return this.placement.isSetAside(id as EndpointId)
+  }
+
   pass (span: number): void {
     this.ctx.now = ms(this.ctx.now + span)
   }
@@ -190,6 +195,22 @@
     expect(owner.starts.map(start => start.task)[0]).to.equal('a.0.0.0')
   })
 
+  it('judges the speed of runs that it found only from what it has seen of them', () => {
+    const owner = new Owner(5)
+    owner.ledger.lookAgain()
+    owner.settle()
+    owner.list('e-4' as EndpointId, [])
+    for (const index of [0, 1, 2, 3]) owner.list(`e-${index}` as EndpointId, [{ task: `a.0.0.${index}` as TaskName, run: 1, percent: 40 }])
+    owner.submit(order('a', 4, 400, { resumed: true }))
+    expect(owner.starts).to.deep.equal([])
+    for (const percent of [60, 80]) {
+      owner.pass(300)
+      for (const index of [0, 1, 2, 3]) owner.progress(`a.0.0.${index}`, percent)
+    }
+    expect(owner.stops).to.deep.equal([])
+    expect([0, 1, 2, 3].filter(index => owner.isSetAside(`e-${index}`))).to.deep.equal([])
+  })
+
   it('moves nothing when all tasks of a job take longer than estimated', () => {
     const owner = new Owner(5)
     owner.submit(order('a', 4, 100))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -406,7 +406,7 @@
     if (step === undefined || task.done) return
     task.done = true
     step.missing--
-    if (seenAtOnce) this.learn(job, step, run)
+    if (seenAtOnce && run.foundPercent === undefined) this.learn(job, step, run)
     if (job.steps.every(s => s.missing === 0)) this.end(job, 'completed')
   }
 
@@ -431,8 +431,8 @@
   /** @returns times of the step's other tasks: as they ended, or as they will at their present speed */
   private siblingsMs (step: OwnedStep, except: LedgerRun): number[] {
     const atWork = step.tasks.flatMap(({ run }) => {
-      if (run === undefined || run === except || run.percent < PROGRESS_MIN_PERCENT) return []
-      return [(run.percentAt - run.startedAt) * 100 / run.percent]
+      if (run === undefined || run === except || progressOf(run) < PROGRESS_MIN_PERCENT) return []
+      return [(run.percentAt - run.startedAt) * 100 / progressOf(run)]
     })
     return [...step.ranMs, ...atWork]
   }
@@ -467,10 +467,10 @@
     const expected = this.soundMs(job, step, run)
     const ranMs = this.ctx.now - run.startedAt
     if (ranMs < JUDGE_RUN_MS) return 1
-    if (run.percent < PROGRESS_MIN_PERCENT) return ranMs > Math.max(STALL_MIN_MS, expected * STALL_SHARE) ? STALL_SLOWNESS : 1
+    if (progressOf(run) < PROGRESS_MIN_PERCENT) return ranMs > Math.max(STALL_MIN_MS, expected * STALL_SHARE) ? STALL_SLOWNESS : 1
     if (this.ctx.now - run.percentAt > Math.max(STALL_MIN_MS, expected * STALL_SHARE)) return STALL_SLOWNESS
     const othersUnknown = step.tasks.length > SIBLINGS_MIN && this.siblingsMs(step, run).length < SIBLINGS_MIN
-    return othersUnknown ? 1 : (ranMs * 100 / run.percent) / expected
+    return othersUnknown ? 1 : (ranMs * 100 / progressOf(run)) / expected
   }
 
   /**
@@ -558,6 +558,11 @@
   }
 }
 
+/** @returns percent of the work that was done since `startedAt`, which for a run that was found is when it was found */
+function progressOf (run: LedgerRun): number {
+  return run.percent - (run.foundPercent ?? 0)
+}
+
 /** Gives the room of planned starts back. @returns false, as nothing of the job starts */
 function undo (plan: readonly PlannedStart[]): false {
   for (const { candidate, step } of plan) candidate.room = add(candidate.room, step.spec.needs)
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -42,8 +42,10 @@
   private leaving = false
   private drained = false
   private storeReachable = false
-  /** When the list of endpoints was read for the first and for the last time. */
-  private listed: { readonly since: Ms, readonly until: Ms } | undefined
+  /** When the list of endpoints was first read. */
+  private listedSince: Ms | undefined
+  /** When it was first read with all entries that had lapsed before. */
+  private listedInFull: Ms | undefined
   private registeredAt: Ms = ms(0)
 
   constructor ({ self, cfg }: ShardInstanceOptions) {
@@ -214,14 +216,15 @@
 
   /**
    * Runs of an earlier owner are all known once every endpoint was looked at, or gone once their leases have run out.
-   * An instance that has read the list for a short time only may miss entries that lapsed and were not back yet.
+   * Before the list is known in full, an earlier owner may still be at work on endpoints that this one does not know,
+   * where nothing fences it.
    */
   private earlierRunsKnown (failureDomain: FailureDomain): boolean {
     const { now, cfg } = this.ctx
     const owned = this.ownership.db.owned.get(failureDomain)
-    if (owned === undefined) return false
-    if (now - owned.since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
-    if (this.listed === undefined || this.listed.until - this.listed.since < cfg.missingMs) return false
+    if (owned === undefined || this.listedInFull === undefined) return false
+    const since = Math.max(owned.since, this.listedInFull)
+    if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
     return [...this.reports.values()].every(({ report }) => report.failureDomain !== failureDomain || this.endpoints.db.get(report.id)?.looked === true)
   }
 
@@ -267,7 +270,8 @@
   private takeReports (reports: readonly EndpointReport[]): void {
     const { now } = this.ctx
     const shown = new Set<EndpointId>()
-    this.listed = { since: this.listed?.since ?? now, until: now }
+    this.listedSince ??= now
+    if (now - this.listedSince >= this.ctx.cfg.missingMs) this.listedInFull ??= now
     for (const report of reports) {
       shown.add(report.id)
       this.reports.set(report.id, { report, missingSince: undefined })
