--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -9,15 +9,22 @@
 
 /** Room left at an endpoint; nothing while a run of unknown size is there. */
 export function freeRoom (endpoint: LedgerEndpoint): Resources {
-  const { capacity } = endpoint.report
-  let { cpuMilli, memoryMb, accelerators } = capacity
+  let room = endpoint.report.capacity
   for (const run of endpoint.runs.values()) {
     if (run.needs === undefined) return NO_RESOURCES
-    cpuMilli -= run.needs.cpuMilli
-    memoryMb -= run.needs.memoryMb
-    accelerators -= run.needs.accelerators
+    room = minus(room, run.needs)
   }
-  return { cpuMilli, memoryMb, accelerators }
+  return room
+}
+
+/** @returns what two parts take together */
+export function plus (a: Resources, b: Resources): Resources {
+  return { cpuMilli: a.cpuMilli + b.cpuMilli, memoryMb: a.memoryMb + b.memoryMb, accelerators: a.accelerators + b.accelerators }
+}
+
+/** @returns what is left of `room` without `taken` */
+export function minus (room: Resources, taken: Resources): Resources {
+  return { cpuMilli: room.cpuMilli - taken.cpuMilli, memoryMb: room.memoryMb - taken.memoryMb, accelerators: room.accelerators - taken.accelerators }
 }
 
 /** @returns true when the task fits into the room */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -6,36 +6,23 @@
 import { ms } from '@cranberryyard/protocol'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
 import type { ShardRoom } from '../admission/types.js'
-import { fits, freeRoom } from '../endpoints/endpointsDb.js'
+import { fits, freeRoom, minus, plus } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerRun, RejectionReason, RunListener } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { ExecutionDb, chainOf, isOpen, makeSteps, objectiveOf } from './executionDb.js'
+import { STALL_SLOWNESS, slownessOf, soundMs } from './speed.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
 /** A task that works slower than this against the expected time may be moved. */
 const MOVE_SLOWNESS = 2.5
-/** Estimates are too low by up to about this factor; without other tasks of the step to compare with, it is allowed for. */
-const ESTIMATE_TOLERANCE = 1.7
-/** Tasks of a step that must have ended before their times replace its estimate. */
-const SIBLINGS_MIN = 2
 /** What a move costs: the stop, its listing, and the new start. */
 const MOVE_COST_MS = 80
-/** A task without any progress after this time, or after this share of its expected time, stands still. */
-const STALL_MIN_MS = 150
-const STALL_SHARE = 0.25
-/** Slowness noted for an endpoint where a task stands still. */
-const STALL_SLOWNESS = 10
 /** Period in which waiting jobs are judged again: others may have gone before them meanwhile. */
 const JUDGE_AGAIN_MS = 60
 /** A task avoids at most this many endpoints, so that one always remains. */
 const AVOIDED_MAX = 3
-/** Before that the time of a run says too little about its speed: answers take a few milliseconds each way. */
-const JUDGE_RUN_MS = 60
-/** Progress figures are whole percents; below this they say too little about speed. */
-const PROGRESS_MIN_PERCENT = 4
-
 /** Fronts ask for the room many times a tick; it is counted once in this span. */
 const ROOM_AGE_MS = 20
 
@@ -220,7 +207,9 @@
   runProgressed (run: LedgerRun): void {
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
-    const slowness = this.slownessOf(found.job, found.task, run)
+    const step = found.job.steps[found.task.step]
+    if (step === undefined) return
+    const slowness = slownessOf(step, run, this.expectedMs(found.job, step), this.ctx.now)
     if (slowness >= MOVE_SLOWNESS) this.move(found.job, found.task, run, slowness)
   }
 
@@ -382,7 +371,7 @@
     const candidate = this.placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, countAt, maxPerEndpoint }, candidates)
     if (candidate === undefined) return false
     this.placement.placed(candidate.endpoint.id)
-    candidate.room = subtract(candidate.room, needs)
+    candidate.room = minus(candidate.room, needs)
     plan.push({ step, task, candidate })
     return true
   }
@@ -412,31 +401,11 @@
 
   private learn (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
     const ranMs = this.ctx.now - run.startedAt
-    this.placement.ended(run.endpoint, ranMs / this.soundMs(job, step, run))
+    this.placement.ended(run.endpoint, ranMs / soundMs(step, run, this.expectedMs(job, step)))
     step.ranMs.push(ranMs)
     if (!this.placement.isSetAside(run.endpoint)) this.admission.db.learn(job.order.queue.name, ranMs / Math.max(1, step.spec.estimateMs))
   }
 
-  /**
-   * Time that a task of the step takes at a sound endpoint: the median of its siblings, ended or at work; with too few
-   * of them at least the estimate and what that may be off.
-   */
-  private soundMs (job: OwnedJob, step: OwnedStep, run: LedgerRun): number {
-    const siblings = this.siblingsMs(step, run).sort((a, b) => a - b)
-    const median = siblings[Math.floor((siblings.length - 1) / 2)] ?? 0
-    if (siblings.length >= SIBLINGS_MIN) return Math.max(1, median)
-    return Math.max(1, median, this.expectedMs(job, step) * ESTIMATE_TOLERANCE)
-  }
-
-  /** @returns times of the step's other tasks: as they ended, or as they will at their present speed */
-  private siblingsMs (step: OwnedStep, except: LedgerRun): number[] {
-    const atWork = step.tasks.flatMap(({ run }) => {
-      if (run === undefined || run === except || progressOf(run) < PROGRESS_MIN_PERCENT) return []
-      return [(run.percentAt - run.startedAt) * 100 / progressOf(run)]
-    })
-    return [...step.ranMs, ...atWork]
-  }
-
   private expectedMs (job: OwnedJob, step: OwnedStep): number {
     return step.spec.estimateMs * this.admission.db.ratioOf(job.order.queue.name)
   }
@@ -461,18 +430,6 @@
     task.avoid.add(run.endpoint)
   }
 
-  private slownessOf (job: OwnedJob, task: OwnedTask, run: LedgerRun): number {
-    const step = job.steps[task.step]
-    if (step === undefined) return 1
-    const expected = this.soundMs(job, step, run)
-    const ranMs = this.ctx.now - run.startedAt
-    if (ranMs < JUDGE_RUN_MS) return 1
-    if (progressOf(run) < PROGRESS_MIN_PERCENT) return ranMs > Math.max(STALL_MIN_MS, expected * STALL_SHARE) ? STALL_SLOWNESS : 1
-    if (this.ctx.now - run.percentAt > Math.max(STALL_MIN_MS, expected * STALL_SHARE)) return STALL_SLOWNESS
-    const othersUnknown = step.tasks.length > SIBLINGS_MIN && this.siblingsMs(step, run).length < SIBLINGS_MIN
-    return othersUnknown ? 1 : (ranMs * 100 / progressOf(run)) / expected
-  }
-
   /**
    * Stops a run that would end sooner if it were started again elsewhere. One that stands still is stopped also while
    * there is no room: it gains nothing where it is, and takes the next room that becomes free.
@@ -480,7 +437,7 @@
   private move (job: OwnedJob, task: OwnedTask, run: LedgerRun, slowness: number): void {
     const step = job.steps[task.step]
     if (step === undefined || run.state !== 'running') return
-    const expected = this.soundMs(job, step, run)
+    const expected = soundMs(step, run, this.expectedMs(job, step))
     const remaining = expected * slowness * (100 - run.percent) / 100
     if (remaining <= expected + MOVE_COST_MS) return
     this.placement.stalled(run.endpoint, slowness)
@@ -558,14 +515,9 @@
   }
 }
 
-/** @returns percent of the work that was done since `startedAt`, which for a run that was found is when it was found */
-function progressOf (run: LedgerRun): number {
-  return run.percent - (run.foundPercent ?? 0)
-}
-
 /** Gives the room of planned starts back. @returns false, as nothing of the job starts */
 function undo (plan: readonly PlannedStart[]): false {
-  for (const { candidate, step } of plan) candidate.room = add(candidate.room, step.spec.needs)
+  for (const { candidate, step } of plan) candidate.room = plus(candidate.room, step.spec.needs)
   return false
 }
 
@@ -576,11 +528,3 @@
 function countRuns (step: OwnedStep, id: EndpointId): number {
   return step.tasks.reduce((n, task) => n + (task.run?.endpoint === id ? 1 : 0), 0)
 }
-
-function add (room: Candidate['room'], needs: Candidate['room']): Candidate['room'] {
-  return { cpuMilli: room.cpuMilli + needs.cpuMilli, memoryMb: room.memoryMb + needs.memoryMb, accelerators: room.accelerators + needs.accelerators }
-}
-
-function subtract (room: Candidate['room'], needs: Candidate['room']): Candidate['room'] {
-  return { cpuMilli: room.cpuMilli - needs.cpuMilli, memoryMb: room.memoryMb - needs.memoryMb, accelerators: room.accelerators - needs.accelerators }
-}
