--- a/packages/dispatcher/src/shard/linkTask.spec.ts
+++ b/packages/dispatcher/src/shard/linkTask.spec.ts
@@ -13,6 +13,7 @@
 class Side {
   readonly events: LinkEvent[] = []
   private waiters: (() => void)[] = []
+  readonly broken: string[] = []
   readonly task: LinkTask
   port = 0
 
@@ -20,7 +21,7 @@
     this.task = new LinkTask(name, (event) => {
       this.events.push(event)
       for (const wake of this.waiters.splice(0)) wake()
-    })
+    }, (peer, why) => this.broken.push(`${peer ?? 'unknown'}: ${why}`))
   }
 
   async listen (): Promise<this> {
@@ -100,5 +101,6 @@
     a.task.close()
     b.task.close()
     expect(b.events).to.deep.equal([{ type: 'peer', from: A, message: message(3) }])
+    expect(b.broken.map(line => line.split(':')[0])).to.deep.equal(['unknown', 'unknown', 'unknown'])
   })
 })
--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -26,6 +26,9 @@
   /** A connection from or to the peer broke; what was on its way may be lost. */
   | { readonly type: 'linkDown', readonly peer: InstanceId }
 
+/** Logs a connection that broke or carried something else; the peer is unknown before its first envelope. */
+export type LogBroken = (peer: InstanceId | undefined, why: string) => void
+
 interface Link {
   readonly address: string
   readonly socket: Socket
@@ -43,7 +46,7 @@
   private readonly server: Server
   private closed = false
 
-  constructor (private readonly self: InstanceId, private readonly post: (event: LinkEvent) => void) {
+  constructor (private readonly self: InstanceId, private readonly post: (event: LinkEvent) => void, private readonly log: LogBroken) {
     this.server = createServer({ noDelay: true }, socket => void this.receive(socket))
   }
 
@@ -81,17 +84,17 @@
   private async receive (socket: Socket): Promise<void> {
     let from: InstanceId | undefined
     this.inbound.add(socket)
-    // The end of the stream below says the same.
+    // The loop below ends with the same error.
     socket.on('error', () => {})
     try {
       for await (const value of decodeMultiStream(socket, DECODE_LIMITS)) {
         const envelope = readEnvelope(value)
-        if (envelope === undefined) break
+        if (envelope === undefined) throw new Error('not an envelope')
         from = envelope.from
         this.post({ type: 'peer', from, message: envelope.message as ShardMessage })
       }
-    } catch {
-      // Cut in the middle of an envelope, or something else than an envelope: both end the connection.
+    } catch (err) {
+      if (!this.closed) this.log(from, err instanceof Error ? err.message : String(err))
     }
     socket.destroy()
     this.inbound.delete(socket)
@@ -108,7 +111,10 @@
     this.links.set(peer, link)
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => socket.destroy())
     socket.once('connect', () => this.connected(link))
-    socket.on('error', () => socket.destroy())
+    socket.on('error', (err) => {
+      if (link.connected) this.log(peer, err.message)
+      socket.destroy()
+    })
     socket.once('close', () => this.ended(peer, link))
     return link
   }
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -62,7 +62,7 @@
     const post = (input: ShardInput): void => this.post(input)
     this.core = new ShardInstance({ self, cfg })
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
-    this.links = new LinkTask(self.instance, post)
+    this.links = new LinkTask(self.instance, post, (peer, why) => this.log.write('warn', 'link.broken', { peer, why }))
     this.orders = new OrderTask(wires.endpoints, post)
     this.store = new StoreTask(wires.store, post, random, (list, entries) => this.log.write('warn', 'store.unreadable', { list, entries }))
     this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path))
