--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -68,7 +68,8 @@
   reset (peer: InstanceId): void {
     const link = this.links.get(peer)
     if (link === undefined) return
-    this.drop(peer, link)
+    this.links.delete(peer)
+    link.socket.destroy()
     this.post({ type: 'linkDown', peer })
   }
 
@@ -91,7 +92,7 @@
         const envelope = readEnvelope(value)
         if (envelope === undefined) throw new Error('not an envelope')
         from = envelope.from
-        this.post({ type: 'peer', from, message: envelope.message as ShardMessage })
+        this.deliver(from, envelope.message as ShardMessage)
       }
     } catch (err) {
       if (!this.closed) this.log(from, err instanceof Error ? err.message : String(err))
@@ -101,6 +102,17 @@
     if (from !== undefined && !this.closed) this.post({ type: 'linkDown', peer: from })
   }
 
+  /** A fault of the decisions is no fault of the connection: it ends the process like any other. */
+  private deliver (from: InstanceId, message: ShardMessage): void {
+    try {
+      this.post({ type: 'peer', from, message })
+    } catch (err) {
+      process.nextTick(() => {
+        throw err
+      })
+    }
+  }
+
   private link (peer: InstanceId, address: string): Link {
     const known = this.links.get(peer)
     if (known !== undefined && known.address === address) return known
@@ -145,9 +157,4 @@
     if (link.connected) this.post({ type: 'linkDown', peer })
     else for (const message of link.waiting.splice(0)) this.post({ type: 'sendFailed', to: peer, message })
   }
-
-  private drop (peer: InstanceId, link: Link): void {
-    this.links.delete(peer)
-    link.socket.destroy()
-  }
 }
