--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -217,19 +217,23 @@
   }
 
   private tickJob (job: FrontedJob): void {
-    const { now, cfg } = this.ctx
     const { where } = job
-    if (now > job.callerUntil) {
+    if (this.ctx.now > job.callerUntil) {
       this.giveUp(job)
     } else if (where.type === 'detached') {
       if (this.sessions.ownerOf(where.failureDomain) !== undefined) this.ownerKnown(where.failureDomain)
-      else if (now > Math.min(where.since + cfg.ownerWaitMs, job.usefulUntil)) this.giveUp(job)
+      else if (this.waitsTooLong(job)) this.giveUp(job)
     } else if (where.type === 'unplaced') {
       this.place(job)
-      if (this.db.jobs.has(job.id) && job.where.type === 'unplaced' && now > Math.min(where.since + cfg.ownerWaitMs, job.usefulUntil)) this.finish(job, { type: 'refused', cause: 'noOwner', retryAfterMs: NO_OWNER_RETRY_MS })
+      if (this.db.jobs.has(job.id) && job.where.type === 'unplaced' && this.waitsTooLong(job)) this.finish(job, { type: 'refused', cause: 'noOwner', retryAfterMs: NO_OWNER_RETRY_MS })
     }
   }
 
+  /** A job without an owner waits for one as long as owners need to change, and while its answer is of use. */
+  private waitsTooLong (job: FrontedJob): boolean {
+    return this.ctx.now > Math.min(job.where.since + this.ctx.cfg.ownerWaitMs, job.usefulUntil)
+  }
+
   private askAfterJobs (): void {
     const { now } = this.ctx
     const questions = new Map<string, { readonly owner: InstanceId, readonly failureDomain: FailureDomain, readonly ids: JobId[] }>()
