One place makes a run, numbers an order and extends a lease horizon; what nothing used any more is gone

Gone: type parameters of the gRPC peer task since shards no longer use it, closing methods that nothing called, fields and a method that nothing read. A limit of the told backlog and the pause between successors have names with their unit.

--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -17,6 +17,8 @@
 /** Least and longest time after which a declined caller is told to come back. */
 const RETRY_MIN_MS = 1000
 const RETRY_MAX_MS = 5000
+/** Longest wait that is told; without any usable room it has no end. */
+const BACKLOG_MAX_MS = 60_000
 
 /** The admission decision. */
 export class AdmissionDecider<T extends QueuedWork> {
@@ -62,7 +64,7 @@
   backlogMs (room: ShardRoom): Ms {
     const waiting = this.db.waitingWork()
     if (waiting === 0) return ms(0)
-    return ms(Math.min(60_000, waiting / usableCpu(room)))
+    return ms(Math.min(BACKLOG_MAX_MS, waiting / usableCpu(room)))
   }
 
   /** @returns when callers that are declined now had best come back */
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -1,7 +1,7 @@
 /**
  * State of the endpoint ledger: endpoints of owned shards with their runs, and arithmetic on room and clocks.
  */
-import type { EndpointClockMs, EndpointId, EndpointReport, Ms, Resources, TaskName } from '@cranberryyard/protocol'
+import type { EndpointClockMs, EndpointId, EndpointReport, FencingToken, Ms, Resources, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { LedgerEndpoint, LedgerRun } from './types.js'
 
@@ -32,6 +32,32 @@
   return needs.cpuMilli <= room.cpuMilli && needs.memoryMb <= room.memoryMb && needs.accelerators <= room.accelerators
 }
 
+/**
+ * Makes a run that takes room from now on.
+ * @param known - what differs from a start that was not sent yet
+ */
+export function makeRun (endpoint: LedgerEndpoint, task: TaskName, run: number, now: Ms, known: Partial<LedgerRun> & Pick<LedgerRun, 'state'>): LedgerRun {
+  return {
+    task,
+    run,
+    endpoint: endpoint.id,
+    needs: undefined,
+    spec: '',
+    notAfter: 0 as EndpointClockMs,
+    orderedAt: now,
+    startedAt: now,
+    confirmed: false,
+    token: 0 as FencingToken,
+    orderId: 0,
+    sends: 0,
+    lastSentAt: now,
+    percent: 0,
+    percentAt: now,
+    foundPercent: undefined,
+    ...known
+  }
+}
+
 /** Endpoints of the shards that this instance owns. */
 export class EndpointsDb {
   private readonly endpoints = new Map<EndpointId, LedgerEndpoint>()
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -19,7 +19,7 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
-import { EndpointsDb, endpointClock, horizonOf } from './endpointsDb.js'
+import { EndpointsDb, endpointClock, horizonOf, makeRun } from './endpointsDb.js'
 import type { LedgerEndpoint, LedgerRun, PendingHold, RejectionReason, RunListener } from './types.js'
 
 /** Holds without an answer in a row after which leases are no longer renewed, so that runs there surely lapse. */
@@ -75,11 +75,7 @@
 
   /** Nothing starts at an endpoint until it has answered once more under the token. */
   lookAgain (): void {
-    for (const endpoint of this.db.all()) {
-      endpoint.looked = false
-      endpoint.hold = undefined
-      this.look(endpoint)
-    }
+    for (const endpoint of this.db.all()) this.look(endpoint)
   }
 
   /** @returns true when the endpoint may be given work */
@@ -90,26 +86,7 @@
 
   /** Starts a run. The caller has checked room and `usable`. */
   start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, spec: string, needs: Resources): LedgerRun {
-    const { now } = this.ctx
-    const run: LedgerRun = {
-      task,
-      run: runNumber,
-      endpoint: endpoint.id,
-      needs,
-      state: 'ordered',
-      spec,
-      notAfter: 0 as EndpointClockMs,
-      orderedAt: now,
-      startedAt: now,
-      confirmed: false,
-      token: 0 as FencingToken,
-      orderId: 0,
-      sends: 0,
-      lastSentAt: now,
-      percent: 0,
-      percentAt: now,
-      foundPercent: undefined
-    }
+    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, state: 'ordered', spec })
     this.db.addRun(endpoint, run)
     this.sendStart(endpoint, run)
     if (endpoint.hold === undefined) this.renew(endpoint)
@@ -182,8 +159,8 @@
       case 'oldRun':
       case 'noRoom':
       case 'invalid':
-      case 'unhealthy': return this.rejected(endpoint, run, outcome.type)
-      case 'late': return this.rejected(endpoint, run, 'late')
+      case 'unhealthy':
+      case 'late': return this.rejected(endpoint, run, outcome.type)
       case 'fenced':
         this.fenced(endpoint, run.token)
         return this.rejected(endpoint, run, 'fenced')
@@ -233,10 +210,10 @@
     if (token === undefined) return
     const extend = endpoint.looked && endpoint.silent < SILENT_HOLDS_MAX && endpoint.runs.size > 0 && endpoint.clockOffset !== undefined
     const extendTo = extend ? (endpointClock(endpoint, now) + cfg.leaseMs) as EndpointClockMs : undefined
-    if (extendTo !== undefined) endpoint.leaseHorizon = ms(Math.max(endpoint.leaseHorizon, horizonOf(endpoint, extendTo, now, cfg.clockDrift, cfg.leaseSlackMs)))
+    if (extendTo !== undefined) this.extendHorizon(endpoint, extendTo)
     const waitMs = extend && endpoint.silent === 0 ? cfg.holdWaitMs : ms(0)
     const orderId = ++this.orderCounter
-    endpoint.hold = { orderId, token, sentAt: now, seamless: now - endpoint.answeredAt <= SEAMLESS_MS || endpoint.runs.size === 1, acknowledged: endpoint.acknowledged }
+    endpoint.hold = { orderId, token, sentAt: now, seamless: now - endpoint.answeredAt <= SEAMLESS_MS || endpoint.runs.size === 1 }
     this.ctx.out.count('shard.holds.sent')
     this.ctx.out.push({
       type: 'hold',
@@ -314,27 +291,8 @@
     if (run.state === 'running') this.listener.runProgressed(run)
   }
 
-  private found (endpoint: LedgerEndpoint, row: ListedRun): void {
-    const { now } = this.ctx
-    const run: LedgerRun = {
-      task: row.task,
-      run: row.run,
-      endpoint: endpoint.id,
-      needs: undefined,
-      state: 'unclaimed',
-      spec: '',
-      notAfter: 0 as EndpointClockMs,
-      orderedAt: now,
-      startedAt: now,
-      confirmed: true,
-      token: 0 as FencingToken,
-      orderId: 0,
-      sends: 0,
-      lastSentAt: now,
-      percent: row.percent,
-      percentAt: now,
-      foundPercent: row.percent
-    }
+  private found (endpoint: LedgerEndpoint, { task, run: number, percent }: ListedRun): void {
+    const run = makeRun(endpoint, task, number, this.ctx.now, { state: 'unclaimed', confirmed: true, percent, foundPercent: percent })
     this.db.addRun(endpoint, run)
     this.listener.runFound(run)
   }
@@ -378,11 +336,8 @@
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
     run.notAfter = (endpointClock(endpoint, now) + cfg.startValidMs) as EndpointClockMs
-    endpoint.leaseHorizon = ms(Math.max(endpoint.leaseHorizon, horizonOf(endpoint, run.notAfter, now, cfg.clockDrift, cfg.leaseSlackMs)))
-    run.token = token
-    run.orderId = ++this.orderCounter
-    run.sends++
-    run.lastSentAt = now
+    this.extendHorizon(endpoint, run.notAfter)
+    this.stampOrder(run, token)
     out.count('shard.tasks.started')
     out.push({
       type: 'startTask',
@@ -399,15 +354,26 @@
   }
 
   private sendStop (endpoint: LedgerEndpoint, run: LedgerRun): void {
-    const { now, cfg, out } = this.ctx
+    const { cfg, out } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
+    this.stampOrder(run, token)
+    out.count('shard.tasks.stopped')
+    out.push({ type: 'stopTask', endpoint: endpoint.id, address: endpoint.report.address, orderId: run.orderId, token, task: run.task, run: run.run, timeoutMs: cfg.orderTimeoutMs })
+  }
+
+  /** Gives a run's next order its number, to match the answer. */
+  private stampOrder (run: LedgerRun, token: FencingToken): void {
     run.token = token
     run.orderId = ++this.orderCounter
     run.sends++
-    run.lastSentAt = now
-    out.count('shard.tasks.stopped')
-    out.push({ type: 'stopTask', endpoint: endpoint.id, address: endpoint.report.address, orderId: run.orderId, token, task: run.task, run: run.run, timeoutMs: cfg.orderTimeoutMs })
+    run.lastSentAt = this.ctx.now
+  }
+
+  /** Runs may live on until the given time of the endpoint's clock. */
+  private extendHorizon (endpoint: LedgerEndpoint, until: EndpointClockMs): void {
+    const { now, cfg } = this.ctx
+    endpoint.leaseHorizon = ms(Math.max(endpoint.leaseHorizon, horizonOf(endpoint, until, now, cfg.clockDrift, cfg.leaseSlackMs)))
   }
 
   private started (endpoint: LedgerEndpoint, run: LedgerRun, clock: EndpointClockMs): void {
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -56,7 +56,6 @@
   readonly sentAt: Ms
   /** The endpoint was being watched up to this hold, and the hold waits for an end. */
   readonly seamless: boolean
-  readonly acknowledged: number
 }
 
 /** What an owner believes of one endpoint. */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -210,7 +210,7 @@
     const step = found.job.steps[found.task.step]
     if (step === undefined) return
     const slowness = slownessOf(step, run, this.expectedMs(found.job, step), this.ctx.now)
-    if (slowness >= MOVE_SLOWNESS) this.move(found.job, found.task, run, slowness)
+    if (slowness >= MOVE_SLOWNESS) this.move(found.job, step, found.task, run, slowness)
   }
 
   roomChanged (): void {
@@ -252,12 +252,11 @@
   }
 
   private waitingWorkOf (job: OwnedJob): number {
-    const ratio = this.admission.db.ratioOf(job.order.queue.name)
     let sum = 0
     for (const step of job.steps) {
       if (step.missing === 0) continue
       const waiting = step.tasks.reduce((n, task) => n + (task.done || task.run !== undefined ? 0 : 1), 0)
-      sum += waiting * step.spec.needs.cpuMilli * step.spec.estimateMs * ratio
+      sum += waiting * step.spec.needs.cpuMilli * this.expectedMs(job, step)
     }
     return sum
   }
@@ -434,9 +433,8 @@
    * Stops a run that would end sooner if it were started again elsewhere. One that stands still is stopped also while
    * there is no room: it gains nothing where it is, and takes the next room that becomes free.
    */
-  private move (job: OwnedJob, task: OwnedTask, run: LedgerRun, slowness: number): void {
-    const step = job.steps[task.step]
-    if (step === undefined || run.state !== 'running') return
+  private move (job: OwnedJob, step: OwnedStep, task: OwnedTask, run: LedgerRun, slowness: number): void {
+    if (run.state !== 'running') return
     const expected = soundMs(step, run, this.expectedMs(job, step))
     const remaining = expected * slowness * (100 - run.percent) / 100
     if (remaining <= expected + MOVE_COST_MS) return
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -59,7 +59,7 @@
     sessions.unreachable('owner' as InstanceId)
     ownership.tick()
     expect(claims(ctx)).to.deep.equal([])
-    ctx.now = ms(ctx.now + SHARD_DEFAULTS.succession)
+    ctx.now = ms(ctx.now + SHARD_DEFAULTS.successionMs)
     ownership.tick()
     expect(claims(ctx).length).to.equal(1)
   })
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -148,7 +148,7 @@
     }
     this.vacantSince ??= now
     if (now < this.reclaimFrom) return
-    if (now - this.vacantSince < this.rankOf(own) * cfg.succession) return
+    if (now - this.vacantSince < this.rankOf(own) * cfg.successionMs) return
     if (now - this.lastClaimAt >= CLAIM_PAUSE_MS) this.writeClaim(own)
   }
 
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -1,7 +1,7 @@
 /**
  * State of the session decision: peers and the shards they own.
  */
-import type { FailureDomain, InstanceId, Ms, OwnedShard, ShardLoad } from '@cranberryyard/protocol'
+import type { FailureDomain, InstanceId, OwnedShard, ShardLoad } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { KnownShard, PeerSession } from './types.js'
 
@@ -39,16 +39,16 @@
   learnOwner (shard: Pick<KnownShard, 'failureDomain' | 'owner' | 'token'>): boolean {
     const known = this.shards.get(shard.failureDomain)
     if (known !== undefined && known.token >= shard.token) return false
-    this.shards.set(shard.failureDomain, { ...shard, disowned: false, load: NO_LOAD, loadAt: ms(0) })
+    this.shards.set(shard.failureDomain, { ...shard, disowned: false, load: NO_LOAD })
     return known?.owner !== shard.owner || known.token !== shard.token
   }
 
   /** Takes what an instance says of the shards it owns; one that it no longer lists has no owner. */
-  learnOwned (owner: InstanceId, owned: readonly OwnedShard[], now: Ms): void {
+  learnOwned (owner: InstanceId, owned: readonly OwnedShard[]): void {
     for (const { failureDomain, token, load } of owned) {
       this.learnOwner({ failureDomain, owner, token })
       const shard = this.shards.get(failureDomain)
-      if (shard?.owner === owner) Object.assign(shard, { load, loadAt: now, disowned: false })
+      if (shard?.owner === owner) Object.assign(shard, { load, disowned: false })
     }
     for (const shard of this.shards.values()) {
       if (shard.owner === owner && !owned.some(o => o.failureDomain === shard.failureDomain)) shard.disowned = true
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -79,13 +79,6 @@
     return peer !== undefined && !peer.lost && peer.heardAt !== undefined
   }
 
-  /** All sessions count as lost: this process stood still and others have acted meanwhile. */
-  loseAll (why: string): void {
-    for (const peer of this.db.peers.values()) {
-      if (peer.heardAt !== undefined) this.lose(peer, why)
-    }
-  }
-
   /** @returns live owner of a shard */
   ownerOf (failureDomain: FailureDomain): InstanceId | undefined {
     const shard = this.db.shards.get(failureDomain)
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -31,7 +31,6 @@
   /** The owner answers, but not as the owner. */
   disowned: boolean
   load: ShardLoad
-  loadAt: Ms
 }
 
 /** Learns of peers. */
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -22,7 +22,7 @@
   /** Pause before an instance that lost a shard claims it again; two that cannot hear each other would take turns. */
   readonly reclaimMs: Ms
   /** Added for each successor before this one, so that they do not all claim at once. */
-  readonly succession: Ms
+  readonly successionMs: Ms
   /** Longest wait for the store's answer to a claim before a successor takes over by its rank. */
   readonly claimTimeoutMs: Ms
   /** Longest lease an endpoint grants (platform's bound). */
@@ -68,7 +68,7 @@
   jobLeaseMs: ms(700),
   confirmMs: ms(200),
   reclaimMs: ms(2500),
-  succession: ms(150),
+  successionMs: ms(150),
   claimTimeoutMs: ms(250),
   leaseMs: ms(1000),
   clockDrift: 0.02,
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -129,7 +129,7 @@
     switch (message.type) {
       case 'ping': return this.pinged(from, message.incarnation, message.desiredVersion)
       case 'pong':
-        this.sessions.db.learnOwned(from, message.owned, this.ctx.now)
+        this.sessions.db.learnOwned(from, message.owned)
         this.desired.heard(from, message.desiredVersion)
         for (const { failureDomain } of message.owned) this.intake.ownerKnown(failureDomain)
         return
--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -4,7 +4,7 @@
  */
 import { Instance } from '@cranberryyard/core'
 import type { Effect, Input } from '@cranberryyard/core'
-import type { FailureDomain, InstanceId, Settings, PeerMessage } from '@cranberryyard/protocol'
+import type { FailureDomain, InstanceId, Settings } from '@cranberryyard/protocol'
 import { systemClock } from '@cranberryyard/protocol'
 import { CallerTask } from './callers/callerTask.js'
 import { EndpointTask } from './endpoints/endpointTask.js'
@@ -31,7 +31,7 @@
   private readonly core: Instance
   private readonly callers: CallerTask
   private readonly operators: OperatorTask
-  private readonly peers: PeerTask<PeerMessage>
+  private readonly peers: PeerTask
   private readonly endpoints: EndpointTask
   private readonly platform: PlatformTask
   private readonly metrics: MetricsTask
@@ -55,7 +55,7 @@
       fleet: () => this.core.contracts.db.fleet,
       readArchive: key => this.platform.readKey(key)
     })
-    this.peers = new PeerTask<PeerMessage>(instance.id as InstanceId, settings.peerTls, post)
+    this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post)
     this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post)
     this.platform = new PlatformTask(settings.platform, instance.failureDomain, post)
     this.metrics = new MetricsTask(settings.metrics, () => this.core.status())
--- a/packages/dispatcher/src/peers/peerCodec.ts
+++ b/packages/dispatcher/src/peers/peerCodec.ts
@@ -9,9 +9,9 @@
 export type AnyPeerMessage = PeerMessage | ShardMessage
 
 /** A message with its sender. */
-export interface Envelope<M extends AnyPeerMessage = AnyPeerMessage> {
+export interface Envelope {
   readonly from: InstanceId
-  readonly message: M
+  readonly message: AnyPeerMessage
 }
 
 /** Order of an entry's values on the wire; new fields are added at the end. */
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -4,10 +4,11 @@
  */
 import { Server, ServerCredentials, credentials } from '@grpc/grpc-js'
 import type { ClientWritableStream, ServerReadableStream, sendUnaryData, Client } from '@grpc/grpc-js'
-import type { InstanceId, Settings } from '@cranberryyard/protocol'
+import type { InstanceId, PeerMessage, Settings } from '@cranberryyard/protocol'
 import { readFileSync } from 'node:fs'
+import type { EffectOf, Post } from '../messages.js'
 import { PeerClient, peerService } from './peerService.js'
-import type { AnyPeerMessage, Envelope } from './peerCodec.js'
+import type { Envelope } from './peerCodec.js'
 
 /** A peer that cannot be connected to within this span does not get the message. */
 const CONNECT_TIMEOUT_MS = 800
@@ -25,33 +26,27 @@
 
 type Stream = ClientWritableStream<Envelope>
 
-/** What happens on the connections to peers. */
-export type PeerEvent<M extends AnyPeerMessage> =
-  | { readonly type: 'peer', readonly from: InstanceId, readonly message: M }
-  | { readonly type: 'sendFailed', readonly to: InstanceId, readonly message: M }
-  | { readonly type: 'linkDown', readonly peer: InstanceId }
-
 interface ChannelClient extends Client {
   channel (callback: (err: Error | null) => void): Stream
 }
 
-interface Link<M> {
+interface Link {
   readonly client: ChannelClient
   readonly address: string
   stream: Stream | undefined
   connecting: boolean
-  readonly waiting: M[]
+  readonly waiting: PeerMessage[]
 }
 
 /** Owns the peers' port and the links to peers. */
-export class PeerTask<M extends AnyPeerMessage> {
-  private readonly links = new Map<InstanceId, Link<M>>()
+export class PeerTask {
+  private readonly links = new Map<InstanceId, Link>()
   private readonly server = new Server(CHANNEL_OPTIONS)
   /** Bytes of messages sent, as encoded. */
   bytesSent = 0
   private closed = false
 
-  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: (event: PeerEvent<M>) => void) {
+  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: Post) {
     this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
   }
 
@@ -63,7 +58,7 @@
   }
 
   /** Sends a message, connecting first if need be. */
-  send (effect: { readonly to: InstanceId, readonly address: string, readonly message: M }): void {
+  send (effect: EffectOf<'send'>): void {
     if (this.closed) return
     const link = this.link(effect.to, effect.address)
     if (link.stream !== undefined) {
@@ -90,7 +85,7 @@
     call.on('data', (envelope: Envelope | undefined) => {
       if (envelope === undefined) return
       from = envelope.from
-      this.post({ type: 'peer', from, message: envelope.message as M })
+      this.post({ type: 'peer', from, message: envelope.message as PeerMessage })
     })
     call.on('end', () => done(null, {}))
     call.on('error', () => {})
@@ -99,17 +94,17 @@
     })
   }
 
-  private link (peer: InstanceId, address: string): Link<M> {
+  private link (peer: InstanceId, address: string): Link {
     const known = this.links.get(peer)
     if (known !== undefined && known.address === address) return known
     known?.client.close()
     const client = new PeerClient(address, this.clientCredentials(), CHANNEL_OPTIONS) as unknown as ChannelClient
-    const link: Link<M> = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
+    const link: Link = { client, address, stream: undefined, connecting: false, waiting: known?.waiting ?? [] }
     this.links.set(peer, link)
     return link
   }
 
-  private connect (peer: InstanceId, link: Link<M>): void {
+  private connect (peer: InstanceId, link: Link): void {
     link.connecting = true
     link.client.waitForReady(Date.now() + CONNECT_TIMEOUT_MS, (err) => {
       if (this.links.get(peer) !== link) return
@@ -124,24 +119,24 @@
     })
   }
 
-  private open (peer: InstanceId, link: Link<M>): Stream {
+  private open (peer: InstanceId, link: Link): Stream {
     const stream = link.client.channel(() => this.lost(peer, link, stream))
     stream.on('error', () => this.lost(peer, link, stream))
     link.stream = stream
     return stream
   }
 
-  private write (stream: Stream, message: M): void {
+  private write (stream: Stream, message: PeerMessage): void {
     stream.write({ from: this.self, message })
   }
 
-  private lost (peer: InstanceId, link: Link<M>, stream: Stream): void {
+  private lost (peer: InstanceId, link: Link, stream: Stream): void {
     if (link.stream !== stream || this.closed) return
     link.stream = undefined
     this.post({ type: 'linkDown', peer })
   }
 
-  private fail (to: InstanceId, messages: readonly M[]): void {
+  private fail (to: InstanceId, messages: readonly PeerMessage[]): void {
     if (this.closed) return
     for (const message of messages) this.post({ type: 'sendFailed', to, message })
   }
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -97,13 +97,6 @@
     })
   }
 
-  /** Closes the connections to an address. */
-  drop (address: string): void {
-    const pool = this.pools.get(address)
-    this.pools.delete(address)
-    if (pool !== undefined) void pool.destroy()
-  }
-
   /** Closes everything. */
   async close (): Promise<void> {
     const pools = [...this.pools.values()]
--- a/packages/dispatcher/src/shard/metricsServer.ts
+++ b/packages/dispatcher/src/shard/metricsServer.ts
@@ -5,7 +5,6 @@
 import { SHARD_COUNTERS } from '@cranberryyard/core/shard'
 import { Counter, Histogram, Registry } from 'prom-client'
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
 
 /** Upper bounds of the histograms' buckets, from a quick task to the longest objective, in milliseconds. */
 const BUCKETS_MS = [5, 10, 20, 50, 100, 150, 200, 300, 500, 800, 1200, 2000, 3500, 6000, 10_000]
@@ -24,7 +23,6 @@
 export class MetricsServer {
   private readonly registry = new Registry()
   private readonly histograms = new Map<string, Histogram<'label'>>()
-  private server: Server | undefined
 
   /** @param counters - totals to serve */
   constructor (counters: ReadonlyMap<ShardCounterName, number>) {
@@ -41,18 +39,12 @@
 
   /** Listens; any path is answered. */
   listen (ip: string, port: number): void {
-    this.server = createServer((_req, res) => {
+    const server = createServer((_req, res) => {
       void this.registry.metrics().then((text) => {
         res.writeHead(200, { 'content-type': this.registry.contentType }).end(text)
       })
     })
-    this.server.listen(port, ip)
-  }
-
-  /** Closes the port. */
-  close (): void {
-    this.server?.close()
-    this.server?.closeAllConnections()
+    server.listen(port, ip)
   }
 
   private addCounter (name: ShardCounterName, help: string, counters: ReadonlyMap<ShardCounterName, number>): void {
--- a/packages/dispatcher/src/shard/orderTask.ts
+++ b/packages/dispatcher/src/shard/orderTask.ts
@@ -35,11 +35,6 @@
     this.post({ type: 'taskStopOutcome', endpoint: effect.endpoint, orderId: effect.orderId, outcome })
   }
 
-  /** Closes all connections. */
-  close (): Promise<void> {
-    return this.caller.close()
-  }
-
   private async order<T> (address: string, call: HttpCall, timeoutMs: Ms, read: (reply: HttpReply) => T): Promise<T | { type: 'refused' | 'silent' }> {
     const result = await this.caller.call(address, call, timeoutMs)
     return result.type === 'reply' ? read(result.reply) : { type: result.type }
