Only owners and fronts with jobs there ping owners of other domains; lists, not time, make an endpoint gone

Cause: each of N instances pinged the owners of all D domains every 250 ms, N x D x 4 messages a second and as many answers at rest. The owner of the own domain now vouches for the others in its answers. Now only a list that leaves it out can make it gone.

--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -85,6 +85,13 @@
     }
   }
 
+  /** @returns instances that answer for jobs here */
+  fronts (): Set<InstanceId> {
+    const fronts = new Set<InstanceId>()
+    for (const { front } of this.db.jobs.values()) fronts.add(front.instance)
+    return fronts
+  }
+
   /** A front asks after jobs that it sent and still wants: ended ones are told again, unknown ones have to be sent again. */
   check (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[]): void {
     for (const id of ids) {
--- a/packages/core/src/intake/intakeDb.ts
+++ b/packages/core/src/intake/intakeDb.ts
@@ -33,6 +33,15 @@
     this.jobs.delete(job.id)
   }
 
+  /** @returns owners that have jobs of this front */
+  owners (): Set<InstanceId> {
+    const owners = new Set<InstanceId>()
+    for (const { where } of this.jobs.values()) {
+      if (where.type === 'atOwner') owners.add(where.owner)
+    }
+    return owners
+  }
+
   /** @returns jobs at an owner */
   at (owner: InstanceId): FrontedJob[] {
     return [...this.jobs.values()].filter(job => job.where.type === 'atOwner' && job.where.owner === owner)
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -1,7 +1,7 @@
 /**
  * State of the session decision: peers and the shards they own.
  */
-import type { FailureDomain, InstanceId, OwnedShard, ShardLoad } from '@cranberryyard/protocol'
+import type { FailureDomain, InstanceId, Ms, OtherShard, OwnedShard, ShardLoad } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { KnownShard, PeerSession } from './types.js'
 
@@ -24,6 +24,7 @@
       address,
       incarnation: 0,
       heardAt: undefined,
+      vouchedAt: undefined,
       pingedSince: undefined,
       lastPingAt: undefined,
       loadToldAt: undefined,
@@ -54,4 +55,14 @@
       if (shard.owner === owner && !owned.some(o => o.failureDomain === shard.failureDomain)) shard.disowned = true
     }
   }
+
+  /** Takes what the owner of this instance's own domain says of other owners. What an owner says itself goes before it. */
+  learnOthers (others: readonly OtherShard[], now: Ms): void {
+    for (const { failureDomain, owner, address, token, load } of others) {
+      this.peer(owner, address).vouchedAt = now
+      this.learnOwner({ failureDomain, owner, token })
+      const shard = this.shards.get(failureDomain)
+      if (shard?.owner === owner) shard.load = load
+    }
+  }
 }
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -29,7 +29,7 @@
   for (let at = 0; at < forMs; at += TICK_MS) {
     ctx.now = ms(at)
     if (hears(at)) sessions.heard(OWNER, 1, 'owner')
-    sessions.tick(targets)
+    sessions.tick(targets, () => false)
   }
   const effects = ctx.out.take()
   return { pings: effects.filter(effect => effect.type === 'send').length, resets: effects.filter(effect => effect.type === 'resetLink').length, lostAt }
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -1,6 +1,8 @@
 /**
  * Watches peers: fronts ping the owners they use, owners answer. A silent connection is replaced once; a peer that
  * stays silent, refuses connections or comes back as another life is lost, and whoever depends on it is told.
+ * Owners of other domains are pinged only by owners and by fronts with jobs there; the owner of the own domain vouches
+ * for them, so that pings do not grow with instances times domains.
  */
 import type { FailureDomain, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
@@ -10,6 +12,9 @@
 /** Period of pings to an owner that is lost, to learn that it is back. */
 const LOST_PING_MS = 400
 
+/** How long an owner of another domain counts as live after the own domain's owner vouched for it; a few of its pings. */
+const VOUCHED_MS = 800
+
 /** Says which version of the desired state is in force here. */
 export type VersionOf = () => number
 
@@ -63,20 +68,31 @@
   /**
    * Pings the owners that this instance uses when they are silent; watches all peers that were heard.
    * @param targets - owners with the silence after which each is pinged
+   * @param needs - whether the silence of any other peer matters here
    */
-  tick (targets: ReadonlyMap<InstanceId, Ms>): void {
+  tick (targets: ReadonlyMap<InstanceId, Ms>, needs: (peer: PeerSession) => boolean): void {
     for (const peer of this.db.peers.values()) {
       const periodMs = targets.get(peer.instance)
       if (periodMs !== undefined && this.isPingDue(peer, periodMs)) this.ping(peer)
-      if (periodMs !== undefined || peer.pingsUs) this.watch(peer)
-      else peer.heardAt = undefined
+      if (periodMs !== undefined || needs(peer)) {
+        this.watch(peer)
+      } else {
+        peer.heardAt = undefined
+        peer.pingedSince = undefined
+      }
     }
   }
 
   /** @returns true when the peer was heard lately */
   isLive (instance: InstanceId): boolean {
     const peer = this.db.peers.get(instance)
-    return peer !== undefined && !peer.lost && peer.heardAt !== undefined
+    if (peer === undefined || peer.lost) return false
+    return peer.heardAt !== undefined || this.ctx.now - (peer.vouchedAt ?? -Infinity) < VOUCHED_MS
+  }
+
+  /** @returns true when messages to the peer were without an answer for too long, or its process refuses connections */
+  isLost (instance: InstanceId): boolean {
+    return this.db.peers.get(instance)?.lost === true
   }
 
   /** @returns live owner of a shard */
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -11,6 +11,8 @@
   incarnation: number
   /** Latest message of any kind; undefined before the first. */
   heardAt: Ms | undefined
+  /** Latest time at which the owner of this instance's own domain said that it hears the peer. */
+  vouchedAt: Ms | undefined
   /** First ping since the peer was last heard. */
   pingedSince: Ms | undefined
   lastPingAt: Ms | undefined
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -2,7 +2,7 @@
  * One instance that answers callers and, where it owns a shard, gives orders to endpoints. This module wires the
  * decisions together; inputs go in, effects come out. No I/O, no timers, no clock of its own.
  */
-import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OwnedShard, ShardMessage } from '@cranberryyard/protocol'
+import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { DesiredDecider } from '../desired/desiredDecider.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
@@ -25,6 +25,13 @@
   readonly cfg: ShardSettings
 }
 
+/** An endpoint's latest entry in the list. */
+interface ReportEntry {
+  readonly report: EndpointReport
+  /** When a list first left it out; lists from before the store was away do not count. */
+  missingSince: Ms | undefined
+}
+
 /** The decisions of one instance. */
 export class ShardInstance {
   readonly ctx: ShardContext
@@ -35,7 +42,7 @@
   readonly execution: ExecutionDecider
   readonly endpoints: EndpointsDecider
   readonly intake: IntakeDecider
-  private readonly reports = new Map<EndpointId, { report: EndpointReport, missingSince: Ms | undefined }>()
+  private readonly reports = new Map<EndpointId, ReportEntry>()
   private lastAt: Ms | undefined
   private lastWall: Ms | undefined
   private ready = false
@@ -131,7 +138,8 @@
       case 'pong':
         this.sessions.db.learnOwned(from, message.owned)
         this.desired.heard(from, message.desiredVersion)
-        for (const { failureDomain } of message.owned) this.intake.ownerKnown(failureDomain)
+        if (this.ownsHere(from)) this.sessions.db.learnOthers(message.others, this.ctx.now)
+        for (const { failureDomain } of [...message.owned, ...message.others]) this.intake.ownerKnown(failureDomain)
         return
       case 'announce':
         this.sessions.db.learnOwner({ failureDomain: message.failureDomain, owner: from, token: message.token })
@@ -157,25 +165,39 @@
   }
 
   private tick (): void {
-    this.sessions.tick(this.pingTargets())
+    const fronts = this.execution.fronts()
+    this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.pingsUs && this.isNeighbour(peer.instance)))
     this.ownership.tick()
     this.endpoints.tick()
     this.execution.tick()
     this.intake.tick()
-    this.forgetMissing()
   }
 
+  /** Owners that this instance pings itself, with the silence after which it does. */
   private pingTargets (): Map<InstanceId, Ms> {
     const { self, cfg } = this.ctx
+    const { sessions } = this
+    const used = this.intake.db.owners()
+    const pingsAll = this.ownership.owns() || sessions.ownerOf(self.failureDomain) === undefined
     const targets = new Map<InstanceId, Ms>()
-    for (const shard of this.sessions.db.shards.values()) {
-      const periodMs = shard.failureDomain === self.failureDomain ? cfg.pingMs : cfg.remotePingMs
-      if (periodMs < (targets.get(shard.owner) ?? Infinity)) targets.set(shard.owner, periodMs)
+    for (const { failureDomain, owner } of sessions.db.shards.values()) {
+      if (failureDomain === self.failureDomain) targets.set(owner, cfg.pingMs)
+      else if (!targets.has(owner) && (pingsAll || used.has(owner) || sessions.isLost(owner))) targets.set(owner, cfg.remotePingMs)
     }
     targets.delete(self.instance)
     return targets
   }
 
+  /** Fronts of the own domain ping its owner as long as they live. */
+  private isNeighbour (instance: InstanceId): boolean {
+    return this.ownership.db.members.get(instance)?.failureDomain === this.ctx.self.failureDomain
+  }
+
+  /** @returns true when the instance owns this instance's own domain */
+  private ownsHere (instance: InstanceId): boolean {
+    return this.sessions.db.shards.get(this.ctx.self.failureDomain)?.owner === instance
+  }
+
   /** What an owner tells a front brings its load along, so that fronts with jobs need no pings. */
   private tellFront (front: InstanceId, message: ShardMessage): void {
     this.deliver(front, message)
@@ -189,7 +211,19 @@
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadToldAt = now
     const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
-    this.sessions.tell(to, { type: 'pong', incarnation: self.incarnation, owned, desiredVersion: this.desired.db.version() })
+    this.sessions.tell(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version() })
+  }
+
+  /** Shards of other domains whose owners this owner hears itself. */
+  private otherShards (): OtherShard[] {
+    const { db } = this.sessions
+    const others: OtherShard[] = []
+    for (const { failureDomain, owner, token, load, disowned } of db.shards.values()) {
+      const peer = db.peers.get(owner)
+      if (disowned || peer === undefined || peer.lost || peer.heardAt === undefined || this.ownership.db.owned.has(failureDomain)) continue
+      others.push({ failureDomain, owner, address: peer.address, token, load })
+    }
+    return others
   }
 
   private pinged (from: InstanceId, incarnation: number, desiredVersion: number): void {
@@ -277,21 +311,21 @@
       this.reports.set(report.id, { report, missingSince: undefined })
     }
     for (const [id, entry] of this.reports) {
-      if (!shown.has(id)) entry.missingSince ??= now
+      if (!shown.has(id)) this.missing(id, entry)
     }
     this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)))
   }
 
-  private forgetMissing (): void {
+  /** An endpoint counts as gone when lists over a whole span do not show it; a span without any list says nothing. */
+  private missing (id: EndpointId, entry: ReportEntry): void {
     const { now, cfg, out } = this.ctx
-    if (!this.storeReachable) return
-    for (const [id, { missingSince, report }] of this.reports) {
-      if (missingSince === undefined || now - missingSince < cfg.missingMs) continue
-      this.reports.delete(id)
-      out.log('endpoint.gone', { endpoint: id, failureDomain: report.failureDomain, missingMs: Math.round(now - missingSince) })
-      this.endpoints.forget(id)
-      this.placement.db.forget(id)
-    }
+    entry.missingSince ??= now
+    const missingMs = now - entry.missingSince
+    if (missingMs < cfg.missingMs) return
+    this.reports.delete(id)
+    out.log('endpoint.gone', { endpoint: id, failureDomain: entry.report.failureDomain, missingMs: Math.round(missingMs) })
+    this.endpoints.forget(id)
+    this.placement.db.forget(id)
   }
 
   private takeRecords (input: Extract<ShardInput, { type: 'records' }>): void {
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -20,6 +20,12 @@
   readonly load: ShardLoad
 }
 
+/** What an owner says of a shard that another instance owns and that it hears from directly. */
+export interface OtherShard extends OwnedShard {
+  readonly owner: InstanceId
+  readonly address: string
+}
+
 /** Tasks of a job that are done, as `step.index`. */
 export interface JobProgress {
   readonly jobId: JobId
@@ -33,7 +39,7 @@
   /** Front to an owner that it has not heard for a while. */
   | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number }
   /** Answer to a ping; also sent along with what an owner tells a front. */
-  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly desiredVersion: number }
+  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number }
   /** A new owner makes itself known. */
   | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken }
   /** A job for the owner of a failure domain's endpoints. */
