--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -344,7 +344,7 @@
       case 'log':
         this.logs.push({ at: this.time.now, instance: process.name, event: effect.event, fields: effect.fields })
         return
-      case 'owning':
+      case 'listPace':
       case 'state':
       case 'observe': return
     }
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -9,6 +9,11 @@
 
 /** Room left at an endpoint; nothing while a run of unknown size is there. */
 export function freeRoom (endpoint: LedgerEndpoint): Resources {
+  endpoint.free ??= countFree(endpoint)
+  return endpoint.free
+}
+
+function countFree (endpoint: LedgerEndpoint): Resources {
   let room = endpoint.report.capacity
   for (const run of endpoint.runs.values()) {
     if (run.needs === undefined) return NO_RESOURCES
@@ -90,7 +95,8 @@
       nextLookAt: now,
       leaseHorizon: now,
       quarantineUntil: now,
-      unlisted: false
+      unlisted: false,
+      free: undefined
     }
     this.endpoints.set(report.id, endpoint)
     return endpoint
@@ -107,12 +113,14 @@
   /** Adds a run; it takes room from now on. */
   addRun (endpoint: LedgerEndpoint, run: LedgerRun): void {
     endpoint.runs.set(run.task, run)
+    endpoint.free = undefined
     if (!this.byTask.has(run.task)) this.byTask.set(run.task, run)
   }
 
   /** Frees the room of a run. */
   removeRun (endpoint: LedgerEndpoint, run: LedgerRun): void {
     endpoint.runs.delete(run.task)
+    endpoint.free = undefined
     if (this.byTask.get(run.task) === run) this.byTask.delete(run.task)
   }
 
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -51,7 +51,7 @@
     for (const report of reports) {
       const known = this.db.get(report.id)
       if (known === undefined) this.look(this.db.add(report, this.ctx.now))
-      else Object.assign(known, { report, unlisted: false })
+      else Object.assign(known, { report, unlisted: false, free: undefined })
     }
   }
 
@@ -105,6 +105,8 @@
   /** Makes a found run one of ours. */
   claim (run: LedgerRun, needs: Resources): void {
     run.needs = needs
+    const endpoint = this.db.get(run.endpoint)
+    if (endpoint !== undefined) endpoint.free = undefined
     if (run.state === 'unclaimed') run.state = 'running'
     this.ctx.out.count('shard.tasks.adopted')
   }
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -83,6 +83,8 @@
   quarantineUntil: Ms
   /** The store's list has not shown the endpoint for a while; it gets no more work. */
   unlisted: boolean
+  /** Room left; undefined when it has to be counted again. */
+  free: Resources | undefined
 }
 
 /** Why a run has not started and will not. */
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -16,6 +16,8 @@
 const CLAIM_PAUSE_MS = 300
 /** An owner hands its shard to a live successor with this many times its processor time. */
 const STRONGER_FACTOR = 1.5
+/** Successors that keep the store's lists fresh: two may be lost with the owner before one with older lists follows. */
+const NEAR_SUCCESSORS = 3
 /** Least time for which an owner keeps a shard before it does so; members have registered by then. */
 const SETTLE_MS = 2000
 
@@ -95,6 +97,13 @@
     for (const failureDomain of [...this.db.owned.keys()]) this.handOver(failureDomain, 'leaving', () => true)
   }
 
+  /** @returns true when this instance is among the first that would follow the owner of its domain */
+  isNearSuccessor (): boolean {
+    const { self } = this.ctx
+    const index = this.db.records.get(self.failureDomain)?.value.successors.indexOf(self.instance) ?? -1
+    return index !== -1 && index < NEAR_SUCCESSORS
+  }
+
   /** @returns true while this instance owns some shard */
   owns (): boolean {
     return this.db.owned.size > 0
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -75,7 +75,7 @@
   startValidMs: ms(300),
   orderTimeoutMs: ms(100),
   holdWaitMs: ms(250),
-  idleLookMs: ms(700),
+  idleLookMs: ms(2000),
   silentLookMs: ms(200),
   leaseSlackMs: ms(60),
   claimGraceMs: ms(250),
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -14,7 +14,7 @@
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { ShardSettings } from './settings.js'
 import { ShardOutbox } from './types.js'
-import type { ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
+import type { ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
 
 /** Least time between two registrations; the list may be read a few seconds old. */
 const REGISTER_PAUSE_MS = 5000
@@ -49,6 +49,7 @@
   private leaving = false
   private drained = false
   private storeReachable = false
+  private listPace: ListPace = 'near'
   /** When the list of endpoints was first read. */
   private listedSince: Ms | undefined
   /** When it was first read with all entries that had lapsed before. */
@@ -103,6 +104,11 @@
     return out.take()
   }
 
+  /** @returns true when nothing here waits for the next tick but pings and succession, which have longer periods */
+  isIdle (): boolean {
+    return !this.ownership.owns() && this.intake.db.jobs.size === 0
+  }
+
   /** @returns true when the desired state has a queue for the path */
   hasQueue (host: string, path: string): boolean {
     return this.desired.db.queueFor(host, path) !== undefined
@@ -285,7 +291,6 @@
   }
 
   private ownershipGained (failureDomain: FailureDomain): void {
-    this.ctx.out.push({ type: 'owning', owning: true })
     this.endpoints.adopt([...this.reports.values()].map(entry => entry.report).filter(report => report.failureDomain === failureDomain))
     this.intake.ownerKnown(failureDomain)
   }
@@ -298,7 +303,6 @@
     for (const [front, progress] of byFront) {
       this.deliver(front.instance, { type: 'moved', failureDomain, to: successor ?? this.ctx.self.instance, progress })
     }
-    if (!this.ownership.owns()) this.ctx.out.push({ type: 'owning', owning: false })
   }
 
   private takeReports (reports: readonly EndpointReport[]): void {
@@ -368,7 +372,16 @@
     this.endpoints.lookAgain()
   }
 
+  private updateListPace (): void {
+    const { self, out } = this.ctx
+    const pace = this.ownership.owns() ? 'owner' : this.sessions.ownerOf(self.failureDomain) === undefined || this.ownership.isNearSuccessor() ? 'near' : 'far'
+    if (pace === this.listPace) return
+    this.listPace = pace
+    out.push({ type: 'listPace', pace })
+  }
+
   private updateState (): void {
+    this.updateListPace()
     const ready = !this.leaving && this.desired.db.state !== undefined && this.hasOwner()
     if (ready !== this.ready) {
       this.ready = ready
@@ -382,6 +395,9 @@
   }
 
   private hasOwner (): boolean {
-    return [...this.sessions.db.shards.keys()].some(failureDomain => this.sessions.ownerOf(failureDomain) !== undefined)
+    for (const failureDomain of this.sessions.db.shards.keys()) {
+      if (this.sessions.ownerOf(failureDomain) !== undefined) return true
+    }
+    return false
   }
 }
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -61,6 +61,12 @@
   /** The job may have run; the caller may send it again. */
   | { readonly type: 'lost' }
 
+/**
+ * How fresh an instance needs the store's lists. `owner`: acts on them; `near`: may have to act soon, or looks for an
+ * owner; `far`: only keeps them for the day when all others are gone.
+ */
+export type ListPace = 'owner' | 'near' | 'far'
+
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
 
 export type ShardEffect =
@@ -74,8 +80,8 @@
   | { readonly type: 'claimShard', readonly claimId: number, readonly expectedRevision: number, readonly record: ShardRecord }
   /** Read the records again now. */
   | { readonly type: 'refreshRecords' }
-  /** Owners read the endpoint list more often. */
-  | { readonly type: 'owning', readonly owning: boolean }
+  /** How fresh the lists in the store have to be from now on. */
+  | { readonly type: 'listPace', readonly pace: ListPace }
   | { readonly type: 'state', readonly name: 'ready' | 'notReady' | 'drained' }
   | { readonly type: 'log', readonly level: 'info' | 'warn', readonly event: string, readonly fields: LogFields }
   | { readonly type: 'observe', readonly histogram: 'jobMs' | 'queueWaitMs' | 'takeoverMs', readonly label: string, readonly valueMs: number }
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -2,7 +2,7 @@
  * One instance as a process: the tasks own sockets and timers, post inputs to the decisions and carry out effects.
  */
 import { ShardInstance } from '@cranberryyard/core/shard'
-import type { ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
+import type { ListPace, ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
 import type { Clock } from '@cranberryyard/protocol'
 import { listen } from '../utils/plainServer.js'
 import { StructuredLog } from '../utils/structuredLog.js'
@@ -15,8 +15,10 @@
 
 /** Period of the decisions' clock at an owner, which repeats orders and judges waiting jobs. */
 const OWNER_TICK_MS = 25
-/** The same elsewhere; each wake-up costs processor time. */
+/** The same at a front with jobs; each wake-up costs processor time. */
 const TICK_MS = 50
+/** The same where only pings and succession wait for it. */
+const IDLE_TICK_MS = 100
 /** Period of handing collected log lines to the system. */
 const LOG_FLUSH_MS = 250
 /** After a request to stop, callers' connections stay open at least this long, so that requests on their way arrive. */
@@ -54,7 +56,7 @@
   private readonly store: StoreTask
   private readonly jobs: JobServerTask
   private readonly metrics: MetricsServer
-  private owning = false
+  private pace: ListPace = 'near'
   private drained: () => void = () => {}
 
   constructor (private readonly options: ShardDaemonOptions) {
@@ -121,12 +123,12 @@
 
   private tick (): void {
     this.post({ type: 'tick' })
-    setTimeout(() => this.tick(), this.owning ? OWNER_TICK_MS : TICK_MS)
+    setTimeout(() => this.tick(), this.core.isIdle() ? IDLE_TICK_MS : this.pace === 'owner' ? OWNER_TICK_MS : TICK_MS)
   }
 
-  private setOwning (owning: boolean): void {
-    this.owning = owning
-    this.store.setOwning(owning)
+  private setPace (pace: ListPace): void {
+    this.pace = pace
+    this.store.setPace(pace)
   }
 
   private post (input: ShardInput): void {
@@ -149,7 +151,7 @@
       case 'writeMember': return void this.store.writeMember(effect.record)
       case 'claimShard': return void this.store.claim(effect)
       case 'refreshRecords': return this.store.refreshRecords()
-      case 'owning': return this.setOwning(effect.owning)
+      case 'listPace': return this.setPace(effect.pace)
       case 'state': return this.enterState(effect.name)
       case 'log': return this.log.write(effect.level, effect.event, effect.fields)
       case 'observe': return this.metrics.observe(effect.histogram, effect.label, effect.valueMs)
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -2,7 +2,7 @@
  * Owns the connection to the platform's store: watches the desired state, reads the lists of endpoints and records at
  * a fixed slow pace, and carries out writes. Each call has a deadline; after a failure the pace falls.
  */
-import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
+import type { ListPace, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { HttpCaller } from './httpCaller.js'
@@ -18,12 +18,13 @@
 const READ_TIMEOUT_MS = ms(800)
 /** Longest wait for a write. */
 const WRITE_TIMEOUT_MS = ms(800)
-/** Period in which owners read the endpoint list, so that a draining endpoint is noticed in time. */
-const OWNER_LIST_MS = 800
-/** Period in which others do; they only prepare for a takeover, and may read what is a little old. */
-const OTHER_LIST_MS = 3000
-/** Period of reading registrations and shard records. */
-const RECORDS_MS = 1500
+/**
+ * Periods of reading the list of endpoints: an owner has to notice a draining endpoint in time; the others only prepare
+ * for a takeover and may read what is a little old.
+ */
+const ENDPOINTS_MS: Readonly<Record<ListPace, number>> = { owner: 800, near: 3000, far: 12_000 }
+/** Periods of reading registrations and shard records; owners make themselves known besides. */
+const RECORDS_MS: Readonly<Record<ListPace, number>> = { owner: 1500, near: 1500, far: 5000 }
 /** Pauses after failures: doubled up to the longest, with jitter so that instances do not call together. */
 const RETRY_MIN_MS = 100
 const RETRY_MAX_MS = 600
@@ -36,12 +37,13 @@
 /** Owns the store connection. */
 export class StoreTask {
   private readonly caller = new HttpCaller(4)
-  private owning = false
+  private pace: ListPace = 'near'
   private closed = false
   private reachable: boolean | undefined
   private failures = 0
   private readonly unreadable = new Map<string, number>()
   private wakeRecords: () => void = () => {}
+  private wakeEndpoints: () => void = () => {}
   /** The next read of the records must not be stale. */
   private freshRecords = true
 
@@ -51,17 +53,21 @@
   start (): void {
     void this.followDesired()
     void this.loop(async () => {
-      const ok = await this.readEndpoints()
-      return ok ? (this.owning ? OWNER_LIST_MS : OTHER_LIST_MS) : undefined
+      return await this.readEndpoints() ? ENDPOINTS_MS[this.pace] : undefined
+    }, (wake) => {
+      this.wakeEndpoints = wake
     })
-    void this.loop(async () => await this.readRecords() ? RECORDS_MS : undefined, (wake) => {
+    void this.loop(async () => await this.readRecords() ? RECORDS_MS[this.pace] : undefined, (wake) => {
       this.wakeRecords = wake
     })
   }
 
-  /** Owners read the endpoint list more often and never stale. */
-  setOwning (owning: boolean): void {
-    this.owning = owning
+  /** Reads the lists at another pace; at once where they have to be fresher than they are. */
+  setPace (pace: ListPace): void {
+    const before = this.pace
+    this.pace = pace
+    if (ENDPOINTS_MS[pace] < ENDPOINTS_MS[before]) this.wakeEndpoints()
+    if (RECORDS_MS[pace] < RECORDS_MS[before]) this.wakeRecords()
   }
 
   /** Reads the records again at once. */
@@ -113,7 +119,7 @@
   }
 
   private async readEndpoints (): Promise<boolean> {
-    const reports = await this.readPages<EndpointReport>('endpoints', after => this.wire.listEndpoints(after, !this.owning), reply => this.wire.parseEndpoints(reply))
+    const reports = await this.readPages<EndpointReport>('endpoints', after => this.wire.listEndpoints(after, this.pace !== 'owner'), reply => this.wire.parseEndpoints(reply))
     if (reports === undefined) return false
     this.post({ type: 'endpoints', reports })
     return true
--- a/packages/dispatcher/src/utils/structuredLog.ts
+++ b/packages/dispatcher/src/utils/structuredLog.ts
@@ -55,6 +55,7 @@
   private readonly budget = new LineBudget()
   private readonly destination: DestinationStream & { flushSync?: () => void, flush?: () => void }
   private reportedAt = 0
+  private unflushed = false
 
   /**
    * @param base - fields of every line
@@ -69,7 +70,10 @@
   /** Writes a line unless the second's budget is used up. */
   write (level: 'info' | 'warn', event: string, fields: LineFields): void {
     const now = this.now()
-    if (this.budget.take(event, now)) this.logger[level](fields, event)
+    if (this.budget.take(event, now)) {
+      this.unflushed = true
+      this.logger[level](fields, event)
+    }
     if (now - this.reportedAt < SECOND_MS) return
     this.reportedAt = now
     const suppressed = this.budget.takeSuppressed()
@@ -78,6 +82,8 @@
 
   /** Hands what is collected to the system. */
   flush (): void {
+    if (!this.unflushed) return
+    this.unflushed = false
     this.destination.flush?.()
   }
 
