A former owner and its neighbours stop pinging each other; large desired states arrive over slow links, once

Causes: whoever had been pinged once watched the pinger for ever, so that each former owner and the instances of its domain pinged each other and replaced their links every 400 ms (found by calmCost.spec.ts: 85 pairs instead of 45 at rest). Queues are found by host.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -96,6 +96,8 @@
   readonly storeFaults: StoreFaults = { down: false, deaf: new Set(), lostReplyShare: 0 }
   readonly jobs: CallerJob[] = []
   readonly logs: { readonly at: number, readonly instance: string, readonly event: string, readonly fields: object }[] = []
+  /** Called with each message between instances as it is sent. */
+  onMessage: (from: InstanceId, to: InstanceId, message: ShardMessage) => void = () => {}
   /** Pairs `from>to` between which nothing arrives. */
   readonly cuts = new Set<string>()
   /** Share of orders to endpoints that get no answer and take effect seconds later. */
@@ -366,6 +368,7 @@
 
   private deliver (process: Process, to: InstanceId, message: ShardMessage): void {
     const target = this.process(to)
+    this.onMessage(process.name, to, message)
     if (this.isCut(process.name, to)) return
     const delay = this.delay(process.name, to)
     this.time.after(delay, () => {
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -68,7 +68,7 @@
   {
     name: 'the jobs of a lost front go on',
     breaks: ['TWICE'],
-    seeds: [31, 37],
+    seeds: [1, 2, 11],
     apply: () => {
       const undoLost = replace(sample.execution, 'frontLost', () => () => {})
       const undoUnwanted = replace(sample.execution, 'isUnwanted', () => () => false)
@@ -81,7 +81,7 @@
   {
     name: 'a decline of an earlier copy counts for the latest',
     breaks: ['REFUSED'],
-    seeds: [9, 10, 105, 107, 108],
+    seeds: [2, 7, 8, 9],
     apply: () => replace(sample.intake, 'declined', original => function (this: typeof sample.intake, ...args) {
       const [id, from, , retryAfterMs] = args as unknown as Parameters<typeof sample.intake.declined>
       const attempt = this.db.jobs.get(id)?.attempt ?? 0
@@ -108,11 +108,11 @@
   {
     name: 'the desired state follows whoever speaks last',
     breaks: ['CONFIG'],
-    seeds: [1, 2, 3, 4, 5, 6],
+    seeds: [12, 18, 20],
     apply: () => {
       const undoTake = replace(sample.desired, 'take', () => function (this: typeof sample.desired, ...args) {
         const [state] = args as unknown as Parameters<typeof sample.desired.take>
-        this.db.state = state
+        this.db.take(state)
       })
       const undoHeard = replace(sample.desired, 'heard', () => function (this: typeof sample.desired, ...args) {
         const [from, version] = args as unknown as Parameters<typeof sample.desired.heard>
--- a/packages/core/src/desired/desiredDb.ts
+++ b/packages/core/src/desired/desiredDb.ts
@@ -5,18 +5,35 @@
 
 /** State of the desired state. */
 export class DesiredDb {
-  state: DesiredState | undefined
+  private current: DesiredState | undefined
+  private readonly byHost = new Map<string, QueueTerms[]>()
+
+  /** The version in force. */
+  get state (): DesiredState | undefined {
+    return this.current
+  }
+
+  /** Puts a version in force. */
+  take (state: DesiredState): void {
+    this.current = state
+    this.byHost.clear()
+    for (const queue of state.queues) {
+      const others = this.byHost.get(queue.host)
+      if (others === undefined) this.byHost.set(queue.host, [queue])
+      else others.push(queue)
+    }
+  }
 
   /** @returns the version in force, 0 for none */
   version (): number {
-    return this.state?.version ?? 0
+    return this.current?.version ?? 0
   }
 
   /** @returns the queue with the longest prefix that the path begins with */
   queueFor (host: string, path: string): QueueTerms | undefined {
     let best: QueueTerms | undefined
-    for (const queue of this.state?.queues ?? []) {
-      if (queue.host !== host || !path.startsWith(queue.prefix)) continue
+    for (const queue of this.byHost.get(host) ?? []) {
+      if (!path.startsWith(queue.prefix)) continue
       if (best === undefined || queue.prefix.length > best.prefix.length) best = queue
     }
     return best
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -23,7 +23,7 @@
 function setUp (): { ctx: ShardContext, intake: IntakeDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
   const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
   const sessions = new SessionsDecider(ctx, () => 3, { peerLost: () => {}, peerHeard: () => {} })
-  const desired = new DesiredDecider(ctx, () => {})
+  const desired = new DesiredDecider(ctx, () => {}, () => true)
   desired.take(STATE, 'test')
   sessions.heard(OWNER, 1, 'owner')
   sessions.db.learnOwner({ failureDomain: DOMAIN, owner: OWNER, token: 1 as FencingToken })
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -63,7 +63,7 @@
       peerLost: instance => this.peerLost(instance),
       peerHeard: instance => this.peerHeard(instance)
     })
-    this.desired = new DesiredDecider(ctx, (to, message) => this.sessions.tell(to, message))
+    this.desired = new DesiredDecider(ctx, (to, message) => this.sessions.tell(to, message), () => this.storeReachable)
     this.ownership = new OwnershipDecider(ctx, this.sessions, {
       ownershipGained: failureDomain => this.ownershipGained(failureDomain),
       ownershipLost: (failureDomain, successor) => this.ownershipLost(failureDomain, successor)
@@ -172,7 +172,8 @@
 
   private tick (): void {
     const fronts = this.execution.fronts()
-    this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.pingsUs && this.isNeighbour(peer.instance)))
+    this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.pingsUs && this.pingsOn(peer.instance)))
+    this.desired.tick()
     this.ownership.tick()
     this.endpoints.tick()
     this.execution.tick()
@@ -194,9 +195,9 @@
     return targets
   }
 
-  /** Fronts of the own domain ping its owner as long as they live. */
-  private isNeighbour (instance: InstanceId): boolean {
-    return this.ownership.db.members.get(instance)?.failureDomain === this.ctx.self.failureDomain
+  /** Fronts of the own domain ping its owner as long as both live; whoever owned it before is pinged no more. */
+  private pingsOn (instance: InstanceId): boolean {
+    return this.ownership.owns() && this.ownership.db.members.get(instance)?.failureDomain === this.ctx.self.failureDomain
   }
 
   /** @returns true when the instance owns this instance's own domain */
--- a/packages/dispatcher/src/shard/httpCaller.spec.ts
+++ b/packages/dispatcher/src/shard/httpCaller.spec.ts
@@ -52,6 +52,28 @@
     expect(result.type).to.equal('reply')
   })
 
+  it('waits for a large answer as long as parts of it arrive, within the whole time', async () => {
+    const silenceMs = ms(200)
+    const pauseMs = 50
+    const server = await listenHttp(0, (req, res) => {
+      res.writeHead(200)
+      const parts = req.url === '/ends' ? 3 * silenceMs / pauseMs : Infinity
+      const write = (part: number): void => {
+        if (res.destroyed) return
+        if (part >= parts) res.end()
+        else res.write('x', () => setTimeout(() => write(part + 1), pauseMs))
+      }
+      write(0)
+    })
+    const caller = new HttpCaller(2)
+    const address = `127.0.0.1:${server.port}`
+    const ends = await caller.call(address, { method: 'GET', path: '/ends' }, { silenceMs, totalMs: PATIENT })
+    const endless = await caller.call(address, { method: 'GET', path: '/endless' }, { silenceMs, totalMs: ms(3 * silenceMs) })
+    await caller.close()
+    await server.close()
+    expect([ends.type, endless.type]).to.deep.equal(['reply', 'silent'])
+  })
+
   it('never sends a call whose time was up while it waited for a connection', async () => {
     const seen: string[] = []
     let release = (): void => {}
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -18,17 +18,28 @@
 /** Longest time to connect; a few round trips. */
 const CONNECT_TIMEOUT_MS = 400
 
+/** What a call may take. A large answer over a slow link is late, not lost, as long as more of it arrives. */
+export interface CallTimes {
+  /** Longest silence: until the answer begins, and between two parts of it. */
+  readonly silenceMs: Ms
+  /** Longest time until the answer is complete. */
+  readonly totalMs: Ms
+}
+
 /** One call on its way: collects the answer and reports once, at the latest when its time is up. */
 class PendingCall implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined
   private status = 0
   private readonly chunks: Buffer[] = []
   private ended = false
-  private readonly timer: NodeJS.Timeout
-
-  constructor (timeoutMs: Ms, private readonly report: (result: CallResult) => void) {
-    // An event loop that is behind runs timers before it reads what has arrived; the answer may be waiting there.
-    this.timer = setTimeout(() => setImmediate(() => this.giveUp()), timeoutMs)
+  private readonly silence: NodeJS.Timeout
+  private readonly total: NodeJS.Timeout | undefined
+  /** Parts of the answer that have arrived. */
+  private parts = 0
+
+  constructor ({ silenceMs, totalMs }: CallTimes, private readonly report: (result: CallResult) => void) {
+    this.silence = setTimeout(() => this.checkSilence(), silenceMs)
+    this.total = totalMs > silenceMs ? setTimeout(() => this.giveUp(), totalMs) : undefined
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -39,10 +50,12 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
     this.status = status
+    this.progressed()
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.chunks.push(chunk)
+    this.progressed()
   }
 
   onResponseEnd (): void {
@@ -54,6 +67,19 @@
     this.end({ type: isRefusal(err) ? 'refused' : 'silent' })
   }
 
+  private progressed (): void {
+    this.parts++
+    if (this.total !== undefined && !this.ended) this.silence.refresh()
+  }
+
+  /** An event loop that is behind runs timers before it reads what has arrived; the answer may be waiting there. */
+  private checkSilence (): void {
+    const seen = this.parts
+    setImmediate(() => {
+      if (this.total === undefined || this.parts === seen) this.giveUp()
+    })
+  }
+
   private giveUp (): void {
     if (this.ended) return
     this.end({ type: 'silent' })
@@ -67,7 +93,8 @@
   private end (result: CallResult): void {
     if (this.ended) return
     this.ended = true
-    clearTimeout(this.timer)
+    clearTimeout(this.silence)
+    clearTimeout(this.total)
     this.report(result)
   }
 }
@@ -83,11 +110,11 @@
    * Makes a call.
    * @param address - IP number and port
    * @param call - what to send
-   * @param timeoutMs - longest time until the answer is complete
+   * @param times - what it may take; one number is the longest time until the answer is complete
    */
-  call (address: string, call: HttpCall, timeoutMs: Ms): Promise<CallResult> {
+  call (address: string, call: HttpCall, times: CallTimes | Ms): Promise<CallResult> {
     return new Promise((resolve) => {
-      const pending = new PendingCall(timeoutMs, resolve)
+      const pending = new PendingCall(typeof times === 'number' ? { silenceMs: times, totalMs: times } : times, resolve)
       this.pool(address).dispatch({
         method: call.method,
         path: call.path,
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -14,8 +14,10 @@
 const WATCH_MS = ms(2000)
 /** Slack over a watch's own wait. */
 const WATCH_SLACK_MS = 400
-/** Longest wait for a read; a slow store answers within a few hundred milliseconds. */
-const READ_TIMEOUT_MS = ms(800)
+/** Longest silence of a read; a slow store answers within a few hundred milliseconds. */
+const READ_SILENCE_MS = ms(800)
+/** Longest time of a read: a megabyte, the most that a value or page may have, at 1 Mbit/s. */
+const READ_TOTAL_MS = ms(8000)
 /** Longest wait for a write. */
 const WRITE_TIMEOUT_MS = ms(800)
 /**
@@ -99,7 +101,7 @@
     let failures = 0
     while (!this.closed) {
       const news = asOf === undefined
-        ? await this.read(this.wire.readDesired(), READ_TIMEOUT_MS, reply => this.wire.parseDesired(reply))
+        ? await this.read(this.wire.readDesired(), READ_SILENCE_MS, reply => this.wire.parseDesired(reply))
         : await this.read(this.wire.watchDesired(asOf, WATCH_MS), ms(WATCH_MS + WATCH_SLACK_MS), reply => this.wire.parseDesiredWatch(reply))
       if (news.type === 'unavailable' || news.type === 'unknown') {
         await this.sleep(this.pause(failures++))
@@ -145,7 +147,7 @@
     let unreadable = 0
     let after: string | undefined
     do {
-      const page = await this.read(callFor(after), READ_TIMEOUT_MS, parse)
+      const page = await this.read(callFor(after), READ_SILENCE_MS, parse)
       if (page.type !== 'page') return undefined
       entries.push(...page.entries)
       unreadable += page.unreadable
@@ -155,8 +157,8 @@
     return entries
   }
 
-  private async read<T extends { readonly type: string }> (call: HttpCall, timeoutMs: Ms, parse: (reply: HttpReply) => T | StoreFailure): Promise<T | StoreFailure> {
-    const result = await this.caller.call(this.wire.address, call, timeoutMs)
+  private async read<T extends { readonly type: string }> (call: HttpCall, silenceMs: Ms, parse: (reply: HttpReply) => T | StoreFailure): Promise<T | StoreFailure> {
+    const result = await this.caller.call(this.wire.address, call, { silenceMs, totalMs: READ_TOTAL_MS })
     const parsed: T | StoreFailure = result.type === 'reply' ? parse(result.reply) : { type: result.type === 'refused' ? 'unavailable' : 'unknown' }
     this.note(parsed.type !== 'unavailable' && parsed.type !== 'unknown')
     return parsed
