A message of another instance is checked before the decisions see it: one that lacks a field ended the process

Cause: links checked the envelope only; { type: 'submit' } without an order threw in the decisions, which ends the process by design.

--- a/packages/dispatcher/src/shard/linkTask.spec.ts
+++ b/packages/dispatcher/src/shard/linkTask.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { encode } from '@msgpack/msgpack'
 import type { InstanceId, JobId, ShardMessage } from '@cranberryyard/protocol'
 import { connect } from 'node:net'
 import { LinkTask } from './linkTask.js'
@@ -87,6 +88,18 @@
     expect(a.events).to.deep.equal([{ type: 'linkDown', peer: B }])
   })
 
+  it('end a connection whose envelope holds no usable message', async () => {
+    const b = await new Side(B).listen()
+    const socket = connect({ host: HOST, port: b.port })
+    socket.on('error', () => {})
+    socket.resume()
+    socket.write(encode([A, { type: 'submit' }]))
+    await new Promise(resolve => socket.once('close', resolve))
+    b.task.close()
+    expect(b.events.filter(event => event.type === 'peer')).to.deep.equal([])
+    expect(b.broken.length).to.equal(1)
+  })
+
   it('end a connection that carries something else, and nothing more', async () => {
     const [a, b] = [await new Side(A).listen(), await new Side(B).listen()]
     for (const bytes of [Buffer.from('GET / HTTP/1.1\r\n\r\n'), Buffer.from([0xc1]), Buffer.from([0xdd, 0xff, 0xff, 0xff, 0xff])]) {
--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -10,6 +10,7 @@
 import type { Server, Socket } from 'node:net'
 import { encodeEnvelope, readEnvelope } from '../peers/peerCodec.js'
 import { listen } from '../utils/plainServer.js'
+import { isShardMessage } from './messageCheck.js'
 
 /** A peer that cannot be connected to within this span does not get what waits for it; a few round trips. */
 const CONNECT_TIMEOUT_MS = 800
@@ -92,7 +93,8 @@
         const envelope = readEnvelope(value)
         if (envelope === undefined) throw new Error('not an envelope')
         from = envelope.from
-        this.deliver(from, envelope.message as ShardMessage)
+        if (!isShardMessage(envelope.message)) throw new Error(`'${envelope.message.type}' is not a message that can be used`)
+        this.deliver(from, envelope.message)
       }
     } catch (err) {
       if (!this.closed) this.log(from, err instanceof Error ? err.message : String(err))
