--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -49,4 +49,37 @@
     await server.close()
     expect(logged).to.have.members(['desiredState 1', 'endpoints 2'])
   })
+
+  it('reads the list of endpoints at once, and not stale, when this instance becomes an owner', async () => {
+    const server = await listenHttp(0, (req, res) => {
+      if (req.url !== '/watch') sendJson(res, 200, {})
+    })
+    const stale: boolean[] = []
+    let listed = (): void => {}
+    const nextList = (): Promise<void> => new Promise((resolve) => {
+      listed = resolve
+    })
+    const wire: StoreWire = {
+      ...wireTo(`127.0.0.1:${server.port}`),
+      listEndpoints: (_after, mayBeStale) => {
+        stale.push(mayBeStale)
+        return call
+      }
+    }
+    const task = new StoreTask(wire, (input) => {
+      if (input.type === 'endpoints') listed()
+    }, () => 0, () => {})
+    task.setPace('far')
+    const first = nextList()
+    task.start()
+    await first
+    // The next reading of an instance that is far from owning is many seconds away.
+    await new Promise(resolve => setTimeout(resolve, 50))
+    const second = nextList()
+    task.setPace('owner')
+    await second
+    await task.close()
+    await server.close()
+    expect(stale).to.deep.equal([true, false])
+  }).timeout(6000)
 })
