--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -12,6 +12,7 @@
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { ExecutionDb, chainOf, isOpen, makeSteps, objectiveOf } from './executionDb.js'
+import { anyFits, largestRoom, leastCpu } from './quickFit.js'
 import { STALL_SLOWNESS, slownessOf, soundMs } from './speed.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
@@ -140,7 +141,7 @@
     const candidates = this.candidates()
     let largest = largestRoom(candidates)
     // While the shard is full most calls end here, at the cost of one look at each job.
-    if (!some(this.admission.db.waiting, job => leastCpu(job) <= largest)) return
+    if (!anyFits(this.admission.db.waiting, largest)) return
     let mayStartInPart = true
     for (const job of this.admission.ordered(this.ctx.now)) {
       if (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain)) continue
@@ -523,29 +524,6 @@
   }
 }
 
-/** @returns the most processor time that is free at one endpoint */
-function largestRoom (candidates: readonly Candidate[]): number {
-  let largest = 0
-  for (const { room } of candidates) largest = Math.max(largest, room.cpuMilli)
-  return largest
-}
-
-/** @returns processor time that the smallest of a job's unfinished steps asks for at one endpoint */
-function leastCpu (job: OwnedJob): number {
-  let least = Infinity
-  for (const { missing, spec } of job.steps) {
-    if (missing > 0) least = Math.min(least, spec.needs.cpuMilli)
-  }
-  return least
-}
-
-function some<T> (values: Iterable<T>, holds: (value: T) => boolean): boolean {
-  for (const value of values) {
-    if (holds(value)) return true
-  }
-  return false
-}
-
 /** Gives the room of planned starts back. @returns false, as nothing of the job starts */
 function undo (plan: readonly PlannedStart[]): false {
   for (const { candidate, step } of plan) candidate.room = plus(candidate.room, step.spec.needs)
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -5,6 +5,7 @@
 import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { DesiredDecider } from '../desired/desiredDecider.js'
+import { EndpointList } from '../endpoints/endpointList.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import { ExecutionDecider } from '../execution/executionDecider.js'
 import type { FrontSession } from '../execution/types.js'
@@ -25,13 +26,6 @@
   readonly cfg: ShardSettings
 }
 
-/** An endpoint's latest entry in the list. */
-interface ReportEntry {
-  readonly report: EndpointReport
-  /** When a list first left it out; lists from before the store was away do not count. */
-  missingSince: Ms | undefined
-}
-
 /** The decisions of one instance. */
 export class ShardInstance {
   readonly ctx: ShardContext
@@ -42,7 +36,7 @@
   readonly execution: ExecutionDecider
   readonly endpoints: EndpointsDecider
   readonly intake: IntakeDecider
-  private readonly reports = new Map<EndpointId, ReportEntry>()
+  private readonly list: EndpointList
   private lastAt: Ms | undefined
   private lastWall: Ms | undefined
   private ready = false
@@ -50,12 +44,6 @@
   private drained = false
   private storeReachable = false
   private listPace: ListPace = 'near'
-  /** When the list of endpoints was last read. */
-  private listedAt: Ms | undefined
-  /** When the list of endpoints was first read. */
-  private listedSince: Ms | undefined
-  /** When it was first read with all entries that had lapsed before. */
-  private listedInFull: Ms | undefined
   private registeredAt: Ms = ms(0)
 
   constructor ({ self, cfg }: ShardInstanceOptions) {
@@ -78,6 +66,7 @@
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, this.execution)
     this.execution.endpoints = this.endpoints
+    this.list = new EndpointList(ctx, id => this.endpointGone(id))
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, (to, message) => this.deliver(to, message))
   }
 
@@ -265,11 +254,12 @@
   private earlierRunsKnown (failureDomain: FailureDomain): boolean {
     const { now, cfg } = this.ctx
     const owned = this.ownership.db.owned.get(failureDomain)
-    if (owned === undefined || this.listedInFull === undefined) return false
-    const since = Math.max(owned.since, this.listedInFull)
+    const { knownInFullSince, lastReadAt } = this.list
+    if (owned === undefined || knownInFullSince === undefined) return false
+    const since = Math.max(owned.since, knownInFullSince)
     if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
-    if (this.listedAt === undefined || this.listedAt < owned.since) return false
-    return [...this.reports.values()].every(({ report }) => report.failureDomain !== failureDomain || this.endpoints.db.get(report.id)?.looked === true)
+    if (lastReadAt === undefined || lastReadAt < owned.since) return false
+    return this.list.of(failureDomain).every(report => this.endpoints.db.get(report.id)?.looked === true)
   }
 
   private receiveCheck (from: InstanceId, failureDomain: FailureDomain, jobIds: readonly JobId[]): void {
@@ -295,7 +285,7 @@
   }
 
   private ownershipGained (failureDomain: FailureDomain): void {
-    this.endpoints.adopt([...this.reports.values()].map(entry => entry.report).filter(report => report.failureDomain === failureDomain))
+    this.endpoints.adopt(this.list.of(failureDomain))
     this.intake.ownerKnown(failureDomain)
   }
 
@@ -310,29 +300,11 @@
   }
 
   private takeReports (reports: readonly EndpointReport[]): void {
-    const { now } = this.ctx
-    const shown = new Set<EndpointId>()
-    this.listedAt = now
-    this.listedSince ??= now
-    if (now - this.listedSince >= this.ctx.cfg.missingMs) this.listedInFull ??= now
-    for (const report of reports) {
-      shown.add(report.id)
-      this.reports.set(report.id, { report, missingSince: undefined })
-    }
-    for (const [id, entry] of this.reports) {
-      if (!shown.has(id)) this.missing(id, entry)
-    }
+    this.list.take(reports)
     this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)))
   }
 
-  /** An endpoint counts as gone when lists over a whole span do not show it; a span without any list says nothing. */
-  private missing (id: EndpointId, entry: ReportEntry): void {
-    const { now, cfg, out } = this.ctx
-    entry.missingSince ??= now
-    const missingMs = now - entry.missingSince
-    if (missingMs < cfg.missingMs) return
-    this.reports.delete(id)
-    out.log('endpoint.gone', { endpoint: id, failureDomain: entry.report.failureDomain, missingMs: Math.round(missingMs) })
+  private endpointGone (id: EndpointId): void {
     this.endpoints.forget(id)
     this.placement.db.forget(id)
   }
@@ -351,9 +323,7 @@
     this.storeReachable = reachable
     this.ctx.out.log(reachable ? 'store.regained' : 'store.lost', {}, reachable ? 'info' : 'warn')
     if (!reachable) return
-    for (const entry of this.reports.values()) {
-      if (entry.missingSince !== undefined) entry.missingSince = this.ctx.now
-    }
+    this.list.storeRegained()
   }
 
   private leave (): void {
