Only a list that was read as an owner counts as fresh after a takeover

Cause: a reading that began before the takeover, from a copy that may be old, arrives after it and would have counted as read since. Tests: endpointList.spec.ts, storeTask.spec.ts.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -315,8 +315,9 @@
   }
 
   private readEndpoints (process: Process): void {
+    const fresh = process.pace === 'owner'
     this.time.after(4, () => {
-      if (this.storeServes(process)) this.post(process, { type: 'endpoints', reports: this.reports() })
+      if (this.storeServes(process)) this.post(process, { type: 'endpoints', reports: this.reports(), fresh })
     })
   }
 
--- /dev/null
+++ b/packages/core/src/endpoints/endpointList.spec.ts
@@ -0,0 +1,55 @@
+import { expect } from 'chai'
+import type { EndpointId, EndpointReport, FailureDomain, InstanceId, ServiceName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { ShardContext } from '../shard/types.js'
+import { EndpointList } from './endpointList.js'
+
+const { missingMs } = SHARD_DEFAULTS
+const NEAR = 'near' as FailureDomain
+
+function report (id: string, failureDomain = NEAR): EndpointReport {
+  return { id: id as EndpointId, service: 's' as ServiceName, address: id, failureDomain, draining: false, capacity: { cpuMilli: 1, memoryMb: 1, accelerators: 0 }, labels: [], bornAt: 1 }
+}
+
+function setUp (): { ctx: ShardContext, list: EndpointList, gone: string[] } {
+  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: NEAR, address: 'me', cpuMilli: 1 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+  const gone: string[] = []
+  return { ctx, list: new EndpointList(ctx, id => gone.push(id)), gone }
+}
+
+describe('the list of endpoints at an instance', () => {
+  it('is fresh only when it was read as an owner', () => {
+    const { ctx, list } = setUp()
+    list.take([report('a')], false)
+    expect(list.freshAt).to.equal(undefined)
+    ctx.now = ms(50)
+    list.take([report('a')], true)
+    expect(list.freshAt).to.equal(50)
+  })
+
+  it('is known in full once entries that had lapsed before had time to come back', () => {
+    const { ctx, list } = setUp()
+    list.take([report('a')], false)
+    ctx.now = ms(missingMs - 1)
+    list.take([report('a')], false)
+    expect(list.knownInFullSince).to.equal(undefined)
+    ctx.now = ms(missingMs + 100)
+    list.take([report('a'), report('b', 'far' as FailureDomain)], false)
+    expect([list.knownInFullSince, list.of(NEAR).map(entry => entry.id)]).to.deep.equal([missingMs + 100, ['a']])
+  })
+
+  it('gives entries the whole span again after the store was away', () => {
+    const { ctx, list, gone } = setUp()
+    list.take([report('a')], false)
+    list.take([], false)
+    ctx.now = ms(missingMs + 1000)
+    list.storeRegained()
+    list.take([], false)
+    expect(gone).to.deep.equal([])
+    ctx.now = ms(2 * missingMs + 1000)
+    list.take([], false)
+    expect(gone).to.deep.equal(['a'])
+  })
+})
--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -15,15 +15,15 @@
 /** The list. */
 export class EndpointList {
   private readonly entries = new Map<EndpointId, ListEntry>()
-  private readAt: Ms | undefined
+  private lastFreshAt: Ms | undefined
   private firstReadAt: Ms | undefined
   private completeSince: Ms | undefined
 
   constructor (private readonly ctx: ShardContext, private readonly onGone: (id: EndpointId) => void) {}
 
-  /** When the list was last read. */
-  get lastReadAt (): Ms | undefined {
-    return this.readAt
+  /** When a list was last read that was not older than this instance's ownership. */
+  get freshAt (): Ms | undefined {
+    return this.lastFreshAt
   }
 
   /** When the list was first read with all entries that had lapsed before; undefined before that. */
@@ -36,11 +36,15 @@
     return [...this.entries.values()].map(entry => entry.report).filter(report => report.failureDomain === failureDomain)
   }
 
-  /** Takes a list that was read from the store. */
-  take (reports: readonly EndpointReport[]): void {
+  /**
+   * Takes a list that was read from the store.
+   * @param reports - its entries
+   * @param fresh - whether it was read as an owner, not from a copy that may be old
+   */
+  take (reports: readonly EndpointReport[], fresh: boolean): void {
     const { now, cfg } = this.ctx
     const shown = new Set<EndpointId>()
-    this.readAt = now
+    if (fresh) this.lastFreshAt = now
     this.firstReadAt ??= now
     if (now - this.firstReadAt >= cfg.missingMs) this.completeSince ??= now
     for (const report of reports) {
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -22,7 +22,7 @@
   return inputs.flatMap(([at, input]) => instance.handle(input, ms(at), ms(at))).flatMap(effect => effect.type === 'log' ? [effect.event] : [])
 }
 
-const list = (...reports: EndpointReport[]): ShardInput => ({ type: 'endpoints', reports })
+const list = (...reports: EndpointReport[]): ShardInput => ({ type: 'endpoints', reports, fresh: false })
 const TICK: ShardInput = { type: 'tick' }
 const REACHABLE: ShardInput = { type: 'storeReachable', reachable: true }
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -117,7 +117,7 @@
       case 'taskStartOutcome': return this.endpoints.startOutcome(input.endpoint, input.orderId, input.outcome)
       case 'taskStopOutcome': return this.endpoints.stopOutcome(input.endpoint, input.orderId, input.outcome)
       case 'desired': return this.desired.take(input.state, 'store')
-      case 'endpoints': return this.takeReports(input.reports)
+      case 'endpoints': return this.takeReports(input.reports, input.fresh)
       case 'records': return this.takeRecords(input)
       case 'storeReachable': return this.noteStore(input.reachable)
       case 'claimOutcome': return this.ownership.claimOutcome(input.claimId, input.result)
@@ -254,11 +254,11 @@
   private earlierRunsKnown (failureDomain: FailureDomain): boolean {
     const { now, cfg } = this.ctx
     const owned = this.ownership.db.owned.get(failureDomain)
-    const { knownInFullSince, lastReadAt } = this.list
+    const { knownInFullSince, freshAt } = this.list
     if (owned === undefined || knownInFullSince === undefined) return false
     const since = Math.max(owned.since, knownInFullSince)
     if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
-    if (lastReadAt === undefined || lastReadAt < owned.since) return false
+    if (freshAt === undefined || freshAt < owned.since) return false
     return this.list.of(failureDomain).every(report => this.endpoints.db.get(report.id)?.looked === true)
   }
 
@@ -299,8 +299,8 @@
     }
   }
 
-  private takeReports (reports: readonly EndpointReport[]): void {
-    this.list.take(reports)
+  private takeReports (reports: readonly EndpointReport[], fresh: boolean): void {
+    this.list.take(reports, fresh)
     this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)))
   }
 
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -44,7 +44,8 @@
   | { readonly type: 'taskStartOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: TaskStartOutcome }
   | { readonly type: 'taskStopOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: TaskStopOutcome }
   | { readonly type: 'desired', readonly state: DesiredState }
-  | { readonly type: 'endpoints', readonly reports: readonly EndpointReport[] }
+  /** `fresh`: the reading began after this instance had become an owner, and not from a copy that may be old. */
+  | { readonly type: 'endpoints', readonly reports: readonly EndpointReport[], readonly fresh: boolean }
   | { readonly type: 'records', readonly members: readonly Revised<MemberRecord>[], readonly shards: readonly Revised<ShardRecord>[] }
   | { readonly type: 'storeReachable', readonly reachable: boolean }
   | { readonly type: 'claimOutcome', readonly claimId: number, readonly result: ClaimResult }
--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -55,6 +55,7 @@
       if (req.url !== '/watch') sendJson(res, 200, {})
     })
     const stale: boolean[] = []
+    const fresh: boolean[] = []
     let listed = (): void => {}
     const nextList = (): Promise<void> => new Promise((resolve) => {
       listed = resolve
@@ -67,7 +68,9 @@
       }
     }
     const task = new StoreTask(wire, (input) => {
-      if (input.type === 'endpoints') listed()
+      if (input.type !== 'endpoints') return
+      fresh.push(input.fresh)
+      listed()
     }, () => 0, () => {})
     task.setPace('far')
     const first = nextList()
@@ -80,6 +83,6 @@
     await second
     await task.close()
     await server.close()
-    expect(stale).to.deep.equal([true, false])
+    expect([stale, fresh]).to.deep.equal([[true, false], [false, true]])
   }).timeout(6000)
 })
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -121,9 +121,10 @@
   }
 
   private async readEndpoints (): Promise<boolean> {
-    const reports = await this.readPages<EndpointReport>('endpoints', after => this.wire.listEndpoints(after, this.pace !== 'owner'), reply => this.wire.parseEndpoints(reply))
+    const fresh = this.pace === 'owner'
+    const reports = await this.readPages<EndpointReport>('endpoints', after => this.wire.listEndpoints(after, !fresh), reply => this.wire.parseEndpoints(reply))
     if (reports === undefined) return false
-    this.post({ type: 'endpoints', reports })
+    this.post({ type: 'endpoints', reports, fresh })
     return true
   }
 
