Soak and local fleets share one way to find ports, below those that connections take

The soak took a port that the system hands out for connections, closed it, and another process got it before the instance listened. Local fleets already avoided that; both use PortRange now.

--- a/packages/bench/src/processes/localFleet.ts
+++ b/packages/bench/src/processes/localFleet.ts
@@ -2,14 +2,13 @@
  * A whole deployment on loopback from real processes: platform and endpoint stand-ins in this process, entry
  * instances as daemons started from the built binary, every link between them optionally behind a fault proxy.
  */
-import { EndpointFake, FaultProxy, PlatformFake } from '@cranberryyard/fakes'
+import { EndpointFake, FaultProxy, PlatformFake, PortRange } from '@cranberryyard/fakes'
 import { hashKey } from '@cranberryyard/dispatcher'
 import { EMPTY_FLEET } from '@cranberryyard/protocol'
 import type { Contract, EndpointId, EndpointInfo, FailureDomain, InstanceId } from '@cranberryyard/protocol'
 import type { ChildProcess } from 'node:child_process'
 import { spawn } from 'node:child_process'
 import { mkdirSync, openSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { join } from 'node:path'
 import process from 'node:process'
 import { fileURLToPath } from 'node:url'
@@ -70,10 +69,6 @@
   readonly proxy: FaultProxy
 }
 
-const TEST_PORTS_FROM = 15_000
-const TEST_PORT_RANGES = 80
-const TEST_PORT_RANGE = 200
-
 /** Name of the platform in links. */
 export const PLATFORM_DOMAIN = 'platform'
 
@@ -85,10 +80,12 @@
   private readonly links: ProxiedLink[] = []
   private readonly ports = new Map<string, Ports>()
   private platformPort = 0
-  private nextPort: number
+  private readonly freePorts = new PortRange()
+  /** Next port where the options name the first; undefined where any free one will do. */
+  private nextPort: number | undefined
 
   constructor (private readonly options: LocalOptions) {
-    this.nextPort = options.basePort ?? TEST_PORTS_FROM + (process.pid % TEST_PORT_RANGES) * TEST_PORT_RANGE
+    this.nextPort = options.basePort
   }
 
   /** Folder of settings and logs. */
@@ -212,11 +209,8 @@
     }
   }
 
-  /** Ports of daemons lie below those that the system hands out, so that no proxy can take one meanwhile. */
   private async port (): Promise<number> {
-    if (this.options.basePort !== undefined) return this.nextPort++
-    while (!await isFree(this.nextPort)) this.nextPort++
-    return this.nextPort++
+    return this.nextPort === undefined ? this.freePorts.next() : this.nextPort++
   }
 
   private async writeSettings (): Promise<void> {
@@ -272,14 +266,6 @@
   }
 }
 
-function isFree (port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer()
-    server.once('error', () => resolve(false))
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
-  })
-}
-
 /** @returns true when the instance's health page says so */
 export async function isServing (instance: LocalInstance): Promise<boolean> {
   try {
