--- a/packages/bench/src/docs/docs.spec.ts
+++ b/packages/bench/src/docs/docs.spec.ts
@@ -60,7 +60,7 @@
   }))
 }
 
-/** Ports of this run; other runs on the machine use others. */
+/** Ports of this run; other runs on the machine use others. They lie between those of PortRange and those of connections. */
 const LESSON_PORTS_FROM = 31_000
 const LESSON_PORT_RANGE = 100
 const LESSON_PORT_RANGES = 17
--- a/packages/fakes/src/ports.ts
+++ b/packages/fakes/src/ports.ts
@@ -5,10 +5,10 @@
 import { createServer } from 'node:net'
 import process from 'node:process'
 
-/** First port, and size and number of the ranges; processes with different ids mostly use different ranges. */
+/** First port, and size and number of the ranges, which end well below the ports that the lesson uses; processes with different ids mostly use different ranges. */
 const PORTS_FROM = 15_000
 const RANGE_SIZE = 200
-const RANGES = 80
+const RANGES = 75
 
 /** Hands out free ports, each once. */
 export class PortRange {
