--- a/packages/fakes/src/ports.ts
+++ b/packages/fakes/src/ports.ts
@@ -5,7 +5,10 @@
 import { createServer } from 'node:net'
 import process from 'node:process'
 
-/** First port, and size and number of the ranges, which end well below the ports that the lesson uses; processes with different ids mostly use different ranges. */
+/**
+ * First port, and size and number of the ranges, which end well below the ports that the lesson uses. Processes with
+ * different ids mostly use different ranges.
+ */
 const PORTS_FROM = 15_000
 const RANGE_SIZE = 200
 const RANGES = 75
