The report of suppressed log lines is flushed also when the line that came with it was suppressed

Cause: flushes were skipped unless a line of the caller had been written; the report of what was left out did not count as one. structuredLog.spec.ts fails without the change.

--- a/packages/dispatcher/src/utils/structuredLog.spec.ts
+++ b/packages/dispatcher/src/utils/structuredLog.spec.ts
@@ -23,4 +23,18 @@
     const suppressed = parsed.find(line => line.event === 'log.suppressed')
     expect(Number(suppressed?.lines) + parsed.filter(line => line.event === 'job.ended').length).to.equal(500)
   })
+
+  it('hands on the report of suppressed lines although the line that came with it was suppressed too', () => {
+    let now = 500
+    let unflushed = 0
+    const destination = { write: () => void unflushed++, flush: () => void (unflushed = 0) }
+    const log = new StructuredLog({ instance: 'i' }, () => now, destination)
+    for (let i = 0; i < 500; i++) log.write('info', 'job.ended', { job: `j${i}` })
+    log.flush()
+    now = 1200
+    log.write('info', 'job.ended', { job: 'last' })
+    expect(unflushed).to.equal(1)
+    log.flush()
+    expect(unflushed).to.equal(0)
+  })
 })
--- a/packages/dispatcher/src/utils/structuredLog.ts
+++ b/packages/dispatcher/src/utils/structuredLog.ts
@@ -70,10 +70,8 @@
   /** Writes a line unless the second's budget is used up. */
   write (level: 'info' | 'warn', event: string, fields: LineFields): void {
     const now = this.now()
-    if (this.budget.take(event, now)) {
-      this.unflushed = true
-      this.logger[level](fields, event)
-    }
+    this.unflushed = true
+    if (this.budget.take(event, now)) this.logger[level](fields, event)
     if (now - this.reportedAt < SECOND_MS) return
     this.reportedAt = now
     const suppressed = this.budget.takeSuppressed()
