--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -3,7 +3,7 @@
  * every link. The same seed gives the same run.
  */
 import type { ListPace, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
-import { SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
+import { ENDPOINTS_MS, RECORDS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
 import { FencedEndpointModel, RecordStoreModel, ShardOracle } from '@cranberryyard/fakes'
 import type { ModelTask } from '@cranberryyard/fakes'
@@ -30,9 +30,6 @@
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
 
 const TICK_MS = 25
-/** Periods of the lists, as the store task has them. */
-const LIST_MS: Readonly<Record<ListPace, number>> = { owner: 800, near: 3000, far: 12_000 }
-const RECORDS_MS: Readonly<Record<ListPace, number>> = { owner: 1500, near: 1500, far: 5000 }
 const WATCH_DELAY_MS = 50
 const CALLER_RESEND_MS = 1300
 /** One instance of each domain has more processor time than the others; owners hand their shards to it. */
@@ -273,7 +270,7 @@
 
   /** Reads the lists now and at the new pace. */
   private setPace (process: Process, pace: ListPace): void {
-    const slower = LIST_MS[pace] > LIST_MS[process.pace]
+    const slower = ENDPOINTS_MS[pace] > ENDPOINTS_MS[process.pace]
     process.pace = pace
     const change = ++process.paceChanges
     const every = (period: number, step: () => void, first: number): void => {
@@ -284,7 +281,7 @@
       })
     }
     every(RECORDS_MS[pace], () => this.readRecords(process), slower ? RECORDS_MS[pace] : 0)
-    every(LIST_MS[pace], () => this.readEndpoints(process), slower ? LIST_MS[pace] : 0)
+    every(ENDPOINTS_MS[pace], () => this.readEndpoints(process), slower ? ENDPOINTS_MS[pace] : 0)
   }
 
   private storeServes (process: Process): boolean {
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -4,6 +4,7 @@
  */
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import type { ListPace } from './types.js'
 
 /** Settings of the shard decisions. */
 export interface ShardSettings {
@@ -87,3 +88,11 @@
   usefulFactor: 3,
   missingMs: ms(2500)
 }
+
+/**
+ * Periods of reading the list of endpoints: an owner has to notice a draining endpoint in time; the others only prepare
+ * for a takeover and may read what is a little old.
+ */
+export const ENDPOINTS_MS: Readonly<Record<ListPace, number>> = { owner: 800, near: 3000, far: 12_000 }
+/** Periods of reading registrations and shard records; owners make themselves known besides. */
+export const RECORDS_MS: Readonly<Record<ListPace, number>> = { owner: 1500, near: 1500, far: 5000 }
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -2,6 +2,7 @@
  * Owns the connection to the platform's store: watches the desired state, reads the lists of endpoints and records at
  * a fixed slow pace, and carries out writes. Each call has a deadline; after a failure the pace falls.
  */
+import { ENDPOINTS_MS, RECORDS_MS } from '@cranberryyard/core/shard'
 import type { ListPace, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
@@ -20,13 +21,6 @@
 const READ_TOTAL_MS = ms(8000)
 /** Longest wait for a write. */
 const WRITE_TIMEOUT_MS = ms(800)
-/**
- * Periods of reading the list of endpoints: an owner has to notice a draining endpoint in time; the others only prepare
- * for a takeover and may read what is a little old.
- */
-const ENDPOINTS_MS: Readonly<Record<ListPace, number>> = { owner: 800, near: 3000, far: 12_000 }
-/** Periods of reading registrations and shard records; owners make themselves known besides. */
-const RECORDS_MS: Readonly<Record<ListPace, number>> = { owner: 1500, near: 1500, far: 5000 }
 /** Pauses after failures: doubled up to the longest, with jitter so that instances do not call together. */
 const RETRY_MIN_MS = 100
 const RETRY_MAX_MS = 600
