--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -2,17 +2,21 @@
  * Decides the order in which jobs start their tasks, and which jobs are declined. Started jobs come first, then jobs that
  * can still meet their latency objective, ordered by the latest start that meets it, and then, with the remaining capacity,
  * jobs that can only be late. Jobs whose answer is no longer useful come last, started or not. A job is declined as soon as
- * it is clear that it cannot finish while its answer is still useful. This matters under overload, that is when a burst of
- * one or all kinds of jobs exceeds the capacity of the shard or a failure domain loses endpoints: serving jobs in order of
- * arrival would then make every job late.
+ * the forecast shows that it cannot be on time. This matters under overload, that is when a burst of one or all kinds of jobs
+ * exceeds the capacity of the shard or a failure domain loses endpoints: a queue of jobs that can only be late would then
+ * make the jobs that arrive behind them late as well.
  */
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AdmissionDb } from './admissionDb.js'
-import type { AdmissionVerdict, QueuedWork, ShardCapacity } from './types.js'
+import type { AdmissionInput, AdmissionVerdict, QueuedWork, ShardCapacity } from './types.js'
 
 /** Added to the latest start per priority level when jobs are ordered; a higher number is less important. */
 const PRIORITY_STEP_MS = 40
+/** Share of a shard's capacity that jobs which can only be late may occupy. */
+const LATE_SHARE_MAX = 0.1
+/** A waiting job is declined only when the forecast misses its latest start by this much, since run times vary. */
+const REASSESS_MARGIN_MS = 0
 /** Share of the capacity that can be used, since tasks of uneven size do not fill endpoints completely. */
 const PACKING_SHARE = 0.85
 /** Shortest and longest retry delay given to a declined caller. */
@@ -26,14 +30,16 @@
   readonly db = new AdmissionDb<T>()
 
   /**
-   * Admits or declines a newly arrived job.
-   * @param job - the job
-   * @param capacity - the shard's capacity
-   * @param now - the time
+   * Admits a newly arrived job that can be on time behind the jobs ahead of it. One that can only be late is admitted
+   * if no other shard is left and late jobs occupy little of this one.
    */
-  decide (job: QueuedWork, capacity: ShardCapacity, now: Ms): AdmissionVerdict {
-    const wait = this.expectedWait(job, capacity, now)
-    if (now + wait + job.criticalPathMs <= job.usefulUntil) return { type: 'admit' }
+  decide (job: QueuedWork, input: AdmissionInput): AdmissionVerdict {
+    const { now, capacity, lateCpuMilli, lastChance } = input
+    const start = this.forecastStart(job, input)
+    if (start <= latestStart(job)) return { type: 'admit', late: false }
+    const demand = job.demand()
+    const lateAllowed = lateCpuMilli + demand.tasks * demand.cpuMilli <= Math.max(capacity.totalCpuMilli * LATE_SHARE_MAX, lateCpuMilli === 0 ? Infinity : 0)
+    if (lastChance && lateAllowed && Math.max(now, start) + job.criticalPathMs <= job.usefulUntil) return { type: 'admit', late: true }
     return { type: 'decline', retryAfterMs: this.retryAfter(capacity) }
   }
 
@@ -44,19 +50,23 @@
   }
 
   /**
-   * Reassesses all waiting jobs in start order. The work of a declined job no longer delays the jobs behind it, so a burst
+   * Reassesses all waiting jobs in start order. The tasks of a declined job no longer delay the jobs behind it, so a burst
    * costs only the jobs that exceed the capacity. A job that may already have run is never declined.
-   * @param capacity - the shard's capacity
-   * @param now - the time
-   * @returns jobs that cannot finish while their answer is still useful
+   * @returns jobs that cannot be on time or, if they were admitted late, cannot finish while their answer is useful
    */
-  jobsToDecline (capacity: ShardCapacity, now: Ms): T[] {
+  jobsToDecline ({ now, forecast: makeForecast }: Pick<AdmissionInput, 'now' | 'forecast'>): T[] {
     const declined: T[] = []
-    const usable = usableCpu(capacity)
-    let ahead = 0
-    for (const job of this.inStartOrder(now)) {
-      if (!job.mayHaveRun && now + ahead / usable + job.criticalPathMs > job.usefulUntil) declined.push(job)
-      else ahead += job.waitingWork()
+    const order = this.inStartOrder(now)
+    const forecast = makeForecast(meanCpu(order))
+    for (const job of order) {
+      if (!job.mayHaveRun && now > giveUpAt(job)) {
+        declined.push(job)
+        continue
+      }
+      const demand = job.demand()
+      if (job.mayHaveRun) forecast.reserve(demand)
+      else if (forecast.peek(demand) > giveUpAt(job) + REASSESS_MARGIN_MS) declined.push(job)
+      else forecast.reserve(demand)
     }
     return declined
   }
@@ -73,12 +83,14 @@
     return ms(Math.min(RETRY_MAX_MS, Math.max(RETRY_MIN_MS, this.backlogMs(capacity))))
   }
 
-  private expectedWait (job: QueuedWork, capacity: ShardCapacity, now: Ms): number {
-    let ahead = 0
-    for (const other of this.db.waiting) {
-      if (other !== job && this.compare(other, job, now) <= 0) ahead += other.waitingWork()
+  /** @returns when the last task of the job can start behind the jobs that are ahead of it */
+  private forecastStart (job: QueuedWork, { now, forecast: makeForecast }: AdmissionInput): Ms {
+    const demand = job.demand()
+    const forecast = makeForecast(demand.cpuMilli)
+    for (const other of this.inStartOrder(now)) {
+      if (other !== job && this.compare(other, job, now) <= 0) forecast.reserve(other.demand())
     }
-    return ahead === 0 ? 0 : ahead / usableCpu(capacity)
+    return forecast.reserve(demand)
   }
 
   private compare (a: QueuedWork, b: QueuedWork, now: Ms): number {
@@ -93,6 +105,27 @@
   return job.hasStarted() ? 0 : 2
 }
 
+/** @returns the latest start with which the job is on time */
+function latestStart (job: QueuedWork): Ms {
+  return ms(job.onTimeUntil - job.criticalPathMs)
+}
+
+/** @returns the time from which on a waiting job is not worth starting */
+function giveUpAt (job: QueuedWork): Ms {
+  return job.admittedLate ? ms(job.usefulUntil - job.criticalPathMs) : latestStart(job)
+}
+
+function meanCpu (jobs: readonly QueuedWork[]): number {
+  let tasks = 0
+  let cpuMilli = 0
+  for (const job of jobs) {
+    const demand = job.demand()
+    tasks += demand.tasks
+    cpuMilli += demand.tasks * demand.cpuMilli
+  }
+  return tasks === 0 ? 1 : cpuMilli / tasks
+}
+
 function rank (job: QueuedWork): number {
   return job.onTimeUntil - job.criticalPathMs + job.priority * PRIORITY_STEP_MS
 }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -3,6 +3,7 @@
  * job only through these, without its steps, tasks and endpoints.
  */
 import type { Ms } from '@cranberryyard/protocol'
+import type { Demand, SlotForecast } from './slotForecast.js'
 
 /** Deadlines and expected duration of a job; times are on this instance's clock. */
 export interface JobTimes {
@@ -23,6 +24,24 @@
   readonly mayHaveRun: boolean
   /** Work of the tasks still to be started, in thousandths of a core times milliseconds. */
   readonly waitingWork: () => number
+  /** The tasks that could start now if there were room for all of them. */
+  readonly demand: () => Demand
+  /** The job was admitted although it can only be late. */
+  readonly admittedLate: boolean
+}
+
+/** Makes a forecast for tasks of the given size from the present state of the endpoints. */
+export type MakeForecast = (cpuMilli: number) => SlotForecast
+
+/** What an owner knows when it admits or declines a job. */
+export interface AdmissionInput {
+  readonly now: Ms
+  readonly capacity: ShardCapacity
+  readonly forecast: MakeForecast
+  /** No other shard is left that could take the job. */
+  readonly lastChance: boolean
+  /** CPU of the tasks, running or waiting, of jobs that can only be late. */
+  readonly lateCpuMilli: number
 }
 
 /** Total and free capacity of a shard. */
@@ -34,5 +53,5 @@
 
 /** Whether a job is admitted, and otherwise when its caller should retry. */
 export type AdmissionVerdict =
-  | { readonly type: 'admit' }
+  | { readonly type: 'admit', readonly late: boolean }
   | { readonly type: 'decline', readonly retryAfterMs: Ms }
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -45,6 +45,7 @@
     run,
     endpoint: endpoint.id,
     needs: undefined,
+    expectedMs: undefined,
     spec: '',
     notAfter: 0 as EndpointClockMs,
     orderedAt: now,
@@ -93,6 +94,8 @@
       leasesEndBy: now,
       startsBlockedUntil: now,
       unlisted: false,
+      listedSinceTakeover: false,
+      outdated: false,
       freeCapacity: undefined
     }
     this.endpoints.set(report.id, endpoint)
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -45,16 +45,26 @@
 
   /** Takes over the endpoints of a shard. Each must answer under the new token before anything starts there. */
   adopt (reports: readonly EndpointReport[]): void {
-    for (const report of reports) this.requireFreshAnswer(this.db.get(report.id) ?? this.db.add(report, this.ctx.now))
+    for (const report of reports) {
+      const endpoint = this.db.get(report.id) ?? this.db.add(report, this.ctx.now)
+      endpoint.listedSinceTakeover = false
+      endpoint.outdated = false
+      this.requireFreshAnswer(endpoint)
+    }
   }
 
-  /** Updates the reports of known endpoints and adds new endpoints. */
-  update (reports: readonly EndpointReport[]): void {
+  /**
+   * Updates the reports of known endpoints and adds new endpoints.
+   * @param reports - the entries of a list
+   * @param fresh - whether the list was read as an owner, not from a copy that may be old
+   */
+  update (reports: readonly EndpointReport[], fresh: boolean): void {
     for (const report of reports) {
       const known = this.db.get(report.id)
-      if (known === undefined) this.requireFreshAnswer(this.db.add(report, this.ctx.now))
-      else Object.assign(known, { report, unlisted: false, freeCapacity: undefined })
+      if (known === undefined) this.requireFreshAnswer(Object.assign(this.db.add(report, this.ctx.now), { listedSinceTakeover: fresh }))
+      else Object.assign(known, { report, unlisted: false, outdated: false, listedSinceTakeover: known.listedSinceTakeover || fresh, freeCapacity: undefined })
     }
+    if (fresh) this.markOutdated(new Set(reports.map(report => report.id)))
   }
 
   /**
@@ -82,16 +92,16 @@
 
   /**
    * An endpoint may get work when it answers under the present token in the incarnation that the store lists, and is
-   * neither draining nor unlisted. Starts sent to an earlier incarnation must no longer be able to arrive there.
+   * neither draining nor unlisted nor outdated. Starts sent to an earlier incarnation must no longer be able to arrive there.
    */
   usable (endpoint: LedgerEndpoint): boolean {
-    const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted } = endpoint
-    return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
+    const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted, outdated } = endpoint
+    return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
   /** Starts a run. The caller has checked that the run fits and that the endpoint is `usable`. */
-  start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, spec: string, needs: Resources): LedgerRun {
-    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, state: 'ordered', spec })
+  start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, spec: string, needs: Resources, expectedMs: number): LedgerRun {
+    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec })
     this.db.addRun(endpoint, run)
     this.sendStart(endpoint, run)
     if (endpoint.hold === undefined) this.sendHold(endpoint)
@@ -187,6 +197,12 @@
     if (outcome.type === 'stopping' && endpoint.hold === undefined) this.sendHold(endpoint)
   }
 
+  private markOutdated (listed: ReadonlySet<EndpointId>): void {
+    for (const endpoint of this.db.all()) {
+      if (!listed.has(endpoint.id) && !endpoint.listedSinceTakeover) endpoint.outdated = true
+    }
+  }
+
   private removeUnlisted (endpoint: LedgerEndpoint): void {
     if (endpoint.unlisted && endpoint.runs.size === 0) this.db.remove(endpoint.id)
   }
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -31,6 +31,8 @@
   /** Undefined for a run that was found and never claimed; nothing else starts at the endpoint while it is there. */
   needs: Resources | undefined
   state: RunState
+  /** Expected run time at a healthy endpoint; undefined for a run that no job has claimed. */
+  expectedMs: number | undefined
   /** Text handed to the task; kept because the start may have to be sent again. */
   readonly spec: string
   /** Latest time, on the endpoint's clock, at which any of the start orders can still take effect. */
@@ -89,6 +91,10 @@
   startsBlockedUntil: Ms
   /** The store's list has left the endpoint out for a while; it gets no more work. */
   unlisted: boolean
+  /** This owner has seen the endpoint's entry in a list that it read since it took over. */
+  listedSinceTakeover: boolean
+  /** The entry dates from before the takeover and a list read since then lacks it; the endpoint may drain by now. */
+  outdated: boolean
   /** Cached free capacity; undefined when it has to be computed again. */
   freeCapacity: Resources | undefined
 }
--- /dev/null
+++ b/packages/core/src/execution/endpointOutlook.spec.ts
@@ -0,0 +1,38 @@
+import { expect } from 'chai'
+import type { EndpointId, EndpointReport, FailureDomain, ServiceName, TaskName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { EndpointsDb, makeRun } from '../endpoints/endpointsDb.js'
+import type { LedgerRun } from '../endpoints/types.js'
+import { outlookOf } from './endpointOutlook.js'
+
+const REPORT: EndpointReport = { id: 'e' as EndpointId, service: 's' as ServiceName, address: 'e', failureDomain: 'd' as FailureDomain, draining: false, capacity: { cpuMilli: 64_000, memoryMb: 100, accelerators: 0 }, labels: [], bornAt: 0 }
+const NEEDS = { cpuMilli: 20_000, memoryMb: 1, accelerators: 0 }
+
+/** The outlook at 1100 of an endpoint with one run that started at 1000. */
+function outlookWith (overrides: Partial<LedgerRun>): ReturnType<typeof outlookOf> {
+  const endpoint = new EndpointsDb().add(REPORT, ms(0))
+  const run = makeRun(endpoint, 'a.0.0.0' as TaskName, 1, ms(1000), { needs: NEEDS, expectedMs: 200, state: 'running', ...overrides })
+  endpoint.runs.set(run.task, run)
+  return outlookOf(endpoint, ms(1100), ms(250))
+}
+
+describe('the outlook of an endpoint', () => {
+  it('expects a run to end after its expected run time', () => {
+    expect(outlookWith({})).to.deep.equal({ freeCpuMilli: 44_000, ends: [{ at: 1200, cpuMilli: 20_000 }] })
+  })
+
+  it('projects the end from the progress once there is enough of it', () => {
+    expect(outlookWith({ percent: 25, percentAt: ms(1100) }).ends[0]?.at).to.equal(1400)
+    expect(outlookWith({ percent: 5, percentAt: ms(1100) }).ends[0]?.at).to.equal(1200)
+  })
+
+  it('does not expect a run to end at once that is over its time', () => {
+    expect(outlookWith({ startedAt: ms(500) }).ends[0]?.at).to.equal(1130)
+  })
+
+  it('expects the whole endpoint back when a run of unknown size is no longer kept', () => {
+    const { freeCpuMilli, ends } = outlookWith({ needs: undefined, expectedMs: undefined, state: 'unclaimed' })
+    expect(freeCpuMilli).to.equal(0)
+    expect(ends).to.deep.equal([{ at: 1250, cpuMilli: 64_000 }])
+  })
+})
--- /dev/null
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -0,0 +1,37 @@
+/**
+ * Estimates when the runs at an endpoint end and free their capacity, from their expected run time and their reported
+ * progress. Admission forecasts from it when waiting tasks can start.
+ */
+import type { Ms } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import type { EndpointOutlook } from '../admission/slotForecast.js'
+import { freeCapacityOf } from '../endpoints/endpointsDb.js'
+import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
+
+/** Progress from which the remaining time is projected from it, and not from the expected run time. */
+const PROJECTION_MIN_PERCENT = 20
+/** Remaining time of a run that is over its expected run time, as a share of the latter. */
+const OVERDUE_SHARE = 0.15
+/** Time until a stopped run has been listed as ended. */
+const STOP_MS = 50
+
+/**
+ * @param endpoint - a usable endpoint
+ * @param now - the time
+ * @param unclaimedMs - how long a run that no job claims is kept
+ */
+export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms): EndpointOutlook {
+  const { cpuMilli: capacity } = endpoint.report.capacity
+  return {
+    freeCpuMilli: Math.max(0, freeCapacityOf(endpoint).cpuMilli),
+    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.needs?.cpuMilli ?? capacity }))
+  }
+}
+
+function endOf (run: LedgerRun, now: Ms, unclaimedMs: Ms): Ms {
+  if (run.state === 'stopping') return ms(now + STOP_MS)
+  if (run.expectedMs === undefined) return ms(Math.max(now, run.startedAt + unclaimedMs))
+  const observedPercent = run.percent - (run.foundPercent ?? 0)
+  const projectedMs = observedPercent >= PROJECTION_MIN_PERCENT ? (run.percentAt - run.startedAt) * (100 - (run.foundPercent ?? 0)) / observedPercent : run.expectedMs
+  return ms(Math.max(run.startedAt + projectedMs, now + run.expectedMs * OVERDUE_SHARE))
+}
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -7,6 +7,8 @@
 import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
+import { SlotForecast } from '../admission/slotForecast.js'
+import type { Demand } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
 import { fits, freeCapacityOf, minus, plus } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
@@ -14,6 +16,7 @@
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { ExecutionDb, criticalPathOf, isReady, makeSteps, objectiveOf } from './executionDb.js'
+import { outlookOf } from './endpointOutlook.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { STALL_SLOWNESS, slownessOf, healthyRunMs } from './speed.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
@@ -260,13 +263,15 @@
       confirmedAt: now,
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
+      admittedLate: false,
       attempt: order.attempt,
       priority: queue.priority,
       criticalPathMs,
       onTimeUntil: ms(sentAt + objective),
       usefulUntil: ms(Math.min(callerDeadline, sentAt + objective * cfg.usefulFactor)),
       hasStarted: () => owned.firstStartAt !== undefined,
-      waitingWork: () => this.waitingWorkOf(owned)
+      waitingWork: () => this.waitingWorkOf(owned),
+      demand: () => this.demandOf(owned)
     }
     return owned
   }
@@ -281,6 +286,41 @@
     return sum
   }
 
+  /** @returns the tasks of ready steps that have not started */
+  private demandOf (job: OwnedJob): Demand {
+    let tasks = 0
+    let cpuMilli = 0
+    let runMs = 0
+    for (const step of job.steps) {
+      if (step.unfinishedTasks === 0 || !isReady(job, step)) continue
+      const waiting = step.tasks.reduce((n, task) => n + (task.done || task.run !== undefined ? 0 : 1), 0)
+      if (waiting === 0) continue
+      tasks += waiting
+      cpuMilli = Math.max(cpuMilli, step.spec.needs.cpuMilli)
+      runMs = Math.max(runMs, this.expectedMs(job, step))
+    }
+    return { tasks, cpuMilli, runMs }
+  }
+
+  /** @returns when slots for tasks of the given size become free at the endpoints that can be trusted */
+  private forecast (cpuMilli: number): SlotForecast {
+    const { now, cfg } = this.ctx
+    const outlooks = [...this.endpoints.db.all()]
+      .filter(endpoint => this.endpoints.usable(endpoint) && !this.placement.isQuarantined(endpoint.id))
+      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs))
+    return new SlotForecast(outlooks, cpuMilli, now)
+  }
+
+  /** @returns CPU of the unfinished tasks of jobs that were admitted although they can only be late */
+  private lateCpuMilli (): number {
+    let cpuMilli = 0
+    for (const job of this.db.jobs.values()) {
+      if (!job.admittedLate) continue
+      for (const step of job.steps) cpuMilli += step.unfinishedTasks * step.spec.needs.cpuMilli
+    }
+    return cpuMilli
+  }
+
   private join (job: OwnedJob, front: FrontSession, order: DispatchOrder): void {
     const { out } = this.ctx
     job.attempt = order.attempt
@@ -293,8 +333,16 @@
 
   private admit (job: OwnedJob): boolean {
     if (!this.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
-    const verdict = this.admission.decide(job, this.capacity(), this.ctx.now)
-    return verdict.type === 'admit' || this.decline(job, 'overloaded', verdict.retryAfterMs)
+    const verdict = this.admission.decide(job, {
+      now: this.ctx.now,
+      capacity: this.capacity(),
+      forecast: cpuMilli => this.forecast(cpuMilli),
+      lastChance: job.order.lastChance === true,
+      lateCpuMilli: this.lateCpuMilli()
+    })
+    if (verdict.type === 'decline') return this.decline(job, 'overloaded', verdict.retryAfterMs)
+    job.admittedLate = verdict.late
+    return true
   }
 
   private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
@@ -337,6 +385,7 @@
     const step = job.steps[task.step]
     if (step === undefined) return
     if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs)
+    run.expectedMs ??= this.expectedMs(job, step)
     task.run = run
     job.firstStartAt ??= this.ctx.now
   }
@@ -398,7 +447,7 @@
 
   private startTask (job: OwnedJob, { step, task, candidate }: PlannedStart): void {
     task.lastRun++
-    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, job.order.job.spec, step.spec.needs)
+    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, job.order.job.spec, step.spec.needs, this.expectedMs(job, step))
     this.recordFirstStart(job)
   }
 
@@ -525,13 +574,13 @@
     if (this.isConfirmationExpired(job)) this.abandon(job, 'unconfirmed')
   }
 
-  /** Declines waiting jobs that can no longer finish in time because other jobs overtook them or capacity was lost. */
+  /** Declines waiting jobs that can no longer be on time because other jobs overtook them or capacity was lost. */
   private reassessWaitingJobs (): void {
     const { now } = this.ctx
     if (now < this.nextReassessmentAt || this.admission.db.waiting.size === 0) return
     this.nextReassessmentAt = ms(now + REASSESS_INTERVAL_MS)
     const capacity = this.capacity()
-    const tooLate = this.admission.jobsToDecline(capacity, now)
+    const tooLate = this.admission.jobsToDecline({ now, forecast: cpuMilli => this.forecast(cpuMilli) })
     for (const job of tooLate) this.forget(job)
     for (const job of tooLate) this.decline(job, 'tooLate', this.admission.retryAfter(capacity))
   }
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -56,6 +56,7 @@
   /** When the first task started; undefined until then. */
   firstStartAt: Ms | undefined
   mayHaveRun: boolean
+  admittedLate: boolean
 }
 
 /** The outcome of an ended job, kept to answer a caller that resends the job. */
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -211,10 +211,18 @@
     job.location = { type: 'atOwner', failureDomain, owner, since: now }
     job.checkedAt = now
     job.attempt++
-    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done }
+    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain) }
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order })
   }
 
+  /** Returns whether every other shard that has an owner has declined the job. */
+  private isLastChance (job: FrontedJob, chosen: FailureDomain): boolean {
+    for (const { failureDomain } of this.sessions.db.shards.values()) {
+      if (failureDomain !== chosen && !job.declinedBy.has(failureDomain) && this.sessions.ownerOf(failureDomain) !== undefined) return false
+    }
+    return true
+  }
+
   private detach (job: FrontedJob, failureDomain: FailureDomain): void {
     const lastOwner = job.location.type === 'atOwner' ? job.location.owner : undefined
     job.location = { type: 'detached', failureDomain, lastOwner, since: this.ctx.now }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -306,7 +306,7 @@
 
   private applyReports (reports: readonly EndpointReport[], fresh: boolean): void {
     this.endpointList.applyList(reports, fresh)
-    this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)))
+    this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)), fresh)
   }
 
   private endpointRemoved (id: EndpointId): void {
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -17,6 +17,7 @@
 const nonNegative: Check = value => finiteNumber(value) && (value as number) >= 0
 const nonNegativeInteger: Check = value => Number.isInteger(value) && (value as number) >= 0
 const oneOf = (...values: readonly string[]): Check => value => values.includes(value as string)
+const optional = (check: Check): Check => value => value === undefined || check(value)
 const listOf = (check: Check): Check => value => Array.isArray(value) && value.every(check)
 
 function object (checks: Readonly<Record<string, Check>>): Check {
@@ -35,7 +36,7 @@
 const step = object({ count: taskCount, needs: resources, estimateMs: nonNegative, after: listOf(nonNegativeInteger), requiredLabel: text, preferredRack: text, maxPerEndpoint: nonNegativeInteger })
 const job = object({ id: text, spec: text, steps: listOf(step), features: listOf(text) })
 const queue = object({ name: text, host: text, prefix: text, service: text, priority: finiteNumber, maxAttempts: nonNegativeInteger, stretch: nonNegative, latencyObjectiveMs: nonNegative, needsAdvice: flag })
-const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text) })
+const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag) })
 const state = object({ version: nonNegativeInteger, queues: listOf(queue), services: listOf(object({ name: text, guardsCapacity: flag })) })
 const progress = object({ jobId: text, done: listOf(text) })
 
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -113,6 +113,8 @@
   readonly resumed: boolean
   /** Tasks known to be done, each as `step.index`. */
   readonly done: readonly string[]
+  /** The job was declined by every other shard that has an owner. Absent in orders of earlier versions. */
+  readonly lastChance?: boolean
 }
 
 /** How a run ended on an endpoint; `lapsed` means that its lease expired. */
