--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -12,7 +12,7 @@
 import type { AdmissionInput, AdmissionVerdict, QueuedWork, ShardCapacity } from './types.js'
 
 /** Added to the latest start per priority level when jobs are ordered; a higher number is less important. */
-const PRIORITY_STEP_MS = 40
+const PRIORITY_STEP_MS = 150
 /** Share of a shard's capacity that jobs which can only be late may occupy. */
 const LATE_SHARE_MAX = 0.1
 /** A waiting job is declined only when the forecast misses its latest start by this much, since run times vary. */
