--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -2,7 +2,7 @@
  * Variants of the decisions that the load player compares with the product's own: each switches one mechanism off. They
  * replace methods that all instances share, so that the product itself needs no settings for them.
  */
-import { SHARD_DEFAULTS, ShardInstance } from '@cranberryyard/core/shard'
+import { RunTimeModel, SHARD_DEFAULTS, ShardInstance } from '@cranberryyard/core/shard'
 import type { FailureDomain, InstanceId } from '@cranberryyard/protocol'
 
 type Undo = () => void
@@ -69,7 +69,7 @@
   {
     name: 'learned-run-times',
     description: 'estimates are taken as they are',
-    apply: () => replace(sample.execution.admission.db, 'ratioOf', () => () => 1)
+    apply: () => replace(new RunTimeModel(), 'record', () => () => {})
   },
   {
     name: 'best-fit',
--- a/packages/core/src/admission/admissionDecider.spec.ts
+++ b/packages/core/src/admission/admissionDecider.spec.ts
@@ -26,7 +26,7 @@
     name,
     priority: 0,
     criticalPathMs: ms(100),
-    onTimeUntil: ms(1200),
+    latestStart: ms(1100),
     usefulUntil: ms(2000),
     mayHaveRun: started,
     admittedLate: false,
@@ -41,11 +41,11 @@
   it('orders started jobs first, then those still on time by their latest start, then late ones', () => {
     const admission = new AdmissionDecider<NamedWork>()
     const jobs = [
-      makeWork('late', { onTimeUntil: ms(1050) }),
-      makeWork('relaxed', { onTimeUntil: ms(1600) }),
-      makeWork('urgent', { onTimeUntil: ms(1150) }),
-      makeWork('useless', { onTimeUntil: ms(500), usefulUntil: ms(900), started: true }),
-      makeWork('started', { onTimeUntil: ms(1010), started: true })
+      makeWork('late', { latestStart: ms(950) }),
+      makeWork('relaxed', { latestStart: ms(1500) }),
+      makeWork('urgent', { latestStart: ms(1050) }),
+      makeWork('useless', { latestStart: ms(400), usefulUntil: ms(900), started: true }),
+      makeWork('started', { latestStart: ms(910), started: true })
     ]
     for (const job of jobs) admission.db.waiting.add(job)
     expect(admission.inStartOrder(ms(1000)).map(job => job.name)).to.deep.equal(['started', 'urgent', 'relaxed', 'late', 'useless'])
@@ -53,28 +53,28 @@
 
   it('starts the job with the lower priority number first when the latest starts of two jobs are close', () => {
     const admission = new AdmissionDecider<NamedWork>()
-    admission.db.waiting.add(makeWork('minor', { priority: 2, onTimeUntil: ms(1200) }))
-    admission.db.waiting.add(makeWork('major', { priority: 0, onTimeUntil: ms(1230) }))
+    admission.db.waiting.add(makeWork('minor', { priority: 2, latestStart: ms(1100) }))
+    admission.db.waiting.add(makeWork('major', { priority: 0, latestStart: ms(1130) }))
     expect(admission.inStartOrder(ms(1000)).map(job => job.name)).to.deep.equal(['major', 'minor'])
   })
 
   it('declines on arrival a job that cannot be on time behind the jobs ahead of it, and gives a retry delay', () => {
     const admission = new AdmissionDecider<NamedWork>()
     for (let i = 0; i < 20; i++) admission.db.waiting.add(makeWork(`ahead ${i}`))
-    const verdict = admission.decide(makeWork('new', { onTimeUntil: ms(1250) }), makeInput(IDLE))
+    const verdict = admission.decide(makeWork('new', { latestStart: ms(1150) }), makeInput(IDLE))
     expect(verdict.type).to.equal('decline')
     if (verdict.type === 'decline') expect(verdict.retryAfterMs).to.be.within(1000, 5000)
   })
 
   it('counts the runs in progress: a full shard with an empty queue has no slot yet', () => {
     const admission = new AdmissionDecider<NamedWork>()
-    expect(admission.decide(makeWork('narrow', { tasks: 2, onTimeUntil: ms(1150) }), makeInput(FULL))).to.deep.equal({ type: 'admit', late: false })
-    expect(admission.decide(makeWork('wide', { tasks: 8, onTimeUntil: ms(1150) }), makeInput(FULL)).type).to.equal('decline')
+    expect(admission.decide(makeWork('narrow', { tasks: 2, latestStart: ms(1050) }), makeInput(FULL))).to.deep.equal({ type: 'admit', late: false })
+    expect(admission.decide(makeWork('wide', { tasks: 8, latestStart: ms(1050) }), makeInput(FULL)).type).to.equal('decline')
   })
 
   it('admits a job that can only be late where no other shard is left, while late jobs occupy little of this one', () => {
     const admission = new AdmissionDecider<NamedWork>()
-    const wide = makeWork('wide', { tasks: 20, onTimeUntil: ms(1150) })
+    const wide = makeWork('wide', { tasks: 20, latestStart: ms(1050) })
     expect(admission.decide(wide, makeInput(IDLE)).type).to.equal('decline')
     expect(admission.decide(wide, makeInput(IDLE, { lastChance: true }))).to.deep.equal({ type: 'admit', late: true })
     expect(admission.decide(wide, makeInput(IDLE, { lastChance: true, lateCpuMilli: 50_000 })).type).to.equal('decline')
@@ -83,8 +83,8 @@
   it('declines only the jobs of a burst that exceed the capacity, and never a job that may have run', () => {
     const admission = new AdmissionDecider<NamedWork>()
     // A start is on time until 1700, so seven rounds of ten jobs, which take 100 ms each, start in time, and the margin allows no eighth.
-    for (let i = 0; i < 100; i++) admission.db.waiting.add(makeWork(`burst ${i}`, { onTimeUntil: ms(1750) }))
-    admission.db.waiting.add(makeWork('has run', { mayHaveRun: true, onTimeUntil: ms(5000), criticalPathMs: ms(1) }))
+    for (let i = 0; i < 100; i++) admission.db.waiting.add(makeWork(`burst ${i}`, { latestStart: ms(1650) }))
+    admission.db.waiting.add(makeWork('has run', { mayHaveRun: true, latestStart: ms(4999), criticalPathMs: ms(1) }))
     const declined = admission.jobsToDecline(makeInput(IDLE)).map(job => job.name)
     expect(declined).to.have.length(30)
     expect(declined).not.to.include('has run')
@@ -92,7 +92,7 @@
 
   it('keeps a waiting job that was admitted late until its answer is of no use', () => {
     const admission = new AdmissionDecider<NamedWork>()
-    admission.db.waiting.add(makeWork('late', { admittedLate: true, onTimeUntil: ms(1050), usefulUntil: ms(1300) }))
+    admission.db.waiting.add(makeWork('late', { admittedLate: true, latestStart: ms(950), usefulUntil: ms(1300) }))
     expect(admission.jobsToDecline(makeInput(FULL))).to.have.length(0)
     expect(admission.jobsToDecline({ ...makeInput(FULL), now: ms(1201) })).to.have.length(1)
   })
@@ -100,6 +100,6 @@
   it('admits a job that can finish on time', () => {
     const admission = new AdmissionDecider<NamedWork>()
     for (let i = 0; i < 10; i++) admission.db.waiting.add(makeWork(`ahead ${i}`))
-    expect(admission.decide(makeWork('new', { onTimeUntil: ms(1300) }), makeInput(IDLE)).type).to.equal('admit')
+    expect(admission.decide(makeWork('new', { latestStart: ms(1200) }), makeInput(IDLE)).type).to.equal('admit')
   })
 })
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -15,8 +15,6 @@
 const PRIORITY_STEP_MS = 150
 /** Share of a shard's capacity that jobs which can only be late may occupy. */
 const LATE_SHARE_MAX = 0.1
-/** A waiting job is declined only when the forecast misses its latest start by this much, since run times vary. */
-const REASSESS_MARGIN_MS = 0
 /** Share of the capacity that can be used, since tasks of uneven size do not fill endpoints completely. */
 const PACKING_SHARE = 0.85
 /** Shortest and longest retry delay given to a declined caller. */
@@ -36,7 +34,7 @@
   decide (job: QueuedWork, input: AdmissionInput): AdmissionVerdict {
     const { now, capacity, lateCpuMilli, lastChance } = input
     const start = this.forecastStart(job, input)
-    if (start <= latestStart(job)) return { type: 'admit', late: false }
+    if (start <= job.latestStart) return { type: 'admit', late: false }
     const demand = job.demand()
     const lateAllowed = lateCpuMilli + demand.tasks * demand.cpuMilli <= Math.max(capacity.totalCpuMilli * LATE_SHARE_MAX, lateCpuMilli === 0 ? Infinity : 0)
     if (lastChance && lateAllowed && Math.max(now, start) + job.criticalPathMs <= job.usefulUntil) return { type: 'admit', late: true }
@@ -65,7 +63,7 @@
       }
       const demand = job.demand()
       if (job.mayHaveRun) forecast.reserve(demand)
-      else if (forecast.peek(demand) > giveUpAt(job) + REASSESS_MARGIN_MS) declined.push(job)
+      else if (forecast.peek(demand) > giveUpAt(job)) declined.push(job)
       else forecast.reserve(demand)
     }
     return declined
@@ -100,19 +98,14 @@
 
 /** Lower tiers start first: 0 for started jobs that are still useful, 1 on time, 2 late, 3 no longer useful. */
 function tier (job: QueuedWork, now: Ms): number {
-  if (now + job.criticalPathMs <= job.onTimeUntil) return job.hasStarted() ? 0 : 1
+  if (now <= job.latestStart) return job.hasStarted() ? 0 : 1
   if (now > job.usefulUntil) return 3
   return job.hasStarted() ? 0 : 2
 }
 
-/** @returns the latest start with which the job is on time */
-function latestStart (job: QueuedWork): Ms {
-  return ms(job.onTimeUntil - job.criticalPathMs)
-}
-
 /** @returns the time from which on a waiting job is not worth starting */
 function giveUpAt (job: QueuedWork): Ms {
-  return job.admittedLate ? ms(job.usefulUntil - job.criticalPathMs) : latestStart(job)
+  return job.admittedLate ? ms(job.usefulUntil - job.criticalPathMs) : job.latestStart
 }
 
 function meanCpu (jobs: readonly QueuedWork[]): number {
@@ -127,7 +120,7 @@
 }
 
 function rank (job: QueuedWork): number {
-  return job.onTimeUntil - job.criticalPathMs + job.priority * PRIORITY_STEP_MS
+  return job.latestStart + job.priority * PRIORITY_STEP_MS
 }
 
 function usableCpu (capacity: ShardCapacity): number {
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -7,8 +7,8 @@
 
 /** Deadlines and expected duration of a job; times are on this instance's clock. */
 export interface JobTimes {
-  /** End of the latency objective: an answer by this time is on time. */
-  readonly onTimeUntil: Ms
+  /** Latest start of the job's tasks with which its answer is likely to be on time. */
+  readonly latestStart: Ms
   /** An answer after this time is of no use to the caller. */
   readonly usefulUntil: Ms
   /** Expected duration of the critical path, the longest chain of dependent steps. */
--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -77,13 +77,13 @@
 /**
  * Computes the length of the critical path through a job's steps.
  * @param steps - the job's steps; each depends only on earlier ones
- * @param ratio - factor from estimated to actual run time
+ * @param runMs - run time of the step's tasks, derived from their estimate
  */
-export function criticalPathOf (steps: readonly StepSpec[], ratio: number): Ms {
+export function criticalPathOf (steps: readonly StepSpec[], runMs: (estimateMs: Ms, step: number) => number): Ms {
   const ends: number[] = []
-  for (const step of steps) {
+  for (const [index, step] of steps.entries()) {
     const before = Math.max(0, ...step.after.map(number => ends[number] ?? 0))
-    ends.push(before + step.estimateMs * ratio)
+    ends.push(before + runMs(step.estimateMs, index))
   }
   return ms(Math.max(0, ...ends))
 }
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -18,6 +18,7 @@
 import { ExecutionDb, criticalPathOf, isReady, makeSteps, objectiveOf } from './executionDb.js'
 import { outlookOf } from './endpointOutlook.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
+import { RunTimes } from './runTimes.js'
 import { STALL_SLOWNESS, slownessOf, healthyRunMs } from './speed.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
@@ -32,6 +33,9 @@
 /** How long a computed capacity total is reused; fronts request it many times per tick. */
 const CAPACITY_CACHE_MS = 20
 
+/** Standard deviations below the expected run time that a job's latest start allows for. */
+const LOW_RUN_TIME_DEVIATIONS = 0.5
+
 /** A planned start whose capacity is reserved in the current placement round. */
 interface PlannedStart {
   readonly step: OwnedStep
@@ -51,6 +55,7 @@
 export class ExecutionDecider implements RunListener {
   readonly db = new ExecutionDb()
   readonly admission = new AdmissionDecider<OwnedJob>()
+  readonly runTimes = new RunTimes()
   private startRoundNeeded = false
   private nextReassessmentAt = ms(0)
   private cachedCapacity: { readonly at: Ms, readonly capacity: ShardCapacity } | undefined
@@ -247,9 +252,10 @@
   private makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): OwnedJob {
     const { now, cfg } = this.ctx
     const { queue, job } = order
-    const criticalPathMs = criticalPathOf(job.steps, this.admission.db.ratioOf(queue.name))
+    const runTimes = this.runTimes.of(queue.name)
+    const criticalPathMs = criticalPathOf(job.steps, estimateMs => runTimes.expectedMs(estimateMs))
+    const shortestPathMs = criticalPathOf(job.steps, estimateMs => runTimes.lowMs(estimateMs, LOW_RUN_TIME_DEVIATIONS))
     const sentAt = now - order.ageMs
-    const objective = objectiveOf(queue, criticalPathMs)
     const steps = makeSteps(order)
     const callerDeadline = ms(now + order.remainingMs)
     const owned: OwnedJob = {
@@ -267,8 +273,8 @@
       attempt: order.attempt,
       priority: queue.priority,
       criticalPathMs,
-      onTimeUntil: ms(sentAt + objective),
-      usefulUntil: ms(Math.min(callerDeadline, sentAt + objective * cfg.usefulFactor)),
+      latestStart: ms(sentAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
+      usefulUntil: ms(Math.min(callerDeadline, sentAt + objectiveOf(queue, criticalPathMs) * cfg.usefulFactor)),
       hasStarted: () => owned.firstStartAt !== undefined,
       waitingWork: () => this.waitingWorkOf(owned),
       demand: () => this.demandOf(owned)
@@ -472,11 +478,11 @@
     const ranMs = this.ctx.now - run.startedAt
     this.placement.recordCompletion(run.endpoint, ranMs / healthyRunMs(step, run, this.expectedMs(job, step)))
     step.finishedRunMs.push(ranMs)
-    if (!this.placement.isQuarantined(run.endpoint)) this.admission.db.recordRatio(job.order.queue.name, ranMs / Math.max(1, step.spec.estimateMs))
+    if (!this.placement.isQuarantined(run.endpoint)) this.runTimes.of(job.order.queue.name).record(step.spec.estimateMs, ranMs)
   }
 
   private expectedMs (job: OwnedJob, step: OwnedStep): number {
-    return step.spec.estimateMs * this.admission.db.ratioOf(job.order.queue.name)
+    return this.runTimes.of(job.order.queue.name).expectedMs(step.spec.estimateMs)
   }
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
@@ -523,12 +529,18 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
-    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.onTimeUntil })
+    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.actualObjective(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
     this.forget(job)
   }
 
+  /** @returns the latency objective that follows from the run times of the job's tasks, as far as they are known */
+  private actualObjective ({ order, steps }: OwnedJob): Ms {
+    const ranMs = steps.map(step => step.finishedRunMs.length > 0 ? Math.max(...step.finishedRunMs) : step.spec.estimateMs)
+    return objectiveOf(order.queue, criticalPathOf(order.job.steps, (_, index) => ranMs[index] ?? 0))
+  }
+
   private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost' | 'unconfirmed'): void {
     this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined })
     this.stopRuns(job)
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -61,7 +61,7 @@
       queue,
       receivedAt: now,
       callerDeadline: ms(now + deadlineMs),
-      usefulUntil: ms(now + objectiveOf(queue, criticalPathOf(request.steps, 1)) * cfg.usefulFactor),
+      usefulUntil: ms(now + objectiveOf(queue, criticalPathOf(request.steps, estimateMs => estimateMs)) * cfg.usefulFactor),
       calls: new Set(),
       declinedBy: new Set(),
       retryAfterMs: NO_OWNER_RETRY_MS,
@@ -172,7 +172,7 @@
     const { now, cfg } = this.ctx
     if (this.leavingSince === undefined) return true
     const elapsedMs = now - this.leavingSince
-    return elapsedMs <= cfg.leaveAcceptMs && elapsedMs + LEAVING_WAIT_MS + criticalPathOf(request.steps, LEAVING_ESTIMATE_FACTOR) <= cfg.leaveMs
+    return elapsedMs <= cfg.leaveAcceptMs && elapsedMs + LEAVING_WAIT_MS + criticalPathOf(request.steps, estimateMs => estimateMs * LEAVING_ESTIMATE_FACTOR) <= cfg.leaveMs
   }
 
   private place (job: FrontedJob): void {
