--- /dev/null
+++ b/packages/bench/src/load/load.spec.ts
@@ -0,0 +1,91 @@
+import { expect } from 'chai'
+import { fileURLToPath } from 'node:url'
+import { planJobs } from './arrivals.js'
+import { playLoad } from './loadRun.js'
+import type { PlayedJob } from './loadRun.js'
+import { POLICIES } from './policies.js'
+import { playReference } from './reference.js'
+import { readShape } from './shape.js'
+import type { LoadShape } from './shape.js'
+import { summarize } from './summary.js'
+import type { Summary } from './summary.js'
+
+const SHAPE_FOLDER = new URL('../../../../examples/load/', import.meta.url)
+const SEED = 1
+
+const shapeOf = (name: string): LoadShape => readShape(fileURLToPath(new URL(`${name}.toml`, SHAPE_FOLDER)))
+
+function playWithout (name: string, shape: LoadShape): Summary {
+  const policy = POLICIES.find(entry => entry.name === name)
+  if (policy === undefined) throw new Error(`no policy is named ${name}`)
+  const undo = policy.apply()
+  try {
+    return summarize(playLoad(shape, SEED).jobs)
+  } finally {
+    undo()
+  }
+}
+
+/** The jobs that arrived within some seconds of the run. */
+const within = (jobs: readonly PlayedJob[], fromS: number, toS: number): PlayedJob[] => jobs.filter(({ planned: { atMs } }) => atMs >= fromS * 1000 && atMs < toS * 1000)
+
+describe('the load player', function () {
+  this.timeout(120_000)
+
+  it('gives the same result for the same seed', () => {
+    const shape = { ...shapeOf('busy'), durationS: 5 }
+    const [first, second] = [playLoad(shape, SEED), playLoad(shape, SEED)].map(run => JSON.stringify(summarize(run.jobs)))
+    expect(first).to.equal(second)
+  })
+
+  it('rejects a shape with a field that it does not know, and names its line', () => {
+    expect(() => readShape(fileURLToPath(new URL('../../../bantay/entry-1.toml', SHAPE_FOLDER)))).to.throw(/entry-1\.toml:\d+: /)
+  })
+
+  it('has a reference that serves nearly everything where the capacity suffices', () => {
+    const shape = shapeOf('busy')
+    const jobs = planJobs(shape, SEED)
+    expect(playReference(shape, jobs).size / jobs.length).to.be.greaterThan(0.95)
+  })
+})
+
+describe('what callers get', function () {
+  this.timeout(120_000)
+
+  it('under a load near the capacity: few late answers and refusals, for every kind and for wide jobs too', () => {
+    const run = playLoad(shapeOf('busy'), SEED)
+    const { all, byKind, widest } = summarize(run.jobs)
+    expect(run.violations).to.deep.equal([])
+    expect(all.late + all.refused + all.failed).to.be.below(0.1)
+    for (const shares of Object.values(byKind)) expect(shares.value).to.be.greaterThan(0.8)
+    for (const [kind, shares] of Object.entries(widest)) expect(shares.onTime + shares.late).to.be.greaterThan((byKind[kind]?.onTime ?? 1) / 2)
+  })
+
+  it('in a burst that exceeds the capacity: excess jobs are refused at once and the others served on time, where a queue would make all late', () => {
+    const shape = shapeOf('burst')
+    const run = playLoad(shape, SEED)
+    const { all, byKind, byDomain } = summarize(run.jobs)
+    expect(run.violations).to.deep.equal([])
+    expect(all.late).to.be.below(0.1)
+    for (const shares of [...Object.values(byKind), ...Object.values(byDomain)]) expect(shares.value).to.be.greaterThan(0.8)
+    const refused = run.jobs.filter(job => job.result === 'refused').map(job => job.latencyMs ?? Infinity).sort((a, b) => a - b)
+    expect(refused[Math.floor(refused.length / 2)]).to.be.below(100)
+    const afterwards = summarize(within(run.jobs, 15, 30)).all
+    expect(afterwards.onTime).to.be.greaterThan(0.95)
+    const queueing = playWithout('declines', shape)
+    expect(all.value - queueing.all.value).to.be.greaterThan(0.05)
+  })
+
+  it('after the return of all instances: the backlog does not make the jobs late that arrive afterwards', () => {
+    const run = playLoad(shapeOf('return'), SEED)
+    expect(run.violations).to.deep.equal([])
+    expect(summarize(within(run.jobs, 17, 25)).all.onTime).to.be.greaterThan(0.9)
+  })
+
+  it('from instances that restart while the store is down: no refusal for want of a desired state once a peer has one', () => {
+    const run = playLoad(shapeOf('outage-restart'), SEED)
+    expect(run.violations).to.deep.equal([])
+    const refusals = run.fleet.logs.filter(({ event, fields }) => event === 'job.refused' && 'cause' in fields && fields.cause === 'noDesiredState')
+    expect(refusals.length / run.jobs.length).to.be.below(0.01)
+  })
+})
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -44,6 +44,8 @@
 const CALLER_DELAY_MS = 3
 /** How often a caller sends a job whose submissions get neither an outcome nor a refusal. */
 const ATTEMPTS_MAX = 4
+/** An instance addresses a seed, whose name it does not know, by this and the address; here an address is the instance's name. */
+const SEED_PREFIX = /^seed /
 const DEFAULT_DEADLINE_MS = 6000
 const DEFAULT_QUEUE: QueueTerms = { name: 'q' as QueueName, host: 'queue.example', prefix: '/q/', service: SERVICE, priority: 0, maxAttempts: 4, stretch: 1.6, latencyObjectiveMs: ms(60), needsAdvice: false }
 
@@ -308,7 +310,7 @@
 
   private makeCore (name: InstanceId, domain: FailureDomain, incarnation: number): ShardInstance {
     const cfg = { ...SHARD_DEFAULTS, ...this.options.cfg }
-    return new ShardInstance({ self: { instance: name, incarnation, failureDomain: domain, address: name, cpuMilli: name.endsWith('-1') ? STRONG_CPU_MILLI : WEAK_CPU_MILLI }, cfg })
+    return new ShardInstance({ self: { instance: name, incarnation, failureDomain: domain, address: name, cpuMilli: name.endsWith('-1') ? STRONG_CPU_MILLI : WEAK_CPU_MILLI }, cfg, seeds: this.options.domains.map(seedDomain => `${seedDomain}-0`) })
   }
 
   private process (name: InstanceId): Process {
@@ -451,10 +453,10 @@
   }
 
   private deliver (process: Process, to: InstanceId, message: ShardMessage): void {
-    const target = this.process(to)
+    const target = this.process(to.replace(SEED_PREFIX, '') as InstanceId)
     this.onMessage(process.name, to, message)
-    if (this.isCut(process.name, to)) return
-    const delayMs = this.linkDelayMs(process.name, to)
+    if (this.isCut(process.name, target.name)) return
+    const delayMs = this.linkDelayMs(process.name, target.name)
     this.time.after(delayMs, () => {
       if (target.up) this.post(target, { type: 'peer', from: process.name, message })
       else this.postLater(process, delayMs, () => ({ type: 'sendFailed', to, message }))
--- /dev/null
+++ b/packages/core/src/introduction/introductionDecider.ts
@@ -0,0 +1,70 @@
+/**
+ * Decides whom a newly started instance asks for the owners of shards and for the desired state. Both normally come from
+ * the store. While the store is down or does not serve this instance, any peer that has them will do: the seeds that the
+ * settings name are asked in turn, and peers that send a message themselves. This ends as soon as the instance
+ * can serve callers; from then on the usual pings keep it informed.
+ */
+import type { InstanceId, ShardMessage } from '@cranberryyard/protocol'
+import type { ShardContext } from '../shard/types.js'
+
+/** Pause before the next peer is asked; an answer takes a round trip and the peer's next tick. */
+const ASK_INTERVAL_MS = 150
+/** Minimum time between two requests for the desired state, of which a copy may take long on a slow link. */
+const STATE_REQUEST_INTERVAL_MS = 600
+
+/** What this instance still lacks before it can serve callers. */
+export interface Missing {
+  readonly desiredState: boolean
+  readonly owner: boolean
+}
+
+/** Returns what is missing at present. */
+export type GetMissing = () => Missing
+
+/** Asks peers for what a new instance lacks. */
+export class IntroductionDecider {
+  /** Addresses to ask, in turn. */
+  private readonly addresses: string[]
+  private nextIndex = 0
+  private askedAt = -Infinity
+  private stateRequestedAt = -Infinity
+
+  /** @param seeds - addresses of instances that may be stale, down or this instance's own */
+  constructor (private readonly ctx: ShardContext, seeds: readonly string[], private readonly missing: GetMissing, private readonly desiredVersion: () => number) {
+    this.addresses = seeds.filter(address => address !== ctx.self.address)
+  }
+
+  /** Returns whether this instance still depends on what peers tell it. */
+  isPending (): boolean {
+    const { desiredState, owner } = this.missing()
+    return desiredState || owner
+  }
+
+  /** A peer sent its address, so it can be asked as well; it is up, so it comes next. */
+  peerHeard (address: string): void {
+    if (address === '' || this.addresses.includes(address) || !this.isPending()) return
+    this.addresses.splice(this.nextIndex, 0, address)
+  }
+
+  /** Asks the next peer when the last one has had time to answer. */
+  tick (): void {
+    const { now, self } = this.ctx
+    if (this.addresses.length === 0 || now - this.askedAt < ASK_INTERVAL_MS || !this.isPending()) return
+    const address = this.addresses[this.nextIndex++ % this.addresses.length] as string
+    this.nextIndex %= this.addresses.length
+    this.askedAt = now
+    this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
+    if (!this.missing().desiredState || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return
+    this.stateRequestedAt = now
+    this.send(address, { type: 'desiredRequest' })
+  }
+
+  private send (address: string, message: ShardMessage): void {
+    this.ctx.out.push({ type: 'send', to: seedName(address), address, message })
+  }
+}
+
+/** Returns the name under which an instance is addressed whose own name is not known yet. */
+function seedName (address: string): InstanceId {
+  return `seed ${address}` as InstanceId
+}
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -10,6 +10,7 @@
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import { ExecutionDecider } from '../execution/executionDecider.js'
 import type { FrontSession } from '../execution/types.js'
+import { IntroductionDecider } from '../introduction/introductionDecider.js'
 import { IntakeDecider } from '../intake/intakeDecider.js'
 import { OwnershipDecider } from '../ownership/ownershipDecider.js'
 import { PlacementDecider } from '../placement/placementDecider.js'
@@ -25,6 +26,8 @@
 export interface ShardInstanceOptions {
   readonly self: ShardSelf
   readonly cfg: ShardSettings
+  /** Addresses of instances to ask for owners and the desired state while the store does not answer. */
+  readonly seeds?: readonly string[]
 }
 
 /** Holds the decisions of one instance and passes inputs to them. */
@@ -37,6 +40,7 @@
   readonly execution: ExecutionDecider
   readonly endpoints: EndpointsDecider
   readonly intake: IntakeDecider
+  readonly introduction: IntroductionDecider
   private readonly endpointList: EndpointList
   private lastInputAt: Ms | undefined
   private lastInputWallTime: Ms | undefined
@@ -47,7 +51,7 @@
   private listPace: ListPace = 'near'
   private registeredAt: Ms = ms(0)
 
-  constructor ({ self, cfg }: ShardInstanceOptions) {
+  constructor ({ self, cfg, seeds = [] }: ShardInstanceOptions) {
     this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0) }
     const { ctx } = this
     this.sessions = new SessionsDecider(ctx, () => this.desired.db.version(), {
@@ -69,6 +73,7 @@
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, (to, message) => this.deliver(to, message))
+    this.introduction = new IntroductionDecider(ctx, seeds, () => ({ desiredState: this.desired.db.state === undefined, owner: !this.hasLiveOwner() }), () => this.desired.db.version())
   }
 
   /**
@@ -129,14 +134,16 @@
   private receive (from: InstanceId, message: ShardMessage): void {
     if (from !== this.ctx.self.instance) {
       const incarnation = 'incarnation' in message ? message.incarnation : undefined
-      this.sessions.messageReceived(from, incarnation, 'address' in message ? message.address : '')
+      const address = 'address' in message ? message.address : ''
+      this.sessions.messageReceived(from, incarnation, address)
+      this.introduction.peerHeard(address)
     }
     switch (message.type) {
       case 'ping': return this.receivePing(from, message.incarnation, message.desiredVersion)
       case 'pong':
         this.sessions.db.learnOwned(from, message.owned)
         this.desired.peerVersionReceived(from, message.desiredVersion)
-        if (this.ownsLocalDomain(from)) this.sessions.db.learnOthers(message.others, this.ctx.now)
+        if (this.ownsLocalDomain(from) || this.introduction.isPending()) this.sessions.db.learnOthers(message.others, this.ctx.now)
         for (const { failureDomain } of [...message.owned, ...message.others]) this.intake.ownerKnown(failureDomain)
         return
       case 'announce':
@@ -165,6 +172,7 @@
   private tick (): void {
     const fronts = this.execution.frontInstances()
     this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.usesOwnedShard && this.expectsPingsFrom(peer.instance)))
+    this.introduction.tick()
     this.desired.tick()
     this.ownership.tick()
     this.endpoints.tick()
@@ -183,10 +191,23 @@
       if (failureDomain === self.failureDomain) targets.set(owner, cfg.pingMs)
       else if (!targets.has(owner) && (pingsAllOwners || ownersInUse.has(owner) || sessions.isLost(owner))) targets.set(owner, cfg.remotePingMs)
     }
+    for (const instance of this.lostMembers()) targets.set(instance, cfg.remotePingMs)
     targets.delete(self.instance)
     return targets
   }
 
+  /**
+   * Returns the lost instances of the own domain, if this instance owns its shard. Its pings tell an instance that restarts
+   * while the store is down whom to ask.
+   */
+  private lostMembers (): InstanceId[] {
+    const { self } = this.ctx
+    if (!this.ownership.db.owned.has(self.failureDomain)) return []
+    return [...this.ownership.db.members.values()]
+      .filter(member => member.failureDomain === self.failureDomain && this.sessions.isLost(member.instance))
+      .map(member => member.instance)
+  }
+
   /**
    * Returns whether pings from the instance must keep arriving. Fronts of the own domain ping its owner as long as both are
    * live, but they stop pinging an instance that no longer owns the shard.
@@ -216,13 +237,18 @@
     this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version() })
   }
 
-  /** Returns the shards of other domains whose owners send messages to this owner directly. */
+  /**
+   * Returns the shards of others that this instance knows to have a live owner: as an owner, those whose owners send messages to
+   * it directly; otherwise all, since only an instance that has just started asks for them.
+   */
   private otherShards (): OtherShard[] {
     const { db } = this.sessions
     const others: OtherShard[] = []
     for (const { failureDomain, owner, token, load, disowned } of db.shards.values()) {
       const peer = db.peers.get(owner)
-      if (disowned || peer === undefined || peer.lost || peer.lastReceivedAt === undefined || this.ownership.db.owned.has(failureDomain)) continue
+      if (disowned || peer === undefined || this.ownership.db.owned.has(failureDomain)) continue
+      const isLive = this.ownership.owns() ? !peer.lost && peer.lastReceivedAt !== undefined : this.sessions.isLive(owner)
+      if (!isLive) continue
       others.push({ failureDomain, owner, address: peer.address, token, load })
     }
     return others
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -38,6 +38,8 @@
 export interface ShardDaemonOptions {
   readonly self: ShardSelf
   readonly cfg: ShardSettings
+  /** Addresses of peers to ask at start while the store does not answer. */
+  readonly seeds: readonly string[]
   readonly listen: {
     readonly callers: ListenAddress
     readonly readiness: ListenAddress
@@ -62,9 +64,9 @@
   private resolveDrained: () => void = () => {}
 
   constructor (private readonly options: ShardDaemonOptions) {
-    const { self, cfg, wires, clock, random } = options
+    const { self, cfg, seeds, wires, clock, random } = options
     const post = (input: ShardInput): void => this.post(input)
-    this.core = new ShardInstance({ self, cfg })
+    this.core = new ShardInstance({ self, cfg, seeds })
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
     this.links = new LinkTask(self.instance, post, (peer, why) => this.log.write('warn', 'link.broken', { peer, why }))
     this.orders = new OrderTask(wires.endpoints, post)
