--- a/packages/fakes/src/endpointFake.ts
+++ b/packages/fakes/src/endpointFake.ts
@@ -97,9 +97,10 @@
     this.wakeTimer = setTimeout(() => this.advanceModel(), Math.min(0x7fffffff, Math.max(0, next - performance.now())))
   }
 
+  /** A timer may fire shortly before the time for which it was set. The model ends nothing early then, and the timer is set again. */
   private advanceModel (): void {
     this.wakeTimerDueAt = Infinity
-    this.model.advance(performance.now() + 0.5)
+    this.model.advance(performance.now())
     this.armWakeTimer()
   }
 }
