--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -19,6 +19,8 @@
   private lastFreshAt: Ms | undefined
   private firstReadAt: Ms | undefined
   private completeSince: Ms | undefined
+  /** When an endpoint of the failure domain was last removed. */
+  private readonly removedAt = new Map<FailureDomain, Ms>()
 
   constructor (private readonly ctx: ShardContext, private readonly onRemoved: (id: EndpointId) => void) {}
 
@@ -35,6 +37,19 @@
     return this.completeSince
   }
 
+  /**
+   * Returns whether an endpoint of the failure domain was removed after the given time. It may still exist and run tasks: its entry may
+   * have lapsed twice, at the times at which the list was read.
+   */
+  removedAfter (failureDomain: FailureDomain, time: number): boolean {
+    return (this.removedAt.get(failureDomain) ?? -Infinity) > time
+  }
+
+  /** Returns whether no endpoint is known, as before the first list. */
+  isEmpty (): boolean {
+    return this.entries.size === 0
+  }
+
   /** Returns the endpoints of a failure domain. */
   inFailureDomain (failureDomain: FailureDomain): EndpointReport[] {
     return [...this.entries.values()].map(entry => entry.report).filter(report => report.failureDomain === failureDomain)
@@ -77,6 +92,7 @@
     const missingMs = now - entry.missingSince
     if (missingMs < cfg.missingEndpointRetentionMs) return
     this.entries.delete(id)
+    this.removedAt.set(entry.report.failureDomain, now)
     out.log('endpoint.gone', { endpoint: id, failureDomain: entry.report.failureDomain, missingMs: Math.round(missingMs) })
     this.onRemoved(id)
   }
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -269,7 +269,7 @@
 
   private applyListing (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
     const { now, out } = this.ctx
-    if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing.bornAt)
+    if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
     endpoint.bornAt = listing.bornAt
     endpoint.clockOffset = listing.clock - now
@@ -339,22 +339,33 @@
     }
   }
 
-  private endpointRestarted (endpoint: LedgerEndpoint, bornAt: number): void {
+  /**
+   * Reports the runs of the earlier incarnation as lost, but not a run whose start is unanswered: the order may have been, or
+   * may still be, carried out by the new incarnation, whose clock makes it valid for longer.
+   */
+  private endpointRestarted (endpoint: LedgerEndpoint, { bornAt, clock }: EndpointListing): void {
     const { out, now } = this.ctx
     out.count('shard.endpoints.reborn')
     out.log('endpoint.reborn', { endpoint: endpoint.id, bornAt, before: endpoint.bornAt, runs: endpoint.runs.size }, 'warn')
-    const hasUnansweredStart = [...endpoint.runs.values()].some(run => run.state === 'ordered')
-    if (hasUnansweredStart) endpoint.startsBlockedUntil = ms(now + LATE_ORDER_MS)
     endpoint.acknowledged = 0
-    this.reportRunsLost(endpoint)
+    for (const run of [...endpoint.runs.values()]) {
+      if (run.state === 'ordered') {
+        run.notAfter = (clock + LATE_ORDER_MS) as EndpointClockMs
+        endpoint.startsBlockedUntil = ms(now + LATE_ORDER_MS)
+      } else {
+        this.reportRunLost(endpoint, run)
+      }
+    }
   }
 
   private reportRunsLost (endpoint: LedgerEndpoint): void {
-    for (const run of [...endpoint.runs.values()]) {
-      this.db.removeRun(endpoint, run)
-      this.ctx.out.count('shard.tasks.lost')
-      this.listener.runLost(run)
-    }
+    for (const run of [...endpoint.runs.values()]) this.reportRunLost(endpoint, run)
+  }
+
+  private reportRunLost (endpoint: LedgerEndpoint, run: LedgerRun): void {
+    this.db.removeRun(endpoint, run)
+    this.ctx.out.count('shard.tasks.lost')
+    this.listener.runLost(run)
   }
 
   private sendStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
--- a/packages/core/src/introduction/introductionDecider.ts
+++ b/packages/core/src/introduction/introductionDecider.ts
@@ -4,9 +4,11 @@
  * settings name are asked in turn, and peers that send a message themselves. This ends as soon as the instance
  * can serve callers; from then on the usual pings keep it informed.
  */
-import type { InstanceId, ShardMessage } from '@cranberryyard/protocol'
+import type { InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 
+/** Time that the store has to answer a new instance before it asks a peer. */
+const STORE_ANSWER_MS = 150
 /** Pause before the next peer is asked; an answer takes a round trip and the peer's next tick. */
 const ASK_INTERVAL_MS = 150
 /** Minimum time between two requests for the desired state, of which a copy may take long on a slow link. */
@@ -16,6 +18,8 @@
 export interface Missing {
   readonly desiredState: boolean
   readonly owner: boolean
+  /** The records of members and shards, without which it cannot become an owner. */
+  readonly records: boolean
 }
 
 /** Returns what is missing at present. */
@@ -26,6 +30,7 @@
   /** Addresses to ask, in turn. */
   private readonly addresses: string[]
   private nextIndex = 0
+  private startedAt: Ms | undefined
   private askedAt = -Infinity
   private stateRequestedAt = -Infinity
 
@@ -36,8 +41,8 @@
 
   /** Returns whether this instance still depends on what peers tell it. */
   isPending (): boolean {
-    const { desiredState, owner } = this.missing()
-    return desiredState || owner
+    const { desiredState, owner, records } = this.missing()
+    return desiredState || owner || records
   }
 
   /** A peer sent its address, so it can be asked as well; it is up, so it comes next. */
@@ -49,14 +54,17 @@
   /** Asks the next peer when the last one has had time to answer. */
   tick (): void {
     const { now, self } = this.ctx
+    this.startedAt ??= now
+    if (now - this.startedAt < STORE_ANSWER_MS) return
     if (this.addresses.length === 0 || now - this.askedAt < ASK_INTERVAL_MS || !this.isPending()) return
     const address = this.addresses[this.nextIndex++ % this.addresses.length] as string
     this.nextIndex %= this.addresses.length
     this.askedAt = now
     this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
-    if (!this.missing().desiredState || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return
+    const { desiredState, records } = this.missing()
+    if ((!desiredState && !records) || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return
     this.stateRequestedAt = now
-    this.send(address, { type: 'desiredRequest' })
+    this.send(address, { type: 'desiredRequest', introduce: records })
   }
 
   private send (address: string, message: ShardMessage): void {
--- a/packages/core/src/ownership/ownershipDb.ts
+++ b/packages/core/src/ownership/ownershipDb.ts
@@ -6,18 +6,35 @@
 import type { FailureDomain, FencingToken, InstanceId, MemberRecord, Revised, ShardRecord } from '@cranberryyard/protocol'
 import type { Ownership, PendingClaim } from './types.js'
 
-/** Number of fencing tokens that one revision of a record provides: one for its owner and one for each successor. */
+/** Number of fencing tokens that one revision of a record provides, for all takeovers until the record is written again. */
 const TOKENS_PER_RECORD = 64
 
 /**
  * Computes the fencing token for a rank in a record. All tokens of a later revision are higher than those of earlier ones.
  * @param revision - the record's revision in the store
- * @param rank - 0 for the owner, 1 and up for its successors, in order
+ * @param rank - 0 for the owner, 1 and up for takeovers and handovers without a new record, see `nextRank`
  */
 export function tokenOf (revision: number, rank: number): FencingToken {
   return (revision * TOKENS_PER_RECORD + Math.min(rank, TOKENS_PER_RECORD - 1)) as FencingToken
 }
 
+/**
+ * Computes the rank with which an instance takes over a shard without a new record. The ranks of the instances in a record
+ * alternate: with n instances, the one at position p has p, p + n, p + 2n and so on, so no two instances ever have the same token.
+ * @param record - the latest record of the shard
+ * @param instance - the instance that takes over
+ * @param known - highest token known to have been in use
+ * @returns undefined when the record does not name the instance, or when its ranks are used up
+ */
+export function nextRank ({ revision, value: { owner, successors } }: Revised<ShardRecord>, instance: InstanceId, known: number): number | undefined {
+  const position = owner.instance === instance ? 0 : successors.indexOf(instance) + 1
+  if (position === 0 && owner.instance !== instance) return undefined
+  for (let rank = position; rank < TOKENS_PER_RECORD; rank += successors.length + 1) {
+    if (tokenOf(revision, rank) > known) return rank
+  }
+  return undefined
+}
+
 /** Records from the store and the shards that this instance owns. */
 export class OwnershipDb {
   readonly members = new Map<InstanceId, MemberRecord>()
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -5,7 +5,7 @@
 import { SHARD_DEFAULTS } from '../shard/settings.js'
 import { ShardOutbox } from '../shard/types.js'
 import type { ShardContext, ShardEffect } from '../shard/types.js'
-import { tokenOf } from './ownershipDb.js'
+import { nextRank, tokenOf } from './ownershipDb.js'
 import { OwnershipDecider } from './ownershipDecider.js'
 
 const DOMAIN = 'd' as FailureDomain
@@ -76,6 +76,53 @@
     expect(tokenOf(41, 0)).to.be.greaterThan(tokenOf(40, 1))
   })
 
+  it('takes over without the store from a successor too, with tokens that no other instance of the record ever has', () => {
+    const shard = record(40, 'owner', 'me', 'other')
+    const tokensOf = (instance: string): number[] => {
+      const tokens: number[] = []
+      for (;;) {
+        const rank = nextRank(shard, instance as InstanceId, tokens.at(-1) ?? tokenOf(40, 0))
+        if (rank === undefined) return tokens
+        tokens.push(tokenOf(40, rank))
+      }
+    }
+    const all = ['owner', 'me', 'other'].flatMap(tokensOf)
+    expect(new Set(all).size).to.equal(all.length)
+    expect(Math.max(...all)).to.be.below(tokenOf(41, 0))
+    expect(tokensOf('stranger')).to.deep.equal([])
+    const { ctx, ownership, sessions, changes } = setUp()
+    ownership.recordsRead(members('me', 'other', 'owner'), [shard])
+    sessions.db.learnOwner({ failureDomain: DOMAIN, owner: 'other' as InstanceId, token: tokenOf(40, 2) })
+    sessions.connectionFailed('other' as InstanceId)
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'unavailable' })
+    expect(changes).to.deep.equal([`gained ${tokenOf(40, 4)}`])
+  })
+
+  it('does not take over without the store soon after an endpoint has refused its token: another instance owns the shard', () => {
+    const { ctx, ownership, changes } = setUp()
+    ownership.recordsRead(members('me', 'other'), [record(40, 'other', 'me')])
+    ownership.handoverReceived(DOMAIN, 40, 1)
+    ownership.superseded(DOMAIN)
+    expect(changes.at(-1)).to.match(/^lost/)
+    ctx.now = ms(ctx.now + SHARD_DEFAULTS.reclaimMs)
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'unavailable' })
+    expect(changes.at(-1)).to.match(/^lost/)
+  })
+
+  it('starts anew when the shard is handed back to it that it did not know to be lost', () => {
+    const { ctx, ownership, changes } = setUp()
+    ownership.recordsRead(members('me', 'other'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    ownership.handoverReceived(DOMAIN, 40, 2)
+    expect(changes.slice(1).map(change => change.split(' ')[0])).to.deep.equal(['lost', 'gained'])
+  })
+
   it('steps down for a newer record and waits before it claims the shard again', () => {
     const { ctx, ownership, sessions, changes } = setUp()
     ownership.recordsRead(members('me', 'other'), [])
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -7,9 +7,14 @@
 import type { FailureDomain, InstanceId, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import type { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { ClaimResult, ShardContext } from '../shard/types.js'
-import { OwnershipDb, tokenOf } from './ownershipDb.js'
+import { OwnershipDb, nextRank, tokenOf } from './ownershipDb.js'
 import type { OwnershipListener } from './types.js'
 
+/**
+ * After an endpoint refused its token, an instance does not take over without the store for this long. Another instance owns the
+ * shard, though it may be unreachable from here; only the store can tell when it is gone.
+ */
+const FENCED_PAUSE_MS = 10_000
 /** Minimum time between two writes of a record by its owner. It limits the writes when members join and leave often. */
 const MIN_REWRITE_INTERVAL_MS = 3000
 /** Minimum time before a claim is repeated that the store did not accept. */
@@ -32,6 +37,7 @@
   private vacantSince: Ms | undefined
   private leaving = false
   private reclaimAllowedAt = -Infinity
+  private rankTakeoverAllowedAt = -Infinity
 
   constructor (private readonly ctx: ShardContext, private readonly sessions: SessionsDecider, private readonly listener: OwnershipListener) {}
 
@@ -46,6 +52,11 @@
     for (const record of shards) this.applyRecord(record)
   }
 
+  /** Applies the records that a peer has read, unless this instance has read the store itself since it started. */
+  recordsLearned (members: readonly MemberRecord[], shards: readonly Revised<ShardRecord>[]): void {
+    if (!this.db.recordsRead) this.recordsRead(members.map(value => ({ revision: 0, value })), shards)
+  }
+
   /** Claims the shard of the own failure domain if it is vacant; otherwise, as its owner, keeps its record up to date. */
   tick (): void {
     const ownDomain = this.ctx.self.failureDomain
@@ -91,6 +102,8 @@
   handoverReceived (failureDomain: FailureDomain, revision: number, rank: number): void {
     const known = this.sessions.db.shards.get(failureDomain)
     if (this.leaving || (known !== undefined && known.token >= tokenOf(revision, rank))) return
+    // Another instance owned the shard in the meantime, so what this one knows of the endpoints and of their runs is out of date.
+    if (this.db.owned.has(failureDomain)) this.stepDown(failureDomain, 'handover', this.ctx.self.instance)
     this.acquire(failureDomain, revision, rank, 'handover')
   }
 
@@ -129,12 +142,14 @@
     const ownership = this.db.owned.get(failureDomain)
     const record = this.db.records.get(failureDomain)
     if (ownership === undefined || record === undefined || record.revision !== ownership.revision) return
-    const { successors } = record.value
-    const index = successors.findIndex((instance, i) => i + 1 > ownership.rank && this.sessions.isLive(instance) && isSuitable(instance))
-    const successor = successors[index]
-    if (successor === undefined) return
-    this.sessions.send(successor, { type: 'handover', failureDomain, revision: record.revision, rank: index + 1 })
-    this.stepDown(failureDomain, why, successor)
+    for (const instance of [...record.value.successors, record.value.owner.instance]) {
+      if (instance === this.ctx.self.instance || !this.sessions.isLive(instance) || !isSuitable(instance)) continue
+      const rank = nextRank(record, instance, ownership.token)
+      if (rank === undefined) continue
+      this.sessions.send(instance, { type: 'handover', failureDomain, revision: record.revision, rank })
+      this.stepDown(failureDomain, why, instance)
+      return
+    }
   }
 
   private applyRecord (record: Revised<ShardRecord>): void {
@@ -221,11 +236,10 @@
 
   private takeOverByRank (ownDomain: FailureDomain): void {
     const record = this.db.records.get(ownDomain)
-    if (record === undefined || this.db.owned.has(ownDomain) || this.leaving || !this.isVacant(ownDomain) || this.ctx.now < this.reclaimAllowedAt) return
-    const index = record.value.successors.indexOf(this.ctx.self.instance)
-    const known = this.sessions.db.shards.get(ownDomain)
-    if (index === -1 || (known !== undefined && known.token >= tokenOf(record.revision, index + 1))) return
-    this.acquire(ownDomain, record.revision, index + 1, 'storeDown')
+    if (record === undefined || this.db.owned.has(ownDomain) || this.leaving || !this.isVacant(ownDomain) || this.ctx.now < this.rankTakeoverAllowedAt) return
+    const known = Math.max(tokenOf(record.revision, 0), this.sessions.db.shards.get(ownDomain)?.token ?? 0)
+    const rank = nextRank(record, this.ctx.self.instance, known)
+    if (rank !== undefined) this.acquire(ownDomain, record.revision, rank, 'storeDown')
   }
 
   private recordWritten (failureDomain: FailureDomain, revision: number): void {
@@ -244,6 +258,8 @@
       ownership.token = token
       ownership.rank = rank
       ownership.revision = revision
+      // A successor may have started tasks meanwhile without this instance having noticed, so each endpoint has to answer again.
+      this.listener.ownershipGained(failureDomain, token)
     } else {
       this.db.owned.set(failureDomain, { failureDomain, token, rank, revision, since: now })
       out.count('shard.owner.takeovers')
@@ -269,6 +285,7 @@
     if (ownership === undefined) return
     this.db.owned.delete(failureDomain)
     this.reclaimAllowedAt = this.ctx.now + this.ctx.cfg.reclaimMs
+    this.rankTakeoverAllowedAt = why === 'fenced' ? this.ctx.now + FENCED_PAUSE_MS : this.reclaimAllowedAt
     this.vacantSince = undefined
     this.ctx.out.count('shard.owner.superseded')
     this.ctx.out.log('shard.released', { failureDomain, why, token: ownership.token, ownedMs: Math.round(this.ctx.now - ownership.since), successor }, 'warn')
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -8,7 +8,7 @@
 export interface Ownership {
   readonly failureDomain: FailureDomain
   token: FencingToken
-  /** Rank in the record: 0 for the owner named there, 1 and up for its successors. */
+  /** Rank in the record: 0 for the owner named there when it was written, higher ones after takeovers without a new record. */
   rank: number
   /** Revision of the record that the token is derived from. */
   revision: number
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -22,6 +22,9 @@
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
 
+/** An endpoint that was removed from the list within this time before a takeover may still run tasks of the earlier owner. */
+const REMOVED_ENDPOINT_DOUBT_MS = 5000
+
 /** Identity and settings of an instance. */
 export interface ShardInstanceOptions {
   readonly self: ShardSelf
@@ -73,7 +76,7 @@
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, (to, message) => this.deliver(to, message))
-    this.introduction = new IntroductionDecider(ctx, seeds, () => ({ desiredState: this.desired.db.state === undefined, owner: !this.hasLiveOwner() }), () => this.desired.db.version())
+    this.introduction = new IntroductionDecider(ctx, seeds, () => ({ desiredState: this.desired.db.state === undefined, owner: !this.hasLiveOwner(), records: !this.ownership.db.recordsRead }), () => this.desired.db.version())
   }
 
   /**
@@ -158,11 +161,26 @@
       case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain)
       case 'moved': return this.intake.shardMoved(from, message.failureDomain, message.progress)
       case 'handover': return this.ownership.handoverReceived(message.failureDomain, message.revision, message.rank)
-      case 'desiredRequest': return this.desired.stateRequested(from)
+      case 'desiredRequest': return this.receiveDesiredRequest(from, message.introduce === true)
+      case 'introduction': return this.receiveIntroduction(message)
       case 'desired': return this.desired.adopt(message.state, from)
     }
   }
 
+  private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
+    this.desired.stateRequested(from)
+    const { members, records, recordsRead } = this.ownership.db
+    if (!introduce || !recordsRead) return
+    const failureDomain = members.get(from)?.failureDomain
+    const endpoints = failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
+    this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints })
+  }
+
+  private receiveIntroduction ({ members, shards, endpoints }: Extract<ShardMessage, { type: 'introduction' }>): void {
+    this.ownership.recordsLearned(members, shards)
+    if (this.endpointList.isEmpty()) this.applyReports(endpoints, false)
+  }
+
   /** Delivers a message to a peer. One to this instance itself is handled directly, without a connection. */
   private deliver (to: InstanceId, message: ShardMessage): void {
     if (to !== this.ctx.self.instance) this.sessions.send(to, message)
@@ -289,7 +307,9 @@
     if (owned === undefined || knownInFullSince === undefined) return false
     const since = Math.max(owned.since, knownInFullSince)
     if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
-    if (freshAt === undefined || freshAt < owned.since) return false
+    // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
+    if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
+    if (this.endpointList.removedAfter(failureDomain, owned.since - REMOVED_ENDPOINT_DOUBT_MS)) return false
     return this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
   }
 
--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -8,6 +8,7 @@
 const QUEUE = { name: 'q', host: 'h', prefix: '/q/', service: 's', priority: 0, maxAttempts: 2, stretch: 1.5, latencyObjectiveMs: 50, needsAdvice: false }
 const STEP = { count: 2, needs: { cpuMilli: 1, memoryMb: 1, accelerators: 0 }, estimateMs: 10, after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }
 const ORDER = { job: { id: '1', spec: '', steps: [STEP], features: [] }, queue: QUEUE, ageMs: 1, remainingMs: 100, attempt: 1, resumed: false, done: ['0.0'] }
+const MEMBER = { instance: 'a', incarnation: 1, failureDomain: 'd', address: 'a:1', cpuMilli: 500 }
 const OWNED = { failureDomain: 'd', token: 64, load: { waitMs: 0, busyShare: 0.5 } }
 
 /** One valid message of each type. */
@@ -24,6 +25,7 @@
   { type: 'moved', failureDomain: 'd', to: 'x', progress: [{ jobId: '1', done: ['0.1'] }] },
   { type: 'handover', failureDomain: 'd', revision: 3, rank: 1 },
   { type: 'desiredRequest' },
+  { type: 'introduction', members: [MEMBER], shards: [{ revision: 3, value: { failureDomain: 'd', owner: MEMBER, successors: ['b'] } }], endpoints: [{ id: 'e', service: 's', address: 'e:1', failureDomain: 'd', draining: false, capacity: { cpuMilli: 1000, memoryMb: 1, accelerators: 0 }, labels: ['r'], bornAt: 5 }] },
   { type: 'desired', state: { version: 4, queues: [QUEUE], services: [{ name: 's', guardsCapacity: false }] } }
 ]
 
@@ -54,6 +56,14 @@
     expect(incomplete.filter(message => isShardMessage(message as { type: string }))).to.deep.equal([])
   })
 
+  it('accepts messages with and without the fields that earlier versions do not send, but not with values of another type', () => {
+    expect(isShardMessage({ type: 'desiredRequest', introduce: true } as { type: string })).to.equal(true)
+    expect(isShardMessage({ type: 'desiredRequest', introduce: 1 } as { type: string })).to.equal(false)
+    const submit = VALID_MESSAGES.find(message => (message as { type: string }).type === 'submit') as unknown as { type: string, order: object }
+    expect(isShardMessage({ ...submit, order: { ...submit.order, lastChance: true } } as { type: string })).to.equal(true)
+    expect(isShardMessage({ ...submit, order: { ...submit.order, lastChance: 'yes' } } as { type: string })).to.equal(false)
+  })
+
   it('lets no message through that makes the decision logic throw, whatever value one of its fields has', () => {
     fc.assert(fc.property(fc.array(corruptedMessage, { minLength: 1, maxLength: 4 }), (messages) => {
       const instance = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -38,6 +38,8 @@
 const queue = object({ name: text, host: text, prefix: text, service: text, priority: finiteNumber, maxAttempts: nonNegativeInteger, stretch: nonNegative, latencyObjectiveMs: nonNegative, needsAdvice: flag })
 const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag) })
 const state = object({ version: nonNegativeInteger, queues: listOf(queue), services: listOf(object({ name: text, guardsCapacity: flag })) })
+const member = object({ instance: text, incarnation: nonNegativeInteger, failureDomain: text, address: text, cpuMilli: nonNegative })
+const endpoint = object({ id: text, service: text, address: text, failureDomain: text, draining: flag, capacity: resources, labels: listOf(text), bornAt: finiteNumber })
 const progress = object({ jobId: text, done: listOf(text) })
 
 const CHECKS: { readonly [T in ShardMessage['type']]: Checks<MessageOf<T>> } = {
@@ -52,7 +54,8 @@
   notOwner: { jobId: text, failureDomain: text },
   moved: { failureDomain: text, to: text, progress: listOf(progress) },
   handover: { failureDomain: text, revision: nonNegativeInteger, rank: nonNegativeInteger },
-  desiredRequest: {},
+  desiredRequest: { introduce: optional(flag) },
+  introduction: { members: listOf(member), shards: listOf(object({ revision: nonNegativeInteger, value: object({ failureDomain: text, owner: member, successors: listOf(text) }) })), endpoints: listOf(endpoint) },
   desired: { state }
 }
 
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -2,7 +2,7 @@
  * Messages between owners of shards (the endpoints of a failure domain) and fronts, the instances that accept jobs from
  * callers and forward them to owners. Member names are sent as they are.
  */
-import type { DesiredState, DispatchOrder, FencingToken, JobId } from './dispatch.js'
+import type { DesiredState, DispatchOrder, EndpointReport, FencingToken, JobId, MemberRecord, Revised, ShardRecord } from './dispatch.js'
 import type { FailureDomain, InstanceId } from './ids.js'
 import type { Ms } from './clock.js'
 
@@ -59,5 +59,8 @@
   | { readonly type: 'moved', readonly failureDomain: FailureDomain, readonly to: InstanceId, readonly progress: readonly JobProgress[] }
   /** The owner asks its successor to take over the shard immediately. */
   | { readonly type: 'handover', readonly failureDomain: FailureDomain, readonly revision: number, readonly rank: number }
-  | { readonly type: 'desiredRequest' }
+  /** `introduce`: the sender has just started and could not read the store; it wants an `introduction` too. Absent in earlier versions. */
+  | { readonly type: 'desiredRequest', readonly introduce?: boolean }
+  /** What a new instance needs to take part while the store does not answer: the records, and the endpoints of its failure domain. */
+  | { readonly type: 'introduction', readonly members: readonly MemberRecord[], readonly shards: readonly Revised<ShardRecord>[], readonly endpoints: readonly EndpointReport[] }
   | { readonly type: 'desired', readonly state: DesiredState }
