--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -153,6 +153,22 @@
     expect(changes.at(-1)).to.equal('lost to other')
   })
 
+  it('hands its shard to no successor that is about to end itself, until it has started anew', () => {
+    const { ctx, ownership, sessions, changes } = setUp()
+    ownership.recordsRead(members('me', 'ending', 'other'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    const successors = claim?.record.successors ?? []
+    for (const instance of successors) sessions.messageReceived(instance, 1, instance)
+    for (const instance of successors) sessions.pingReceived(instance, instance === successors[0])
+    expect(sessions.isLeaving(successors[0] as InstanceId)).to.equal(true)
+    ownership.leave()
+    expect(changes.at(-1)).to.equal(`lost to ${successors[1]}`)
+    sessions.messageReceived(successors[0] as InstanceId, 2, 'address')
+    expect(sessions.isLeaving(successors[0] as InstanceId)).to.equal(false)
+  })
+
   it('hands its shard to a live successor with clearly more processor time after owning it for a while', () => {
     const { ctx, ownership, sessions, changes } = setUp()
     const strong = { revision: 1, value: member('strong', 1, CPU_MILLI * 2) }
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -143,7 +143,7 @@
     const record = this.db.records.get(failureDomain)
     if (ownership === undefined || record === undefined || record.revision !== ownership.revision) return
     for (const instance of [...record.value.successors, record.value.owner.instance]) {
-      if (instance === this.ctx.self.instance || !this.sessions.isLive(instance) || !isSuitable(instance)) continue
+      if (instance === this.ctx.self.instance || !this.sessions.isLive(instance) || this.sessions.isLeaving(instance) || !isSuitable(instance)) continue
       const rank = nextRank(record, instance, ownership.token)
       if (rank === undefined) continue
       this.sessions.send(instance, { type: 'handover', failureDomain, revision: record.revision, rank })
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -32,7 +32,8 @@
       loadSentAt: undefined,
       connectionReplaced: false,
       usesOwnedShard: false,
-      lost: false
+      lost: false,
+      leaving: false
     }
     this.peers.set(instance, session)
     return session
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -22,6 +22,7 @@
 /** Sends messages to peers, pings them, and tracks whether they are live. */
 export class SessionsDecider {
   readonly db = new SessionsDb()
+  private leaving = false
 
   constructor (private readonly ctx: ShardContext, private readonly desiredVersion: GetDesiredVersion, private readonly listener: SessionListener) {}
 
@@ -37,7 +38,7 @@
     const peer = this.db.peer(from, address)
     const restarted = incarnation !== undefined && peer.incarnation !== 0 && incarnation !== peer.incarnation
     if (restarted) this.markLost(peer, 'otherLife')
-    if (incarnation !== undefined) peer.incarnation = incarnation
+    if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
     peer.lastReceivedAt = this.ctx.now
     peer.firstUnansweredPingAt = undefined
     peer.connectionReplaced = false
@@ -49,9 +50,22 @@
   }
 
   /** A ping arrived: the peer uses a shard that this instance owns, so its silence matters from now on. */
-  pingReceived (from: InstanceId): void {
+  pingReceived (from: InstanceId, leaving: boolean): void {
     const peer = this.db.peers.get(from)
-    if (peer !== undefined) peer.usesOwnedShard = true
+    if (peer !== undefined) Object.assign(peer, { usesOwnedShard: true, leaving })
+  }
+
+  /** Tells the owner of this instance's failure domain that this process ends soon, and from now on every peer that it pings. */
+  leave (): void {
+    this.leaving = true
+    const owner = this.db.shards.get(this.ctx.self.failureDomain)?.owner
+    const peer = owner === undefined || owner === this.ctx.self.instance ? undefined : this.db.peers.get(owner)
+    if (peer !== undefined) this.ping(peer)
+  }
+
+  /** Returns whether the peer's process is about to end, so that a shard must not be handed to it. */
+  isLeaving (instance: InstanceId): boolean {
+    return this.db.peers.get(instance)?.leaving === true
   }
 
   /** A connection to a peer could not be established: its process has ended or is cut off from the network. */
@@ -114,7 +128,7 @@
     const { now, self } = this.ctx
     peer.lastPingAt = now
     peer.firstUnansweredPingAt ??= now
-    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
+    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), ...this.leaving ? { leaving: true } : {} })
   }
 
   private checkSilence (peer: PeerSession): void {
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -24,6 +24,8 @@
   /** The peer uses a shard that this instance owns. */
   usesOwnedShard: boolean
   lost: boolean
+  /** The peer's process is about to end. */
+  leaving: boolean
 }
 
 /** A shard with its latest known owner. */
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -142,7 +142,7 @@
       this.introduction.peerHeard(address)
     }
     switch (message.type) {
-      case 'ping': return this.receivePing(from, message.incarnation, message.desiredVersion)
+      case 'ping': return this.receivePing(from, message)
       case 'pong':
         this.sessions.db.learnOwned(from, message.owned)
         this.desired.peerVersionReceived(from, message.desiredVersion)
@@ -272,8 +272,8 @@
     return others
   }
 
-  private receivePing (from: InstanceId, incarnation: number, desiredVersion: number): void {
-    this.sessions.pingReceived(from)
+  private receivePing (from: InstanceId, { incarnation, desiredVersion, leaving }: Extract<ShardMessage, { type: 'ping' }>): void {
+    this.sessions.pingReceived(from, leaving === true)
     this.execution.frontLost(from, incarnation)
     this.desired.peerVersionReceived(from, desiredVersion)
     this.sendLoad(from)
@@ -380,6 +380,7 @@
   private leave (): void {
     this.leaving = true
     this.intake.leave()
+    this.sessions.leave()
     this.ownership.leave()
   }
 
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -43,7 +43,7 @@
 const progress = object({ jobId: text, done: listOf(text) })
 
 const CHECKS: { readonly [T in ShardMessage['type']]: Checks<MessageOf<T>> } = {
-  ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger },
+  ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger, leaving: optional(flag) },
   pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text })), desiredVersion: nonNegativeInteger },
   announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber },
   submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -38,8 +38,11 @@
 
 /** Any message between fronts and owners. */
 export type ShardMessage =
-  /** From a front to an owner from which it has not received anything for a while. */
-  | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number }
+  /**
+   * From a front to an owner from which it has not received anything for a while. `leaving`: the front ends soon, so it is no
+   * successor; absent in earlier versions.
+   */
+  | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number, readonly leaving?: boolean }
   /** Answer to a ping; an owner also sends it along with its other messages to a front. */
   | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number }
   /** Announces a new owner. */
