Execution: estimates and start plans in files of their own; forecasts by service

Fault found while moving: the forecast counted endpoints and waiting jobs of other services; it counts those of the job's service now, with a test.

--- a/packages/core/src/admission/admissionDecider.spec.ts
+++ b/packages/core/src/admission/admissionDecider.spec.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai'
+import type { ServiceName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AdmissionDecider } from './admissionDecider.js'
 import { SlotForecast } from './slotForecast.js'
 import type { EndpointOutlook } from './slotForecast.js'
 import type { AdmissionInput, QueuedWork } from './types.js'
 
+const SERVICE = 's' as ServiceName
 const SLOT_CPU_MILLI = 10_000
 /** Ten idle endpoints with one slot each. */
 const IDLE: readonly EndpointOutlook[] = Array.from({ length: 10 }, () => ({ freeCpuMilli: SLOT_CPU_MILLI, ends: [] }))
@@ -13,7 +15,7 @@
 
 function makeInput (endpoints: readonly EndpointOutlook[], overrides: Partial<AdmissionInput> = {}): AdmissionInput {
   const now = ms(1000)
-  return { now, capacity: { totalCpuMilli: 100_000, freeCpuMilli: 0 }, forecast: cpuMilli => new SlotForecast(endpoints, cpuMilli, now), lastChance: false, lateCpuMilli: 0, ...overrides }
+  return { now, capacity: { totalCpuMilli: 100_000, freeCpuMilli: 0 }, forecast: (_service, cpuMilli) => new SlotForecast(endpoints, cpuMilli, now), lastChance: false, lateCpuMilli: 0, ...overrides }
 }
 
 interface NamedWork extends QueuedWork {
@@ -24,6 +26,7 @@
   const { tasks = 1, started = false, ...times } = overrides
   return {
     name,
+    service: SERVICE,
     priority: 0,
     criticalPathMs: ms(100),
     latestStart: ms(1100),
@@ -80,6 +83,14 @@
     expect(admission.decide(wide, makeInput(IDLE, { lastChance: true, lateCpuMilli: 50_000 })).type).to.equal('decline')
   })
 
+  it('does not count the jobs of another service, which run on other endpoints', () => {
+    const admission = new AdmissionDecider<NamedWork>()
+    for (let i = 0; i < 100; i++) admission.db.waiting.add(makeWork(`other ${i}`, { service: 'other' as ServiceName, latestStart: ms(1050) }))
+    expect(admission.decide(makeWork('new'), makeInput(IDLE))).to.deep.equal({ type: 'admit', late: false })
+    admission.db.waiting.add(makeWork('waits'))
+    expect(admission.jobsToDecline(makeInput(IDLE)).map(job => job.name)).not.to.include('waits')
+  })
+
   it('declines only the jobs of a burst that exceed the capacity, and never a job that may have run', () => {
     const admission = new AdmissionDecider<NamedWork>()
     // A start is on time until 1700, so seven rounds of ten jobs, which take 100 ms each, start in time, and the margin allows no eighth.
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -54,16 +54,14 @@
   jobsToDecline ({ now, forecast: makeForecast }: Pick<AdmissionInput, 'now' | 'forecast'>): T[] {
     const declined: T[] = []
     const order = this.inStartOrder(now)
-    const forecast = makeForecast(meanCpu(order))
-    for (const job of order) {
-      if (!job.mayHaveRun && (now > job.latestStart || job.admittedLate)) {
-        declined.push(job)
-        continue
+    for (const service of new Set(order.map(job => job.service))) {
+      const ofService = order.filter(job => job.service === service)
+      const forecast = makeForecast(service, meanCpu(ofService))
+      for (const job of ofService) {
+        const isTooLate = now > job.latestStart || job.admittedLate || forecast.peek(job.demand()) > job.latestStart
+        if (isTooLate && !job.mayHaveRun) declined.push(job)
+        else forecast.reserve(job.demand())
       }
-      const demand = job.demand()
-      if (job.mayHaveRun) forecast.reserve(demand)
-      else if (forecast.peek(demand) > job.latestStart) declined.push(job)
-      else forecast.reserve(demand)
     }
     return declined
   }
@@ -88,15 +86,15 @@
     const { tasks, cpuMilli } = job.demand()
     const isWithinShare = lateCpuMilli === 0 || lateCpuMilli + tasks * cpuMilli <= capacity.totalCpuMilli * LATE_SHARE_MAX
     if (!isWithinShare || this.db.waiting.size > 0 || lastStart + job.criticalPathMs > job.usefulUntil) return false
-    return makeForecast(cpuMilli).peek({ tasks: 1 }) <= now
+    return makeForecast(job.service, cpuMilli).peek({ tasks: 1 }) <= now
   }
 
   /** @returns when the last task of the job can start behind the jobs that are ahead of it */
   private forecastStart (job: QueuedWork, { now, forecast: makeForecast }: AdmissionInput): Ms {
     const demand = job.demand()
-    const forecast = makeForecast(demand.cpuMilli)
+    const forecast = makeForecast(job.service, demand.cpuMilli)
     for (const other of this.inStartOrder(now)) {
-      if (other !== job && this.compare(other, job, now) <= 0) forecast.reserve(other.demand())
+      if (other !== job && other.service === job.service && this.compare(other, job, now) <= 0) forecast.reserve(other.demand())
     }
     return forecast.reserve(demand)
   }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -2,7 +2,7 @@
  * Types of the admission decision: the deadlines and the waiting work of a job, and the capacity of a shard. Admission sees a
  * job only through these, without its steps, tasks and endpoints.
  */
-import type { Ms } from '@cranberryyard/protocol'
+import type { Ms, ServiceName } from '@cranberryyard/protocol'
 import type { Demand, SlotForecast } from './slotForecast.js'
 
 /** Deadlines and expected duration of a job; times are on this instance's clock. */
@@ -17,6 +17,7 @@
 
 /** What admission needs to know about a waiting job. */
 export interface QueuedWork extends JobTimes {
+  readonly service: ServiceName
   readonly priority: number
   /** Whether some task has started. The remaining tasks then take precedence, so that finished work is not wasted. */
   readonly hasStarted: () => boolean
@@ -30,8 +31,8 @@
   readonly admittedLate: boolean
 }
 
-/** Makes a forecast for tasks of the given size from the present state of the endpoints. */
-export type MakeForecast = (cpuMilli: number) => SlotForecast
+/** Makes a forecast for tasks of the given size from the present state of the service's endpoints. */
+export type MakeForecast = (service: ServiceName, cpuMilli: number) => SlotForecast
 
 /** What an owner knows when it admits or declines a job. */
 export interface AdmissionInput {
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -4,21 +4,22 @@
  * It combines three decisions that are kept apart so that each can be tested alone: admission (which jobs, in which order),
  * placement (which endpoint) and the endpoint ledger (which runs occupy which endpoint).
  */
-import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ShardMessage } from '@cranberryyard/protocol'
+import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
 import { SlotForecast } from '../admission/slotForecast.js'
-import type { Demand } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
-import { fits, freeCapacityOf, minus, plus } from '../endpoints/endpointsDb.js'
+import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerRun, RejectionReason, RunListener } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
-import { ExecutionDb, criticalPathOf, isReady, makeSteps, objectiveOf } from './executionDb.js'
+import { ExecutionDb } from './executionDb.js'
 import { outlookOf } from './endpointOutlook.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
-import { RunTimes } from './runTimes.js'
+import { JobEstimates } from './jobEstimates.js'
+import { planStarts } from './startPlan.js'
+import type { PlannedStart } from './startPlan.js'
 import { STALL_SLOWNESS, slownessOf, healthyRunMs } from './speed.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
@@ -33,16 +34,6 @@
 /** How long a computed capacity total is reused; fronts request it many times per tick. */
 const CAPACITY_CACHE_MS = 20
 
-/** Standard deviations below the expected run time that a job's latest start allows for. */
-const LOW_RUN_TIME_DEVIATIONS = 0.5
-
-/** A planned start whose capacity is reserved in the current placement round. */
-interface PlannedStart {
-  readonly step: OwnedStep
-  readonly task: OwnedTask
-  readonly candidate: Candidate
-}
-
 /** Outgoing calls of the execution decision, to fronts and to shard ownership. */
 export interface ExecutionPorts {
   sendToFront (front: FrontSession, message: ShardMessage): void
@@ -55,13 +46,15 @@
 export class ExecutionDecider implements RunListener {
   readonly db = new ExecutionDb()
   readonly admission = new AdmissionDecider<OwnedJob>()
-  readonly runTimes = new RunTimes()
+  private readonly estimates: JobEstimates
   private startRoundNeeded = false
   private nextReassessmentAt = ms(0)
   private cachedCapacity: { readonly at: Ms, readonly capacity: ShardCapacity } | undefined
   endpoints!: EndpointsDecider
 
-  constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly ports: ExecutionPorts) {}
+  constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly ports: ExecutionPorts) {
+    this.estimates = new JobEstimates(ctx)
+  }
 
   /** Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job. */
   submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): void {
@@ -76,7 +69,7 @@
       this.ports.sendToFront(front, { type: 'ended', jobId: id, outcome })
       return
     }
-    const job = this.makeJob(front, failureDomain, order)
+    const job = this.estimates.makeJob(front, failureDomain, order)
     if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
   }
 
@@ -237,7 +230,7 @@
     if (found === undefined || found.task.run !== run) return
     const step = found.job.steps[found.task.step]
     if (step === undefined) return
-    const slowness = slownessOf(step, run, this.expectedMs(found.job, step), this.ctx.now)
+    const slowness = slownessOf(step, run, this.estimates.expectedMs(found.job, step), this.ctx.now)
     if (slowness >= MOVE_SLOWNESS) this.moveIfFaster(found.job, step, found.task, run, slowness)
   }
 
@@ -249,70 +242,11 @@
     this.ports.superseded(failureDomain, token)
   }
 
-  private makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): OwnedJob {
-    const { now, cfg } = this.ctx
-    const { queue, job } = order
-    const runTimes = this.runTimes.of(queue.name)
-    const criticalPathMs = criticalPathOf(job.steps, estimateMs => runTimes.expectedMs(estimateMs))
-    const shortestPathMs = criticalPathOf(job.steps, estimateMs => runTimes.lowMs(estimateMs, LOW_RUN_TIME_DEVIATIONS))
-    const sentAt = now - order.ageMs
-    const steps = makeSteps(order)
-    const callerDeadline = ms(now + order.remainingMs)
-    const owned: OwnedJob = {
-      id: job.id,
-      failureDomain,
-      order,
-      steps,
-      receivedAt: now,
-      callerDeadline,
-      front,
-      confirmedAt: now,
-      firstStartAt: undefined,
-      mayHaveRun: order.resumed,
-      admittedLate: false,
-      attempt: order.attempt,
-      priority: queue.priority,
-      criticalPathMs,
-      latestStart: ms(sentAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
-      usefulUntil: ms(Math.min(callerDeadline, sentAt + objectiveOf(queue, criticalPathMs) * cfg.usefulFactor)),
-      hasStarted: () => owned.firstStartAt !== undefined,
-      waitingWork: () => this.waitingWorkOf(owned),
-      demand: () => this.demandOf(owned)
-    }
-    return owned
-  }
-
-  private waitingWorkOf (job: OwnedJob): number {
-    let sum = 0
-    for (const step of job.steps) {
-      if (step.unfinishedTasks === 0) continue
-      const waiting = step.tasks.reduce((n, task) => n + (task.done || task.run !== undefined ? 0 : 1), 0)
-      sum += waiting * step.spec.needs.cpuMilli * this.expectedMs(job, step)
-    }
-    return sum
-  }
-
-  /** @returns the tasks of ready steps that have not started */
-  private demandOf (job: OwnedJob): Demand {
-    let tasks = 0
-    let cpuMilli = 0
-    let runMs = 0
-    for (const step of job.steps) {
-      if (step.unfinishedTasks === 0 || !isReady(job, step)) continue
-      const waiting = step.tasks.reduce((n, task) => n + (task.done || task.run !== undefined ? 0 : 1), 0)
-      if (waiting === 0) continue
-      tasks += waiting
-      cpuMilli = Math.max(cpuMilli, step.spec.needs.cpuMilli)
-      runMs = Math.max(runMs, this.expectedMs(job, step))
-    }
-    return { tasks, cpuMilli, runMs }
-  }
-
-  /** @returns when slots for tasks of the given size become free at the endpoints that can be trusted */
-  private forecast (cpuMilli: number): SlotForecast {
+  /** @returns when slots for tasks of the given size become free at the service's endpoints that can be trusted */
+  private forecast (service: ServiceName, cpuMilli: number): SlotForecast {
     const { now, cfg } = this.ctx
     const outlooks = [...this.endpoints.db.all()]
-      .filter(endpoint => this.endpoints.usable(endpoint) && !this.placement.isQuarantined(endpoint.id))
+      .filter(endpoint => endpoint.report.service === service && this.endpoints.usable(endpoint) && !this.placement.isQuarantined(endpoint.id))
       .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs))
     return new SlotForecast(outlooks, cpuMilli, now)
   }
@@ -342,7 +276,7 @@
     const verdict = this.admission.decide(job, {
       now: this.ctx.now,
       capacity: this.capacity(),
-      forecast: cpuMilli => this.forecast(cpuMilli),
+      forecast: (service, cpuMilli) => this.forecast(service, cpuMilli),
       lastChance: job.order.lastChance === true,
       lateCpuMilli: this.lateCpuMilli()
     })
@@ -391,7 +325,7 @@
     const step = job.steps[task.step]
     if (step === undefined) return
     if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs)
-    run.expectedMs ??= this.expectedMs(job, step)
+    run.expectedMs ??= this.estimates.expectedMs(job, step)
     task.run = run
     job.firstStartAt ??= this.ctx.now
   }
@@ -418,42 +352,15 @@
    * @returns true when every task of the ready steps has started
    */
   private startTasks (job: OwnedJob, candidates: readonly Candidate[], allowPartial: boolean): boolean {
-    const plan: PlannedStart[] = []
-    let unplacedTasks = 0
-    let blockedSteps = 0
-    for (const step of job.steps) {
-      if (step.unfinishedTasks === 0) continue
-      if (!isReady(job, step)) {
-        blockedSteps++
-        continue
-      }
-      for (const task of step.tasks) {
-        if (task.done || task.run !== undefined) continue
-        if (this.planStart(job, step, task, candidates, plan)) continue
-        if (!allowPartial) return releasePlan(plan)
-        unplacedTasks++
-      }
-    }
-    for (const start of plan) this.startTask(job, start)
-    if (unplacedTasks === 0 && blockedSteps === 0) this.admission.db.waiting.delete(job)
-    return unplacedTasks === 0
-  }
-
-  private planStart (job: OwnedJob, step: OwnedStep, task: OwnedTask, candidates: readonly Candidate[], plan: PlannedStart[]): boolean {
-    if (this.endpoints.db.runOf(task.name) !== undefined) return false
-    const { needs, requiredLabel, preferredRack, maxPerEndpoint } = step.spec
-    const tasksAt = maxPerEndpoint > 0 ? (id: EndpointId) => countRuns(step, id) + plan.filter(p => p.step === step && p.candidate.endpoint.id === id).length : undefined
-    const candidate = this.placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, tasksAt, maxPerEndpoint }, candidates)
-    if (candidate === undefined) return false
-    this.placement.recordPlacement(candidate.endpoint.id)
-    candidate.freeCapacity = minus(candidate.freeCapacity, needs)
-    plan.push({ step, task, candidate })
-    return true
+    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, allowPartial })
+    for (const start of plan.starts) this.startTask(job, start)
+    if (plan.isComplete && !plan.hasBlockedSteps) this.admission.db.waiting.delete(job)
+    return plan.isComplete
   }
 
   private startTask (job: OwnedJob, { step, task, candidate }: PlannedStart): void {
     task.lastRun++
-    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, job.order.job.spec, step.spec.needs, this.expectedMs(job, step))
+    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, job.order.job.spec, step.spec.needs, this.estimates.expectedMs(job, step))
     this.recordFirstStart(job)
   }
 
@@ -476,13 +383,9 @@
 
   private learnFromRun (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
     const ranMs = this.ctx.now - run.startedAt
-    this.placement.recordCompletion(run.endpoint, ranMs / healthyRunMs(step, run, this.expectedMs(job, step)))
+    this.placement.recordCompletion(run.endpoint, ranMs / healthyRunMs(step, run, this.estimates.expectedMs(job, step)))
     step.finishedRunMs.push(ranMs)
-    if (!this.placement.isQuarantined(run.endpoint)) this.runTimes.of(job.order.queue.name).record(step.spec.estimateMs, ranMs)
-  }
-
-  private expectedMs (job: OwnedJob, step: OwnedStep): number {
-    return this.runTimes.of(job.order.queue.name).expectedMs(step.spec.estimateMs)
+    if (!this.placement.isQuarantined(run.endpoint)) this.estimates.record(job, step, ranMs)
   }
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
@@ -514,7 +417,7 @@
    */
   private moveIfFaster (job: OwnedJob, step: OwnedStep, task: OwnedTask, run: LedgerRun, slowness: number): void {
     if (run.state !== 'running') return
-    const expected = healthyRunMs(step, run, this.expectedMs(job, step))
+    const expected = healthyRunMs(step, run, this.estimates.expectedMs(job, step))
     const remaining = expected * slowness * (100 - run.percent) / 100
     if (remaining <= expected + MOVE_COST_MS) return
     this.placement.recordSlowRun(run.endpoint, slowness)
@@ -529,18 +432,12 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
-    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.actualObjective(job) })
+    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
     this.forget(job)
   }
 
-  /** @returns the latency objective that follows from the run times of the job's tasks, as far as they are known */
-  private actualObjective ({ order, steps }: OwnedJob): Ms {
-    const ranMs = steps.map(step => step.finishedRunMs.length > 0 ? Math.max(...step.finishedRunMs) : step.spec.estimateMs)
-    return objectiveOf(order.queue, criticalPathOf(order.job.steps, (_, index) => ranMs[index] ?? 0))
-  }
-
   private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost' | 'unconfirmed'): void {
     this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined })
     this.stopRuns(job)
@@ -592,22 +489,12 @@
     if (now < this.nextReassessmentAt || this.admission.db.waiting.size === 0) return
     this.nextReassessmentAt = ms(now + REASSESS_INTERVAL_MS)
     const capacity = this.capacity()
-    const tooLate = this.admission.jobsToDecline({ now, forecast: cpuMilli => this.forecast(cpuMilli) })
+    const tooLate = this.admission.jobsToDecline({ now, forecast: (service, cpuMilli) => this.forecast(service, cpuMilli) })
     for (const job of tooLate) this.forget(job)
     for (const job of tooLate) this.decline(job, 'tooLate', this.admission.retryAfter(capacity))
   }
 }
 
-/** Returns the capacity of the planned starts. @returns false, since no task of the job starts */
-function releasePlan (plan: readonly PlannedStart[]): false {
-  for (const { candidate, step } of plan) candidate.freeCapacity = plus(candidate.freeCapacity, step.spec.needs)
-  return false
-}
-
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
-
-function countRuns (step: OwnedStep, id: EndpointId): number {
-  return step.tasks.reduce((n, task) => n + (task.run?.endpoint === id ? 1 : 0), 0)
-}
