--- a/packages/bench/src/load/load.spec.ts
+++ b/packages/bench/src/load/load.spec.ts
@@ -6,7 +6,7 @@
 import { POLICIES } from './policies.js'
 import { playReference } from './reference.js'
 import { readShape } from './shape.js'
-import type { LoadShape } from './shape.js'
+import type { JobKind, LoadShape } from './shape.js'
 import { summarize } from './summary.js'
 import type { Summary } from './summary.js'
 
@@ -80,6 +80,15 @@
     expect(all.value - queueing.all.value).to.be.greaterThan(0.05)
   })
 
+  it('from domains smaller than their job: a job that cannot be on time anywhere is served late, not refused each time', () => {
+    const busy = shapeOf('busy')
+    const kind = { ...busy.kinds[0] as JobKind, perSecond: 3, width: 16, widthSpread: 0.1 }
+    const shape: LoadShape = { ...busy, durationS: 10, endpoints: [{ count: 2, cpuMilli: 64_000, speed: 1 }], kinds: [kind] }
+    const { late, onTime } = summarize(playLoad(shape, SEED).jobs).all
+    expect(late + onTime).to.be.greaterThan(0.5)
+    expect(playWithout('late-jobs', shape).all.late).to.equal(0)
+  })
+
   it('after the return of all instances: the backlog does not make the jobs late that arrive afterwards', () => {
     const run = playLoad(shapeOf('return'), SEED)
     expect(run.violations).to.deep.equal([])
--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -76,6 +76,26 @@
     description: 'a task goes to any endpoint with room, not to the one that it fills best',
     apply: () => replace(sample.placement, 'score', () => () => 0)
   },
+  {
+    name: 'late-jobs',
+    description: 'a job that can only be late is refused',
+    apply: () => replace(sample.execution.admission, 'startsLate', () => () => false)
+  },
+  {
+    name: 'introduction',
+    description: 'a new instance asks no peer and waits for the store',
+    apply: () => replace(sample.introduction, 'tick', () => () => {})
+  },
+  {
+    name: 'takeover-without-store',
+    description: 'a lost owner is replaced only through the store',
+    apply: () => replace(sample.ownership, 'takeOverByRank', () => () => {})
+  },
+  {
+    name: 'handover',
+    description: 'a leaving owner ends without a successor, and no stronger instance gets its shard',
+    apply: () => replace(sample.ownership, 'handOver', () => () => {})
+  },
   {
     name: 'other-domains',
     description: 'a job goes to the own failure domain only',
