--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -2,11 +2,10 @@
  * Variants of the decisions that the load player compares with the product's own: each switches one mechanism off. They
  * replace methods that all instances share, so that the product itself needs no settings for them.
  */
-import { RunTimeModel, SHARD_DEFAULTS, ShardInstance } from '@cranberryyard/core/shard'
-import type { FailureDomain, InstanceId } from '@cranberryyard/protocol'
-
-type Undo = () => void
-type Method = (...args: never[]) => unknown
+import { RunTimeModel } from '@cranberryyard/core/shard'
+import type { FailureDomain } from '@cranberryyard/protocol'
+import { replaceMethod, sampleInstance as sample } from '../shard/patches.js'
+import type { Undo } from '../shard/patches.js'
 
 /** A variant of the product's decisions. */
 export interface Policy {
@@ -15,17 +14,6 @@
   readonly apply: () => Undo
 }
 
-const sample = new ShardInstance({ self: { instance: 'sample' as InstanceId, incarnation: 1, failureDomain: 'sample' as FailureDomain, address: 'sample', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
-
-function replace<T extends object> (object: T, method: string, make: (original: Method) => (this: T, ...args: never[]) => unknown): Undo {
-  const prototype = Object.getPrototypeOf(object) as Record<string, Method>
-  const original = prototype[method] as Method
-  prototype[method] = make(original) as Method
-  return () => {
-    prototype[method] = original
-  }
-}
-
 /** All variants; the first is the product as it is. */
 export const POLICIES: readonly Policy[] = [
   { name: 'product', description: 'all mechanisms', apply: () => () => {} },
@@ -33,8 +21,8 @@
     name: 'declines',
     description: 'every job is admitted, and none is declined while it waits',
     apply: () => {
-      const undoDecide = replace(sample.execution.admission, 'decide', () => () => ({ type: 'admit', late: false }))
-      const undoDecline = replace(sample.execution.admission, 'jobsToDecline', () => () => [])
+      const undoDecide = replaceMethod(sample.execution.admission, 'decide', () => () => ({ type: 'admit', late: false }))
+      const undoDecline = replaceMethod(sample.execution.admission, 'jobsToDecline', () => () => [])
       return () => {
         undoDecide()
         undoDecline()
@@ -44,14 +32,14 @@
   {
     name: 'order',
     description: 'waiting jobs start in the order in which they arrived',
-    apply: () => replace(sample.execution.admission, 'inStartOrder', () => function (this: typeof sample.execution.admission) {
+    apply: () => replaceMethod(sample.execution.admission, 'inStartOrder', () => function (this: typeof sample.execution.admission) {
       return [...this.db.waiting]
     })
   },
   {
     name: 'partial-starts',
     description: 'a job starts only when all its tasks fit at once',
-    apply: () => replace(sample.execution, 'startTasks', original => function (this: typeof sample.execution, ...args) {
+    apply: () => replaceMethod(sample.execution, 'startTasks', original => function (this: typeof sample.execution, ...args) {
       const [job, candidates, allowPartial] = args as unknown as [{ firstStartAt: number | undefined }, unknown, boolean]
       return original.apply(this, [job, candidates, allowPartial && job.firstStartAt !== undefined] as never[])
     })
@@ -59,47 +47,47 @@
   {
     name: 'quarantine',
     description: 'endpoints keep getting work, however slow they are or however often they fail',
-    apply: () => replace(sample.placement, 'quarantine', () => () => {})
+    apply: () => replaceMethod(sample.placement, 'quarantine', () => () => {})
   },
   {
     name: 'moves',
     description: 'stalled and slow tasks stay where they are',
-    apply: () => replace(sample.execution, 'moveIfFaster', () => () => {})
+    apply: () => replaceMethod(sample.execution, 'moveIfFaster', () => () => {})
   },
   {
     name: 'learned-run-times',
     description: 'estimates are taken as they are',
-    apply: () => replace(new RunTimeModel(), 'record', () => () => {})
+    apply: () => replaceMethod(new RunTimeModel(), 'record', () => () => {})
   },
   {
     name: 'best-fit',
     description: 'a task goes to any endpoint with room, not to the one that it fills best',
-    apply: () => replace(sample.placement, 'score', () => () => 0)
+    apply: () => replaceMethod(sample.placement, 'score', () => () => 0)
   },
   {
     name: 'late-jobs',
     description: 'a job that can only be late is refused',
-    apply: () => replace(sample.execution.admission, 'startsLate', () => () => false)
+    apply: () => replaceMethod(sample.execution.admission, 'startsLate', () => () => false)
   },
   {
     name: 'introduction',
     description: 'a new instance asks no peer and waits for the store',
-    apply: () => replace(sample.introduction, 'tick', () => () => {})
+    apply: () => replaceMethod(sample.introduction, 'tick', () => () => {})
   },
   {
     name: 'takeover-without-store',
     description: 'a lost owner is replaced only through the store',
-    apply: () => replace(sample.ownership, 'takeOverByRank', () => () => {})
+    apply: () => replaceMethod(sample.ownership, 'takeOverByRank', () => () => {})
   },
   {
     name: 'handover',
     description: 'a leaving owner ends without a successor, and no stronger instance gets its shard',
-    apply: () => replace(sample.ownership, 'handOver', () => () => {})
+    apply: () => replaceMethod(sample.ownership, 'handOver', () => () => {})
   },
   {
     name: 'other-domains',
     description: 'a job goes to the own failure domain only',
-    apply: () => replace(sample.intake, 'chooseShard', original => function (this: typeof sample.intake, ...args) {
+    apply: () => replaceMethod(sample.intake, 'chooseShard', original => function (this: typeof sample.intake, ...args) {
       const chosen = original.apply(this, args) as { failureDomain: FailureDomain } | undefined
       return chosen?.failureDomain === (this as unknown as { ctx: { self: { failureDomain: FailureDomain } } }).ctx.self.failureDomain ? chosen : undefined
     })
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -2,12 +2,10 @@
  * Deliberate faults of the shard decisions, each of which the fuzzing oracle must catch. A mutation changes methods
  * that all instances share and returns how to undo it.
  */
-import { SHARD_DEFAULTS, ShardInstance } from '@cranberryyard/core/shard'
-import type { FailureDomain, InstanceId } from '@cranberryyard/protocol'
+import type { InstanceId } from '@cranberryyard/protocol'
 import type { Rule } from '@cranberryyard/fakes'
-
-type Undo = () => void
-type Method = (...args: never[]) => unknown
+import { replaceMethod, sampleInstance as sample } from './patches.js'
+import type { Method, Undo } from './patches.js'
 
 /** A fault and the rules of which at least one must be violated. */
 export interface ShardMutation {
@@ -18,21 +16,9 @@
   readonly apply: () => Undo
 }
 
-const sample = new ShardInstance({ self: { instance: 'sample' as InstanceId, incarnation: 1, failureDomain: 'sample' as FailureDomain, address: 'sample', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
-
-/** Replaces a method for all instances. */
-function replace<T extends object> (object: T, method: string, make: (original: Method) => (this: T, ...args: never[]) => unknown): Undo {
-  const prototype = Object.getPrototypeOf(object) as Record<string, Method>
-  const original = prototype[method] as Method
-  prototype[method] = make(original) as Method
-  return () => {
-    prototype[method] = original
-  }
-}
-
 /** A fault that shows only in a takeover while the entries of draining endpoints are missing, which random faults rarely bring about. */
 export function useOutdatedEntries (): Undo {
-  return replace(sample.endpoints, 'markOutdated', () => () => {})
+  return replaceMethod(sample.endpoints, 'markOutdated', () => () => {})
 }
 
 /** All mutations. */
@@ -40,7 +26,7 @@
   {
     name: 'a stop frees the room at once',
     breaks: ['LIMIT'],
-    apply: () => replace(sample.endpoints, 'stop', original => function (this: typeof sample.endpoints, ...args) {
+    apply: () => replaceMethod(sample.endpoints, 'stop', original => function (this: typeof sample.endpoints, ...args) {
       const [run] = args as unknown as Parameters<typeof sample.endpoints.stop>
       original.apply(this, args)
       const endpoint = this.db.get(run.endpoint)
@@ -50,7 +36,7 @@
   {
     name: 'a start without an answer frees the room at once',
     breaks: ['LIMIT', 'TWICE'],
-    apply: () => replace(sample.endpoints, 'retryStart', () => function (this: typeof sample.endpoints, ...args) {
+    apply: () => replaceMethod(sample.endpoints, 'retryStart', () => function (this: typeof sample.endpoints, ...args) {
       const [endpoint, run] = args as unknown as [Parameters<typeof sample.endpoints.usable>[0], Parameters<typeof sample.endpoints.stop>[0]]
       this.db.removeRun(endpoint, run)
       sample.execution.runRejected.call((this as unknown as { listener: typeof sample.execution }).listener, run, 'neverArrived')
@@ -59,20 +45,20 @@
   {
     name: 'a new owner ignores the runs that it finds',
     breaks: ['LIMIT', 'TWICE'],
-    apply: () => replace(sample.endpoints, 'addFoundRun', () => () => {})
+    apply: () => replaceMethod(sample.endpoints, 'addFoundRun', () => () => {})
   },
   {
     name: 'a new owner trusts a list that it has only just read',
     breaks: ['TWICE'],
-    apply: () => replace(sample, 'earlierRunsKnown', () => () => true)
+    apply: () => replaceMethod(sample, 'earlierRunsKnown', () => () => true)
   },
   {
     name: 'the jobs of a lost front go on',
     breaks: ['TWICE'],
     load: { jobsPerSecond: 12, workFactor: 2.5 },
     apply: () => {
-      const undoLost = replace(sample.execution, 'frontLost', () => () => {})
-      const undoConfirmationExpired = replace(sample.execution, 'isConfirmationExpired', () => () => false)
+      const undoLost = replaceMethod(sample.execution, 'frontLost', () => () => {})
+      const undoConfirmationExpired = replaceMethod(sample.execution, 'isConfirmationExpired', () => () => false)
       return () => {
         undoLost()
         undoConfirmationExpired()
@@ -82,7 +68,7 @@
   {
     name: 'a decline of an earlier copy counts for the latest',
     breaks: ['REFUSED'],
-    apply: () => replace(sample.intake, 'declined', original => function (this: typeof sample.intake, ...args) {
+    apply: () => replaceMethod(sample.intake, 'declined', original => function (this: typeof sample.intake, ...args) {
       const [id, from, , retryAfterMs] = args as unknown as Parameters<typeof sample.intake.declined>
       const attempt = this.db.jobs.get(id)?.attempt ?? 0
       return original.apply(this, [id, from, attempt, retryAfterMs] as never[])
@@ -91,14 +77,14 @@
   {
     name: 'a failed task counts as done',
     breaks: ['MIXED'],
-    apply: () => replace(sample.execution, 'taskFailed', () => function (this: typeof sample.execution, ...args) {
+    apply: () => replaceMethod(sample.execution, 'taskFailed', () => function (this: typeof sample.execution, ...args) {
       return (this as unknown as { taskDone: Method }).taskDone.apply(this, args)
     })
   },
   {
     name: 'draining endpoints get work',
     breaks: ['DRAIN'],
-    apply: () => replace(sample.endpoints, 'usable', () => function (this: typeof sample.endpoints, ...args) {
+    apply: () => replaceMethod(sample.endpoints, 'usable', () => function (this: typeof sample.endpoints, ...args) {
       const [endpoint] = args as unknown as Parameters<typeof sample.endpoints.usable>
       return endpoint.answeredUnderToken && endpoint.unansweredHolds === 0
     })
@@ -107,11 +93,11 @@
     name: 'the desired state follows whoever speaks last',
     breaks: ['CONFIG'],
     apply: () => {
-      const undoAdopt = replace(sample.desired, 'adopt', () => function (this: typeof sample.desired, ...args) {
+      const undoAdopt = replaceMethod(sample.desired, 'adopt', () => function (this: typeof sample.desired, ...args) {
         const [state] = args as unknown as Parameters<typeof sample.desired.adopt>
         this.db.adopt(state)
       })
-      const undoPeerVersionReceived = replace(sample.desired, 'peerVersionReceived', () => function (this: typeof sample.desired, ...args) {
+      const undoPeerVersionReceived = replaceMethod(sample.desired, 'peerVersionReceived', () => function (this: typeof sample.desired, ...args) {
         const [from, version] = args as unknown as Parameters<typeof sample.desired.peerVersionReceived>
         if (version !== this.db.version()) (this as unknown as { send: (to: InstanceId, message: object) => void }).send(from, { type: 'desiredRequest' })
       })
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -1,8 +1,8 @@
 /**
  * Decides the order in which jobs start their tasks, and which jobs are declined. Started jobs come first, then jobs that
- * can still meet their latency objective, ordered by the latest start that meets it, and then, with the remaining capacity,
- * jobs that can only be late. Jobs whose answer is no longer useful come last, started or not. A job is declined as soon as
- * the forecast shows that it cannot be on time. This matters under overload, that is when a burst of one or all kinds of jobs
+ * can still meet their latency objective, ordered by the latest start that meets it, and then jobs that can only be late.
+ * Jobs whose answer is no longer useful come last, started or not. A job that has not started is declined as soon as the
+ * forecast shows that it cannot be on time; few exceptions keep jobs from being refused everywhere. This matters under overload, that is when a burst of one or all kinds of jobs
  * exceeds the capacity of the shard or a failure domain loses endpoints: a queue of jobs that can only be late would then
  * make the jobs that arrive behind them late as well.
  */
@@ -47,8 +47,8 @@
 
   /**
    * Reassesses all waiting jobs in start order. The tasks of a declined job no longer delay the jobs behind it, so a burst
-   * costs only the jobs that exceed the capacity. A job that may already have run is never declined.
-   * A job that was admitted late has started by then, unless its room was lost.
+   * costs only the jobs that exceed the capacity. A job that may already have run is never declined. One that was admitted
+   * late has started by then, unless its room was lost.
    * @returns jobs that cannot be on time
    */
   jobsToDecline ({ now, forecast: makeForecast }: Pick<AdmissionInput, 'now' | 'forecast'>): T[] {
--- a/packages/core/src/introduction/introductionDecider.ts
+++ b/packages/core/src/introduction/introductionDecider.ts
@@ -2,7 +2,7 @@
  * Decides whom a newly started instance asks for the owners of shards and for the desired state. Both normally come from
  * the store. While the store is down or does not serve this instance, any peer that has them will do: the seeds that the
  * settings name are asked in turn, and peers that send a message themselves. This ends as soon as the instance
- * can serve callers; from then on the usual pings keep it informed.
+ * can serve callers, and begins again when it loses the last owner that it knows; otherwise the usual pings keep it informed.
  */
 import type { InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
@@ -57,8 +57,8 @@
     this.startedAt ??= now
     if (now - this.startedAt < STORE_ANSWER_MS) return
     if (this.addresses.length === 0 || now - this.askedAt < ASK_INTERVAL_MS || !this.isPending()) return
-    const address = this.addresses[this.nextIndex++ % this.addresses.length] as string
-    this.nextIndex %= this.addresses.length
+    const address = this.addresses[this.nextIndex] as string
+    this.nextIndex = (this.nextIndex + 1) % this.addresses.length
     this.askedAt = now
     this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
     const { desiredState, records } = this.missing()
