--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -167,6 +167,7 @@
     }
   }
 
+  /** Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. */
   private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
     this.desired.stateRequested(from)
     const { members, records, recordsRead } = this.ownership.db
@@ -176,6 +177,7 @@
     this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints })
   }
 
+  /** Applies what a peer has read from the store; what this instance has read itself since it started takes precedence. */
   private receiveIntroduction ({ members, shards, endpoints }: Extract<ShardMessage, { type: 'introduction' }>): void {
     this.ownership.recordsLearned(members, shards)
     if (this.endpointList.isEmpty()) this.applyReports(endpoints, false)
