Logs tell why a run was lost, what else ran there, and how often the task was lost before

Change: the ledger reports the reason of a loss and the number of runs at the endpoint; job.resumed is logged when an owner takes over a job.

--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -89,6 +89,7 @@
       acknowledged: 0,
       hold: undefined,
       unansweredHolds: 0,
+      refused: false,
       answeredAt: now,
       nextHoldAt: now,
       leasesEndBy: now,
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -6,7 +6,7 @@
 import type { ShardContext, ShardEffect } from '../shard/types.js'
 import { freeCapacityOf } from './endpointsDb.js'
 import { EndpointsDecider } from './endpointsDecider.js'
-import type { LedgerEndpoint, LedgerRun, RunListener } from './types.js'
+import type { LedgerEndpoint, LedgerRun, RunListener, RunLoss } from './types.js'
 
 const ID = 'e-1' as EndpointId
 const TASK = 'job.0.0.0' as TaskName
@@ -24,6 +24,7 @@
 
 class RecordingListener implements RunListener {
   readonly events: string[] = []
+  readonly losses: string[] = []
   runStarted (run: LedgerRun): void {
     this.events.push(`started ${run.run}`)
   }
@@ -36,7 +37,8 @@
     this.events.push(`rejected ${run.run} ${reason}`)
   }
 
-  runLost (run: LedgerRun): void {
+  runLost (run: LedgerRun, { why, runsThere }: RunLoss): void {
+    this.losses.push(`${why}, ${runsThere} there`)
     this.events.push(`lost ${run.run}`)
   }
 
@@ -172,6 +174,7 @@
       ledger.tick()
     }
     expect(listener.events).to.deep.equal(['started 1', 'lost 1'])
+    expect(listener.losses).to.deep.equal(['silent, 1 there'])
     expect(ctx.now - holdSentAt).to.be.greaterThan(SHARD_DEFAULTS.leaseMs)
   })
 
@@ -203,6 +206,22 @@
     listener.events.length = 0
     answerHold(ctx, ledger, listing(3, [], [], 900))
     expect(listener.events).to.deep.equal(['lost 1'])
+    expect(listener.losses).to.deep.equal(['restarted, 1 there'])
+  })
+
+  it('reports that an endpoint refused connections before the leases of its runs ended', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    for (let i = 0; i < 40 && listener.losses.length === 0; i++) {
+      const hold = takeEffects(ctx, 'hold').at(-1)
+      ctx.now = ms(ctx.now + 100)
+      if (hold !== undefined) ledger.holdOutcome(ID, hold.orderId, { type: i === 1 ? 'refused' : 'silent' })
+      ledger.tick()
+    }
+    expect(listener.losses).to.deep.equal(['refused, 1 there'])
   })
 
   it('restarts no task and places nothing there while its start, sent to the earlier incarnation, may still be carried out by the new one', () => {
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -22,7 +22,7 @@
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { EndpointsDb, endpointClock, latestLeaseEnd, makeRun } from './endpointsDb.js'
-import type { LedgerEndpoint, LedgerRun, PendingHold, RejectionReason, RunListener } from './types.js'
+import type { LedgerEndpoint, LedgerRun, LossReason, PendingHold, RejectionReason, RunListener } from './types.js'
 
 /** Consecutive holds without an answer after which leases are no longer renewed, so that the runs there are certain to end. */
 const UNANSWERED_HOLDS_MAX = 2
@@ -223,6 +223,7 @@
     endpoint.answeredUnderToken = false
     endpoint.hold = undefined
     endpoint.unansweredHolds = 0
+    endpoint.refused = false
     this.sendHold(endpoint)
   }
 
@@ -260,6 +261,7 @@
     const { out, now, cfg, self } = this.ctx
     out.count('shard.holds.silent')
     endpoint.unansweredHolds++
+    endpoint.refused ||= why === 'refused'
     if (endpoint.unansweredHolds === UNANSWERED_HOLDS_MAX) {
       out.log('endpoint.silent', { endpoint: endpoint.id, failureDomain: endpoint.report.failureDomain, why, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(now - endpoint.answeredAt), owner: self.instance }, 'warn')
     }
@@ -274,6 +276,7 @@
     endpoint.bornAt = listing.bornAt
     endpoint.clockOffset = listing.clock - now
     endpoint.unansweredHolds = 0
+    endpoint.refused = false
     endpoint.answeredAt = now
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
@@ -333,8 +336,7 @@
         this.db.removeRun(endpoint, run)
         this.listener.runRejected(run, 'neverArrived')
       } else if (sentAt > run.startedAt) {
-        this.db.removeRun(endpoint, run)
-        this.listener.runLost(run)
+        this.reportRunLost(endpoint, run, 'unlisted', endpoint.runs.size)
       }
     }
   }
@@ -348,24 +350,26 @@
     out.count('shard.endpoints.reborn')
     out.log('endpoint.reborn', { endpoint: endpoint.id, bornAt, before: endpoint.bornAt, runs: endpoint.runs.size }, 'warn')
     endpoint.acknowledged = 0
+    const runsThere = endpoint.runs.size
     for (const run of [...endpoint.runs.values()]) {
       if (run.state === 'ordered') {
         run.notAfter = (clock + LATE_ORDER_MS) as EndpointClockMs
         endpoint.startsBlockedUntil = ms(now + LATE_ORDER_MS)
       } else {
-        this.reportRunLost(endpoint, run)
+        this.reportRunLost(endpoint, run, 'restarted', runsThere)
       }
     }
   }
 
   private reportRunsLost (endpoint: LedgerEndpoint): void {
-    for (const run of [...endpoint.runs.values()]) this.reportRunLost(endpoint, run)
+    const runsThere = endpoint.runs.size
+    for (const run of [...endpoint.runs.values()]) this.reportRunLost(endpoint, run, endpoint.refused ? 'refused' : 'silent', runsThere)
   }
 
-  private reportRunLost (endpoint: LedgerEndpoint, run: LedgerRun): void {
+  private reportRunLost (endpoint: LedgerEndpoint, run: LedgerRun, why: LossReason, runsThere: number): void {
     this.db.removeRun(endpoint, run)
     this.ctx.out.count('shard.tasks.lost')
-    this.listener.runLost(run)
+    this.listener.runLost(run, { why, runsThere })
   }
 
   private sendStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -65,6 +65,20 @@
   readonly endTimeKnown: boolean
 }
 
+/**
+ * What showed that a run was lost. `refused`: the endpoint refused connections until the leases had run out, so it has most likely
+ * crashed. `silent`: it gave no answer, so it may have crashed or been cut off. `restarted`: another incarnation of it answered.
+ * `unlisted`: it answers and no longer lists the run.
+ */
+export type LossReason = 'refused' | 'silent' | 'restarted' | 'unlisted'
+
+/** The circumstances of a lost run. */
+export interface RunLoss {
+  readonly why: LossReason
+  /** Number of runs that the endpoint had when it was lost, this one included. */
+  readonly runsThere: number
+}
+
 /** The owner's view of one endpoint. */
 export interface LedgerEndpoint {
   readonly id: EndpointId
@@ -81,6 +95,8 @@
   hold: PendingHold | undefined
   /** Number of consecutive holds without an answer. */
   unansweredHolds: number
+  /** One of the consecutive holds without an answer was refused. */
+  refused: boolean
   /** Time of the latest answer to a hold. */
   answeredAt: Ms
   /** When the next hold is due if none is pending. */
@@ -110,7 +126,7 @@
   /** The run has not started and never will. */
   runRejected (run: LedgerRun, reason: RejectionReason): void
   /** The run no longer exists and its end was not reported: its lease ran out, its endpoint restarted, or a later listing lacks it. */
-  runLost (run: LedgerRun): void
+  runLost (run: LedgerRun, loss: RunLoss): void
   runProgressed (run: LedgerRun): void
   /** The endpoint listed a run that the ledger did not contain, such as one of an earlier owner. */
   runFound (run: LedgerRun): void
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -11,7 +11,7 @@
 import type { ShardCapacity } from '../admission/types.js'
 import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
-import type { LedgerRun, RejectionReason, RunListener } from '../endpoints/types.js'
+import type { LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { ExecutionDb } from './executionDb.js'
@@ -212,12 +212,14 @@
     this.requeue(job)
   }
 
-  runLost (run: LedgerRun): void {
+  runLost (run: LedgerRun, { why, runsThere }: RunLoss): void {
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
-    found.task.run = undefined
-    this.ctx.out.log('task.lost', { job: found.job.id, task: run.task, run: run.run, endpoint: run.endpoint, ageMs: Math.round(this.ctx.now - run.orderedAt) })
-    this.requeue(found.job)
+    const { job, task } = found
+    task.run = undefined
+    task.lostRuns++
+    this.ctx.out.log('task.lost', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, why, runsThere, lostRuns: task.lostRuns, ageMs: Math.round(this.ctx.now - run.orderedAt) })
+    this.requeue(job)
   }
 
   runFound (run: LedgerRun): void {
@@ -302,6 +304,7 @@
 
   private accept (job: OwnedJob): void {
     this.db.jobs.set(job.id, job)
+    if (job.order.resumed) this.ctx.out.log('job.resumed', { job: job.id, front: job.front.instance, tasksDone: job.order.done.length, ageMs: Math.round(job.order.ageMs) })
     for (const step of job.steps) {
       for (const task of step.tasks) {
         const run = this.endpoints.db.runOf(task.name)
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -23,6 +23,8 @@
   /** Number of the latest run; each new run gets a higher one. */
   lastRun: number
   failedAttempts: number
+  /** Number of runs that were lost with their endpoint, as far as this owner knows. */
+  lostRuns: number
   /** Endpoints where a run of the task failed. */
   readonly failedEndpoints: Set<EndpointId>
   /** Endpoints that the task is not placed on again. */
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -17,7 +17,7 @@
   'shard.tasks.failed': 'Runs that ended failed.',
   'shard.tasks.stopped': 'Stop orders sent, repeats included.',
   'shard.tasks.moved': 'Runs stopped because they made too little progress.',
-  'shard.tasks.lost': 'Runs whose endpoint was lost.',
+  'shard.tasks.lost': 'Runs that were lost, nearly all with their endpoint.',
   'shard.tasks.adopted': 'Runs of an earlier owner that went on under this one.',
   'shard.tasks.unclaimed': 'Runs of an earlier owner that nobody claimed and that were stopped.',
   'shard.holds.sent': 'Holds and looks sent to endpoints.',
