Tests that fail: a task that crashes its endpoints is started until its caller leaves

Callers saw wrong refusals and late answers, since the endpoints that a deadly task crashes are missing for seconds. The endpoint model can crash under a task, the oracle has the rule BUDGET, and four tests play deadly tasks: alone, with their owner killed after each crash, sent again through other instances, and beside sound jobs.

--- /dev/null
+++ b/packages/bench/src/shard/deadlyTasks.spec.ts
@@ -0,0 +1,106 @@
+import { expect } from 'chai'
+import type { ModelTask } from '@cranberryyard/fakes'
+import type { InstanceId, JobId } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { DEFAULT_QUEUE, ShardFleet } from './shardFleet.js'
+import type { CallerJob } from './shardFleet.js'
+
+const SEEDS = [1, 2, 3, 4, 5, 6] as const
+const FRONT = 'a-0' as InstanceId
+/** Instance 1 of a domain has the most processor time, so it owns the shard after a while. */
+const OWNER = 'a-1' as InstanceId
+const WARM_UP_MS = 8000
+const PATIENCE_MS = 20_000
+const SOUND: ModelTask = { cpuMilli: 14_000, workMs: 60, fails: false }
+const DEADLY: ModelTask = { ...SOUND, crashAfterMs: 2 }
+
+/** Two domains, where the first task of one job crashes each endpoint that starts it. */
+class DeadlyDay {
+  readonly fleet: ShardFleet
+  private jobs = 0
+
+  constructor (seed: number) {
+    this.fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 6, seed })
+    this.fleet.run(WARM_UP_MS)
+  }
+
+  submitDeadly (): CallerJob {
+    return this.submit([DEADLY, SOUND, SOUND, SOUND])
+  }
+
+  submitSound (): CallerJob {
+    return this.submit([SOUND, SOUND])
+  }
+
+  private submit (tasks: readonly ModelTask[]): CallerJob {
+    const id = (++this.jobs).toString(16).padStart(16, '0') as JobId
+    const step = { count: tasks.length, needs: { cpuMilli: SOUND.cpuMilli, memoryMb: 64, accelerators: 0 }, estimateMs: ms(SOUND.workMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }
+    const job = { id, spec: JSON.stringify(tasks), features: [], steps: [step] }
+    return this.fleet.submitJob(FRONT, { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${id}`, job, deadlineMs: PATIENCE_MS, retries: 0 })
+  }
+
+  crashesOf (job: CallerJob): number {
+    return this.fleet.oracle.crashesOf(`${job.id}.0.0.0`)
+  }
+}
+
+describe('tasks that crash the endpoints that start them', function () {
+  this.timeout(60_000)
+
+  it('are given up soon, and their job fails', () => {
+    for (const seed of SEEDS) {
+      const day = new DeadlyDay(seed)
+      const deadly = day.submitDeadly()
+      day.fleet.run(PATIENCE_MS)
+      expect(day.fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+      expect(deadly.reply, `seed ${seed}`).to.equal('failed')
+      expect(day.crashesOf(deadly), `seed ${seed}`).to.equal(2)
+    }
+  })
+
+  it('are given up although their owner is killed after each crash', () => {
+    for (const seed of SEEDS) {
+      const day = new DeadlyDay(seed)
+      const deadly = day.submitDeadly()
+      let crashes = 0
+      for (let at = 0; at < PATIENCE_MS; at += 50) {
+        day.fleet.run(50)
+        if (day.crashesOf(deadly) === crashes) continue
+        crashes = day.crashesOf(deadly)
+        day.fleet.run(300)
+        for (const name of day.fleet.owners()) if (name !== FRONT) day.fleet.kill(name, 500)
+      }
+      expect(day.fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+      expect(crashes, `seed ${seed}`).to.be.at.most(3)
+    }
+  })
+
+  it('are given up although the caller sends the job again through other instances', () => {
+    for (const seed of SEEDS) {
+      const day = new DeadlyDay(seed)
+      const deadly = day.submitDeadly()
+      for (let kills = 0; kills < 3; kills++) {
+        day.fleet.run(1400)
+        for (const name of day.fleet.fronts(deadly.id)) if (name !== OWNER) day.fleet.kill(name, 400)
+      }
+      day.fleet.run(PATIENCE_MS)
+      expect(day.fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+      expect(day.crashesOf(deadly), `seed ${seed}`).to.be.at.most(3)
+    }
+  })
+
+  it('do not make jobs fail that run beside them', () => {
+    for (const seed of SEEDS) {
+      const day = new DeadlyDay(seed)
+      const sound: CallerJob[] = []
+      for (let at = 0; at < 4000; at += 40) {
+        if (at % 800 === 0) day.submitDeadly()
+        sound.push(day.submitSound())
+        day.fleet.run(40)
+      }
+      day.fleet.run(PATIENCE_MS)
+      expect(day.fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+      expect(sound.filter(job => job.reply === 'failed'), `seed ${seed}`).to.deep.equal([])
+    }
+  })
+})
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -46,8 +46,11 @@
 const ATTEMPTS_MAX = 4
 /** An instance addresses a seed, whose name it does not know, by this and the address; here an address is the instance's name. */
 const SEED_PREFIX = /^seed /
+/** Shortest time for which an endpoint is down after a crash, and the range of longer times. */
+const CRASH_DOWN_MIN_MS = 2500
+const CRASH_DOWN_SPREAD_MS = 1000
 const DEFAULT_DEADLINE_MS = 6000
-const DEFAULT_QUEUE: QueueTerms = { name: 'q' as QueueName, host: 'queue.example', prefix: '/q/', service: SERVICE, priority: 0, maxAttempts: 4, stretch: 1.6, latencyObjectiveMs: ms(60), needsAdvice: false }
+export const DEFAULT_QUEUE: QueueTerms = { name: 'q' as QueueName, host: 'queue.example', prefix: '/q/', service: SERVICE, priority: 0, maxAttempts: 4, stretch: 1.6, latencyObjectiveMs: ms(60), needsAdvice: false }
 
 /** Size and seed of a fleet, and settings that differ from the defaults. */
 export interface FleetOptions {
@@ -141,6 +144,8 @@
   /** Share of orders to endpoints that take effect at the usual time but whose answer is lost. */
   lostAnswerShare = 0
   private readonly domainOf = new Map<string, FailureDomain>()
+  /** Orders without an outcome yet, by endpoint; a crash of the endpoint breaks their connections. */
+  private readonly openOrders = new Map<string, Set<() => void>>()
   private readonly random: Random
   private desired: DesiredState
   private readonly queues: readonly QueueTerms[]
@@ -185,6 +190,16 @@
     return this.track({ id: submission.job.id, tasks, sentAt: this.time.now, reply: undefined, latencyMs: undefined }, at, submission)
   }
 
+  /** @returns the instances that own a shard now, as they see it themselves */
+  owners (): InstanceId[] {
+    return [...this.processes.values()].filter(process => process.up && process.core.ownership.owns()).map(process => process.name)
+  }
+
+  /** @returns the instances that answer for a job at present */
+  fronts (id: JobId): InstanceId[] {
+    return [...this.processes.values()].filter(process => process.up && process.core.intake.db.jobs.has(id)).map(process => process.name)
+  }
+
   private track (job: CallerJob, at: InstanceId, submission: Submission): CallerJob {
     this.jobs.push(job)
     this.sendSubmission(job, at, submission, 1, submission.retries)
@@ -299,11 +314,19 @@
 
   private addEndpoint (id: string, domain: FailureDomain, cpuMilli: number): FencedEndpointModel {
     const endpoint = new FencedEndpointModel(id, cpuMilli, this.time.now, (run, how) => this.oracle.recordEnd(run, how))
+    endpoint.onCrash = () => this.endpointCrashed(endpoint)
     this.domainOf.set(id, domain)
     this.endpoints.set(id, endpoint)
     return endpoint
   }
 
+  /** Records a crash and breaks the connections. The endpoint refuses new ones until it starts again under the same id. */
+  private endpointCrashed (endpoint: FencedEndpointModel): void {
+    this.oracle.recordCrash(endpoint)
+    this.time.after(CRASH_DOWN_MIN_MS + this.randomBelow(CRASH_DOWN_SPREAD_MS), () => endpoint.restart(this.time.now))
+    for (const breakConnection of [...this.openOrders.get(endpoint.id) ?? []]) breakConnection()
+  }
+
   private makeDesiredState (version: number): DesiredState {
     return { version, queues: this.queues, services: [{ name: SERVICE, guardsCapacity: false }] }
   }
@@ -465,24 +488,31 @@
 
   /**
    * Sends an order to an endpoint. A cut link loses the order or its answer, and the configured shares of orders are late or
-   * lose their answer. An order that is not answered within the timeout is reported as `silent`.
+   * lose their answer. An order that is not answered within the timeout, or whose connection breaks, is reported as `silent`.
    */
-  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' }) => ShardInput): void {
+  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
     const endpoint = this.endpoints.get(id)
+    const openOrders = this.openOrders.get(id) ?? new Set()
+    this.openOrders.set(id, openOrders)
     let settled = false
-    const settle = (outcome: T | { type: 'silent' }): void => {
+    const settle = (outcome: T | { type: 'silent' | 'refused' }): void => {
       if (settled) return
       settled = true
+      openOrders.delete(breakConnection)
       this.postLater(process, 0, () => toInput(outcome))
     }
-    this.time.after(timeoutMs, () => settle({ type: 'silent' }))
+    const breakConnection = (): void => settle({ type: 'silent' })
+    openOrders.add(breakConnection)
+    this.time.after(timeoutMs, breakConnection)
     if (endpoint === undefined || this.isCut(process.name, id)) return
     const late = this.randomBelow(1000) < this.lateOrderShare * 1000
     const lost = this.randomBelow(1000) < this.lostAnswerShare * 1000
     const deliveryDelayMs = this.linkDelayMs(process.name, id)
     const { bornAt } = endpoint
     this.time.after(late ? 2000 + this.randomBelow(10_000) : deliveryDelayMs, () => {
-      if (this.departedEndpoints.has(id) || endpoint.bornAt !== bornAt) return
+      endpoint.advance(this.time.now)
+      if (!endpoint.up && !late) return this.time.after(deliveryDelayMs, () => settle({ type: 'refused' }))
+      if (this.departedEndpoints.has(id) || !endpoint.up || endpoint.bornAt !== bornAt) return
       execute(endpoint, (outcome) => {
         if (late || lost || this.isCut(id, process.name)) return
         this.time.after(this.linkDelayMs(id, process.name), () => settle(outcome))
@@ -499,7 +529,7 @@
       }
       let answered = false
       const answerListing = (): void => {
-        if (answered) return
+        if (answered || !endpoint.up) return
         answered = true
         const { clock, bornAt, running, ended } = endpoint.listing(this.time.now)
         answer({ type: 'listed', listing: { clock: clock as EndpointClockMs, bornAt, running: running.map(row => ({ ...row, task: row.task as TaskName })), ended: ended.map(row => ({ ...row, task: row.task as TaskName })) } })
--- a/packages/fakes/src/fencedEndpointModel.ts
+++ b/packages/fakes/src/fencedEndpointModel.ts
@@ -15,6 +15,8 @@
   readonly cpuMilli: number
   readonly workMs: number
   readonly fails: boolean
+  /** Time after its start at which the task crashes its endpoint; undefined for a task that does not. */
+  readonly crashAfterMs?: number
 }
 
 /** A run of a task at the endpoint; `run` is its number, which rises with each new attempt. */
@@ -67,6 +69,8 @@
   private leaseUntilClockMs = 0
   private endListeners: (() => void)[] = []
   up = true
+  /** Called when a task crashes the endpoint, before its runs are gone. */
+  onCrash: (at: number) => void = () => {}
 
   /**
    * @param id - the endpoint's id, kept across restarts
@@ -149,10 +153,20 @@
     this.leaseUntilClockMs = 0
     this.endListeners = []
     this.bornAt = now
+    this.up = true
   }
 
-  /** Ends the runs that have finished, were stopped or lost their lease up to a time. */
+  /** Crashes; nothing runs and nothing is answered until `restart`. */
+  crash (now: number): void {
+    this.onCrash(now)
+    this.up = false
+    this.runs.clear()
+    this.endListeners = []
+  }
+
+  /** Ends the runs that have finished, were stopped or lost their lease up to a time, or crashes if one of them is due to do that. */
   advance (now: number): void {
+    if ([...this.runs.values()].some(run => run.startedAt + (run.spec.crashAfterMs ?? Infinity) <= now)) this.crash(now)
     const leaseEndsAt = this.bornAt + this.leaseUntilClockMs
     for (const run of [...this.runs.values()]) {
       const stopAt = run.stopAt ?? Infinity
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -13,9 +13,10 @@
  * - REFUSED: a task started although all submissions of its job were refused
  * - MIXED: a job was reported as completed although not all its tasks ended with success
  * - DRAIN: a task started on an endpoint that had been draining for too long
+ * - BUDGET: a task that crashes its endpoints was started too often after it had crashed some of them
  * - CONFIG: an instance went back to an older version of the desired state
  */
-export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'DRAIN' | 'CONFIG'
+export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'DRAIN' | 'BUDGET' | 'CONFIG'
 
 /** A violation of an invariant. */
 export interface Violation {
@@ -37,12 +38,24 @@
 /** Time after the report that an endpoint drains during which tasks may still start on it. */
 const DRAIN_GRACE_MS = 2000
 
+/** A task that has crashed this many endpoints must be given up soon. */
+const CRASHES_MAX = 3
+/** Number of starts after that which are one too many. */
+const STARTS_AFTER_CRASHES_LIMIT = 3
+
+/** What the oracle has seen of a task that crashes its endpoints. */
+interface CrashObservation {
+  crashes: number
+  startsAfterwards: number
+}
+
 /** Checks the invariants on what the fleet reports to it. */
 export class ShardOracle {
   readonly violations: Violation[] = []
   readonly jobs = new Map<string, JobObservation>()
   private readonly runsByTask = new Map<string, { readonly run: ModelRun, readonly endpoint: FencedEndpointModel }[]>()
   private readonly drainingSince = new Map<string, number>()
+  private readonly crashesByTask = new Map<string, CrashObservation>()
   private readonly desiredVersions = new Map<string, number>()
 
   /** Records that a caller sent a job, for the first time or again. */
@@ -74,6 +87,7 @@
     if (run === undefined || job === undefined) return
     job.started = true
     this.checkRefusedJob(id, at)
+    if (starterHadSteadyContact) this.checkCrashes(task, at)
     if (endpoint.usedCpuMilli() > endpoint.cpuMilli) this.reportViolation('LIMIT', at, `${endpoint.id} has ${endpoint.usedCpuMilli()} of ${endpoint.cpuMilli} in use after ${task}`)
     const concurrentRuns = (this.runsByTask.get(task) ?? []).filter(other => other.endpoint.up && other.endpoint.runs.get(task) === other.run && other.run !== run)
     if (concurrentRuns.length > 0) this.reportViolation('TWICE', at, `${task} on ${endpoint.id} and ${concurrentRuns.map(o => o.endpoint.id).join()}`)
@@ -87,6 +101,21 @@
     if (how === 'done') this.jobs.get(run.task.slice(0, run.task.indexOf('.')))?.doneTasks.add(run.task)
   }
 
+  /** Records a crash of an endpoint under the tasks that cause crashes; other tasks there are not blamed for it. */
+  recordCrash (endpoint: FencedEndpointModel): void {
+    for (const { task, spec } of endpoint.runs.values()) {
+      if (spec.crashAfterMs === undefined) continue
+      const seen = this.crashesByTask.get(task) ?? { crashes: 0, startsAfterwards: 0 }
+      seen.crashes++
+      this.crashesByTask.set(task, seen)
+    }
+  }
+
+  /** @returns the number of endpoints that crashed under a task */
+  crashesOf (task: string): number {
+    return this.crashesByTask.get(task)?.crashes ?? 0
+  }
+
   /** Records that an endpoint reports that it drains; repeated reports keep the first time. */
   recordDraining (id: string, at: number): void {
     if (!this.drainingSince.has(id)) this.drainingSince.set(id, at)
@@ -99,6 +128,13 @@
     this.desiredVersions.set(incarnation, version)
   }
 
+  private checkCrashes (task: string, at: number): void {
+    const seen = this.crashesByTask.get(task)
+    if (seen === undefined || seen.crashes < CRASHES_MAX) return
+    seen.startsAfterwards++
+    if (seen.startsAfterwards >= STARTS_AFTER_CRASHES_LIMIT) this.reportViolation('BUDGET', at, `${task} was started after it had crashed ${seen.crashes} endpoints`)
+  }
+
   private checkRefusedJob (id: string, at: number): void {
     const job = this.jobs.get(id)
     if (job !== undefined && job.started && job.openSubmissions === 0 && job.otherReplies === 0) this.reportViolation('REFUSED', at, `${id} was refused ${job.refusals} times and has started`)
