A task that crashes its endpoints is given up: crashes count as attempts, suspects start alone

Callers saw refusals and late answers for sound jobs: one task of a job crashed endpoint after endpoint, up to 22 of 33 were away at a time, and runs of other jobs were lost with each. Cause: only runs that an endpoint lists as failed counted as attempts. A run that is lost with its endpoint went back to the queue without a trace, beside other tasks, until its caller left. Change: a decision of its own (core/attempts) keeps the runs that went wrong. An endpoint that refuses connections has crashed under the runs there; each of these tasks is suspect and starts only where nothing else runs, one of a job at a time until some have passed. After a second crash, alone, the job is answered as failed, without waiting for the lease. Silent endpoints count for less, since they may only be cut off, and an endpoint that answers again in the same incarnation clears the runs it had.

--- /dev/null
+++ b/packages/core/src/attempts/attemptsDecider.spec.ts
@@ -0,0 +1,73 @@
+import { expect } from 'chai'
+import type { AttemptFault, EndpointId, FailureDomain, InstanceId, JobId, TaskName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { makeRun } from '../endpoints/endpointsDb.js'
+import { SHARD_DEFAULTS } from '../shard/settings.js'
+import { ShardOutbox } from '../shard/types.js'
+import type { ShardContext } from '../shard/types.js'
+import { AttemptsDecider } from './attemptsDecider.js'
+
+const TASK = 'a.0.0.0' as TaskName
+
+class Harness {
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  readonly attempts = new AttemptsDecider(this.ctx)
+
+  /** Records a fault of the task's run with this number, at an endpoint of its own. */
+  record (run: number, fault: AttemptFault): boolean {
+    return this.attempts.record(makeRun({ id: `e-${run}` as EndpointId }, TASK, run, this.ctx.now, { state: 'running' }), { bornAt: 5 }, fault)
+  }
+
+  /** @returns the standing of a task after these faults, each of another run */
+  static standingAfter (...faults: AttemptFault[]): string {
+    const harness = new Harness()
+    for (const [index, fault] of faults.entries()) harness.record(index + 1, fault)
+    return harness.attempts.standingOf(TASK)
+  }
+}
+
+describe('the attempts at a task', () => {
+  it('make it suspect after a crash of its endpoint, and deadly after another one while nothing else ran there', () => {
+    expect(Harness.standingAfter('crashed')).to.equal('suspect')
+    expect(Harness.standingAfter('crashed', 'crashedAlone')).to.equal('deadly')
+    expect(Harness.standingAfter('crashedAlone')).to.equal('suspect')
+  })
+
+  it('do not make it deadly after two crashes that tasks beside it may have caused, but after three', () => {
+    expect(Harness.standingAfter('crashed', 'crashed')).to.equal('suspect')
+    expect(Harness.standingAfter('crashed', 'crashed', 'crashed')).to.equal('deadly')
+  })
+
+  it('do not make it suspect after one silent endpoint, which may only be cut off', () => {
+    expect(Harness.standingAfter('silent')).to.equal('sound')
+    expect(Harness.standingAfter('silent', 'silent')).to.equal('suspect')
+    expect(Harness.standingAfter('silent', 'silent', 'silent')).to.equal('deadly')
+  })
+
+  it('clear it when its endpoint turns out not to have crashed', () => {
+    const harness = new Harness()
+    harness.record(1, 'crashedAlone')
+    harness.record(1, 'outOfReach')
+    expect(harness.record(1, 'crashedAlone')).to.equal(false)
+    expect(harness.attempts.standingOf(TASK)).to.equal('sound')
+  })
+
+  it('count a run once, whoever reports it', () => {
+    const [owner, other] = [new Harness(), new Harness()]
+    owner.record(1, 'crashedAlone')
+    const known = owner.attempts.db.ofJob('a' as JobId)
+    expect([...other.attempts.learn(known)]).to.deep.equal(['a'])
+    expect([...other.attempts.learn(known)]).to.deep.equal([])
+    expect(other.attempts.standingOf(TASK)).to.equal('suspect')
+    other.record(2, 'crashed')
+    expect(other.attempts.deadlyTaskOf('a' as JobId)).to.equal(TASK)
+  })
+
+  it('are forgotten a minute after the last one', () => {
+    const harness = new Harness()
+    harness.record(1, 'crashed')
+    harness.ctx.now = ms(61_001)
+    harness.attempts.tick()
+    expect(harness.attempts.standingOf(TASK)).to.equal('sound')
+  })
+})
--- /dev/null
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -0,0 +1,71 @@
+/**
+ * Decides from the attempts at a task whether it may start again. A task can crash every endpoint that starts it. The endpoint then
+ * lists no end of the run, so such attempts are counted here and not by the endpoint's answers. An endpoint runs tasks of several
+ * jobs, and only one of them causes the crash: after a crash each of them is suspect and starts alone, so that a second crash
+ * shows the cause and costs no other job its run.
+ */
+import type { AttemptFault, JobId, TaskAttempts, TaskName } from '@cranberryyard/protocol'
+import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
+import type { ShardContext } from '../shard/types.js'
+import { AttemptsDb, jobIdOf } from './attemptsDb.js'
+import type { TaskStanding } from './types.js'
+
+/** Crashes under a task, one of them while nothing else ran there, after which it is not started again. */
+const CRASHES_MAX = 2
+/** Endpoints lost under a task, crashed or silent, after which it is not started again. A silent one may have crashed too. */
+const LOSSES_MAX = 3
+/** Silent endpoints from which a task is suspect; one alone is more often the network's fault. */
+const SUSPECT_SILENCES = 2
+
+/** Keeps the attempts that went wrong, those of other owners included. */
+export class AttemptsDecider {
+  readonly db = new AttemptsDb()
+
+  constructor (private readonly ctx: ShardContext) {}
+
+  /**
+   * Records that a run went wrong.
+   * @returns false when this was known
+   */
+  record (run: LedgerRun, endpoint: Pick<LedgerEndpoint, 'bornAt'>, fault: AttemptFault): boolean {
+    return this.db.add(run.task, `${run.endpoint}@${endpoint.bornAt ?? 0}#${run.run}`, fault, this.ctx.now)
+  }
+
+  /**
+   * Adds attempts that another instance knows of.
+   * @returns the jobs about which something new was learned
+   */
+  learn (tasks: readonly TaskAttempts[]): Set<JobId> {
+    const changed = new Set<JobId>()
+    for (const { task, attempts } of tasks) {
+      for (const { run, fault } of attempts) {
+        if (this.db.add(task, run, fault, this.ctx.now)) changed.add(jobIdOf(task))
+      }
+    }
+    return changed
+  }
+
+  /** @returns whether a task may start as usual, only alone at an endpoint, or not at all */
+  standingOf (task: TaskName): TaskStanding {
+    const faults = this.db.faultsOf(task)
+    const count = (fault: AttemptFault): number => faults.filter(other => other === fault).length
+    const [alone, silences] = [count('crashedAlone'), count('silent')]
+    const crashes = alone + count('crashed')
+    if ((crashes >= CRASHES_MAX && alone > 0) || crashes + silences >= LOSSES_MAX) return 'deadly'
+    return crashes > 0 || silences >= SUSPECT_SILENCES ? 'suspect' : 'sound'
+  }
+
+  /** @returns how many runs of a task its endpoints have listed as failed */
+  failuresOf (task: TaskName): number {
+    return this.db.faultsOf(task).filter(fault => fault === 'failed').length
+  }
+
+  /** @returns a task of the job that must not start again, if there is one */
+  deadlyTaskOf (id: JobId): TaskName | undefined {
+    return this.db.ofJob(id).find(({ task }) => this.standingOf(task) === 'deadly')?.task
+  }
+
+  tick (): void {
+    this.db.expire(this.ctx.now)
+  }
+}
--- /dev/null
+++ b/packages/core/src/attempts/types.ts
@@ -0,0 +1,9 @@
+/**
+ * Types of the attempts decision: how far a task can be trusted not to crash the endpoints that start it.
+ */
+
+/**
+ * What the attempts at a task show. `suspect`: an endpoint crashed while the task ran there, which the task or another one
+ * may have caused. `deadly`: the task crashes endpoints, as far as can be told from outside.
+ */
+export type TaskStanding = 'sound' | 'suspect' | 'deadly'
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -8,7 +8,7 @@
 
 export const NO_RESOURCES: Resources = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
 
-/** Returns the free capacity of an endpoint, which is none while a run with unknown needs is there. */
+/** Returns the free capacity of an endpoint, which is none while a run with unknown needs, or one that must be alone, is there. */
 export function freeCapacityOf (endpoint: LedgerEndpoint): Resources {
   endpoint.freeCapacity ??= computeFreeCapacity(endpoint)
   return endpoint.freeCapacity
@@ -17,7 +17,7 @@
 function computeFreeCapacity (endpoint: LedgerEndpoint): Resources {
   let remaining = endpoint.report.capacity
   for (const run of endpoint.runs.values()) {
-    if (run.needs === undefined) return NO_RESOURCES
+    if (run.needs === undefined || run.exclusive) return NO_RESOURCES
     remaining = minus(remaining, run.needs)
   }
   return remaining
@@ -39,7 +39,7 @@
  * Creates the ledger entry of a run.
  * @param overrides - values that differ from those of a start that has not been sent
  */
-export function makeRun (endpoint: LedgerEndpoint, task: TaskName, run: number, now: Ms, overrides: Partial<LedgerRun> & Pick<LedgerRun, 'state'>): LedgerRun {
+export function makeRun (endpoint: Pick<LedgerEndpoint, 'id'>, task: TaskName, run: number, now: Ms, overrides: Partial<LedgerRun> & Pick<LedgerRun, 'state'>): LedgerRun {
   return {
     task,
     run,
@@ -53,6 +53,7 @@
     confirmed: false,
     token: 0 as FencingToken,
     orderId: 0,
+    exclusive: false,
     sends: 0,
     lastSentAt: now,
     percent: 0,
@@ -89,7 +90,7 @@
       acknowledged: 0,
       hold: undefined,
       unansweredHolds: 0,
-      refused: false,
+      runsAtRefusal: undefined,
       answeredAt: now,
       nextHoldAt: now,
       leasesEndBy: now,
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -25,6 +25,7 @@
 class RecordingListener implements RunListener {
   readonly events: string[] = []
   readonly losses: string[] = []
+  readonly refusals: string[] = []
   runStarted (run: LedgerRun): void {
     this.events.push(`started ${run.run}`)
   }
@@ -42,6 +43,14 @@
     this.events.push(`lost ${run.run}`)
   }
 
+  endpointRefused (): void {
+    this.refusals.push('refused')
+  }
+
+  endpointBack (): void {
+    this.refusals.push('back')
+  }
+
   runProgressed (): void {}
   runFound (run: LedgerRun): void {
     this.events.push(`found ${run.run}`)
@@ -107,7 +116,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     for (let i = 0; i < 3; i++) {
       ctx.now = ms(ctx.now + 100)
       ledger.startOutcome(ID, run.orderId, { type: 'silent' })
@@ -125,7 +134,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 510 as EndpointClockMs })
     ledger.markUnlisted(ID)
     expect(listener.events).to.deep.equal(['started 1'])
@@ -141,7 +150,7 @@
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.markUnlisted(ID)
     ledger.update([REPORT], true)
     expect(ledger.usable(endpointOf(ledger))).to.equal(true)
@@ -164,7 +173,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
     const holdSentAt = ctx.now
     for (let i = 0; i < 40 && listener.events.length < 2; i++) {
@@ -182,7 +191,7 @@
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     const extensions: (number | undefined)[] = []
     for (let i = 0; i < 12; i++) {
       const hold = takeEffects(ctx, 'hold').at(-1)
@@ -201,7 +210,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 510 as EndpointClockMs })
     listener.events.length = 0
     answerHold(ctx, ledger, listing(3, [], [], 900))
@@ -213,7 +222,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
     for (let i = 0; i < 40 && listener.losses.length === 0; i++) {
       const hold = takeEffects(ctx, 'hold').at(-1)
@@ -222,13 +231,29 @@
       ledger.tick()
     }
     expect(listener.losses).to.deep.equal(['refused, 1 there'])
+    expect(listener.refusals).to.deep.equal(['refused'])
+  })
+
+  it('reports that an endpoint had not crashed when it answers again in the same incarnation, even after its runs were lost', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const hold = takeEffects(ctx, 'hold').at(-1)
+    ledger.holdOutcome(ID, hold?.orderId ?? 0, { type: 'refused' })
+    ctx.now = ms(ctx.now + 2 * SHARD_DEFAULTS.leaseMs)
+    ledger.tick()
+    expect(listener.events).to.include('lost 1')
+    answerHold(ctx, ledger, listing(2500))
+    expect(listener.refusals).to.deep.equal(['refused', 'back'])
   })
 
   it('restarts no task and places nothing there while its start, sent to the earlier incarnation, may still be carried out by the new one', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, 'text', NEEDS, 100)
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     answerHold(ctx, ledger, listing(3, [], [], 900))
     expect(listener.events).to.deep.equal([])
     ledger.update([{ ...REPORT, bornAt: 900 }], true)
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -100,8 +100,8 @@
   }
 
   /** Starts a run. The caller has checked that the run fits and that the endpoint is `usable`. */
-  start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, spec: string, needs: Resources, expectedMs: number): LedgerRun {
-    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec })
+  start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, { spec, needs, expectedMs, exclusive }: Pick<LedgerRun, 'spec' | 'exclusive'> & { readonly needs: Resources, readonly expectedMs: number }): LedgerRun {
+    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec, exclusive })
     this.db.addRun(endpoint, run)
     this.sendStart(endpoint, run)
     if (endpoint.hold === undefined) this.sendHold(endpoint)
@@ -223,7 +223,7 @@
     endpoint.answeredUnderToken = false
     endpoint.hold = undefined
     endpoint.unansweredHolds = 0
-    endpoint.refused = false
+    endpoint.runsAtRefusal = undefined
     this.sendHold(endpoint)
   }
 
@@ -261,7 +261,10 @@
     const { out, now, cfg, self } = this.ctx
     out.count('shard.holds.silent')
     endpoint.unansweredHolds++
-    endpoint.refused ||= why === 'refused'
+    if (why === 'refused' && endpoint.runsAtRefusal === undefined) {
+      endpoint.runsAtRefusal = [...endpoint.runs.values()]
+      this.listener.endpointRefused(endpoint, endpoint.runsAtRefusal)
+    }
     if (endpoint.unansweredHolds === UNANSWERED_HOLDS_MAX) {
       out.log('endpoint.silent', { endpoint: endpoint.id, failureDomain: endpoint.report.failureDomain, why, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(now - endpoint.answeredAt), owner: self.instance }, 'warn')
     }
@@ -272,11 +275,12 @@
   private applyListing (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
     const { now, out } = this.ctx
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
+    else if (endpoint.runsAtRefusal !== undefined) this.listener.endpointBack(endpoint, endpoint.runsAtRefusal)
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
     endpoint.bornAt = listing.bornAt
     endpoint.clockOffset = listing.clock - now
     endpoint.unansweredHolds = 0
-    endpoint.refused = false
+    endpoint.runsAtRefusal = undefined
     endpoint.answeredAt = now
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
@@ -363,13 +367,13 @@
 
   private reportRunsLost (endpoint: LedgerEndpoint): void {
     const runsThere = endpoint.runs.size
-    for (const run of [...endpoint.runs.values()]) this.reportRunLost(endpoint, run, endpoint.refused ? 'refused' : 'silent', runsThere)
+    for (const run of [...endpoint.runs.values()]) this.reportRunLost(endpoint, run, endpoint.runsAtRefusal === undefined ? 'silent' : 'refused', runsThere)
   }
 
   private reportRunLost (endpoint: LedgerEndpoint, run: LedgerRun, why: LossReason, runsThere: number): void {
     this.db.removeRun(endpoint, run)
     this.ctx.out.count('shard.tasks.lost')
-    this.listener.runLost(run, { why, runsThere })
+    this.listener.runLost(run, { why, runsThere, endpoint })
   }
 
   private sendStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -47,6 +47,8 @@
   token: FencingToken
   /** Order id of the latest start or stop, to match its answer. */
   orderId: number
+  /** Nothing else starts at the endpoint while the run is there. */
+  readonly exclusive: boolean
   /** How often the latest order, a start or a stop, was sent. */
   sends: number
   lastSentAt: Ms
@@ -77,6 +79,7 @@
   readonly why: LossReason
   /** Number of runs that the endpoint had when it was lost, this one included. */
   readonly runsThere: number
+  readonly endpoint: LedgerEndpoint
 }
 
 /** The owner's view of one endpoint. */
@@ -95,8 +98,8 @@
   hold: PendingHold | undefined
   /** Number of consecutive holds without an answer. */
   unansweredHolds: number
-  /** One of the consecutive holds without an answer was refused. */
-  refused: boolean
+  /** The runs there when one of the consecutive holds without an answer was first refused; undefined when none was. */
+  runsAtRefusal: readonly LedgerRun[] | undefined
   /** Time of the latest answer to a hold. */
   answeredAt: Ms
   /** When the next hold is due if none is pending. */
@@ -127,6 +130,10 @@
   runRejected (run: LedgerRun, reason: RejectionReason): void
   /** The run no longer exists and its end was not reported: its lease ran out, its endpoint restarted, or a later listing lacks it. */
   runLost (run: LedgerRun, loss: RunLoss): void
+  /** An endpoint refuses connections, so it has most likely crashed under these runs, which are lost once their leases have ended. */
+  endpointRefused (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
+  /** The endpoint answers again in the same incarnation, so it had not crashed under these runs. */
+  endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
   runProgressed (run: LedgerRun): void
   /** The endpoint listed a run that the ledger did not contain, such as one of an earlier owner. */
   runFound (run: LedgerRun): void
--- a/packages/core/src/execution/endpointOutlook.ts
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -24,7 +24,7 @@
   const { cpuMilli: capacity } = endpoint.report.capacity
   return {
     freeCpuMilli: Math.max(0, freeCapacityOf(endpoint).cpuMilli),
-    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.needs?.cpuMilli ?? capacity }))
+    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.exclusive ? capacity : run.needs?.cpuMilli ?? capacity }))
   }
 }
 
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, FencingToken, InstanceId, JobId, ListedEnd, ListedRun, QueueName, ServiceName, ShardMessage, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import { PlacementDecider } from '../placement/placementDecider.js'
 import { SHARD_DEFAULTS } from '../shard/settings.js'
@@ -14,8 +15,8 @@
 const FRONT: FrontSession = { instance: 'front' as InstanceId, incarnation: 1, address: 'front' }
 const OTHER_FRONT: FrontSession = { instance: 'other' as InstanceId, incarnation: 1, address: 'other' }
 
-function report (id: string): EndpointReport {
-  return { id: id as EndpointId, service: SERVICE, address: id, failureDomain: DOMAIN, draining: false, capacity: { cpuMilli: 14_000, memoryMb: 100, accelerators: 0 }, labels: [], bornAt: 0 }
+function report (id: string, slots: number): EndpointReport {
+  return { id: id as EndpointId, service: SERVICE, address: id, failureDomain: DOMAIN, draining: false, capacity: { cpuMilli: 14_000 * slots, memoryMb: 100, accelerators: 0 }, labels: [], bornAt: 0 }
 }
 
 function order (id: string, count: number, estimateMs: number, overrides: Partial<DispatchOrder> = {}): DispatchOrder {
@@ -28,7 +29,7 @@
   return { ...of, queue: { ...of.queue, latencyObjectiveMs: ms(latencyObjectiveMs) } }
 }
 
-/** A shard owner with endpoints that have capacity for one task each; tests answer its start, stop and hold orders explicitly. */
+/** A shard owner with endpoints that have capacity for a number of tasks each, usually one; tests answer its start, stop and hold orders explicitly. */
 class OwnerHarness {
   readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
   readonly sentToFronts: ShardMessage[] = []
@@ -40,15 +41,15 @@
   starts: Extract<ShardEffect, { type: 'startTask' }>[] = []
   stops: Extract<ShardEffect, { type: 'stopTask' }>[] = []
 
-  constructor (endpoints: number) {
-    this.execution = new ExecutionDecider(this.ctx, this.placement, {
+  constructor (endpoints: number, slots = 1) {
+    this.execution = new ExecutionDecider(this.ctx, this.placement, new AttemptsDecider(this.ctx), {
       sendToFront: (_front, message) => this.sentToFronts.push(message),
       superseded: () => {},
       earlierRunsKnown: () => true
     })
     this.ledger = new EndpointsDecider(this.ctx, () => 1 as FencingToken, this.execution)
     this.execution.endpoints = this.ledger
-    const reports = Array.from({ length: endpoints }, (_, i) => report(`e-${i}`))
+    const reports = Array.from({ length: endpoints }, (_, i) => report(`e-${i}`, slots))
     this.ledger.adopt(reports)
     this.collectEffects()
     for (const { id } of reports) this.answerHold(id, [])
@@ -89,6 +90,34 @@
     this.answerHold(run.endpoint, [{ task: run.task, run: run.run, percent }])
   }
 
+  /** Refuses the endpoint's holds from now on, and lets the leases of its runs end. */
+  crash (id: EndpointId): void {
+    this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
+    this.settle()
+    this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
+    this.settle()
+    this.advanceMs(SHARD_DEFAULTS.leaseMs * 1.1)
+    for (const job of this.execution.db.jobs.values()) job.confirmedAt = this.ctx.now
+    this.ledger.tick()
+    this.settle()
+  }
+
+  /** Frees an endpoint of its runs, which end with success. */
+  finishRuns (id: EndpointId): void {
+    const runs = [...this.ledger.db.get(id)?.runs.values() ?? []]
+    this.answerHold(id, [], runs.map(({ task, run }) => ({ task, run, how: 'done' })))
+  }
+
+  endpointOf (task: string): EndpointId {
+    const run = this.ledger.db.runOf(task as TaskName)
+    if (run === undefined) throw new Error(`${task} does not run`)
+    return run.endpoint
+  }
+
+  holdOf (id: EndpointId): number {
+    return this.holds.get(id) ?? 0
+  }
+
   isQuarantined (id: string): boolean {
     return this.placement.isQuarantined(id as EndpointId)
   }
@@ -134,6 +163,41 @@
     expect(owner.sentToFronts).to.deep.equal([{ type: 'ended', jobId: 'a', outcome: 'failed' }])
   })
 
+  it('fails a job at once when a second endpoint crashes under one of its tasks', () => {
+    const owner = new OwnerHarness(3)
+    owner.submit(withObjective(order('a', 1, 100), 5000))
+    owner.confirmStarts()
+    owner.crash(owner.endpointOf('a.0.0.0'))
+    expect(owner.starts.map(start => start.run)).to.deep.equal([2])
+    owner.confirmStarts()
+    owner.ledger.holdOutcome(owner.endpointOf('a.0.0.0'), owner.holdOf(owner.endpointOf('a.0.0.0')), { type: 'refused' })
+    expect(owner.sentToFronts).to.deep.equal([{ type: 'ended', jobId: 'a', outcome: 'failed' }])
+    owner.submit(order('a', 1, 100))
+    expect(owner.starts).to.deep.equal([])
+  })
+
+  it('starts the tasks that were lost in a crash alone, and one of a job at a time until one has passed', () => {
+    const owner = new OwnerHarness(4, 3)
+    owner.submit(withObjective(order('a', 3, 100), 5000))
+    owner.submit(withObjective(order('b', 1, 100), 5000))
+    owner.confirmStarts()
+    const crashed = owner.endpointOf('a.0.0.0')
+    expect(['a.0.0.1', 'a.0.0.2'].map(task => owner.endpointOf(task))).to.deep.equal([crashed, crashed])
+    owner.crash(crashed)
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['a.0.0.0'])
+    const trial = owner.starts[0]?.endpoint as EndpointId
+    expect(owner.endpointOf('b.0.0.0')).not.to.equal(trial)
+    owner.confirmStarts()
+    owner.submit(withObjective(order('c', 6, 100), 5000))
+    expect(owner.starts.filter(start => start.endpoint === trial)).to.deep.equal([])
+    owner.confirmStarts()
+    owner.finishRuns(trial)
+    owner.finishRuns(owner.endpointOf('b.0.0.0'))
+    for (const id of ['e-0', 'e-1', 'e-2', 'e-3']) if (id !== crashed) owner.finishRuns(id as EndpointId)
+    expect(owner.starts.map(start => start.task)).to.include.members(['a.0.0.1', 'a.0.0.2'])
+    expect(new Set(owner.starts.filter(start => start.task.startsWith('a.')).map(start => start.endpoint)).size).to.equal(2)
+  })
+
   it('finishes a running job before it starts another, and starts no second job partially', () => {
     const owner = new OwnerHarness(3)
     owner.submit(withObjective(order('a', 4, 200), 1000))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -4,14 +4,16 @@
  * It combines three decisions that are kept apart so that each can be tested alone: admission (which jobs, in which order),
  * placement (which endpoint) and the endpoint ledger (which runs occupy which endpoint).
  */
-import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import type { AttemptFault, DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ServiceName, ShardMessage, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
+import { jobIdOf } from '../attempts/attemptsDb.js'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
 import { SlotForecast } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
 import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
-import type { LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
+import type { LedgerEndpoint, LedgerRun, LossReason, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { ExecutionDb } from './executionDb.js'
@@ -19,7 +21,7 @@
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { JobEstimates } from './jobEstimates.js'
 import { planStarts } from './startPlan.js'
-import type { PlannedStart } from './startPlan.js'
+import type { PlannedStart, PlannedTask } from './startPlan.js'
 import { STALL_SLOWNESS, slownessOf, healthyRunMs } from './speed.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
@@ -52,7 +54,7 @@
   private cachedCapacity: { readonly at: Ms, readonly capacity: ShardCapacity } | undefined
   endpoints!: EndpointsDecider
 
-  constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly ports: ExecutionPorts) {
+  constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly attempts: AttemptsDecider, private readonly ports: ExecutionPorts) {
     this.estimates = new JobEstimates(ctx)
   }
 
@@ -70,6 +72,12 @@
       return
     }
     const job = this.estimates.makeJob(front, failureDomain, order)
+    const deadly = this.attempts.deadlyTaskOf(id)
+    if (deadly !== undefined) {
+      this.db.jobs.set(id, job)
+      this.failDeadly(job, deadly)
+      return
+    }
     if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
   }
 
@@ -137,6 +145,7 @@
   /** Stops runs that no job claimed, abandons jobs that nobody waits for, and declines waiting jobs that can no longer finish in time. */
   tick (): void {
     this.db.expire(this.ctx.now)
+    this.attempts.tick()
     this.stopUnclaimed()
     for (const job of [...this.db.jobs.values()]) this.tickJob(job)
     this.reassessWaitingJobs()
@@ -212,14 +221,32 @@
     this.requeue(job)
   }
 
-  runLost (run: LedgerRun, { why, runsThere }: RunLoss): void {
+  /**
+   * Counts a crash against all tasks that may have caused it, without waiting for the end of their leases: this owner may be lost
+   * before that, and a job that is given up is answered at once.
+   */
+  endpointRefused (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
+    this.ctx.out.log('endpoint.refused', { endpoint: endpoint.id, runs: runs.length, lastAnswerAgeMs: Math.round(this.ctx.now - endpoint.answeredAt) }, 'warn')
+    if (runs.length === 0) return
+    this.ctx.out.count('shard.endpoints.crashed')
+    for (const run of runs) this.attempts.record(run, endpoint, runs.length === 1 ? 'crashedAlone' : 'crashed')
+    this.failDeadlyJobs(runs)
+  }
+
+  endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
+    for (const run of runs) this.attempts.record(run, endpoint, 'outOfReach')
+  }
+
+  runLost (run: LedgerRun, { why, runsThere, endpoint }: RunLoss): void {
+    const fault = faultOf(why, runsThere === 1)
+    if (fault !== undefined) this.attempts.record(run, endpoint, fault)
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
     const { job, task } = found
     task.run = undefined
     task.lostRuns++
-    this.ctx.out.log('task.lost', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, why, runsThere, lostRuns: task.lostRuns, ageMs: Math.round(this.ctx.now - run.orderedAt) })
-    this.requeue(job)
+    this.ctx.out.log('task.lost', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, why, runsThere, lostRuns: task.lostRuns, standing: this.attempts.standingOf(task.name), ageMs: Math.round(this.ctx.now - run.orderedAt) })
+    if (!this.failIfDeadly(job)) this.requeue(job)
   }
 
   runFound (run: LedgerRun): void {
@@ -354,16 +381,28 @@
    * a time may do so
    * @returns true when every task of the ready steps has started
    */
-  private startTasks (job: OwnedJob, candidates: readonly Candidate[], allowPartial: boolean): boolean {
-    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, allowPartial })
+  private startTasks (job: OwnedJob, candidates: Candidate[], allowPartial: boolean): boolean {
+    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: task => this.attempts.standingOf(task), allowPartial })
     for (const start of plan.starts) this.startTask(job, start)
+    if (plan.suspectWithoutEndpoint !== undefined && this.ctx.now <= job.usefulUntil) this.keepEndpointFree(job, plan.suspectWithoutEndpoint, candidates)
     if (plan.isComplete && !plan.hasBlockedSteps) this.admission.db.waiting.delete(job)
     return plan.isComplete
   }
 
-  private startTask (job: OwnedJob, { step, task, candidate }: PlannedStart): void {
+  /** Lets nothing else start in this round at the endpoint that will be unused first, so that the suspect task gets one. */
+  private keepEndpointFree (job: OwnedJob, { step, task }: PlannedTask, candidates: Candidate[]): void {
+    let best: { readonly index: number, readonly freeAt: number } | undefined
+    for (const [index, { endpoint }] of candidates.entries()) {
+      if (endpoint.report.service !== job.order.queue.service || task.avoid.has(endpoint.id) || this.placement.isQuarantined(endpoint.id) || !fits(step.spec.needs, endpoint.report.capacity)) continue
+      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs).ends.map(end => end.at))
+      if (best === undefined || freeAt < best.freeAt) best = { index, freeAt }
+    }
+    if (best !== undefined) candidates.splice(best.index, 1)
+  }
+
+  private startTask (job: OwnedJob, { step, task, candidate, exclusive }: PlannedStart): void {
     task.lastRun++
-    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, job.order.job.spec, step.spec.needs, this.estimates.expectedMs(job, step))
+    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.estimates.expectedMs(job, step), exclusive })
     this.recordFirstStart(job)
   }
 
@@ -380,6 +419,7 @@
     if (step === undefined || task.done) return
     task.done = true
     step.unfinishedTasks--
+    if (run.exclusive) job.trialsPassed++
     if (endTimeKnown && run.foundPercent === undefined) this.learnFromRun(job, step, run)
     if (job.steps.every(s => s.unfinishedTasks === 0)) this.end(job, 'completed')
   }
@@ -399,6 +439,26 @@
     else this.requeue(job)
   }
 
+  /** Fails the jobs of these runs of which a task must not start again. */
+  private failDeadlyJobs (runs: readonly LedgerRun[]): void {
+    for (const id of new Set(runs.map(run => jobIdOf(run.task)))) {
+      const job = this.db.jobs.get(id)
+      if (job !== undefined) this.failIfDeadly(job)
+    }
+  }
+
+  private failIfDeadly (job: OwnedJob): boolean {
+    const deadly = this.attempts.deadlyTaskOf(job.id)
+    if (deadly !== undefined) this.failDeadly(job, deadly)
+    return deadly !== undefined
+  }
+
+  private failDeadly (job: OwnedJob, task: TaskName): void {
+    this.ctx.out.count('shard.jobs.deadly')
+    this.ctx.out.log('job.deadly', { job: job.id, task, faults: this.attempts.db.faultsOf(task).join() }, 'warn')
+    this.end(job, 'failed')
+  }
+
   /**
    * Counts the task's first failure against the endpoint. After a second failure the fault is taken to be the task's, and
    * neither failure counts against an endpoint.
@@ -498,6 +558,16 @@
   }
 }
 
+/** @returns how a lost run counts against its task; undefined when the endpoint only no longer lists it */
+function faultOf (why: LossReason, alone: boolean): AttemptFault | undefined {
+  switch (why) {
+    case 'refused':
+    case 'restarted': return alone ? 'crashedAlone' : 'crashed'
+    case 'silent': return 'silent'
+    case 'unlisted': return undefined
+  }
+}
+
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -40,6 +40,7 @@
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       admittedLate: false,
+      trialsPassed: 0,
       attempt: order.attempt,
       service: queue.service,
       priority: queue.priority,
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -23,7 +23,7 @@
   /** Number of the latest run; each new run gets a higher one. */
   lastRun: number
   failedAttempts: number
-  /** Number of runs that were lost with their endpoint, as far as this owner knows. */
+  /** Number of runs that were lost, as far as this owner knows. */
   lostRuns: number
   /** Endpoints where a run of the task failed. */
   readonly failedEndpoints: Set<EndpointId>
@@ -59,6 +59,8 @@
   firstStartAt: Ms | undefined
   mayHaveRun: boolean
   admittedLate: boolean
+  /** Number of suspect tasks that have run alone without a crash. */
+  trialsPassed: number
 }
 
 /** The outcome of an ended job, kept to answer a caller that resends the job. */
--- a/packages/core/src/placement/placementDecider.spec.ts
+++ b/packages/core/src/placement/placementDecider.spec.ts
@@ -17,7 +17,8 @@
   preferredRack: '',
   avoid: new Set(),
   tasksAt: undefined,
-  maxPerEndpoint: 0
+  maxPerEndpoint: 0,
+  exclusive: false
 }
 
 function setUp (): { ctx: ShardContext, placement: PlacementDecider } {
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -53,7 +53,7 @@
     let best: Candidate | undefined
     let bestScore = Infinity
     for (const candidate of candidates) {
-      if (!fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint)) continue
+      if (!fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint) || (request.exclusive && !isUnused(candidate))) continue
       const score = this.score(request, candidate)
       if (score < bestScore) {
         best = candidate
@@ -148,3 +148,8 @@
     this.ctx.out.log('endpoint.trusted', { endpoint: id, slowness: Number(trust.slowness.toFixed(2)) })
   }
 }
+
+/** @returns whether nothing runs at the endpoint and nothing was placed there in this round */
+function isUnused ({ endpoint, freeCapacity }: Candidate): boolean {
+  return endpoint.runs.size === 0 && freeCapacity.cpuMilli === endpoint.report.capacity.cpuMilli
+}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -28,4 +28,6 @@
   /** Number of tasks of the step that an endpoint already has; undefined when the step sets no limit per endpoint. */
   readonly tasksAt: ((endpoint: EndpointId) => number) | undefined
   readonly maxPerEndpoint: number
+  /** The task starts only where nothing else runs. */
+  readonly exclusive: boolean
 }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -5,6 +5,7 @@
  */
 import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { DesiredDecider } from '../desired/desiredDecider.js'
 import { EndpointList } from '../endpoints/endpointList.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
@@ -40,6 +41,7 @@
   readonly desired: DesiredDecider
   readonly ownership: OwnershipDecider
   readonly placement: PlacementDecider
+  readonly attempts: AttemptsDecider
   readonly execution: ExecutionDecider
   readonly endpoints: EndpointsDecider
   readonly intake: IntakeDecider
@@ -67,7 +69,8 @@
       ownershipLost: (failureDomain, successor) => this.ownershipLost(failureDomain, successor)
     })
     this.placement = new PlacementDecider(ctx)
-    this.execution = new ExecutionDecider(ctx, this.placement, {
+    this.attempts = new AttemptsDecider(ctx)
+    this.execution = new ExecutionDecider(ctx, this.placement, this.attempts, {
       sendToFront: (front, message) => this.sendToFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
       earlierRunsKnown: failureDomain => this.earlierRunsKnown(failureDomain)
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -99,6 +99,26 @@
   readonly features: readonly JobFeature[]
 }
 
+/**
+ * What went wrong with a run. `failed`: the endpoint listed it as failed. `crashed`: the endpoint crashed with this and other runs.
+ * `crashedAlone`: it crashed while nothing else ran there. `silent`: it was not heard of again, so it crashed or was cut off.
+ * `outOfReach`: it was taken to have crashed, but it went on, or the start had never reached it; this does not count.
+ */
+export type AttemptFault = 'failed' | 'crashed' | 'crashedAlone' | 'silent' | 'outOfReach'
+
+/** A run that went wrong. */
+export interface FailedAttempt {
+  /** Names the endpoint, its incarnation and the number of the run, so that two reports of one run count once. */
+  readonly run: string
+  readonly fault: AttemptFault
+}
+
+/** The runs of a task that went wrong. */
+export interface TaskAttempts {
+  readonly task: TaskName
+  readonly attempts: readonly FailedAttempt[]
+}
+
 /** A job forwarded by its front to the owner of a shard. */
 export interface DispatchOrder {
   readonly job: JobRequest
