Attempts that went wrong outlive the owner that saw them

Cause: attempts lived in the memory of one owner. Orders carried the tasks that are done, and nothing about those that had crashed. Change: an owner tells the fronts of the jobs and the owners of the other shards, in an optional field of 'pong'; fronts send what they know with each order, and whoever knows something tells a new owner. Reports name endpoint, incarnation and run, so that one crash counts once however often it is told. Messages of earlier versions are read as before.

--- a/packages/bench/src/shard/deadlyTasks.spec.ts
+++ b/packages/bench/src/shard/deadlyTasks.spec.ts
@@ -89,6 +89,20 @@
     }
   })
 
+  it('are given up although all instances of the domain are killed after the first crash and the job goes on in another domain', () => {
+    for (const seed of SEEDS) {
+      const day = new DeadlyDay(seed)
+      const deadly = day.submitDeadly()
+      while (day.crashesOf(deadly) === 0) day.fleet.run(50)
+      day.fleet.run(300)
+      for (const name of ['a-0', 'a-1', 'a-2']) day.fleet.kill(name as InstanceId, 2500)
+      day.fleet.run(PATIENCE_MS)
+      expect(day.fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+      expect(deadly.reply, `seed ${seed}`).to.equal('failed')
+      expect(day.crashesOf(deadly), `seed ${seed}`).to.equal(2)
+    }
+  })
+
   it('do not make jobs fail that run beside them', () => {
     for (const seed of SEEDS) {
       const day = new DeadlyDay(seed)
--- a/packages/core/src/attempts/attemptsDb.ts
+++ b/packages/core/src/attempts/attemptsDb.ts
@@ -47,6 +47,11 @@
     return [...this.jobs.get(jobIdOf(task))?.tasks.get(task)?.values() ?? []]
   }
 
+  /** @returns whether any attempt at a task of the job went wrong */
+  has (id: JobId): boolean {
+    return this.jobs.has(id)
+  }
+
   /** @returns the attempts at the tasks of a job */
   ofJob (id: JobId): TaskAttempts[] {
     return [...this.jobs.get(id)?.tasks ?? []].map(([task, runs]) => ({ task, attempts: [...runs].map(([run, fault]) => ({ run, fault })) }))
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -45,6 +45,7 @@
     this.execution = new ExecutionDecider(this.ctx, this.placement, new AttemptsDecider(this.ctx), {
       sendToFront: (_front, message) => this.sentToFronts.push(message),
       superseded: () => {},
+      attemptsChanged: () => {},
       earlierRunsKnown: () => true
     })
     this.ledger = new EndpointsDecider(this.ctx, () => 1 as FencingToken, this.execution)
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -40,6 +40,8 @@
 export interface ExecutionPorts {
   sendToFront (front: FrontSession, message: ShardMessage): void
   superseded (failureDomain: FailureDomain, token: FencingToken): void
+  /** Something new is known about attempts at tasks of these jobs, each with the front that has sent it, if this owner has the job. */
+  attemptsChanged (jobs: ReadonlyMap<JobId, FrontSession | undefined>): void
   /** Returns false while runs of an earlier owner may exist that this owner has not yet seen. */
   earlierRunsKnown (failureDomain: FailureDomain): boolean
 }
@@ -72,6 +74,7 @@
       return
     }
     const job = this.estimates.makeJob(front, failureDomain, order)
+    this.attempts.learn(order.attempts ?? [])
     const deadly = this.attempts.deadlyTaskOf(id)
     if (deadly !== undefined) {
       this.db.jobs.set(id, job)
@@ -101,6 +104,12 @@
     }
   }
 
+  /** Called when more is known about the attempts at a job's tasks; fails the job if one of them must not start again. */
+  attemptsLearned (id: JobId): void {
+    const job = this.db.jobs.get(id)
+    if (job !== undefined) this.failIfDeadly(job)
+  }
+
   /** @returns the instances that answer to the callers of the jobs held here */
   frontInstances (): Set<InstanceId> {
     const fronts = new Set<InstanceId>()
@@ -229,17 +238,17 @@
     this.ctx.out.log('endpoint.refused', { endpoint: endpoint.id, runs: runs.length, lastAnswerAgeMs: Math.round(this.ctx.now - endpoint.answeredAt) }, 'warn')
     if (runs.length === 0) return
     this.ctx.out.count('shard.endpoints.crashed')
-    for (const run of runs) this.attempts.record(run, endpoint, runs.length === 1 ? 'crashedAlone' : 'crashed')
-    this.failDeadlyJobs(runs)
+    this.recordFaults(runs, endpoint, runs.length === 1 ? 'crashedAlone' : 'crashed')
+    for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
   }
 
   endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
-    for (const run of runs) this.attempts.record(run, endpoint, 'outOfReach')
+    this.recordFaults(runs, endpoint, 'outOfReach')
   }
 
   runLost (run: LedgerRun, { why, runsThere, endpoint }: RunLoss): void {
     const fault = faultOf(why, runsThere === 1)
-    if (fault !== undefined) this.attempts.record(run, endpoint, fault)
+    if (fault !== undefined) this.recordFaults([run], endpoint, fault)
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
     const { job, task } = found
@@ -331,7 +340,7 @@
 
   private accept (job: OwnedJob): void {
     this.db.jobs.set(job.id, job)
-    if (job.order.resumed) this.ctx.out.log('job.resumed', { job: job.id, front: job.front.instance, tasksDone: job.order.done.length, ageMs: Math.round(job.order.ageMs) })
+    if (job.order.resumed) this.ctx.out.log('job.resumed', { job: job.id, front: job.front.instance, tasksDone: job.order.done.length, tasksWithFaults: job.order.attempts?.length ?? 0, ageMs: Math.round(job.order.ageMs) })
     for (const step of job.steps) {
       for (const task of step.tasks) {
         const run = this.endpoints.db.runOf(task.name)
@@ -382,7 +391,7 @@
    * @returns true when every task of the ready steps has started
    */
   private startTasks (job: OwnedJob, candidates: Candidate[], allowPartial: boolean): boolean {
-    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: task => this.attempts.standingOf(task), allowPartial })
+    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: this.attempts.db.has(job.id) ? task => this.attempts.standingOf(task) : () => 'sound', allowPartial })
     for (const start of plan.starts) this.startTask(job, start)
     if (plan.suspectWithoutEndpoint !== undefined && this.ctx.now <= job.usefulUntil) this.keepEndpointFree(job, plan.suspectWithoutEndpoint, candidates)
     if (plan.isComplete && !plan.hasBlockedSteps) this.admission.db.waiting.delete(job)
@@ -439,12 +448,10 @@
     else this.requeue(job)
   }
 
-  /** Fails the jobs of these runs of which a task must not start again. */
-  private failDeadlyJobs (runs: readonly LedgerRun[]): void {
-    for (const id of new Set(runs.map(run => jobIdOf(run.task)))) {
-      const job = this.db.jobs.get(id)
-      if (job !== undefined) this.failIfDeadly(job)
-    }
+  /** Records what became of runs, and passes on what is new: the job may go on at another owner, or come again from another front. */
+  private recordFaults (runs: readonly LedgerRun[], endpoint: LedgerEndpoint, fault: AttemptFault): void {
+    const changed = jobIdsOf(runs.filter(run => this.attempts.record(run, endpoint, fault)))
+    if (changed.size > 0) this.ports.attemptsChanged(new Map([...changed].map(id => [id, this.db.jobs.get(id)?.front])))
   }
 
   private failIfDeadly (job: OwnedJob): boolean {
@@ -558,6 +565,10 @@
   }
 }
 
+function jobIdsOf (runs: readonly LedgerRun[]): Set<JobId> {
+  return new Set(runs.map(run => jobIdOf(run.task)))
+}
+
 /** @returns how a lost run counts against its task; undefined when the endpoint only no longer lists it */
 function faultOf (why: LossReason, alone: boolean): AttemptFault | undefined {
   switch (why) {
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { DesiredState, FailureDomain, FencingToken, InstanceId, JobId, JobRequest, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { DesiredDecider } from '../desired/desiredDecider.js'
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
 import { SHARD_DEFAULTS } from '../shard/settings.js'
@@ -28,7 +29,7 @@
   sessions.messageReceived(OWNER, 1, 'owner')
   sessions.db.learnOwner({ failureDomain: DOMAIN, owner: OWNER, token: 1 as FencingToken })
   const sent: ShardMessage[] = []
-  const intake = new IntakeDecider(ctx, desired, sessions, (_to, message) => sent.push(message))
+  const intake = new IntakeDecider(ctx, desired, sessions, new AttemptsDecider(ctx), (_to, message) => sent.push(message))
   const replies = (): CallerReply[] => ctx.out.takeEffects().flatMap(effect => effect.type === 'reply' ? [effect.reply] : [])
   return { ctx, intake, sessions, sent, replies }
 }
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -6,6 +6,7 @@
  */
 import type { FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import type { DesiredDecider } from '../desired/desiredDecider.js'
 import { criticalPathOf, objectiveOf } from '../execution/executionDb.js'
 import type { SessionsDecider } from '../sessions/sessionsDecider.js'
@@ -38,7 +39,7 @@
   readonly db = new IntakeDb()
   private leavingSince: Ms | undefined
 
-  constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly deliver: Deliver) {}
+  constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly attempts: AttemptsDecider, private readonly deliver: Deliver) {}
 
   /** Accepts a job from a caller, joins it to the same job already in flight, or refuses it. */
   submit (callId: string, host: string, path: string, request: JobRequest, deadlineMs: Ms): void {
@@ -211,7 +212,7 @@
     job.location = { type: 'atOwner', failureDomain, owner, since: now }
     job.checkedAt = now
     job.attempt++
-    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain) }
+    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order })
   }
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -3,7 +3,7 @@
  * together and routes each input to them. It returns effects instead of performing I/O, and it has no timers and no clock
  * of its own, so the daemon and the tests can drive it alike.
  */
-import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage } from '@cranberryyard/protocol'
+import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { DesiredDecider } from '../desired/desiredDecider.js'
@@ -73,12 +73,13 @@
     this.execution = new ExecutionDecider(ctx, this.placement, this.attempts, {
       sendToFront: (front, message) => this.sendToFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
+      attemptsChanged: jobs => this.shareAttempts(jobs),
       earlierRunsKnown: failureDomain => this.earlierRunsKnown(failureDomain)
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, this.execution)
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
-    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, (to, message) => this.deliver(to, message))
+    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, (to, message) => this.deliver(to, message))
     this.introduction = new IntroductionDecider(ctx, seeds, () => ({ desiredState: this.desired.db.state === undefined, owner: !this.hasLiveOwner(), records: !this.ownership.db.recordsRead }), () => this.desired.db.version())
   }
 
@@ -150,11 +151,13 @@
         this.sessions.db.learnOwned(from, message.owned)
         this.desired.peerVersionReceived(from, message.desiredVersion)
         if (this.ownsLocalDomain(from) || this.introduction.isPending()) this.sessions.db.learnOthers(message.others, this.ctx.now)
+        for (const id of this.attempts.learn(message.attempts ?? [])) this.execution.attemptsLearned(id)
         for (const { failureDomain } of [...message.owned, ...message.others]) this.intake.ownerKnown(failureDomain)
         return
       case 'announce':
         this.sessions.db.learnOwner({ failureDomain: message.failureDomain, owner: from, token: message.token })
         this.ownership.ownerAnnounced(message.failureDomain, from, message.token)
+        this.sendAttempts(from, this.attempts.db.jobIds())
         return this.intake.ownerKnown(message.failureDomain)
       case 'submit': return this.receiveSubmit({ instance: from, incarnation: message.incarnation, address: message.address }, message)
       case 'checkJobs': return this.receiveJobCheck(from, message.failureDomain, message.jobIds)
@@ -252,12 +255,33 @@
     if (this.ctx.now - (peer.loadSentAt ?? -Infinity) >= this.ctx.cfg.pingMs) this.sendLoad(front)
   }
 
-  private sendLoad (to: InstanceId): void {
+  /**
+   * Tells the fronts of these jobs and the owners of all other shards what has become of the runs. The fronts tell the next owner of this
+   * shard; a job that its caller sends again through another front comes to one of the owners.
+   */
+  private shareAttempts (jobs: ReadonlyMap<JobId, FrontSession | undefined>): void {
+    const idsByPeer = new Map<InstanceId, Set<JobId>>()
+    for (const { failureDomain } of this.sessions.db.shards.values()) {
+      const owner = this.sessions.ownerOf(failureDomain)
+      if (owner !== undefined) idsByPeer.set(owner, new Set(jobs.keys()))
+    }
+    for (const [id, front] of jobs) {
+      if (front !== undefined) idsByPeer.set(front.instance, new Set(idsByPeer.get(front.instance)).add(id))
+    }
+    for (const [peer, ids] of idsByPeer) this.sendAttempts(peer, ids)
+  }
+
+  private sendAttempts (to: InstanceId, ids: Iterable<JobId>): void {
+    const attempts = [...ids].flatMap(id => this.attempts.db.ofJob(id))
+    if (attempts.length > 0 && to !== this.ctx.self.instance) this.sendLoad(to, attempts)
+  }
+
+  private sendLoad (to: InstanceId, attempts?: readonly TaskAttempts[]): void {
     const { self, now } = this.ctx
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadSentAt = now
     const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
-    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version() })
+    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), ...attempts === undefined ? {} : { attempts } })
   }
 
   /**
--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -11,6 +11,8 @@
 const MEMBER = { instance: 'a', incarnation: 1, failureDomain: 'd', address: 'a:1', cpuMilli: 500 }
 const OWNED = { failureDomain: 'd', token: 64, load: { waitMs: 0, busyShare: 0.5 } }
 
+const ATTEMPTS = [{ task: '1.0.0.0', attempts: [{ run: 'e@5#1', fault: 'crashed' }] }]
+
 /** One valid message of each type. */
 const VALID_MESSAGES: readonly object[] = [
   { type: 'ping', incarnation: 1, address: 'a', desiredVersion: 1 },
@@ -29,6 +31,11 @@
   { type: 'desired', state: { version: 4, queues: [QUEUE], services: [{ name: 's', guardsCapacity: false }] } }
 ]
 
+const MESSAGES_WITH_ATTEMPTS: readonly object[] = [
+  { type: 'pong', incarnation: 1, owned: [OWNED], others: [], desiredVersion: 1, attempts: ATTEMPTS },
+  { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: { ...ORDER, attempts: ATTEMPTS } }
+]
+
 /** Lists the paths to every value inside a message. */
 function paths (value: unknown, path: readonly string[] = []): (readonly string[])[] {
   if (typeof value !== 'object' || value === null) return [path]
@@ -44,7 +51,7 @@
 }
 
 /** Generates a valid message in which one value is replaced by an arbitrary one. */
-const corruptedMessage = fc.constantFrom(...VALID_MESSAGES).chain(valid => fc.tuple(fc.constantFrom(...paths(valid).slice(1)), fc.anything()).map(([path, value]) => replaceAt(valid, path, value) as { type: string }))
+const corruptedMessage = fc.constantFrom(...VALID_MESSAGES, ...MESSAGES_WITH_ATTEMPTS).chain(valid => fc.tuple(fc.constantFrom(...paths(valid).slice(1)), fc.anything()).map(([path, value]) => replaceAt(valid, path, value) as { type: string }))
 
 describe('the check of messages from other instances', () => {
   it('accepts valid messages', () => {
@@ -62,6 +69,8 @@
     const submit = VALID_MESSAGES.find(message => (message as { type: string }).type === 'submit') as unknown as { type: string, order: object }
     expect(isShardMessage({ ...submit, order: { ...submit.order, lastChance: true } } as { type: string })).to.equal(true)
     expect(isShardMessage({ ...submit, order: { ...submit.order, lastChance: 'yes' } } as { type: string })).to.equal(false)
+    expect(isShardMessage({ ...submit, order: { ...submit.order, attempts: ATTEMPTS } } as { type: string })).to.equal(true)
+    expect(isShardMessage({ ...submit, order: { ...submit.order, attempts: [{ task: '1.0.0.0', attempts: [{ run: 'e@5#1', fault: 'unknown' }] }] } } as { type: string })).to.equal(false)
   })
 
   it('lets no message through that makes the decision logic throw, whatever value one of its fields has', () => {
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -36,7 +36,8 @@
 const step = object({ count: taskCount, needs: resources, estimateMs: nonNegative, after: listOf(nonNegativeInteger), requiredLabel: text, preferredRack: text, maxPerEndpoint: nonNegativeInteger })
 const job = object({ id: text, spec: text, steps: listOf(step), features: listOf(text) })
 const queue = object({ name: text, host: text, prefix: text, service: text, priority: finiteNumber, maxAttempts: nonNegativeInteger, stretch: nonNegative, latencyObjectiveMs: nonNegative, needsAdvice: flag })
-const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag) })
+const attempts = optional(listOf(object({ task: text, attempts: listOf(object({ run: text, fault: oneOf('failed', 'crashed', 'crashedAlone', 'silent', 'outOfReach') })) })))
+const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag), attempts })
 const state = object({ version: nonNegativeInteger, queues: listOf(queue), services: listOf(object({ name: text, guardsCapacity: flag })) })
 const member = object({ instance: text, incarnation: nonNegativeInteger, failureDomain: text, address: text, cpuMilli: nonNegative })
 const endpoint = object({ id: text, service: text, address: text, failureDomain: text, draining: flag, capacity: resources, labels: listOf(text), bornAt: finiteNumber })
@@ -44,7 +45,7 @@
 
 const CHECKS: { readonly [T in ShardMessage['type']]: Checks<MessageOf<T>> } = {
   ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger, leaving: optional(flag) },
-  pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text })), desiredVersion: nonNegativeInteger },
+  pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text })), desiredVersion: nonNegativeInteger, attempts },
   announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber },
   submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order },
   checkJobs: { failureDomain: text, jobIds: listOf(text) },
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -135,6 +135,8 @@
   readonly done: readonly string[]
   /** The job was declined by every other shard that has an owner. Absent in orders of earlier versions. */
   readonly lastChance?: boolean
+  /** Runs of the job's tasks that went wrong, as far as the front knows. Absent when there are none, and in orders of earlier versions. */
+  readonly attempts?: readonly TaskAttempts[]
 }
 
 /** How a run ended on an endpoint; `lapsed` means that its lease expired. */
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -2,7 +2,7 @@
  * Messages between owners of shards (the endpoints of a failure domain) and fronts, the instances that accept jobs from
  * callers and forward them to owners. Member names are sent as they are.
  */
-import type { DesiredState, DispatchOrder, EndpointReport, FencingToken, JobId, MemberRecord, Revised, ShardRecord } from './dispatch.js'
+import type { DesiredState, DispatchOrder, EndpointReport, FencingToken, JobId, MemberRecord, Revised, ShardRecord, TaskAttempts } from './dispatch.js'
 import type { FailureDomain, InstanceId } from './ids.js'
 import type { Ms } from './clock.js'
 
@@ -43,8 +43,11 @@
    * successor; absent in earlier versions.
    */
   | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number, readonly leaving?: boolean }
-  /** Answer to a ping; an owner also sends it along with its other messages to a front. */
-  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number }
+  /**
+   * Answer to a ping; an owner also sends it along with its other messages to a front. `attempts`: runs that went wrong, sent when something
+   * new is known of them; absent in earlier versions.
+   */
+  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number, readonly attempts?: readonly TaskAttempts[] }
   /** Announces a new owner. */
   | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken }
   /** Forwards a job to the owner of a failure domain's endpoints. */
