A start whose connection was refused is given up at once: it never arrived

Callers of sound jobs waited more than a second when their task was sent to an endpoint that had just crashed. Cause: a refused start was handled like one without an answer. It was sent again, its room stayed reserved until the lease would have ended, and the crash counted against it. Change: a start that was refused each time it was sent is given up; the task goes to another endpoint, no crash counts against it, and nothing is placed there until a hold is answered. One that was sent before without an answer stays reserved as before. Evidence: two tests in endpointsDecider.spec.ts failed before and pass.

--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -55,6 +55,7 @@
     orderId: 0,
     exclusive: false,
     sends: 0,
+    refusedSends: 0,
     lastSentAt: now,
     percent: 0,
     percentAt: now,
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -234,6 +234,31 @@
     expect(listener.refusals).to.deep.equal(['refused'])
   })
 
+  it('gives up a start at once that was refused, since it never arrived, and does not count a crash against it', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const later = ledger.start(endpointOf(ledger), 'job.0.0.1' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.startOutcome(ID, later.orderId, { type: 'refused' })
+    expect(listener.events).to.deep.equal(['started 1', 'rejected 1 refused'])
+    expect(endpointOf(ledger).runsAtRefusal?.map(({ task }) => task)).to.deep.equal([TASK])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+  })
+
+  it('keeps a start reserved that was refused only when it was sent again', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    ledger.startOutcome(ID, run.orderId, { type: 'refused' })
+    expect(listener.events).to.deep.equal([])
+    expect(freeCapacityOf(endpointOf(ledger)).cpuMilli).to.equal(18_000)
+    expect(endpointOf(ledger).runsAtRefusal?.map(({ task }) => task)).to.deep.equal([TASK])
+  })
+
   it('reports that an endpoint had not crashed when it answers again in the same incarnation, even after its runs were lost', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -181,9 +181,9 @@
       case 'fenced':
         this.tokenRefused(endpoint, run.token)
         return this.startRejected(endpoint, run, 'fenced')
+      case 'refused': return this.startRefused(endpoint, run)
       case 'silent':
       case 'otherLife':
-      case 'refused':
       case 'unreadable':
         this.ctx.out.count('shard.tasks.startSilent')
         return this.retryStart(endpoint, run)
@@ -261,10 +261,7 @@
     const { out, now, cfg, self } = this.ctx
     out.count('shard.holds.silent')
     endpoint.unansweredHolds++
-    if (why === 'refused' && endpoint.runsAtRefusal === undefined) {
-      endpoint.runsAtRefusal = [...endpoint.runs.values()]
-      this.listener.endpointRefused(endpoint, endpoint.runsAtRefusal)
-    }
+    if (why === 'refused') this.endpointRefused(endpoint)
     if (endpoint.unansweredHolds === UNANSWERED_HOLDS_MAX) {
       out.log('endpoint.silent', { endpoint: endpoint.id, failureDomain: endpoint.report.failureDomain, why, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(now - endpoint.answeredAt), owner: self.instance }, 'warn')
     }
@@ -272,6 +269,13 @@
     else endpoint.nextHoldAt = ms(now + cfg.silentHoldPeriodMs)
   }
 
+  /** Nothing listens at the endpoint's address. This counts for the runs that are there when it is first noticed. */
+  private endpointRefused (endpoint: LedgerEndpoint): void {
+    if (endpoint.runsAtRefusal !== undefined) return
+    endpoint.runsAtRefusal = [...endpoint.runs.values()]
+    this.listener.endpointRefused(endpoint, endpoint.runsAtRefusal)
+  }
+
   private applyListing (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
     const { now, out } = this.ctx
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
@@ -438,6 +442,19 @@
     this.listener.capacityChanged()
   }
 
+  /** A start that was refused each time it was sent never arrived. Until a hold is answered, nothing else is placed there. */
+  private startRefused (endpoint: LedgerEndpoint, run: LedgerRun): void {
+    run.refusedSends++
+    endpoint.unansweredHolds = Math.max(1, endpoint.unansweredHolds)
+    if (run.refusedSends === run.sends) {
+      this.ctx.out.count('shard.tasks.startRejected')
+      this.db.removeRun(endpoint, run)
+    }
+    this.endpointRefused(endpoint)
+    if (run.refusedSends === run.sends) this.listener.runRejected(run, 'refused')
+    else this.retryStart(endpoint, run)
+  }
+
   private retryStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
     if (run.sends < START_SENDS_MAX && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStart(endpoint, run)
   }
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -51,6 +51,8 @@
   readonly exclusive: boolean
   /** How often the latest order, a start or a stop, was sent. */
   sends: number
+  /** How often the start was refused by the network or the address, so that it did not arrive. */
+  refusedSends: number
   lastSentAt: Ms
   percent: number
   percentAt: Ms
@@ -119,7 +121,7 @@
 }
 
 /** Why a run has not started and never will. */
-export type RejectionReason = 'oldRun' | 'late' | 'noRoom' | 'invalid' | 'unhealthy' | 'fenced' | 'neverArrived'
+export type RejectionReason = 'refused' | 'oldRun' | 'late' | 'noRoom' | 'invalid' | 'unhealthy' | 'fenced' | 'neverArrived'
 
 /** Receives the changes of runs. */
 export interface RunListener {
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -218,6 +218,8 @@
   }
 
   runRejected (run: LedgerRun, reason: RejectionReason): void {
+    const endpoint = this.endpoints.db.get(run.endpoint)
+    if (reason === 'refused' && endpoint !== undefined && this.attempts.db.has(jobIdOf(run.task))) this.recordFaults([run], endpoint, 'outOfReach')
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
     const { job, task } = found
