A new owner uses no endpoint by an old copy of its entry while it reads the list

A start at an endpoint that had shrunk, or had begun to drain, could exceed what it takes. Cause: instances that are not owners read the list every 3 or 12 s from a copy that may be seconds old. After a hand-over the new owner used these entries until its own first reading arrived, some milliseconds later. Change: an endpoint gets work only after the owner's own reading has listed it, for 250 ms at most and only while the store answers; a new list starts waiting tasks at once.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -110,6 +110,8 @@
   readonly unservedInstances: Set<string>
   /** Share of shard claims that take effect up to 3 s late and get no reply. */
   lostReplyShare: number
+  /** What reads of the list of endpoints return that need not be fresh; undefined while such copies are up to date. */
+  staleEndpoints: readonly EndpointReport[] | undefined
 }
 
 /** A job as its caller sees it. */
@@ -132,7 +134,7 @@
   /** Endpoints whose entry in the store has lapsed and has not been restored yet. */
   readonly lapsedEntries = new Set<string>()
   readonly store = new RecordStoreModel()
-  readonly storeFaults: StoreFaults = { down: false, unservedInstances: new Set(), lostReplyShare: 0 }
+  readonly storeFaults: StoreFaults = { down: false, unservedInstances: new Set(), lostReplyShare: 0, staleEndpoints: undefined }
   readonly jobs: CallerJob[] = []
   readonly logs: { readonly at: number, readonly instance: string, readonly event: string, readonly fields: object }[] = []
   /** Called with each message between instances when it is sent, even if it is lost afterwards. */
@@ -280,6 +282,14 @@
     this.endpoints.get(id)?.restart(this.time.now)
   }
 
+  /** Changes the capacity of an endpoint while it runs; its entry in the store shows the new one at once. */
+  resizeEndpoint (id: string, cpuMilli: number): void {
+    const endpoint = this.endpoints.get(id)
+    if (endpoint === undefined) return
+    this.oracle.recordResize(endpoint, this.time.now)
+    endpoint.cpuMilli = cpuMilli
+  }
+
   /** Marks an endpoint as draining and removes it with its runs after `leaveAfterMs`. */
   drain (id: string, leaveAfterMs: number): void {
     this.drainingEndpoints.add(id)
@@ -406,11 +416,12 @@
   private readEndpoints (process: Process): void {
     const fresh = process.pace === 'owner'
     this.time.after(4, () => {
-      if (this.canReachStore(process)) this.post(process, { type: 'endpoints', reports: this.reports(), fresh })
+      if (this.canReachStore(process)) this.post(process, { type: 'endpoints', reports: (fresh ? undefined : this.storeFaults.staleEndpoints) ?? this.reports(), fresh })
     })
   }
 
-  private reports (): EndpointReport[] {
+  /** @returns the entries of the endpoints, as the store lists them now */
+  reports (): EndpointReport[] {
     return [...this.endpoints.values()].filter(endpoint => !this.departedEndpoints.has(endpoint.id) && !this.lapsedEntries.has(endpoint.id)).map(endpoint => ({
       id: endpoint.id as EndpointId,
       service: SERVICE,
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -36,12 +36,15 @@
 /** Returns the fencing token in force for a failure domain's endpoints; undefined when this instance does not own them. */
 export type TokenOf = (failureDomain: FailureDomain) => FencingToken | undefined
 
+/** Returns whether the list of a failure domain's endpoints, read as its new owner, is about to arrive. */
+export type ListAwaited = (failureDomain: FailureDomain) => boolean
+
 /** Decides which holds, starts and stops are sent to owned endpoints, and reports what becomes of their runs. */
 export class EndpointsDecider {
   readonly db = new EndpointsDb()
   private orderCounter = 0
 
-  constructor (private readonly ctx: ShardContext, private readonly tokenOf: TokenOf, private readonly listener: RunListener) {}
+  constructor (private readonly ctx: ShardContext, private readonly tokenOf: TokenOf, private readonly listAwaited: ListAwaited, private readonly listener: RunListener) {}
 
   /** Takes over the endpoints of a shard. Each must answer under the new token before anything starts there. */
   adopt (reports: readonly EndpointReport[]): void {
@@ -64,7 +67,9 @@
       if (known === undefined) this.requireFreshAnswer(Object.assign(this.db.add(report, this.ctx.now), { listedSinceTakeover: fresh }))
       else Object.assign(known, { report, unlisted: false, outdated: false, listedSinceTakeover: known.listedSinceTakeover || fresh, freeCapacity: undefined })
     }
-    if (fresh) this.markOutdated(new Set(reports.map(report => report.id)))
+    if (!fresh) return
+    this.markOutdated(new Set(reports.map(report => report.id)))
+    this.listener.capacityChanged()
   }
 
   /**
@@ -92,10 +97,12 @@
 
   /**
    * An endpoint may get work when it answers under the present token in the incarnation that the store lists, and is
-   * neither draining nor unlisted nor outdated. Starts sent to an earlier incarnation must no longer be able to arrive there.
+   * neither draining nor unlisted nor outdated. Starts sent to an earlier incarnation must no longer be able to arrive there. A new
+   * owner's copy of the list may be seconds old, and the endpoint may drain or have shrunk since, so it waits for its own first reading.
    */
   usable (endpoint: LedgerEndpoint): boolean {
-    const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted, outdated } = endpoint
+    const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted, outdated, listedSinceTakeover } = endpoint
+    if (!listedSinceTakeover && this.listAwaited(report.failureDomain)) return false
     return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -23,6 +23,9 @@
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
 
+/** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
+const FIRST_LIST_WAIT_MS = 250
+
 /** An endpoint that was removed from the list within this time before a takeover may still run tasks of the earlier owner. */
 const REMOVED_ENDPOINT_DOUBT_MS = 5000
 
@@ -76,7 +79,7 @@
       attemptsChanged: jobs => this.shareAttempts(jobs),
       earlierRunsKnown: failureDomain => this.earlierRunsKnown(failureDomain)
     })
-    this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, this.execution)
+    this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, failureDomain => this.listAwaited(failureDomain), this.execution)
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, (to, message) => this.deliver(to, message))
@@ -323,6 +326,12 @@
     this.execution.submit(front, message.failureDomain, message.order)
   }
 
+  /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
+  private listAwaited (failureDomain: FailureDomain): boolean {
+    const owned = this.ownership.db.owned.get(failureDomain)
+    return owned !== undefined && this.storeReachable && this.ctx.now - owned.since < FIRST_LIST_WAIT_MS
+  }
+
   /**
    * Returns whether this owner knows all runs that earlier owners started. They are known once every endpoint has answered
    * a hold under the present token, and have ended once their leases have expired. Until the list is complete and has been
--- a/packages/fakes/src/fencedEndpointModel.ts
+++ b/packages/fakes/src/fencedEndpointModel.ts
@@ -78,7 +78,7 @@
    * @param bornAt - time of the latest start of the endpoint
    * @param onEnd - called with each end of a run
    */
-  constructor (readonly id: string, readonly cpuMilli: number, public bornAt: number, private readonly onEnd: (run: ModelRun, how: ModelEnd['how'], at: number) => void = () => {}) {}
+  constructor (readonly id: string, public cpuMilli: number, public bornAt: number, private readonly onEnd: (run: ModelRun, how: ModelEnd['how'], at: number) => void = () => {}) {}
 
   /** @returns the endpoint's clock: milliseconds since its latest start */
   clock (now: number): number {
