The forecast of free slots counts what an endpoint lacks that has shrunk below its runs

Callers could be admitted to a shard whose endpoints had shrunk, and then wait: the forecast took such an endpoint for merely full, so that the end of one run seemed to make room at once. Free capacity may now be negative in the forecast. Evidence: the new test in endpointOutlook.spec.ts failed before and passes.

--- a/packages/core/src/admission/slotForecast.ts
+++ b/packages/core/src/admission/slotForecast.ts
@@ -13,7 +13,7 @@
   readonly cpuMilli: number
 }
 
-/** The free capacity of one endpoint, and the expected ends of its runs. */
+/** The free capacity of one endpoint, negative when it has shrunk below what runs there, and the expected ends of its runs. */
 export interface EndpointOutlook {
   readonly freeCpuMilli: number
   readonly ends: readonly ExpectedEnd[]
--- a/packages/core/src/execution/endpointOutlook.spec.ts
+++ b/packages/core/src/execution/endpointOutlook.spec.ts
@@ -30,6 +30,12 @@
     expect(outlookWith({ startedAt: ms(500) }).ends[0]?.at).to.equal(1130)
   })
 
+  it('expects nothing from the end of a run at an endpoint that has shrunk below what runs there', () => {
+    const endpoint = new EndpointsDb().add({ ...REPORT, capacity: { ...REPORT.capacity, cpuMilli: 20_000 } }, ms(0))
+    for (const task of ['a.0.0.0', 'a.0.0.1'] as TaskName[]) endpoint.runs.set(task, makeRun(endpoint, task, 1, ms(1000), { needs: NEEDS, expectedMs: 200, state: 'running' }))
+    expect(outlookOf(endpoint, ms(1100), ms(250)).freeCpuMilli).to.equal(-20_000)
+  })
+
   it('expects the whole endpoint back when a run of unknown size is no longer kept', () => {
     const { freeCpuMilli, ends } = outlookWith({ needs: undefined, expectedMs: undefined, state: 'unclaimed' })
     expect(freeCpuMilli).to.equal(0)
--- a/packages/core/src/execution/endpointOutlook.ts
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -23,7 +23,7 @@
 export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms): EndpointOutlook {
   const { cpuMilli: capacity } = endpoint.report.capacity
   return {
-    freeCpuMilli: Math.max(0, freeCapacityOf(endpoint).cpuMilli),
+    freeCpuMilli: freeCapacityOf(endpoint).cpuMilli,
     ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.exclusive ? capacity : run.needs?.cpuMilli ?? capacity }))
   }
 }
