Failed runs count across owners, like crashes

Callers of a task that fails each time waited longer than their queue allows for, when owners changed meanwhile. Cause: the number of failed runs was kept by the owner that saw them; the next one began at nothing. Same class of fault as the crashes. Change: failed runs are kept and shared with the other attempts. A job that comes with as many failed runs as are allowed is answered as failed at once.

--- a/packages/bench/src/shard/deadlyTasks.spec.ts
+++ b/packages/bench/src/shard/deadlyTasks.spec.ts
@@ -1,7 +1,6 @@
 import { expect } from 'chai'
 import type { ModelTask } from '@cranberryyard/fakes'
-import type { InstanceId, JobId } from '@cranberryyard/protocol'
-import { ms } from '@cranberryyard/protocol'
+import type { InstanceId } from '@cranberryyard/protocol'
 import { DEFAULT_QUEUE, ShardFleet } from './shardFleet.js'
 import type { CallerJob } from './shardFleet.js'
 
@@ -17,7 +16,6 @@
 /** Two domains, where the first task of one job crashes each endpoint that starts it. */
 class DeadlyDay {
   readonly fleet: ShardFleet
-  private jobs = 0
 
   constructor (seed: number) {
     this.fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 6, seed })
@@ -28,15 +26,16 @@
     return this.submit([DEADLY, SOUND, SOUND, SOUND])
   }
 
+  submitFailing (): CallerJob {
+    return this.submit([{ ...SOUND, workMs: 200, fails: true }])
+  }
+
   submitSound (): CallerJob {
     return this.submit([SOUND, SOUND])
   }
 
   private submit (tasks: readonly ModelTask[]): CallerJob {
-    const id = (++this.jobs).toString(16).padStart(16, '0') as JobId
-    const step = { count: tasks.length, needs: { cpuMilli: SOUND.cpuMilli, memoryMb: 64, accelerators: 0 }, estimateMs: ms(SOUND.workMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }
-    const job = { id, spec: JSON.stringify(tasks), features: [], steps: [step] }
-    return this.fleet.submitJob(FRONT, { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${id}`, job, deadlineMs: PATIENCE_MS, retries: 0 })
+    return this.fleet.submitTasks(FRONT, tasks, PATIENCE_MS)
   }
 
   crashesOf (job: CallerJob): number {
@@ -118,3 +117,24 @@
     }
   })
 })
+
+describe('a task whose runs fail', function () {
+  this.timeout(60_000)
+
+  it('gets no more attempts than its queue allows although its owner is killed after each', () => {
+    for (const seed of SEEDS) {
+      const day = new DeadlyDay(seed)
+      const { id } = day.submitFailing()
+      const failures = (): number => day.fleet.oracle.failuresOf(`${id}.0.0.0`)
+      let seen = 0
+      for (let at = 0; at < PATIENCE_MS; at += 20) {
+        day.fleet.run(20)
+        if (failures() === seen) continue
+        seen = failures()
+        day.fleet.run(40)
+        for (const name of day.fleet.owners()) if (name !== FRONT) day.fleet.kill(name, 500)
+      }
+      expect(seen, `seed ${seed}`).to.equal(DEFAULT_QUEUE.maxAttempts)
+    }
+  })
+})
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -181,11 +181,22 @@
    * replies, the caller submits the same job again to a random instance, up to four times in all.
    */
   submit (at: InstanceId, tasks: number, spec: ModelTask): CallerJob {
-    const job: CallerJob = { id: (++this.jobCounter).toString(16).padStart(16, '0') as JobId, tasks, sentAt: this.time.now, reply: undefined, latencyMs: undefined }
+    const job: CallerJob = { id: this.nextJobId(), tasks, sentAt: this.time.now, reply: undefined, latencyMs: undefined }
     const submission = { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${job.id}`, job: makeJob(job, spec), deadlineMs: DEFAULT_DEADLINE_MS, retries: 0 }
     return this.track(job, at, submission)
   }
 
+  /** Submits a job of one step whose tasks behave differently from each other. */
+  submitTasks (at: InstanceId, tasks: readonly ModelTask[], deadlineMs = DEFAULT_DEADLINE_MS): CallerJob {
+    const job: CallerJob = { id: this.nextJobId(), tasks: tasks.length, sentAt: this.time.now, reply: undefined, latencyMs: undefined }
+    const largest = tasks.reduce((a, b) => a.cpuMilli >= b.cpuMilli ? a : b)
+    return this.track(job, at, { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${job.id}`, job: { ...makeJob(job, largest), spec: JSON.stringify(tasks) }, deadlineMs, retries: 0 })
+  }
+
+  private nextJobId (): JobId {
+    return (++this.jobCounter).toString(16).padStart(16, '0') as JobId
+  }
+
   /** Submits a job that the test has made itself, whose spec is the JSON of one `ModelTask` a task. */
   submitJob (at: InstanceId, submission: Submission): CallerJob {
     const tasks = submission.job.steps.reduce((sum, step) => sum + step.count, 0)
--- a/packages/core/src/attempts/attemptsDecider.spec.ts
+++ b/packages/core/src/attempts/attemptsDecider.spec.ts
@@ -60,7 +60,16 @@
     expect([...other.attempts.learn(known)]).to.deep.equal([])
     expect(other.attempts.standingOf(TASK)).to.equal('suspect')
     other.record(2, 'crashed')
-    expect(other.attempts.deadlyTaskOf('a' as JobId)).to.equal(TASK)
+    expect(other.attempts.hopelessTaskOf('a' as JobId, 4)).to.equal(TASK)
+  })
+
+  it('end the job when as many runs of a task have failed as are allowed', () => {
+    const harness = new Harness()
+    harness.record(1, 'failed')
+    expect(harness.attempts.hopelessTaskOf('a' as JobId, 2)).to.equal(undefined)
+    harness.record(2, 'failed')
+    expect(harness.attempts.hopelessTaskOf('a' as JobId, 2)).to.equal(TASK)
+    expect(harness.attempts.standingOf(TASK)).to.equal('sound')
   })
 
   it('are forgotten a minute after the last one', () => {
--- a/packages/core/src/attempts/attemptsDecider.ts
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -60,9 +60,12 @@
     return this.db.faultsOf(task).filter(fault => fault === 'failed').length
   }
 
-  /** @returns a task of the job that must not start again, if there is one */
-  deadlyTaskOf (id: JobId): TaskName | undefined {
-    return this.db.ofJob(id).find(({ task }) => this.standingOf(task) === 'deadly')?.task
+  /**
+   * @param maxAttempts - number of failed runs after which a task is not started again
+   * @returns a task of the job that must not start again, if there is one
+   */
+  hopelessTaskOf (id: JobId, maxAttempts: number): TaskName | undefined {
+    return this.db.ofJob(id).find(({ task }) => this.standingOf(task) === 'deadly' || this.failuresOf(task) >= Math.max(1, maxAttempts))?.task
   }
 
   tick (): void {
--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -61,7 +61,7 @@
 }
 
 function makeTask (id: JobId, step: number, index: number, done: boolean): OwnedTask {
-  return { name: taskName(id, step, index), step, index, done, run: undefined, lastRun: 0, failedAttempts: 0, lostRuns: 0, failedEndpoints: new Set(), avoid: new Set() }
+  return { name: taskName(id, step, index), step, index, done, run: undefined, lastRun: 0, lostRuns: 0, failedEndpoints: new Set(), avoid: new Set() }
 }
 
 /** @returns true when all steps that this one depends on are done */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -4,7 +4,7 @@
  * It combines three decisions that are kept apart so that each can be tested alone: admission (which jobs, in which order),
  * placement (which endpoint) and the endpoint ledger (which runs occupy which endpoint).
  */
-import type { AttemptFault, DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ServiceName, ShardMessage, TaskName } from '@cranberryyard/protocol'
+import type { AttemptFault, DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { jobIdOf } from '../attempts/attemptsDb.js'
@@ -75,10 +75,9 @@
     }
     const job = this.estimates.makeJob(front, failureDomain, order)
     this.attempts.learn(order.attempts ?? [])
-    const deadly = this.attempts.deadlyTaskOf(id)
-    if (deadly !== undefined) {
+    if (this.attempts.hopelessTaskOf(id, order.queue.maxAttempts) !== undefined) {
       this.db.jobs.set(id, job)
-      this.failDeadly(job, deadly)
+      this.failIfHopeless(job)
       return
     }
     if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
@@ -107,7 +106,7 @@
   /** Called when more is known about the attempts at a job's tasks; fails the job if one of them must not start again. */
   attemptsLearned (id: JobId): void {
     const job = this.db.jobs.get(id)
-    if (job !== undefined) this.failIfDeadly(job)
+    if (job !== undefined) this.failIfHopeless(job)
   }
 
   /** @returns the instances that answer to the callers of the jobs held here */
@@ -257,7 +256,7 @@
     task.run = undefined
     task.lostRuns++
     this.ctx.out.log('task.lost', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, why, runsThere, lostRuns: task.lostRuns, standing: this.attempts.standingOf(task.name), ageMs: Math.round(this.ctx.now - run.orderedAt) })
-    if (!this.failIfDeadly(job)) this.requeue(job)
+    if (!this.failIfHopeless(job)) this.requeue(job)
   }
 
   runFound (run: LedgerRun): void {
@@ -443,11 +442,12 @@
   }
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
-    task.failedAttempts++
-    this.attributeFailure(task, run)
-    this.ctx.out.log('task.failed', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, attempts: task.failedAttempts, allowed: job.order.queue.maxAttempts })
-    if (task.failedAttempts >= job.order.queue.maxAttempts) this.end(job, 'failed')
-    else this.requeue(job)
+    const endpoint = this.endpoints.db.get(run.endpoint)
+    if (endpoint !== undefined) this.recordFaults([run], endpoint, 'failed')
+    const attempts = this.attempts.failuresOf(task.name)
+    this.attributeFailure(task, run, attempts)
+    this.ctx.out.log('task.failed', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, attempts, allowed: job.order.queue.maxAttempts })
+    if (!this.failIfHopeless(job)) this.requeue(job)
   }
 
   /** Records what became of runs, and passes on what is new: the job may go on at another owner, or come again from another front. */
@@ -456,26 +456,26 @@
     if (changed.size > 0) this.ports.attemptsChanged(new Map([...changed].map(id => [id, this.db.jobs.get(id)?.front])))
   }
 
-  private failIfDeadly (job: OwnedJob): boolean {
-    const deadly = this.attempts.deadlyTaskOf(job.id)
-    if (deadly !== undefined) this.failDeadly(job, deadly)
-    return deadly !== undefined
-  }
-
-  private failDeadly (job: OwnedJob, task: TaskName): void {
-    this.ctx.out.count('shard.jobs.deadly')
-    this.ctx.out.log('job.deadly', { job: job.id, task, faults: this.attempts.db.faultsOf(task).join() }, 'warn')
+  /** @returns whether the job has ended as failed, since a task of it must not start again */
+  private failIfHopeless (job: OwnedJob): boolean {
+    const task = this.attempts.hopelessTaskOf(job.id, job.order.queue.maxAttempts)
+    if (task === undefined) return false
+    if (this.attempts.standingOf(task) === 'deadly') {
+      this.ctx.out.count('shard.jobs.deadly')
+      this.ctx.out.log('job.deadly', { job: job.id, task, faults: this.attempts.db.faultsOf(task).join() }, 'warn')
+    }
     this.end(job, 'failed')
+    return true
   }
 
   /**
    * Counts the task's first failure against the endpoint. After a second failure the fault is taken to be the task's, and
    * neither failure counts against an endpoint.
    */
-  private attributeFailure (task: OwnedTask, run: LedgerRun): void {
+  private attributeFailure (task: OwnedTask, run: LedgerRun, attempts: number): void {
     if (task.failedEndpoints.size === 0) {
       this.placement.recordFailure(run.endpoint)
-    } else if (task.failedAttempts === 2) {
+    } else if (attempts === 2) {
       for (const id of task.failedEndpoints) this.placement.retractFailure(id)
     }
     task.failedEndpoints.add(run.endpoint)
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -22,7 +22,6 @@
   run: LedgerRun | undefined
   /** Number of the latest run; each new run gets a higher one. */
   lastRun: number
-  failedAttempts: number
   /** Number of runs that were lost, as far as this owner knows. */
   lostRuns: number
   /** Endpoints where a run of the task failed. */
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -58,6 +58,7 @@
   private readonly runsByTask = new Map<string, { readonly run: ModelRun, readonly endpoint: FencedEndpointModel }[]>()
   private readonly drainingSince = new Map<string, number>()
   private readonly earlierCapacities = new Map<string, { readonly until: number, readonly cpuMilli: number }[]>()
+  private readonly failuresByTask = new Map<string, number>()
   private readonly crashesByTask = new Map<string, CrashObservation>()
   private readonly desiredVersions = new Map<string, number>()
 
@@ -102,6 +103,7 @@
 
   /** Records the end of a run. */
   recordEnd (run: ModelRun, how: ModelEnd['how']): void {
+    if (how === 'failed') this.failuresByTask.set(run.task, this.failuresOf(run.task) + 1)
     if (how === 'done') this.jobs.get(run.task.slice(0, run.task.indexOf('.')))?.doneTasks.add(run.task)
   }
 
@@ -125,6 +127,11 @@
     return this.crashesByTask.get(task)?.crashes ?? 0
   }
 
+  /** @returns the number of runs of a task that ended as failed */
+  failuresOf (task: string): number {
+    return this.failuresByTask.get(task) ?? 0
+  }
+
   /** Records that an endpoint reports that it drains; repeated reports keep the first time. */
   recordDraining (id: string, at: number): void {
     if (!this.drainingSince.has(id)) this.drainingSince.set(id, at)
