Fuzzing plays tasks that crash endpoints, and endpoints that shrink and grow

Two mutations, 'a run that is lost with its endpoint is not counted' and 'the owner goes on with the capacity that an endpoint had at first', are caught.

--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -8,6 +8,7 @@
 const FAULT_PHASE_MS = 15_000
 const JOBS_PER_SECOND = 30
 const SEED_COUNT = 20
+const HAZARD_SEED_COUNT = 12
 /** Seeds that once violated an invariant, with the cause. */
 const REGRESSION_SEEDS = [
   { seed: 9314, cause: 'an instance took over that had read the endpoint list only once, while entries were missing' },
@@ -43,13 +44,19 @@
 
   for (let seed = 1; seed <= SEED_COUNT; seed++) {
     it(`violates no invariant with seed ${seed}`, () => {
-      expect(runShardScenario(seed, FAULT_PHASE_MS, JOBS_PER_SECOND).violations).to.deep.equal([])
+      expect(runShardScenario(seed, FAULT_PHASE_MS, { jobsPerSecond: JOBS_PER_SECOND }).violations).to.deep.equal([])
+    })
+  }
+
+  for (let seed = 1; seed <= HAZARD_SEED_COUNT; seed++) {
+    it(`violates no invariant while tasks crash endpoints and endpoints shrink, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, { jobsPerSecond: JOBS_PER_SECOND, withHazards: true }).violations).to.deep.equal([])
     })
   }
 
   for (const { seed, cause } of REGRESSION_SEEDS) {
     it(`violates no invariant with seed ${seed}, which failed once: ${cause}`, () => {
-      expect(runShardScenario(seed, FAULT_PHASE_MS, JOBS_PER_SECOND).violations).to.deep.equal([])
+      expect(runShardScenario(seed, FAULT_PHASE_MS, { jobsPerSecond: JOBS_PER_SECOND }).violations).to.deep.equal([])
     })
   }
 
@@ -92,10 +99,10 @@
     it(`detects a violation when ${mutation.name}`, () => {
       const undo = mutation.apply()
       try {
-        const { jobsPerSecond, workFactor } = mutation.load ?? { jobsPerSecond: OVERLOAD_JOBS_PER_SECOND, workFactor: 1 }
+        const load = mutation.load ?? { jobsPerSecond: OVERLOAD_JOBS_PER_SECOND }
         const rules = new Set<Rule>()
         for (let seed = 1; seed <= MUTATION_SEEDS_MAX && !mutation.breaks.some(rule => rules.has(rule)); seed++) {
-          for (const { rule } of runShardScenario(seed, FAULT_PHASE_MS, jobsPerSecond, workFactor).violations) rules.add(rule)
+          for (const { rule } of runShardScenario(seed, FAULT_PHASE_MS, load).violations) rules.add(rule)
         }
         expect(mutation.breaks.some(rule => rules.has(rule)), `violated rules: ${[...rules].join()}`).to.equal(true)
       } finally {
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -6,13 +6,14 @@
 import type { Rule } from '@cranberryyard/fakes'
 import { replaceMethod, sampleInstance as sample } from './patches.js'
 import type { Method, Undo } from './patches.js'
+import type { ScenarioLoad } from './shardScenario.js'
 
 /** A fault and the rules of which at least one must be violated. */
 export interface ShardMutation {
   readonly name: string
   readonly breaks: readonly Rule[]
   /** Load under which the fault shows, if not the usual one. */
-  readonly load?: { readonly jobsPerSecond: number, readonly workFactor: number }
+  readonly load?: ScenarioLoad
   readonly apply: () => Undo
 }
 
@@ -89,6 +90,22 @@
       return endpoint.answeredUnderToken && endpoint.unansweredHolds === 0
     })
   },
+  {
+    name: 'a run that is lost with its endpoint is not counted',
+    breaks: ['BUDGET'],
+    load: { jobsPerSecond: 30, withHazards: true },
+    apply: () => replaceMethod(sample.attempts, 'record', () => () => false)
+  },
+  {
+    name: 'the owner goes on with the capacity that an endpoint had at first',
+    breaks: ['LIMIT'],
+    load: { jobsPerSecond: 60, withHazards: true },
+    apply: () => replaceMethod(sample.endpoints, 'update', original => function (this: typeof sample.endpoints, ...args) {
+      const [reports, fresh] = args as unknown as Parameters<typeof sample.endpoints.update>
+      const withFirstCapacity = reports.map(report => ({ ...report, capacity: this.db.get(report.id)?.report.capacity ?? report.capacity }))
+      return original.apply(this, [withFirstCapacity, fresh] as never[])
+    })
+  },
   {
     name: 'the desired state follows whoever speaks last',
     breaks: ['CONFIG'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -2,7 +2,7 @@
  * Runs random scenarios on the in-memory fleet: jobs arrive at a steady rate while random faults of all kinds overlap. Then the
  * faults stop, and the result shows violations and whether service recovered. The seed determines the whole run.
  */
-import type { FencedEndpointModel, Violation } from '@cranberryyard/fakes'
+import type { FencedEndpointModel, ModelTask, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
 
@@ -10,6 +10,9 @@
 const WARM_UP_MS = 2000
 const FAULT_FREE_MS = 8000
 const MEAN_FAULT_INTERVAL_MS = 700
+const MEAN_HAZARD_INTERVAL_MS = 1000
+const SOUND_TASK: ModelTask = { cpuMilli: 12_000, workMs: 80, fails: false }
+const DEADLY_TASK: ModelTask = { ...SOUND_TASK, crashAfterMs: 3 }
 
 /** Result of a scenario, as `npm run fuzz:shard` prints it. */
 export interface ScenarioResult {
@@ -149,14 +152,23 @@
   }
 ]
 
+/** The load of a scenario. */
+export interface ScenarioLoad {
+  /** Mean rate of submissions. */
+  readonly jobsPerSecond: number
+  /** Multiplies the run times of tasks; with 2 and more, tasks outlast the time after which callers resend. 1 by default. */
+  readonly workFactor?: number
+  /** Adds jobs with a task that crashes its endpoints, and endpoints that shrink and grow. */
+  readonly withHazards?: boolean
+}
+
 /**
  * Runs one scenario.
  * @param seed - determines all random choices
  * @param faultyMs - duration of the phase in which faults are injected
- * @param jobsPerSecond - mean rate of submissions
- * @param workFactor - multiplies the run times of tasks; with 2 and more, tasks outlast the time after which callers resend
+ * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, jobsPerSecond: number, workFactor = 1): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, workFactor = 1, withHazards = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
@@ -174,11 +186,24 @@
     fleet.time.after(fleet.randomBelow(MEAN_FAULT_INTERVAL_MS * 2), injectNextFault)
   }
   injectNextFault()
+  if (withHazards) addHazards(fleet, faultsUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
 }
 
+function addHazards (fleet: ShardFleet, until: number): void {
+  if (fleet.time.now > until) return
+  if (fleet.randomBelow(2) === 0) {
+    fleet.submitTasks(pickInstance(fleet), [DEADLY_TASK, ...Array.from({ length: 1 + fleet.randomBelow(4) }, () => SOUND_TASK)])
+  } else {
+    const { id, cpuMilli } = pickEndpoint(fleet)
+    fleet.resizeEndpoint(id, Math.floor(cpuMilli * (20 + fleet.randomBelow(60)) / 100))
+    fleet.time.after(1000 + fleet.randomBelow(8000), () => fleet.resizeEndpoint(id, cpuMilli))
+  }
+  fleet.time.after(fleet.randomBelow(MEAN_HAZARD_INTERVAL_MS * 2), () => addHazards(fleet, until))
+}
+
 function summarize (seed: number, fleet: ShardFleet, faults: readonly string[], calmFrom: number): ScenarioResult {
   const calm = fleet.jobs.filter(job => job.sentAt >= calmFrom)
   const count = (reply: string | undefined): number => fleet.jobs.filter(job => job.reply === reply).length
