A new owner keeps others away from a suspect task that it finds running; faults of runs in a file of their own

Cause: a run that a new owner claims took its usual room, even if its task was suspect, so a crash took other jobs along. A pause of the process also made the ledger forget under which runs an endpoint had refused connections, so these were never cleared. Change: claimed runs of suspect tasks are exclusive; the refusal is kept until the endpoint answers. Evidence: 'starts nothing beside a suspect task that it finds running after a takeover' failed without the change and passes.

--- a/packages/core/src/attempts/attemptsDb.ts
+++ b/packages/core/src/attempts/attemptsDb.ts
@@ -62,10 +62,6 @@
     return this.jobs.keys()
   }
 
-  forget (id: JobId): void {
-    this.jobs.delete(id)
-  }
-
   /** Drops what has not changed for `RETENTION_MS`. */
   expire (now: Ms): void {
     for (const [id, job] of this.jobs) {
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -124,9 +124,10 @@
     this.sendStop(endpoint, run)
   }
 
-  /** Assigns a found run to one of this owner's jobs, which knows its resource needs. */
-  claim (run: LedgerRun, needs: Resources): void {
+  /** Assigns a found run to one of this owner's jobs, which knows its resource needs and whether it must be alone. */
+  claim (run: LedgerRun, needs: Resources, exclusive: boolean): void {
     run.needs = needs
+    run.exclusive = exclusive
     const endpoint = this.db.get(run.endpoint)
     if (endpoint !== undefined) endpoint.freeCapacity = undefined
     if (run.state === 'unclaimed') run.state = 'running'
@@ -230,7 +231,6 @@
     endpoint.answeredUnderToken = false
     endpoint.hold = undefined
     endpoint.unansweredHolds = 0
-    endpoint.runsAtRefusal = undefined
     this.sendHold(endpoint)
   }
 
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -48,7 +48,7 @@
   /** Order id of the latest start or stop, to match its answer. */
   orderId: number
   /** Nothing else starts at the endpoint while the run is there. */
-  readonly exclusive: boolean
+  exclusive: boolean
   /** How often the latest order, a start or a stop, was sent. */
   sends: number
   /** How often the start was refused by the network or the address, so that it did not arrive. */
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -177,6 +177,17 @@
     expect(owner.starts).to.deep.equal([])
   })
 
+  it('starts nothing beside a suspect task that it finds running after a takeover', () => {
+    const owner = new OwnerHarness(2, 2)
+    owner.ledger.requireFreshAnswers()
+    owner.settle()
+    owner.answerHold('e-1' as EndpointId, [])
+    owner.answerHold('e-0' as EndpointId, [{ task: 'a.0.0.0' as TaskName, run: 2, percent: 10 }])
+    owner.submit(order('a', 1, 400, { resumed: true, attempts: [{ task: 'a.0.0.0' as TaskName, attempts: [{ run: 'gone@1#1', fault: 'crashed' }] }] }))
+    owner.submit(withObjective(order('b', 3, 100), 5000))
+    expect(owner.starts.map(start => start.endpoint)).to.deep.equal(['e-1', 'e-1'])
+  })
+
   it('starts the tasks that were lost in a crash alone, and one of a job at a time until one has passed', () => {
     const owner = new OwnerHarness(4, 3)
     owner.submit(withObjective(order('a', 3, 100), 5000))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -8,12 +8,13 @@
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { jobIdOf } from '../attempts/attemptsDb.js'
+import { crashOf, faultOfLoss } from '../attempts/faults.js'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
 import { SlotForecast } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
 import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
-import type { LedgerEndpoint, LedgerRun, LossReason, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
+import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { ExecutionDb } from './executionDb.js'
@@ -239,7 +240,7 @@
     this.ctx.out.log('endpoint.refused', { endpoint: endpoint.id, runs: runs.length, lastAnswerAgeMs: Math.round(this.ctx.now - endpoint.answeredAt) }, 'warn')
     if (runs.length === 0) return
     this.ctx.out.count('shard.endpoints.crashed')
-    this.recordFaults(runs, endpoint, runs.length === 1 ? 'crashedAlone' : 'crashed')
+    this.recordFaults(runs, endpoint, crashOf(runs.length))
     for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
   }
 
@@ -248,7 +249,7 @@
   }
 
   runLost (run: LedgerRun, { why, runsThere, endpoint }: RunLoss): void {
-    const fault = faultOf(why, runsThere === 1)
+    const fault = faultOfLoss(why, runsThere)
     if (fault !== undefined) this.recordFaults([run], endpoint, fault)
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
@@ -364,7 +365,7 @@
     }
     const step = job.steps[task.step]
     if (step === undefined) return
-    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs)
+    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs, this.attempts.standingOf(task.name) !== 'sound')
     run.expectedMs ??= this.estimates.expectedMs(job, step)
     task.run = run
     job.firstStartAt ??= this.ctx.now
@@ -571,16 +572,6 @@
   return new Set(runs.map(run => jobIdOf(run.task)))
 }
 
-/** @returns how a lost run counts against its task; undefined when the endpoint only no longer lists it */
-function faultOf (why: LossReason, alone: boolean): AttemptFault | undefined {
-  switch (why) {
-    case 'refused':
-    case 'restarted': return alone ? 'crashedAlone' : 'crashed'
-    case 'silent': return 'silent'
-    case 'unlisted': return undefined
-  }
-}
-
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
