--- a/packages/core/src/execution/startPlan.ts
+++ b/packages/core/src/execution/startPlan.ts
@@ -50,47 +50,51 @@
   readonly allowPartial: boolean
 }
 
-/** Plans the starts of a job; if only some tasks could start and that is not allowed, none does. Suspect tasks delay no other task. */
+/** The tasks of a job's ready steps that have not started. */
+interface WaitingTasks {
+  readonly sound: readonly PlannedTask[]
+  readonly suspect: readonly PlannedTask[]
+  /** Number of suspect tasks that run at present. */
+  readonly trials: number
+  readonly hasBlockedSteps: boolean
+}
+
+/** Plans the starts of a job; if only some sound tasks could start and that is not allowed, none does. Suspect tasks delay no other task. */
 export function planStarts (job: OwnedJob, input: PlanInput): StartPlan {
+  const waiting = waitingTasks(job, input)
   const starts: PlannedStart[] = []
-  const suspects: PlannedTask[] = []
-  let trials = 0
   let unplacedTasks = 0
-  let blockedSteps = 0
-  for (const step of job.steps) {
-    if (step.unfinishedTasks === 0) continue
-    if (!isReady(job, step)) {
-      blockedSteps++
-      continue
-    }
-    for (const task of step.tasks) {
-      if (task.done) continue
-      if (task.run !== undefined) {
-        if (task.run.exclusive) trials++
-        continue
-      }
-      if (input.standingOf(task.name) !== 'sound') {
-        suspects.push({ step, task })
-        continue
-      }
-      if (planStart(job, { step, task }, input, starts, false)) continue
-      if (!input.allowPartial) return release(starts)
-      unplacedTasks++
-    }
+  for (const planned of waiting.sound) {
+    if (planStart(job, planned, input, starts, false)) continue
+    if (!input.allowPartial) return release(starts)
+    unplacedTasks++
+  }
+  const { unplaced, withoutEndpoint } = planTrials(job, waiting, input, starts)
+  return { starts, isComplete: unplacedTasks + unplaced === 0, hasBlockedSteps: waiting.hasBlockedSteps, suspectWithoutEndpoint: withoutEndpoint }
+}
+
+function waitingTasks (job: OwnedJob, { standingOf }: PlanInput): WaitingTasks {
+  const ready = job.steps.filter(step => step.unfinishedTasks > 0 && isReady(job, step))
+  const unfinished = ready.flatMap(step => step.tasks.filter(task => !task.done).map(task => ({ step, task })))
+  const waiting = unfinished.filter(({ task }) => task.run === undefined)
+  return {
+    sound: waiting.filter(({ task }) => standingOf(task.name) === 'sound'),
+    suspect: waiting.filter(({ task }) => standingOf(task.name) !== 'sound'),
+    trials: unfinished.filter(({ task }) => task.run?.exclusive === true).length,
+    hasBlockedSteps: job.steps.some(step => step.unfinishedTasks > 0 && !isReady(job, step))
   }
+}
+
+/** Plans the starts of suspect tasks, each at an endpoint of its own and few at a time, since each may cost an endpoint. */
+function planTrials (job: OwnedJob, { suspect, trials: running }: WaitingTasks, input: PlanInput, starts: PlannedStart[]): { readonly unplaced: number, readonly withoutEndpoint: PlannedTask | undefined } {
   const trialsMax = 2 ** Math.min(job.trialsPassed, TRIAL_DOUBLINGS_MAX)
-  let suspectWithoutEndpoint: PlannedTask | undefined
-  for (const suspect of suspects) {
-    if (trials < trialsMax && suspectWithoutEndpoint === undefined) {
-      if (planStart(job, suspect, input, starts, true)) {
-        trials++
-        continue
-      }
-      if (!input.mayRun(suspect.task.name)) suspectWithoutEndpoint = suspect
-    }
-    unplacedTasks++
+  let placed = 0
+  for (const planned of suspect) {
+    if (running + placed >= trialsMax) break
+    if (planStart(job, planned, input, starts, true)) placed++
+    else if (!input.mayRun(planned.task.name)) return { unplaced: suspect.length - placed, withoutEndpoint: planned }
   }
-  return { starts, isComplete: unplacedTasks === 0, hasBlockedSteps: blockedSteps > 0, suspectWithoutEndpoint }
+  return { unplaced: suspect.length - placed, withoutEndpoint: undefined }
 }
 
 function planStart (job: OwnedJob, { step, task }: PlannedTask, { placement, candidates, mayRun }: PlanInput, starts: PlannedStart[], exclusive: boolean): boolean {
