--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -247,6 +247,18 @@
     expect(listener.refusals).to.deep.equal(['refused'])
   })
 
+  it('reports that an endpoint had not crashed also when this process was paused in between', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    ledger.holdOutcome(ID, takeEffects(ctx, 'hold').at(-1)?.orderId ?? 0, { type: 'refused' })
+    ledger.requireFreshAnswers()
+    answerHold(ctx, ledger, listing(600, [{ task: TASK, run: 1, percent: 10 }]))
+    expect(listener.refusals).to.deep.equal(['refused', 'back'])
+  })
+
   it('gives up a start at once that was refused, since it never arrived, and does not count a crash against it', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
