Test that fails: silent endpoints make sound jobs fail

Callers of sound jobs could be answered 'failed' while listings are lost or endpoints are cut off: three losses in silence count like crashes since, although such an endpoint may go on.

--- a/packages/bench/src/shard/deadlyTasks.spec.ts
+++ b/packages/bench/src/shard/deadlyTasks.spec.ts
@@ -10,6 +10,7 @@
 const OWNER = 'a-1' as InstanceId
 const WARM_UP_MS = 8000
 const PATIENCE_MS = 20_000
+const DISTURBED_MS = 9000
 const SOUND: ModelTask = { cpuMilli: 14_000, workMs: 60, fails: false }
 const DEADLY: ModelTask = { ...SOUND, crashAfterMs: 2 }
 
@@ -43,6 +44,27 @@
   }
 }
 
+/** Loses nearly all answers of endpoints for a while. */
+function loseAnswers (fleet: ShardFleet): void {
+  fleet.lostAnswerShare = 0.9
+  fleet.time.after(DISTURBED_MS, () => {
+    fleet.lostAnswerShare = 0
+  })
+}
+
+/** Cuts off four endpoints at a time from all instances; connections are not refused, and runs go on until their leases end. */
+function cutOffEndpoints (fleet: ShardFleet): void {
+  const ids = [...fleet.endpoints.keys()]
+  for (let at = 0; at < DISTURBED_MS; at += 700) {
+    fleet.time.after(at, () => {
+      for (let i = 0; i < 4; i++) {
+        const id = ids[fleet.randomBelow(ids.length)] ?? ''
+        fleet.cutPairs([...fleet.processes.keys()].flatMap(name => [`${name}>${id}`, `${id}>${name}`]), 2500)
+      }
+    })
+  }
+}
+
 describe('tasks that crash the endpoints that start them', function () {
   this.timeout(60_000)
 
@@ -118,6 +140,22 @@
   })
 })
 
+describe('sound tasks at endpoints that do not answer', function () {
+  this.timeout(60_000)
+
+  it('do not make their job fail while listings are lost or endpoints are cut off without a sign', () => {
+    const failed = SEEDS.flatMap(seed => [loseAnswers, cutOffEndpoints].flatMap((disturb) => {
+      const { fleet } = new DeadlyDay(seed)
+      disturb(fleet)
+      for (let at = 0; at < DISTURBED_MS; at += 60) fleet.time.after(at, () => fleet.submitTasks(FRONT, [SOUND, SOUND], PATIENCE_MS))
+      fleet.run(DISTURBED_MS + PATIENCE_MS)
+      expect(fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+      return fleet.jobs.filter(job => job.reply === 'failed').map(job => `${disturb.name}, seed ${seed}: ${job.id}`)
+    }))
+    expect(failed).to.deep.equal([])
+  })
+})
+
 describe('a task whose runs fail', function () {
   this.timeout(60_000)
 
