Silent endpoints make no sound job fail: whether one had crashed is decided by its next answer

Cause: three losses in silence counted like three crashes. Silence is no evidence of a crash; the endpoint may go on. Change: a task with three losses of which some were silent is not started for now, and its job does not fail. When the endpoint answers in the same incarnation, the loss is taken back; in another one it counts as a crash. So a task that crashes its endpoints without a refusal is still limited. If the endpoint never answers, the task waits until its caller leaves or the attempts are forgotten.

--- a/packages/core/src/attempts/attemptsDecider.ts
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -12,7 +12,7 @@
 
 /** Crashes under a task, one of them while nothing else ran there, after which it is not started again. */
 const CRASHES_MAX = 2
-/** Endpoints lost under a task, crashed or silent, after which it is not started again. A silent one may have crashed too. */
+/** Endpoints lost under a task, wherever else it ran, after which it is not started again while some of them may have crashed. */
 const LOSSES_MAX = 3
 /** Silent endpoints from which a task is suspect; one alone is more often the network's fault. */
 const SUSPECT_SILENCES = 2
@@ -45,13 +45,14 @@
     return changed
   }
 
-  /** @returns whether a task may start as usual, only alone at an endpoint, or not at all */
+  /** @returns whether a task may start as usual, only alone at an endpoint, not for now, or not at all */
   standingOf (task: TaskName): TaskStanding {
     const faults = this.db.faultsOf(task)
     const count = (fault: AttemptFault): number => faults.filter(other => other === fault).length
     const [alone, silences] = [count('crashedAlone'), count('silent')]
     const crashes = alone + count('crashed')
-    if ((crashes >= CRASHES_MAX && alone > 0) || crashes + silences >= LOSSES_MAX) return 'deadly'
+    if ((crashes >= CRASHES_MAX && alone > 0) || crashes >= LOSSES_MAX) return 'deadly'
+    if (crashes + silences >= LOSSES_MAX) return 'unclear'
     return crashes > 0 || silences >= SUSPECT_SILENCES ? 'suspect' : 'sound'
   }
 
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -92,6 +92,7 @@
       hold: undefined,
       unansweredHolds: 0,
       runsAtRefusal: undefined,
+      runsLostInSilence: [],
       answeredAt: now,
       nextHoldAt: now,
       leasesEndBy: now,
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -47,6 +47,10 @@
     this.refusals.push('refused')
   }
 
+  endpointHadCrashed (_endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
+    this.refusals.push(`had crashed under ${runs.length}`)
+  }
+
   endpointBack (): void {
     this.refusals.push('back')
   }
@@ -259,6 +263,22 @@
     expect(listener.refusals).to.deep.equal(['refused', 'back'])
   })
 
+  for (const { bornAt, verdict } of [{ bornAt: 5, verdict: 'back' }, { bornAt: 900, verdict: 'had crashed under 1' }]) {
+    it(`learns from the next answer of an endpoint whether it had crashed under runs that were lost in silence: ${verdict}`, () => {
+      const { ctx, ledger, listener } = setUp()
+      ledger.adopt([REPORT])
+      answerHold(ctx, ledger, listing(500))
+      const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+      ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+      ledger.holdOutcome(ID, takeEffects(ctx, 'hold').at(-1)?.orderId ?? 0, { type: 'silent' })
+      ctx.now = ms(ctx.now + 2 * SHARD_DEFAULTS.leaseMs)
+      ledger.tick()
+      expect(listener.losses).to.deep.equal(['silent, 1 there'])
+      answerHold(ctx, ledger, listing(2500, [], [], bornAt))
+      expect(listener.refusals).to.deep.equal([verdict])
+    })
+  }
+
   it('gives up a start at once that was refused, since it never arrived, and does not count a crash against it', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -286,12 +286,13 @@
   private applyListing (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
     const { now, out } = this.ctx
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
-    else if (endpoint.runsAtRefusal !== undefined) this.listener.endpointBack(endpoint, endpoint.runsAtRefusal)
+    else if (endpoint.runsAtRefusal !== undefined || endpoint.runsLostInSilence.length > 0) this.listener.endpointBack(endpoint, [...endpoint.runsAtRefusal ?? [], ...endpoint.runsLostInSilence])
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
     endpoint.bornAt = listing.bornAt
     endpoint.clockOffset = listing.clock - now
     endpoint.unansweredHolds = 0
     endpoint.runsAtRefusal = undefined
+    endpoint.runsLostInSilence = []
     endpoint.answeredAt = now
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
@@ -365,6 +366,7 @@
     out.count('shard.endpoints.reborn')
     out.log('endpoint.reborn', { endpoint: endpoint.id, bornAt, before: endpoint.bornAt, runs: endpoint.runs.size }, 'warn')
     endpoint.acknowledged = 0
+    if (endpoint.runsLostInSilence.length > 0) this.listener.endpointHadCrashed(endpoint, endpoint.runsLostInSilence)
     const runsThere = endpoint.runs.size
     for (const run of [...endpoint.runs.values()]) {
       if (run.state === 'ordered') {
@@ -378,6 +380,7 @@
 
   private reportRunsLost (endpoint: LedgerEndpoint): void {
     const runsThere = endpoint.runs.size
+    if (endpoint.runsAtRefusal === undefined) endpoint.runsLostInSilence = [...endpoint.runsLostInSilence, ...endpoint.runs.values()]
     for (const run of [...endpoint.runs.values()]) this.reportRunLost(endpoint, run, endpoint.runsAtRefusal === undefined ? 'silent' : 'refused', runsThere)
   }
 
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -100,6 +100,8 @@
   hold: PendingHold | undefined
   /** Number of consecutive holds without an answer. */
   unansweredHolds: number
+  /** Runs that were lost because the endpoint did not answer. Its next answer shows whether it had crashed. */
+  runsLostInSilence: readonly LedgerRun[]
   /** The runs there when one of the consecutive holds without an answer was first refused; undefined when none was. */
   runsAtRefusal: readonly LedgerRun[] | undefined
   /** Time of the latest answer to a hold. */
@@ -136,6 +138,8 @@
   endpointRefused (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
   /** The endpoint answers again in the same incarnation, so it had not crashed under these runs. */
   endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
+  /** The endpoint answers in another incarnation, so it had crashed under these runs, which were lost in silence. */
+  endpointHadCrashed (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
   runProgressed (run: LedgerRun): void
   /** The endpoint listed a run that the ledger did not contain, such as one of an earlier owner. */
   runFound (run: LedgerRun): void
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -248,6 +248,12 @@
     this.recordFaults(runs, endpoint, 'outOfReach')
   }
 
+  endpointHadCrashed (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
+    this.ctx.out.count('shard.endpoints.crashed')
+    this.recordFaults(runs, endpoint, crashOf(runs.length))
+    for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
+  }
+
   runLost (run: LedgerRun, { why, runsThere, endpoint }: RunLoss): void {
     const fault = faultOfLoss(why, runsThere)
     if (fault !== undefined) this.recordFaults([run], endpoint, fault)
--- a/packages/core/src/execution/startPlan.ts
+++ b/packages/core/src/execution/startPlan.ts
@@ -54,6 +54,8 @@
 interface WaitingTasks {
   readonly sound: readonly PlannedTask[]
   readonly suspect: readonly PlannedTask[]
+  /** Number of tasks that must not start for now. */
+  readonly unclear: number
   /** Number of suspect tasks that run at present. */
   readonly trials: number
   readonly hasBlockedSteps: boolean
@@ -70,7 +72,7 @@
     unplacedTasks++
   }
   const { unplaced, withoutEndpoint } = planTrials(job, waiting, input, starts)
-  return { starts, isComplete: unplacedTasks + unplaced === 0, hasBlockedSteps: waiting.hasBlockedSteps, suspectWithoutEndpoint: withoutEndpoint }
+  return { starts, isComplete: unplacedTasks + unplaced + waiting.unclear === 0, hasBlockedSteps: waiting.hasBlockedSteps, suspectWithoutEndpoint: withoutEndpoint }
 }
 
 function waitingTasks (job: OwnedJob, { standingOf }: PlanInput): WaitingTasks {
@@ -79,7 +81,8 @@
   const waiting = unfinished.filter(({ task }) => task.run === undefined)
   return {
     sound: waiting.filter(({ task }) => standingOf(task.name) === 'sound'),
-    suspect: waiting.filter(({ task }) => standingOf(task.name) !== 'sound'),
+    suspect: waiting.filter(({ task }) => standingOf(task.name) === 'suspect'),
+    unclear: waiting.filter(({ task }) => ['unclear', 'deadly'].includes(standingOf(task.name))).length,
     trials: unfinished.filter(({ task }) => task.run?.exclusive === true).length,
     hasBlockedSteps: job.steps.some(step => step.unfinishedTasks > 0 && !isReady(job, step))
   }
