--- a/packages/core/src/attempts/attemptsDecider.spec.ts
+++ b/packages/core/src/attempts/attemptsDecider.spec.ts
@@ -27,15 +27,15 @@
 }
 
 describe('the attempts at a task', () => {
-  it('make it suspect after a crash of its endpoint, and deadly after another one while nothing else ran there', () => {
+  it('make it suspect after a crash of its endpoint, and crashing after another one while nothing else ran there', () => {
     expect(Harness.standingAfter('crashed')).to.equal('suspect')
-    expect(Harness.standingAfter('crashed', 'crashedAlone')).to.equal('deadly')
+    expect(Harness.standingAfter('crashed', 'crashedAlone')).to.equal('crashing')
     expect(Harness.standingAfter('crashedAlone')).to.equal('suspect')
   })
 
-  it('do not make it deadly after two crashes that tasks beside it may have caused, but after three', () => {
+  it('do not make it crashing after two crashes that tasks beside it may have caused, but after three', () => {
     expect(Harness.standingAfter('crashed', 'crashed')).to.equal('suspect')
-    expect(Harness.standingAfter('crashed', 'crashed', 'crashed')).to.equal('deadly')
+    expect(Harness.standingAfter('crashed', 'crashed', 'crashed')).to.equal('crashing')
   })
 
   it('do not make it suspect after one silent endpoint, which may only be cut off', () => {
@@ -51,7 +51,7 @@
     harness.record(1, 'outOfReach')
     expect(harness.attempts.standingOf(TASK)).to.equal('suspect')
     for (const run of [2, 3]) harness.record(run, 'crashedAlone')
-    expect(harness.attempts.standingOf(TASK)).to.equal('deadly')
+    expect(harness.attempts.standingOf(TASK)).to.equal('crashing')
   })
 
   it('clear it when its endpoint turns out not to have crashed', () => {
--- a/packages/core/src/attempts/attemptsDecider.ts
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -51,7 +51,7 @@
     const count = (fault: AttemptFault): number => faults.filter(other => other === fault).length
     const [alone, silences] = [count('crashedAlone'), count('silent')]
     const crashes = alone + count('crashed')
-    if ((crashes >= CRASHES_MAX && alone > 0) || crashes >= LOSSES_MAX) return 'deadly'
+    if ((crashes >= CRASHES_MAX && alone > 0) || crashes >= LOSSES_MAX) return 'crashing'
     if (crashes + silences >= LOSSES_MAX) return 'unclear'
     return crashes > 0 || silences >= SUSPECT_SILENCES ? 'suspect' : 'sound'
   }
@@ -66,7 +66,7 @@
    * @returns a task of the job that must not start again, if there is one
    */
   hopelessTaskOf (id: JobId, maxAttempts: number): TaskName | undefined {
-    return this.db.ofJob(id).find(({ task }) => this.standingOf(task) === 'deadly' || this.failuresOf(task) >= Math.max(1, maxAttempts))?.task
+    return this.db.ofJob(id).find(({ task }) => this.standingOf(task) === 'crashing' || this.failuresOf(task) >= Math.max(1, maxAttempts))?.task
   }
 
   tick (): void {
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -467,9 +467,9 @@
   private failIfHopeless (job: OwnedJob): boolean {
     const task = this.attempts.hopelessTaskOf(job.id, job.order.queue.maxAttempts)
     if (task === undefined) return false
-    if (this.attempts.standingOf(task) === 'deadly') {
-      this.ctx.out.count('shard.jobs.deadly')
-      this.ctx.out.log('job.deadly', { job: job.id, task, faults: this.attempts.db.faultsOf(task).join() }, 'warn')
+    if (this.attempts.standingOf(task) === 'crashing') {
+      this.ctx.out.count('shard.jobs.crashing')
+      this.ctx.out.log('job.crashing', { job: job.id, task, faults: this.attempts.db.faultsOf(task).join() }, 'warn')
     }
     this.end(job, 'failed')
     return true
--- a/packages/core/src/execution/startPlan.ts
+++ b/packages/core/src/execution/startPlan.ts
@@ -82,7 +82,7 @@
   return {
     sound: waiting.filter(({ task }) => standingOf(task.name) === 'sound'),
     suspect: waiting.filter(({ task }) => standingOf(task.name) === 'suspect'),
-    unclear: waiting.filter(({ task }) => ['unclear', 'deadly'].includes(standingOf(task.name))).length,
+    unclear: waiting.filter(({ task }) => ['unclear', 'crashing'].includes(standingOf(task.name))).length,
     trials: unfinished.filter(({ task }) => task.run?.exclusive === true).length,
     hasBlockedSteps: job.steps.some(step => step.unfinishedTasks > 0 && !isReady(job, step))
   }
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -8,7 +8,7 @@
   'shard.jobs.failed': 'Jobs answered as failed after the allowed attempts.',
   'shard.jobs.refused': 'Jobs refused; nothing of them has run.',
   'shard.jobs.lost': 'Jobs given up with an unknown outcome; the caller may send them again.',
-  'shard.jobs.deadly': 'Jobs given up because a task of theirs crashes the endpoints that start it.',
+  'shard.jobs.crashing': 'Jobs given up because a task of theirs crashes the endpoints that start it.',
   'shard.jobs.joined': 'Submissions joined to a job that was already known.',
   'shard.jobs.declined': 'Jobs that an owner turned away before any start.',
   'shard.tasks.started': 'Start orders sent to endpoints, repeats included.',
