--- a/packages/core/src/attempts/attemptsDb.ts
+++ b/packages/core/src/attempts/attemptsDb.ts
@@ -7,7 +7,7 @@
 
 /** How long the attempts of a job are kept; callers send a job again within seconds, a few times. */
 const RETENTION_MS = 60_000
-/** Upper bound of the jobs that are kept; the one that changed first is dropped. */
+/** Upper bound of the jobs that are kept; beyond it, the one without a change for longest is dropped. */
 const JOBS_MAX = 1000
 
 interface JobAttempts {
--- a/packages/core/src/attempts/attemptsDecider.ts
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -2,7 +2,8 @@
  * Decides from the attempts at a task whether it may start again. A task can crash every endpoint that starts it. The endpoint then
  * lists no end of the run, so such attempts are counted here and not by the endpoint's answers. An endpoint runs tasks of several
  * jobs, and only one of them causes the crash: after a crash each of them is suspect and starts alone, so that a second crash
- * shows the cause and costs no other job its run.
+ * shows the cause and costs no other job its run. An endpoint that falls silent may have crashed or may be cut off, and its next
+ * answer shows which; until then the silence keeps a task from starting at most, and fails no job.
  */
 import type { AttemptFault, JobId, TaskAttempts, TaskName } from '@cranberryyard/protocol'
 import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
@@ -12,9 +13,9 @@
 
 /** Crashes under a task, one of them while nothing else ran there, after which it is not started again. */
 const CRASHES_MAX = 2
-/** Endpoints lost under a task, wherever else it ran, after which it is not started again while some of them may have crashed. */
+/** Crashes under a task, beside others or not, after which it is not started again; silent endpoints count until their next answer. */
 const LOSSES_MAX = 3
-/** Silent endpoints from which a task is suspect; one alone is more often the network's fault. */
+/** Silent endpoints after which a task is suspect; a single one is more often the network's fault. */
 const SUSPECT_SILENCES = 2
 
 /** Keeps the attempts that went wrong, those of other owners included. */
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -96,6 +96,17 @@
   return endpoint
 }
 
+/** Sets up a ledger whose endpoint has confirmed the start of a run. */
+function setUpWithRun (): ReturnType<typeof setUp> {
+  const parts = setUp()
+  const { ctx, ledger } = parts
+  ledger.adopt([REPORT])
+  answerHold(ctx, ledger, listing(500))
+  const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+  ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+  return parts
+}
+
 describe('EndpointsDecider, the ledger of endpoints', () => {
   it('uses an endpoint only after it has answered under the fencing token', () => {
     const { ctx, ledger } = setUp()
@@ -236,11 +247,7 @@
   })
 
   it('reports that an endpoint refused connections before the leases of its runs ended', () => {
-    const { ctx, ledger, listener } = setUp()
-    ledger.adopt([REPORT])
-    answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
-    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const { ctx, ledger, listener } = setUpWithRun()
     for (let i = 0; i < 40 && listener.losses.length === 0; i++) {
       const hold = takeEffects(ctx, 'hold').at(-1)
       ctx.now = ms(ctx.now + 100)
@@ -252,11 +259,7 @@
   })
 
   it('reports that an endpoint had not crashed also when this process was paused in between', () => {
-    const { ctx, ledger, listener } = setUp()
-    ledger.adopt([REPORT])
-    answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
-    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const { ctx, ledger, listener } = setUpWithRun()
     ledger.holdOutcome(ID, takeEffects(ctx, 'hold').at(-1)?.orderId ?? 0, { type: 'refused' })
     ledger.requireFreshAnswers()
     answerHold(ctx, ledger, listing(600, [{ task: TASK, run: 1, percent: 10 }]))
@@ -265,11 +268,7 @@
 
   for (const { bornAt, verdict } of [{ bornAt: 5, verdict: 'back' }, { bornAt: 900, verdict: 'had crashed under 1' }]) {
     it(`learns from the next answer of an endpoint whether it had crashed under runs that were lost in silence: ${verdict}`, () => {
-      const { ctx, ledger, listener } = setUp()
-      ledger.adopt([REPORT])
-      answerHold(ctx, ledger, listing(500))
-      const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
-      ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+      const { ctx, ledger, listener } = setUpWithRun()
       ledger.holdOutcome(ID, takeEffects(ctx, 'hold').at(-1)?.orderId ?? 0, { type: 'silent' })
       ctx.now = ms(ctx.now + 2 * SHARD_DEFAULTS.leaseMs)
       ledger.tick()
@@ -280,11 +279,7 @@
   }
 
   it('gives up a start at once that was refused, since it never arrived, and does not count a crash against it', () => {
-    const { ctx, ledger, listener } = setUp()
-    ledger.adopt([REPORT])
-    answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
-    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const { ctx, ledger, listener } = setUpWithRun()
     const later = ledger.start(endpointOf(ledger), 'job.0.0.1' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.startOutcome(ID, later.orderId, { type: 'refused' })
     expect(listener.events).to.deep.equal(['started 1', 'rejected 1 refused'])
@@ -305,11 +300,7 @@
   })
 
   it('reports that an endpoint had not crashed when it answers again in the same incarnation, even after its runs were lost', () => {
-    const { ctx, ledger, listener } = setUp()
-    ledger.adopt([REPORT])
-    answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
-    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const { ctx, ledger, listener } = setUpWithRun()
     const hold = takeEffects(ctx, 'hold').at(-1)
     ledger.holdOutcome(ID, hold?.orderId ?? 0, { type: 'refused' })
     ctx.now = ms(ctx.now + 2 * SHARD_DEFAULTS.leaseMs)
