--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -279,7 +279,7 @@
   }
 
   it('gives up a start at once that was refused, since it never arrived, and does not count a crash against it', () => {
-    const { ctx, ledger, listener } = setUpWithRun()
+    const { ledger, listener } = setUpWithRun()
     const later = ledger.start(endpointOf(ledger), 'job.0.0.1' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
     ledger.startOutcome(ID, later.orderId, { type: 'refused' })
     expect(listener.events).to.deep.equal(['started 1', 'rejected 1 refused'])
