Observability: how old a front's message is when its owner acts on it, and which copy of a job it has

Cause: the logs could not tell the hypotheses about runs at once apart; several events had fields twice, of which JSON readers keep one. Change: clock readings travel with pings, pongs, announcements, orders and confirmations (optional fields, so earlier versions still talk to this one); job.ended, job.abandoned, job.joined, job.sentAgain and job.answered carry copy numbers and ages; reserved field names are refused by the compiler. No decision uses the readings yet.

--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -93,7 +93,7 @@
     if (missingMs < cfg.missingEndpointRetentionMs) return
     this.entries.delete(id)
     this.removedAt.set(entry.report.failureDomain, now)
-    out.log('endpoint.gone', { endpoint: id, failureDomain: entry.report.failureDomain, missingMs: Math.round(missingMs) })
+    out.log('endpoint.gone', { endpoint: id, shard: entry.report.failureDomain, missingMs: Math.round(missingMs) })
     this.onRemoved(id)
   }
 }
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -270,7 +270,7 @@
     endpoint.unansweredHolds++
     if (why === 'refused') this.endpointRefused(endpoint)
     if (endpoint.unansweredHolds === UNANSWERED_HOLDS_MAX) {
-      out.log('endpoint.silent', { endpoint: endpoint.id, failureDomain: endpoint.report.failureDomain, why, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(now - endpoint.answeredAt), owner: self.instance }, 'warn')
+      out.log('endpoint.silent', { endpoint: endpoint.id, shard: endpoint.report.failureDomain, why, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(now - endpoint.answeredAt), owner: self.instance }, 'warn')
     }
     if (endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendHold(endpoint)
     else endpoint.nextHoldAt = ms(now + cfg.silentHoldPeriodMs)
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -61,12 +61,15 @@
     this.estimates = new JobEstimates(ctx)
   }
 
-  /** Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job. */
-  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): void {
+  /**
+   * Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job.
+   * @param sentAt - when the front sent this copy, at the earliest
+   */
+  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms = this.ctx.now): void {
     const { id } = order.job
     const known = this.db.jobs.get(id)
     if (known !== undefined) {
-      this.join(known, front, order)
+      this.join(known, front, order, sentAt)
       return
     }
     const outcome = this.db.outcomeOf(id)
@@ -74,7 +77,7 @@
       this.ports.sendToFront(front, { type: 'ended', jobId: id, outcome })
       return
     }
-    const job = this.estimates.makeJob(front, failureDomain, order)
+    const job = this.estimates.makeJob(front, failureDomain, order, sentAt)
     this.attempts.learn(order.attempts ?? [])
     if (this.attempts.hopelessTaskOf(id, order.queue.maxAttempts) !== undefined) {
       this.db.jobs.set(id, job)
@@ -120,12 +123,13 @@
   /**
    * Answers a front that confirms the jobs it still wants: resends the outcome of ended jobs and reports unknown ones, which
    * it has to resubmit.
+   * @param sentAt - when the front sent the confirmation, at the earliest
    */
-  confirmJobs (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[]): void {
+  confirmJobs (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[], sentAt: Ms = this.ctx.now): void {
     for (const id of ids) {
       const job = this.db.jobs.get(id)
       if (job !== undefined) {
-        if (job.front.instance === front.instance) job.confirmedAt = this.ctx.now
+        if (job.front.instance === front.instance) Object.assign(job, { confirmedAt: this.ctx.now, frontSentAt: sentAt })
         continue
       }
       const outcome = this.db.outcomeOf(id)
@@ -307,13 +311,14 @@
     return cpuMilli
   }
 
-  private join (job: OwnedJob, front: FrontSession, order: DispatchOrder): void {
+  private join (job: OwnedJob, front: FrontSession, order: DispatchOrder, sentAt: Ms): void {
     const { out } = this.ctx
     job.attempt = order.attempt
     job.confirmedAt = this.ctx.now
+    job.frontSentAt = sentAt
     if (job.front.instance === front.instance && job.front.incarnation === front.incarnation) return
     out.count('shard.jobs.joined')
-    out.log('job.joined', { job: job.id, front: front.instance, before: job.front.instance })
+    out.log('job.joined', { job: job.id, attempt: order.attempt, front: front.instance, before: job.front.instance, transitMs: Math.round(this.ctx.now - sentAt) })
     job.front = front
   }
 
@@ -511,24 +516,29 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
-    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job) })
+    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job), ...this.lineage(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
     this.forget(job)
   }
 
   private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost' | 'unconfirmed'): void {
-    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined })
-    this.stopRuns(job)
+    const runsStopped = this.stopRuns(job)
+    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined, runsStopped, ...this.lineage(job) })
     this.forget(job)
   }
 
-  private stopRuns (job: OwnedJob): void {
-    for (const step of job.steps) {
-      for (const task of step.tasks) {
-        if (task.run !== undefined) this.endpoints.stop(task.run)
-      }
-    }
+  /** @returns which copy of the job this owner has, and for how long its front has not been heard about it */
+  private lineage (job: OwnedJob): { readonly attempt: number, readonly resumed: boolean, readonly confirmedAgeMs: number, readonly frontAgeMs: number } {
+    const { now } = this.ctx
+    return { attempt: job.attempt, resumed: job.order.resumed, confirmedAgeMs: Math.round(now - job.confirmedAt), frontAgeMs: Math.round(now - job.frontSentAt) }
+  }
+
+  /** @returns the number of runs that are being stopped now */
+  private stopRuns (job: OwnedJob): number {
+    const runs = job.steps.flatMap(step => step.tasks.flatMap(task => task.run ?? []))
+    for (const run of runs) this.endpoints.stop(run)
+    return runs.length
   }
 
   private forget (job: OwnedJob): void {
@@ -542,7 +552,7 @@
       for (const run of endpoint.runs.values()) {
         if (run.state !== 'unclaimed' || now - run.startedAt < cfg.claimGraceMs) continue
         out.count('shard.tasks.unclaimed')
-        out.log('task.unclaimed', { task: run.task, run: run.run, endpoint: endpoint.id })
+        out.log('task.unclaimed', { job: jobIdOf(run.task), task: run.task, run: run.run, endpoint: endpoint.id, foundAgeMs: Math.round(now - run.orderedAt) })
         this.endpoints.stop(run)
       }
     }
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -19,8 +19,11 @@
 
   constructor (private readonly ctx: ShardContext) {}
 
-  /** Makes the owner's record of a job that a front has sent. */
-  makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): OwnedJob {
+  /**
+   * Makes the owner's record of a job that a front has sent.
+   * @param frontSentAt - when the front sent this copy, at the earliest
+   */
+  makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, frontSentAt: Ms): OwnedJob {
     const { now, cfg } = this.ctx
     const { queue, job } = order
     const runTimes = this.runTimes.of(queue.name)
@@ -37,6 +40,7 @@
       callerDeadline,
       front,
       confirmedAt: now,
+      frontSentAt,
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       admittedLate: false,
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -52,6 +52,8 @@
   front: FrontSession
   /** When the front last confirmed that it still wants the job. */
   confirmedAt: Ms
+  /** When the front sent its latest confirmation or copy of the job, at the earliest. */
+  frontSentAt: Ms
   /** Number of the front's latest submission of the job; a decline refers to it. */
   attempt: number
   /** When the first task started; undefined until then. */
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -4,7 +4,7 @@
  * separate from execution, which takes place at the shard's owner: a job thus survives the loss of its owner, and can go to
  * another failure domain while its own has no free capacity.
  */
-import type { FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import type { DesiredDecider } from '../desired/desiredDecider.js'
@@ -213,7 +213,14 @@
     job.checkedAt = now
     job.attempt++
     const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
-    this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order })
+    if (job.attempt > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
+    this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, ...this.readingOf(owner) })
+  }
+
+  /** Returns the reading of an owner's clock that messages about jobs carry. */
+  private readingOf (owner: InstanceId): { readonly ownerClock?: ClockReading } {
+    const ownerClock = this.sessions.clockOf(owner)
+    return ownerClock === undefined ? {} : { ownerClock }
   }
 
   /** Returns whether every other shard that has an owner has declined the job. */
@@ -259,7 +266,7 @@
       check.ids.push(job.id)
       checks.set(key, check)
     }
-    for (const { owner, failureDomain, ids } of checks.values()) this.deliver(owner, { type: 'checkJobs', failureDomain, jobIds: ids })
+    for (const { owner, failureDomain, ids } of checks.values()) this.deliver(owner, { type: 'checkJobs', failureDomain, jobIds: ids, ...this.readingOf(owner) })
   }
 
   private giveUp (job: FrontedJob): void {
@@ -288,9 +295,10 @@
       outcome: reply.type === 'ended' ? reply.outcome : undefined,
       cause: reply.type === 'refused' ? reply.cause : undefined,
       tookMs: Math.round(tookMs),
+      attempt: job.attempt,
       where: job.location.type,
       owner: job.location.type === 'atOwner' ? job.location.owner : undefined,
-      failureDomain: job.location.type === 'unplaced' ? undefined : job.location.failureDomain,
+      shard: job.location.type === 'unplaced' ? undefined : job.location.failureDomain,
       declinedBy: job.declinedBy.size > 0 ? [...job.declinedBy].join() : undefined
     })
   }
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -75,7 +75,7 @@
     if (this.db.claim?.claimId !== claimId) return
     const ownDomain = this.ctx.self.failureDomain
     this.db.claim = undefined
-    this.ctx.out.log('shard.claimAnswered', { failureDomain: ownDomain, result: result.type, revision: result.type === 'written' ? result.revision : undefined })
+    this.ctx.out.log('shard.claimAnswered', { shard: ownDomain, result: result.type, revision: result.type === 'written' ? result.revision : undefined })
     switch (result.type) {
       case 'written': return this.recordWritten(ownDomain, result.revision)
       case 'conflict':
@@ -213,7 +213,7 @@
     this.db.claim = { claimId: ++this.claimCounter, sentAt: now }
     this.lastClaimAt = now
     out.count('shard.owner.claims')
-    out.log('shard.claim', { failureDomain: ownDomain, expectedRevision: known?.revision ?? 0, ownerBefore: known?.value.owner.instance, vacantMs: Math.round(now - (this.vacantSince ?? now)), rank: this.rankOf(ownDomain) })
+    out.log('shard.claim', { shard: ownDomain, expectedRevision: known?.revision ?? 0, ownerBefore: known?.value.owner.instance, vacantMs: Math.round(now - (this.vacantSince ?? now)), rank: this.rankOf(ownDomain) })
     out.push({ type: 'claimShard', claimId: this.db.claim.claimId, expectedRevision: known?.revision ?? 0, record })
   }
 
@@ -263,7 +263,7 @@
     } else {
       this.db.owned.set(failureDomain, { failureDomain, token, rank, revision, since: now })
       out.count('shard.owner.takeovers')
-      out.log('shard.owned', { failureDomain, token, how, rank, revision, vacantMs: Math.round(now - (this.vacantSince ?? now)) })
+      out.log('shard.owned', { shard: failureDomain, token, how, rank, revision, vacantMs: Math.round(now - (this.vacantSince ?? now)) })
       if (this.vacantSince !== undefined) out.push({ type: 'observe', histogram: 'takeoverMs', label: how, valueMs: now - this.vacantSince })
       this.vacantSince = undefined
       this.listener.ownershipGained(failureDomain, token)
@@ -272,11 +272,11 @@
   }
 
   private announce (failureDomain: FailureDomain): void {
-    const { self } = this.ctx
+    const { self, now } = this.ctx
     const ownership = this.db.owned.get(failureDomain)
     if (ownership === undefined) return
     for (const member of this.db.members.values()) {
-      if (member.instance !== self.instance) this.sessions.send(member.instance, { type: 'announce', incarnation: self.incarnation, address: self.address, failureDomain, token: ownership.token })
+      if (member.instance !== self.instance) this.sessions.send(member.instance, { type: 'announce', incarnation: self.incarnation, address: self.address, failureDomain, token: ownership.token, time: now })
     }
   }
 
@@ -288,7 +288,7 @@
     this.rankTakeoverAllowedAt = why === 'fenced' ? this.ctx.now + FENCED_PAUSE_MS : this.reclaimAllowedAt
     this.vacantSince = undefined
     this.ctx.out.count('shard.owner.superseded')
-    this.ctx.out.log('shard.released', { failureDomain, why, token: ownership.token, ownedMs: Math.round(this.ctx.now - ownership.since), successor }, 'warn')
+    this.ctx.out.log('shard.released', { shard: failureDomain, why, token: ownership.token, ownedMs: Math.round(this.ctx.now - ownership.since), successor }, 'warn')
     this.listener.ownershipLost(failureDomain, successor)
   }
 }
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -25,6 +25,7 @@
       instance,
       address,
       incarnation: 0,
+      clock: undefined,
       lastReceivedAt: undefined,
       reportedLiveAt: undefined,
       firstUnansweredPingAt: undefined,
@@ -67,8 +68,10 @@
    * itself takes precedence: under the same token, a shard that it has disowned stays disowned.
    */
   learnOthers (others: readonly OtherShard[], now: Ms): void {
-    for (const { failureDomain, owner, address, token, load } of others) {
-      this.peer(owner, address).reportedLiveAt = now
+    for (const { failureDomain, owner, address, token, load, clock } of others) {
+      const peer = this.peer(owner, address)
+      peer.reportedLiveAt = now
+      if (clock !== undefined) peer.clock = { reading: clock, readAt: now }
       this.learnOwner({ failureDomain, owner, token })
       const shard = this.shards.get(failureDomain)
       if (shard?.owner === owner) shard.load = load
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -5,7 +5,8 @@
  * instances rely on the reports of their own domain's owner, so the number of pings does not grow with instances times
  * domains.
  */
-import type { FailureDomain, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, FailureDomain, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { SessionsDb } from './sessionsDb.js'
 import type { PeerSession, SessionListener } from './types.js'
@@ -33,18 +34,22 @@
     this.ctx.out.push({ type: 'send', to, address: peer.address, message })
   }
 
-  /** Records that a message arrived from a peer. A changed incarnation means that its previous process is lost. */
-  messageReceived (from: InstanceId, incarnation: number | undefined, address: string): void {
+  /**
+   * Records that a message arrived from a peer. A changed incarnation means that its previous process is lost.
+   * @param time - the peer's clock when it sent the message, if the message carries it
+   */
+  messageReceived (from: InstanceId, incarnation: number | undefined, address: string, time?: Ms): void {
     const peer = this.db.peer(from, address)
     const restarted = incarnation !== undefined && peer.incarnation !== 0 && incarnation !== peer.incarnation
     if (restarted) this.markLost(peer, 'otherLife')
     if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
+    if (incarnation !== undefined && time !== undefined) peer.clock = { reading: { incarnation, at: time }, readAt: this.ctx.now }
     peer.lastReceivedAt = this.ctx.now
     peer.firstUnansweredPingAt = undefined
     peer.connectionReplaced = false
     if (peer.lost) {
       peer.lost = false
-      this.ctx.out.log('peer.heard', { peer: from, incarnation: peer.incarnation })
+      this.ctx.out.log('peer.heard', { peer: from, peerIncarnation: peer.incarnation })
       this.listener.peerRecovered(from)
     }
   }
@@ -110,6 +115,12 @@
     return this.db.peers.get(instance)?.lost === true
   }
 
+  /** Returns the time that a peer's clock shows at least; undefined if it is not known. */
+  clockOf (instance: InstanceId): ClockReading | undefined {
+    const clock = this.db.peers.get(instance)?.clock
+    return clock === undefined ? undefined : { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + this.ctx.now - clock.readAt) }
+  }
+
   /** Returns the owner of a shard if it is live or this instance itself. */
   ownerOf (failureDomain: FailureDomain): InstanceId | undefined {
     const shard = this.db.shards.get(failureDomain)
@@ -128,7 +139,7 @@
     const { now, self } = this.ctx
     peer.lastPingAt = now
     peer.firstUnansweredPingAt ??= now
-    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), ...this.leaving ? { leaving: true } : {} })
+    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), time: now, ...this.leaving ? { leaving: true } : {} })
   }
 
   private checkSilence (peer: PeerSession): void {
@@ -151,7 +162,7 @@
     peer.lost = true
     peer.usesOwnedShard = false
     out.count('shard.peers.lost')
-    out.log('peer.lost', { peer: peer.instance, why, silentMs: Math.round(now - (peer.lastReceivedAt ?? now)), incarnation: peer.incarnation }, 'warn')
+    out.log('peer.lost', { peer: peer.instance, why, silentMs: Math.round(now - (peer.lastReceivedAt ?? now)), peerIncarnation: peer.incarnation }, 'warn')
     this.listener.peerLost(peer.instance, why)
   }
 }
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -2,7 +2,7 @@
  * Types of the session decision, which tracks for each peer whether messages still arrive from it. The state of a peer
  * covers both directions: pings that this instance sends and pings that the peer sends because it uses a shard here.
  */
-import type { FailureDomain, FencingToken, InstanceId, Ms, ShardLoad } from '@cranberryyard/protocol'
+import type { ClockReading, FailureDomain, FencingToken, InstanceId, Ms, ShardLoad } from '@cranberryyard/protocol'
 
 /** What this instance knows about another instance and the connection to it. */
 export interface PeerSession {
@@ -10,6 +10,8 @@
   address: string
   /** Latest incarnation that a message carried; 0 before the first message. */
   incarnation: number
+  /** The latest reading of the peer's clock, with this instance's time at which it arrived. */
+  clock: { readonly reading: ClockReading, readonly readAt: Ms } | undefined
   /** When the latest message of any kind arrived; undefined before the first and while the peer is not monitored. */
   lastReceivedAt: Ms | undefined
   /** When the owner of this instance's own domain last reported that it receives messages from the peer. */
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -3,7 +3,7 @@
  * together and routes each input to them. It returns effects instead of performing I/O, and it has no timers and no clock
  * of its own, so the daemon and the tests can drive it alike.
  */
-import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
+import type { ClockReading, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { DesiredDecider } from '../desired/desiredDecider.js'
@@ -145,7 +145,7 @@
     if (from !== this.ctx.self.instance) {
       const incarnation = 'incarnation' in message ? message.incarnation : undefined
       const address = 'address' in message ? message.address : ''
-      this.sessions.messageReceived(from, incarnation, address)
+      this.sessions.messageReceived(from, incarnation, address, 'time' in message ? message.time : undefined)
       this.introduction.peerHeard(address)
     }
     switch (message.type) {
@@ -163,7 +163,7 @@
         this.sendAttempts(from, this.attempts.db.jobIds())
         return this.intake.ownerKnown(message.failureDomain)
       case 'submit': return this.receiveSubmit({ instance: from, incarnation: message.incarnation, address: message.address }, message)
-      case 'checkJobs': return this.receiveJobCheck(from, message.failureDomain, message.jobIds)
+      case 'checkJobs': return this.receiveJobCheck(from, message)
       case 'cancelJob': return this.execution.cancel(message.jobId, from)
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
       case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
@@ -284,7 +284,7 @@
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadSentAt = now
     const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
-    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), ...attempts === undefined ? {} : { attempts } })
+    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), time: now, ...attempts === undefined ? {} : { attempts } })
   }
 
   /**
@@ -299,7 +299,8 @@
       if (disowned || peer === undefined || this.ownership.db.owned.has(failureDomain)) continue
       const isLive = this.ownership.owns() ? !peer.lost && peer.lastReceivedAt !== undefined : this.sessions.isLive(owner)
       if (!isLive) continue
-      others.push({ failureDomain, owner, address: peer.address, token, load })
+      const clock = this.sessions.clockOf(owner)
+      others.push({ failureDomain, owner, address: peer.address, token, load, ...clock === undefined ? {} : { clock } })
     }
     return others
   }
@@ -323,7 +324,7 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
-    this.execution.submit(front, message.failureDomain, message.order)
+    this.execution.submit(front, message.failureDomain, message.order, this.sentAt(message.ownerClock))
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
@@ -351,10 +352,19 @@
     return this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
   }
 
-  private receiveJobCheck (from: InstanceId, failureDomain: FailureDomain, jobIds: readonly JobId[]): void {
+  /**
+   * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. Without one, the message counts
+   * from its arrival.
+   */
+  private sentAt (ownerClock: ClockReading | undefined): Ms {
+    const { now, self } = this.ctx
+    return ownerClock?.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at)) : now
+  }
+
+  private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
     const peer = this.sessions.db.peers.get(from)
     const front = { instance: from, incarnation: peer?.incarnation ?? this.ctx.self.incarnation, address: peer?.address ?? '' }
-    this.execution.confirmJobs(front, failureDomain, jobIds)
+    this.execution.confirmJobs(front, failureDomain, jobIds, this.sentAt(ownerClock))
   }
 
   private linkDown (peer: InstanceId): void {
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -69,7 +69,8 @@
  */
 export type ListPace = 'owner' | 'near' | 'far'
 
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
+/** Fields of a log line. Those that every line carries are reserved: a reader of JSON keeps only one of two fields with the same name. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>> & { readonly instance?: never, readonly incarnation?: never, readonly failureDomain?: never }
 
 export type ShardEffect =
   | { readonly type: 'reply', readonly callId: string, readonly reply: CallerReply }
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -30,6 +30,8 @@
 }
 
 const load = object({ waitMs: nonNegative, busyShare: finiteNumber })
+const clock = optional(object({ incarnation: nonNegativeInteger, at: finiteNumber }))
+const time = optional(finiteNumber)
 const ownedFields = { failureDomain: text, token: finiteNumber, load }
 const resources = object({ cpuMilli: nonNegative, memoryMb: nonNegative, accelerators: nonNegative })
 const taskCount: Check = value => nonNegativeInteger(value) && (value as number) <= MAX_TASKS_PER_STEP
@@ -44,11 +46,11 @@
 const progress = object({ jobId: text, done: listOf(text) })
 
 const CHECKS: { readonly [T in ShardMessage['type']]: Checks<MessageOf<T>> } = {
-  ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger, leaving: optional(flag) },
-  pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text })), desiredVersion: nonNegativeInteger, attempts },
-  announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber },
-  submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order },
-  checkJobs: { failureDomain: text, jobIds: listOf(text) },
+  ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger, leaving: optional(flag), time },
+  pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text, clock })), desiredVersion: nonNegativeInteger, attempts, time },
+  announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber, time },
+  submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order, ownerClock: clock },
+  checkJobs: { failureDomain: text, jobIds: listOf(text), ownerClock: clock },
   cancelJob: { jobId: text },
   ended: { jobId: text, outcome: oneOf('completed', 'failed') },
   declined: { jobId: text, attempt: nonNegativeInteger, retryAfterMs: nonNegative },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -6,6 +6,15 @@
 import type { FailureDomain, InstanceId } from './ids.js'
 import type { Ms } from './clock.js'
 
+/**
+ * A reading of another instance's monotonic clock. It is behind the true time by the time that the reading took to arrive, so it is a lower bound.
+ */
+export interface ClockReading {
+  /** The incarnation to whose clock the time belongs. */
+  readonly incarnation: number
+  readonly at: Ms
+}
+
 /** Load of a shard, as reported by its owner. */
 export interface ShardLoad {
   /** Expected queueing time of a job that arrives now. */
@@ -25,6 +34,8 @@
 export interface OtherShard extends OwnedShard {
   readonly owner: InstanceId
   readonly address: string
+  /** The owner's clock, as far as the sender has read it; absent in earlier versions. */
+  readonly clock?: ClockReading
 }
 
 /** The tasks of a job that are done, each as `step.index`. */
@@ -36,24 +47,27 @@
 /** How a job ended at its owner. */
 export type JobOutcome = 'completed' | 'failed'
 
-/** Any message between fronts and owners. */
+/**
+ * Any message between fronts and owners. `time` is the sender's monotonic clock, and `ownerClock` the front's latest reading of the receiver's; both
+ * are absent in earlier versions.
+ */
 export type ShardMessage =
   /**
    * From a front to an owner from which it has not received anything for a while. `leaving`: the front ends soon, so it is no
    * successor; absent in earlier versions.
    */
-  | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number, readonly leaving?: boolean }
+  | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number, readonly leaving?: boolean, readonly time?: Ms }
   /**
    * Answer to a ping; an owner also sends it along with its other messages to a front. `attempts`: runs that went wrong, sent when something
    * new is known of them; absent in earlier versions.
    */
-  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number, readonly attempts?: readonly TaskAttempts[] }
+  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number, readonly attempts?: readonly TaskAttempts[], readonly time?: Ms }
   /** Announces a new owner. */
-  | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken }
+  | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken, readonly time?: Ms }
   /** Forwards a job to the owner of a failure domain's endpoints. */
-  | { readonly type: 'submit', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly order: DispatchOrder }
+  | { readonly type: 'submit', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly order: DispatchOrder, readonly ownerClock?: ClockReading }
   /** From a front to an owner: asks whether the owner still knows these jobs. */
-  | { readonly type: 'checkJobs', readonly failureDomain: FailureDomain, readonly jobIds: readonly JobId[] }
+  | { readonly type: 'checkJobs', readonly failureDomain: FailureDomain, readonly jobIds: readonly JobId[], readonly ownerClock?: ClockReading }
   /** The caller no longer waits for the job. */
   | { readonly type: 'cancelJob', readonly jobId: JobId }
   | { readonly type: 'ended', readonly jobId: JobId, readonly outcome: JobOutcome }
