Tests that fail: one task runs in two failure domains at once, in six ways

The fleet in memory learns what real networks and machines do: links that hold messages up and deliver them after the sender has replaced the connection, full links with long queues, instances that handle what arrives late, loss of power without a sign, late stop orders alone. Each process has a clock of its own now.

--- /dev/null
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -0,0 +1,107 @@
+import { expect } from 'chai'
+import type { InstanceId } from '@cranberryyard/protocol'
+import { ShardFleet } from './shardFleet.js'
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
+/** Downtime that is longer than the rest of any test run here. */
+const BEYOND_TEST_MS = 60_000
+/** Tasks that still run when their caller sends the job again. */
+const LONG_TASK = { cpuMilli: 8000, workMs: 5000, fails: false }
+const FRONT = 'b-0' as InstanceId
+const OWNER = 'b-1' as InstanceId
+
+/**
+ * Plays a scenario with several seeds, which decide among other things to which instances callers send again.
+ * @returns the violations of all plays
+ */
+function violationsOf (play: (fleet: ShardFleet) => void, domains = ['a', 'b']): string[] {
+  return SEEDS.flatMap((seed) => {
+    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+    // After 8 s the instances with the most processor time own the shards.
+    fleet.run(8000)
+    play(fleet)
+    fleet.run(8000)
+    return fleet.oracle.violations.map(({ rule, at, detail }) => `seed ${seed}: ${rule} at ${Math.round(at)}: ${detail}`)
+  })
+}
+
+/** Names every directed link between two groups of instances or endpoints, both ways. */
+function linksBetween (names: readonly string[], others: readonly string[]): string[] {
+  return names.flatMap(name => others.flatMap(other => [`${name}>${other}`, `${other}>${name}`]))
+}
+
+function endpointsOf (fleet: ShardFleet, domain: string): string[] {
+  return [...fleet.endpoints.keys()].filter(id => id.startsWith(`e-${domain}-`))
+}
+
+describe('a task does not run in two failure domains at once', () => {
+  it('when an order arrives at its owner after the front has given the job up', () => {
+    expect(violationsOf((fleet) => {
+      for (const id of endpointsOf(fleet, 'a')) fleet.drain(id, 10)
+      fleet.run(2000)
+      const remote = [...fleet.processes.keys()].filter(name => !name.startsWith('a'))
+      fleet.holdUpLinks(linksBetween(['a-0'], remote), 3000 + fleet.randomBelow(1500))
+      fleet.submit('a-0' as InstanceId, 2, LONG_TASK)
+    }, ['a', 'b', 'c'])).to.deep.equal([])
+  })
+
+  it('when the front loses power while its messages take long to the owner', () => {
+    expect(violationsOf((fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      for (const delayMs of [100, 200, 300, 400, 500, 600, 700, 800]) {
+        fleet.delayLinks([`${FRONT}>${OWNER}`], delayMs)
+        fleet.run(200)
+      }
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+    })).to.deep.equal([])
+  })
+
+  it('when the front and then the owner lose power before the owner has noticed', () => {
+    expect(violationsOf((fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      fleet.time.after(350 + fleet.randomBelow(300), () => fleet.losePower(OWNER, BEYOND_TEST_MS))
+    })).to.deep.equal([])
+  })
+
+  it('when an instance that is front and owner loses power and its successors are slow', () => {
+    expect(violationsOf((fleet) => {
+      fleet.submit(OWNER, 2, LONG_TASK)
+      fleet.run(500)
+      fleet.losePower(OWNER, BEYOND_TEST_MS)
+      fleet.time.after(500, () => {
+        for (const successor of ['b-0', 'b-2'] as InstanceId[]) fleet.slowDown(successor, 40 + fleet.randomBelow(300), 5000)
+      })
+    })).to.deep.equal([])
+  })
+
+  it('when an instance that is front and owner and its successor lose power one after the other', () => {
+    expect(violationsOf((fleet) => {
+      fleet.submit(OWNER, 2, LONG_TASK)
+      fleet.run(500)
+      fleet.losePower(OWNER, BEYOND_TEST_MS)
+      for (const successor of ['b-0', 'b-2'] as InstanceId[]) {
+        fleet.time.after(600 + fleet.randomBelow(400), () => fleet.losePower(successor, 1000 + fleet.randomBelow(500)))
+      }
+    })).to.deep.equal([])
+  })
+
+  it('when the front loses power and the owner is then cut off from its endpoints', () => {
+    expect(violationsOf((fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      fleet.time.after(510 + fleet.randomBelow(40), () => fleet.cutPairs(linksBetween([OWNER], endpointsOf(fleet, 'b')), 3000))
+    })).to.deep.equal([])
+  })
+
+  it('when the front loses power and the endpoints carry out stop orders late', () => {
+    expect(violationsOf((fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      fleet.lateStopShare = 1
+    })).to.deep.equal([])
+  })
+})
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -18,6 +18,7 @@
   JobId,
   JobRequest,
   MemberRecord,
+  Ms,
   QueueName,
   QueueTerms,
   Revised,
@@ -50,6 +51,10 @@
 const CRASH_DOWN_MIN_MS = 2500
 const CRASH_DOWN_SPREAD_MS = 1000
 const DEFAULT_DEADLINE_MS = 6000
+/** Difference between the monotonic clocks of two processes. */
+const CLOCK_STEP_MS = 12_345
+/** Connections of a link that was held up deliver their messages up to this much later than the link works again. */
+const RETRANSMIT_SPREAD_MS = 300
 export const DEFAULT_QUEUE: QueueTerms = { name: 'q' as QueueName, host: 'queue.example', prefix: '/q/', service: SERVICE, priority: 0, maxAttempts: 4, stretch: 1.6, latencyObjectiveMs: ms(60), needsAdvice: false }
 
 /** Size and seed of a fleet, and settings that differ from the defaults. */
@@ -97,12 +102,24 @@
   paceChanges: number
   /** Inputs that arrived while the process was frozen; they are handled when it resumes. */
   frozenInputs: ShardInput[]
+  /** The process is down without power: connections to it are not refused, and peers do not notice that theirs are gone. */
+  silent: boolean
+  /** How long inputs from outside wait before the process handles them, as at an instance with too little processor time. */
+  backlogMs: number
+  /** When the latest of these inputs is handled; later ones do not overtake it. */
+  backlogUntil: number
   /** Latest time at which the process did not run or could not reach the store. */
   lastDisturbedAt: number
   /** Reply callbacks of submissions that wait for an answer, by call id. */
   pendingCalls: Map<string, (reply: ReplyKind, retryAfterMs?: number) => void>
 }
 
+/** A message that a held link keeps, with the connection on which it was sent. */
+interface HeldMessage {
+  readonly connection: number
+  readonly deliver: () => void
+}
+
 /** Faults of the store that a test can switch on. */
 export interface StoreFaults {
   down: boolean
@@ -141,10 +158,18 @@
   onMessage: (from: InstanceId, to: InstanceId, message: ShardMessage) => void = () => {}
   /** Directed links that lose everything, as `from>to` with the names of instances or endpoints. */
   readonly cutLinks = new Set<string>()
+  /** Messages on links that hold them up, by directed link; as TCP does during a partition, the link delivers them afterwards. */
+  private readonly heldMessages = new Map<string, HeldMessage[]>()
+  /** Added to the delay of directed links, as queues on a full link do. */
+  private readonly linkQueueMs = new Map<string, number>()
+  /** Number of the present connection of each directed link. */
+  private readonly connections = new Map<string, number>()
   /** Whether crashed endpoints give no sign, as machines without power do, in place of refused and broken connections. */
   crashesAreSilent = false
   /** Share of orders to endpoints that take effect 2 to 12 s late and get no answer. */
   lateOrderShare = 0
+  /** The same for stop orders alone. */
+  lateStopShare = 0
   /** Share of orders to endpoints that take effect at the usual time but whose answer is lost. */
   lostAnswerShare = 0
   private readonly domainOf = new Map<string, FailureDomain>()
@@ -234,6 +259,54 @@
     this.time.after(downMs, () => this.boot(process))
   }
 
+  /**
+   * Cuts the power of an instance. Its callers' connections break, but its peers get no sign of it. It restarts after `downMs` with a
+   * new incarnation.
+   */
+  losePower (name: InstanceId, downMs: number): void {
+    const process = this.process(name)
+    if (!process.up) return
+    Object.assign(process, { up: false, frozen: false, silent: true })
+    this.failPendingCalls(process)
+    this.time.after(downMs, () => this.boot(process))
+  }
+
+  /** Makes an instance handle everything that arrives from outside late, by a constant time. */
+  slowDown (name: InstanceId, backlogMs: number, durationMs: number): void {
+    const process = this.process(name)
+    process.backlogMs = backlogMs
+    this.time.after(durationMs, () => {
+      process.backlogMs = 0
+    })
+  }
+
+  /**
+   * Holds up all messages on directed links, given as `from>to`. They arrive afterwards, in the order of each connection; the
+   * connections of one link end their hold-up at different times, since each retransmits on its own.
+   */
+  holdUpLinks (pairs: readonly string[], durationMs: number): void {
+    for (const pair of pairs) {
+      if (this.heldMessages.has(pair)) continue
+      this.heldMessages.set(pair, [])
+      this.time.after(durationMs, () => this.releaseLink(pair))
+    }
+  }
+
+  /** Delays all messages on directed links, given as `from>to`, for good; each call replaces the delay before. */
+  delayLinks (pairs: readonly string[], delayMs: number): void {
+    for (const pair of pairs) this.linkQueueMs.set(pair, delayMs)
+  }
+
+  private releaseLink (pair: string): void {
+    const delayByConnection = new Map<number, number>()
+    for (const { connection, deliver } of this.heldMessages.get(pair) ?? []) {
+      const delayMs = delayByConnection.get(connection) ?? this.randomBelow(RETRANSMIT_SPREAD_MS)
+      delayByConnection.set(connection, delayMs + 0.01)
+      this.time.after(delayMs, deliver)
+    }
+    this.heldMessages.delete(pair)
+  }
+
   /** Freezes a process, as a long pause of the operating system does: clocks go on and inputs other than ticks wait. */
   freeze (name: InstanceId, durationMs: number): void {
     const process = this.process(name)
@@ -286,6 +359,8 @@
 
   /** Reports to two instances that their connection has been lost; both can send again at once. */
   replaceConnections (a: InstanceId, b: InstanceId): void {
+    this.renewConnection(a, b)
+    this.renewConnection(b, a)
     this.post(this.process(a), { type: 'linkDown', peer: b })
     this.post(this.process(b), { type: 'linkDown', peer: a })
   }
@@ -320,7 +395,7 @@
 
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
-    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], lastDisturbedAt: 0, pendingCalls: new Map() })
+    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, lastDisturbedAt: 0, pendingCalls: new Map() })
   }
 
   private addEndpoints (domain: FailureDomain): void {
@@ -370,10 +445,11 @@
     process.incarnation++
     process.up = true
     process.frozen = false
+    process.silent = false
     process.frozenInputs = []
     process.core = this.makeCore(process.name, process.domain, process.incarnation)
     const { incarnation } = process
-    this.executeEffects(process, process.core.start(ms(this.time.now)))
+    this.executeEffects(process, process.core.start(this.monotonic(process)))
     const repeatEvery = (period: number, step: () => void): void => {
       if (process.incarnation !== incarnation || !process.up) return
       step()
@@ -448,6 +524,11 @@
     }))
   }
 
+  /** @returns the monotonic time of a process; those of two incarnations have nothing in common */
+  private monotonic (process: Process): Ms {
+    return ms(this.time.now + CLOCK_STEP_MS * ([...this.processes.keys()].indexOf(process.name) + 7 * process.incarnation % 11))
+  }
+
   private post (process: Process, input: ShardInput): void {
     if (!process.up) return
     if (process.frozen) {
@@ -455,7 +536,7 @@
       return
     }
     const now = ms(this.time.now)
-    const effects = process.core.handle(input, now, now)
+    const effects = process.core.handle(input, this.monotonic(process), now)
     this.oracle.recordDesiredVersion(`${process.name}#${process.incarnation}`, process.core.desired.db.version(), now)
     this.executeEffects(process, effects)
   }
@@ -468,7 +549,9 @@
     switch (effect.type) {
       case 'reply': return this.reply(process, effect)
       case 'send': return this.deliver(process, effect.to, effect.message)
-      case 'resetLink': return this.postLater(process, 0, () => ({ type: 'linkDown', peer: effect.peer }))
+      case 'resetLink':
+        this.renewConnection(process.name, effect.peer)
+        return this.postLater(process, 0, () => ({ type: 'linkDown', peer: effect.peer }))
       case 'hold': return this.hold(process, effect)
       case 'startTask': return this.startTask(process, effect)
       case 'stopTask': return this.stopTask(process, effect)
@@ -486,10 +569,24 @@
     }
   }
 
+  private renewConnection (from: InstanceId, to: InstanceId): void {
+    const pair = `${from}>${to}`
+    this.connections.set(pair, (this.connections.get(pair) ?? 0) + 1)
+  }
+
   /** Posts an input to a process after a delay, unless it has restarted meanwhile. */
   private postLater (process: Process, delayMs: number, input: () => ShardInput): void {
     const { incarnation } = process
-    this.time.after(delayMs, () => process.incarnation === incarnation && this.post(process, input()))
+    this.time.after(delayMs, () => process.incarnation === incarnation && this.postFromOutside(process, input()))
+  }
+
+  /** Posts an input once the process has handled those before it. */
+  private postFromOutside (process: Process, input: ShardInput): void {
+    const handledAt = Math.max(process.backlogUntil, this.time.now + process.backlogMs)
+    if (handledAt <= this.time.now) return this.post(process, input)
+    process.backlogUntil = handledAt
+    const { incarnation } = process
+    this.time.after(handledAt - this.time.now, () => process.incarnation === incarnation && this.post(process, input))
   }
 
   private linkDelayMs (from: string, to: string): number {
@@ -503,19 +600,23 @@
   private deliver (process: Process, to: InstanceId, message: ShardMessage): void {
     const target = this.process(to.replace(SEED_PREFIX, '') as InstanceId)
     this.onMessage(process.name, to, message)
+    const pair = `${process.name}>${target.name}`
     if (this.isCut(process.name, target.name)) return
-    const delayMs = this.linkDelayMs(process.name, target.name)
-    this.time.after(delayMs, () => {
-      if (target.up) this.post(target, { type: 'peer', from: process.name, message })
-      else this.postLater(process, delayMs, () => ({ type: 'sendFailed', to, message }))
-    })
+    const delayMs = this.linkDelayMs(process.name, target.name) + (this.linkQueueMs.get(pair) ?? 0)
+    const arrive = (): void => {
+      if (target.up) this.postFromOutside(target, { type: 'peer', from: process.name, message })
+      else if (!target.silent) this.postLater(process, delayMs, () => ({ type: 'sendFailed', to, message }))
+    }
+    const held = this.heldMessages.get(pair)
+    if (held === undefined) this.time.after(delayMs, arrive)
+    else held.push({ connection: this.connections.get(pair) ?? 0, deliver: arrive })
   }
 
   /**
    * Sends an order to an endpoint. A cut link loses the order or its answer, and the configured shares of orders are late or
    * lose their answer. An order that is not answered within the timeout, or whose connection breaks, is reported as `silent`.
    */
-  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
+  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, lateShare: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
     const endpoint = this.endpoints.get(id)
     const openOrders = this.openOrders.get(id) ?? new Set()
     this.openOrders.set(id, openOrders)
@@ -530,7 +631,7 @@
     openOrders.add(breakConnection)
     this.time.after(timeoutMs, breakConnection)
     if (endpoint === undefined || this.isCut(process.name, id)) return
-    const late = this.randomBelow(1000) < this.lateOrderShare * 1000
+    const late = this.randomBelow(1000) < lateShare * 1000
     const lost = this.randomBelow(1000) < this.lostAnswerShare * 1000
     const deliveryDelayMs = this.linkDelayMs(process.name, id)
     const { bornAt } = endpoint
@@ -547,7 +648,7 @@
 
   private hold (process: Process, effect: EffectOf<'hold'>): void {
     type Outcome = Extract<ShardInput, { type: 'holdOutcome' }>['outcome']
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
       if (!endpoint.hold(this.time.now, effect.token, effect.acknowledged, effect.extendTo)) {
         answer({ type: 'fenced' })
         return
@@ -568,7 +669,7 @@
   private startTask (process: Process, effect: EffectOf<'startTask'>): void {
     type Outcome = Extract<ShardInput, { type: 'taskStartOutcome' }>['outcome']
     const spec = taskSpec(effect.spec, effect.task)
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
       const previousRun = endpoint.runs.get(effect.task)
       const reply = endpoint.start(this.time.now, { token: effect.token, task: effect.task, run: effect.run, spec, untilMs: effect.notAfter })
       if (reply === 'started' && endpoint.runs.get(effect.task) !== previousRun) this.oracle.recordStart(endpoint, effect.task, this.time.now, this.hadSteadyContact(process))
@@ -578,7 +679,7 @@
 
   private stopTask (process: Process, effect: EffectOf<'stopTask'>): void {
     type Outcome = Extract<ShardInput, { type: 'taskStopOutcome' }>['outcome']
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, Math.max(this.lateOrderShare, this.lateStopShare), (endpoint, answer) => {
       answer({ type: endpoint.stop(this.time.now, effect.token, effect.task, effect.run) })
     }, outcome => ({ type: 'taskStopOutcome', endpoint: effect.endpoint, orderId: effect.orderId, outcome }))
   }
@@ -612,7 +713,7 @@
     this.time.after(CALLER_DELAY_MS, () => {
       if (!process.up) return onReply('other')
       process.pendingCalls.set(callId, onReply)
-      this.post(process, { type: 'submit', callId, host: submission.host, path: submission.path, job: submission.job, deadlineMs: ms(submission.deadlineMs) })
+      this.postFromOutside(process, { type: 'submit', callId, host: submission.host, path: submission.path, job: submission.job, deadlineMs: ms(submission.deadlineMs) })
     })
   }
 
