An owner counts orders and confirmations from when their front sent them

Seen by callers: a task ran in two failure domains at once; one of the runs was stopped after less than a second. Messages may be read long after they were sent: on links that are full, held up by a partition or slow to be read, and TCP delivers what was written by a process that has died or has replaced its connection. By then the front had given the job up, and its caller had sent it again to another domain. Change: a front returns what it has read of the owner's clock, so an order proves its age and a confirmation counts from its sending. Orders that may be older than the job lease are not taken; the answer carries the clock, and a front that still wants the job sends it again. Waiting tasks of a job whose confirmation has run out do not start. The clock that peers are told counts suspensions. Fronts of earlier versions send no readings and count as before.

--- a/packages/core/src/attempts/attemptsDecider.spec.ts
+++ b/packages/core/src/attempts/attemptsDecider.spec.ts
@@ -10,7 +10,7 @@
 const TASK = 'a.0.0.0' as TaskName
 
 class Harness {
-  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   readonly attempts = new AttemptsDecider(this.ctx)
 
   /** Records a fault of the task's run with this number, at an endpoint of its own. */
--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -22,7 +22,7 @@
  * @returns times at which this instance requested the version from the peer
  */
 function requestTimes (forMs: number, storeReachable: boolean, storeDeliversAt = Infinity): number[] {
-  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
   const times: number[] = []
   const desired = new DesiredDecider(ctx, (_to, message) => {
     if (message.type === 'desiredRequest') times.push(ctx.now)
@@ -53,7 +53,7 @@
 
 describe('peers that request the desired state', () => {
   it('receive it one per tick, each once', () => {
-    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const sent: string[] = []
     const desired = new DesiredDecider(ctx, (to, message) => sent.push(`${to} ${message.type}`), () => true)
     desired.adopt(stateOf(1), 'store')
@@ -68,7 +68,7 @@
 
 describe('queues of the desired state', () => {
   it('are found by host and longest prefix, in the latest version only', () => {
-    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const { db } = new DesiredDecider(ctx, () => {}, () => true)
     db.adopt(stateOf(1, [queue('h', '/a/'), queue('h', '/a/b/'), queue('i', '/a/')]))
     expect([db.queueFor('h', '/a/b/1')?.prefix, db.queueFor('h', '/a/1')?.prefix, db.queueFor('i', '/a/b/1')?.prefix, db.queueFor('j', '/a/1')]).to.deep.equal(['/a/b/', '/a/', '/a/', undefined])
--- a/packages/core/src/endpoints/endpointList.spec.ts
+++ b/packages/core/src/endpoints/endpointList.spec.ts
@@ -14,7 +14,7 @@
 }
 
 function setUp (): { ctx: ShardContext, list: EndpointList, removed: string[] } {
-  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: NEAR, address: 'me', cpuMilli: 1 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: NEAR, address: 'me', cpuMilli: 1 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
   const removed: string[] = []
   return { ctx, list: new EndpointList(ctx, id => removed.push(id)), removed }
 }
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -67,7 +67,7 @@
 }
 
 function setUp (): { ctx: ShardContext, ledger: EndpointsDecider, listener: RecordingListener, tokens: { value: number }, awaited: { value: boolean } } {
-  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   const listener = new RecordingListener()
   const tokens = { value: 7 }
   const awaited = { value: false }
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -31,7 +31,7 @@
 
 /** A shard owner with endpoints that have capacity for a number of tasks each, usually one; tests answer its start, stop and hold orders explicitly. */
 class OwnerHarness {
-  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   readonly sentToFronts: ShardMessage[] = []
   private readonly placement = new PlacementDecider(this.ctx)
   readonly execution: ExecutionDecider
@@ -249,6 +249,47 @@
     expect(owner.stops.map(stop => stop.task)).to.include('b.0.0.0')
   })
 
+  it('does not start a job whose order was on its way for longer than its front may wait', () => {
+    const owner = new OwnerHarness(2)
+    const sentAt = ms(owner.ctx.now - SHARD_DEFAULTS.jobLeaseMs - 1)
+    expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), sentAt)).to.equal(false)
+    owner.settle()
+    expect(owner.starts).to.deep.equal([])
+    expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), ms(sentAt + 2))).to.equal(true)
+    owner.settle()
+    expect(owner.starts).to.have.length(2)
+  })
+
+  it('counts a confirmation from when its front sent it, not from its arrival', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 5000))
+    owner.confirmStarts()
+    const { jobLeaseMs } = SHARD_DEFAULTS
+    const sentAt = ms(owner.ctx.now + 100)
+    owner.advanceMs(jobLeaseMs)
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['a' as JobId], sentAt)
+    owner.execution.tick()
+    owner.advanceMs(99)
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.stops).to.deep.equal([])
+    owner.advanceMs(2)
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.stops).to.have.length(1)
+  })
+
+  it('starts no waiting task of a job whose confirmation has run out', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 100))
+    owner.confirmStarts()
+    owner.execution.submit(FRONT, DOMAIN, withObjective(order('b', 1, 100), 5000))
+    owner.advanceMs(SHARD_DEFAULTS.jobLeaseMs + 1)
+    owner.starts = []
+    owner.finishRuns('e-0' as EndpointId)
+    expect(owner.starts).to.deep.equal([])
+  })
+
   it('moves the only task of a step that makes no progress', () => {
     const owner = new OwnerHarness(5)
     owner.submit(order('a', 4, 400))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -64,19 +64,24 @@
   /**
    * Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job.
    * @param sentAt - when the front sent this copy, at the earliest
+   * @returns false if the copy may be so old that the front has given the job up, whose caller then sends it again to any front
    */
-  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms = this.ctx.now): void {
+  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms = this.ctx.now): boolean {
     const { id } = order.job
     const known = this.db.jobs.get(id)
-    if (known !== undefined) {
-      this.join(known, front, order, sentAt)
-      return
-    }
     const outcome = this.db.outcomeOf(id)
-    if (outcome !== undefined) {
+    if (known === undefined && outcome !== undefined) {
       this.ports.sendToFront(front, { type: 'ended', jobId: id, outcome })
-      return
+      return true
     }
+    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) return this.refuseOutdated(front, order, sentAt)
+    if (known === undefined) this.submitNew(front, failureDomain, order, sentAt)
+    else this.join(known, front, order, sentAt)
+    return true
+  }
+
+  private submitNew (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms): void {
+    const { id } = order.job
     const job = this.estimates.makeJob(front, failureDomain, order, sentAt)
     this.attempts.learn(order.attempts ?? [])
     if (this.attempts.hopelessTaskOf(id, order.queue.maxAttempts) !== undefined) {
@@ -129,7 +134,7 @@
     for (const id of ids) {
       const job = this.db.jobs.get(id)
       if (job !== undefined) {
-        if (job.front.instance === front.instance) Object.assign(job, { confirmedAt: this.ctx.now, frontSentAt: sentAt })
+        if (job.front.instance === front.instance) this.confirm(job, sentAt)
         continue
       }
       const outcome = this.db.outcomeOf(id)
@@ -176,7 +181,7 @@
     if (!anyFits(this.admission.db.waiting, largest)) return
     let mayStartPartially = true
     for (const job of this.admission.inStartOrder(this.ctx.now)) {
-      if (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain)) continue
+      if (this.isConfirmationExpired(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain))) continue
       const complete = smallestCpuNeed(job) <= largest && this.startTasks(job, candidates, mayStartPartially || job.firstStartAt !== undefined)
       if (!complete && job.firstStartAt === undefined) mayStartPartially = false
       if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
@@ -313,15 +318,26 @@
 
   private join (job: OwnedJob, front: FrontSession, order: DispatchOrder, sentAt: Ms): void {
     const { out } = this.ctx
+    this.confirm(job, sentAt)
     job.attempt = order.attempt
-    job.confirmedAt = this.ctx.now
-    job.frontSentAt = sentAt
     if (job.front.instance === front.instance && job.front.incarnation === front.incarnation) return
     out.count('shard.jobs.joined')
     out.log('job.joined', { job: job.id, attempt: order.attempt, front: front.instance, before: job.front.instance, transitMs: Math.round(this.ctx.now - sentAt) })
     job.front = front
   }
 
+  private confirm (job: OwnedJob, sentAt: Ms): void {
+    job.heardAt = this.ctx.now
+    job.confirmedAt = ms(Math.max(job.confirmedAt, sentAt))
+  }
+
+  private refuseOutdated (front: FrontSession, { job, attempt, resumed }: DispatchOrder, sentAt: Ms): false {
+    const { out, now } = this.ctx
+    out.count('shard.jobs.outdated')
+    out.log('job.outdated', { job: job.id, front: front.instance, attempt, resumed, transitMs: sentAt === -Infinity ? undefined : Math.round(now - sentAt) })
+    return false
+  }
+
   private admit (job: OwnedJob): boolean {
     if (!this.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
     const verdict = this.admission.decide(job, {
@@ -529,9 +545,9 @@
   }
 
   /** @returns which copy of the job this owner has, and for how long its front has not been heard about it */
-  private lineage (job: OwnedJob): { readonly attempt: number, readonly resumed: boolean, readonly confirmedAgeMs: number, readonly frontAgeMs: number } {
+  private lineage (job: OwnedJob): { readonly attempt: number, readonly resumed: boolean, readonly heardAgeMs: number, readonly confirmedAgeMs: number } {
     const { now } = this.ctx
-    return { attempt: job.attempt, resumed: job.order.resumed, confirmedAgeMs: Math.round(now - job.confirmedAt), frontAgeMs: Math.round(now - job.frontSentAt) }
+    return { attempt: job.attempt, resumed: job.order.resumed, heardAgeMs: Math.round(now - job.heardAt), confirmedAgeMs: Math.round(now - job.confirmedAt) }
   }
 
   /** @returns the number of runs that are being stopped now */
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -21,16 +21,16 @@
 
   /**
    * Makes the owner's record of a job that a front has sent.
-   * @param frontSentAt - when the front sent this copy, at the earliest
+   * @param sentAt - when the front sent this copy, at the earliest
    */
-  makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, frontSentAt: Ms): OwnedJob {
+  makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms): OwnedJob {
     const { now, cfg } = this.ctx
     const { queue, job } = order
     const runTimes = this.runTimes.of(queue.name)
     const criticalPathMs = criticalPathOf(job.steps, estimateMs => runTimes.expectedMs(estimateMs))
     const shortestPathMs = criticalPathOf(job.steps, estimateMs => runTimes.lowMs(estimateMs, LOW_RUN_TIME_DEVIATIONS))
-    const sentAt = now - order.ageMs
-    const callerDeadline = ms(now + order.remainingMs)
+    const calledAt = now - order.ageMs
+    const callerDeadline = ms(sentAt + order.remainingMs)
     const owned: OwnedJob = {
       id: job.id,
       failureDomain,
@@ -39,8 +39,8 @@
       receivedAt: now,
       callerDeadline,
       front,
-      confirmedAt: now,
-      frontSentAt,
+      heardAt: now,
+      confirmedAt: sentAt,
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       admittedLate: false,
@@ -49,8 +49,8 @@
       service: queue.service,
       priority: queue.priority,
       criticalPathMs,
-      latestStart: ms(sentAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
-      usefulUntil: ms(Math.min(callerDeadline, sentAt + objectiveOf(queue, criticalPathMs) * cfg.usefulFactor)),
+      latestStart: ms(calledAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
+      usefulUntil: ms(Math.min(callerDeadline, calledAt + objectiveOf(queue, criticalPathMs) * cfg.usefulFactor)),
       hasStarted: () => owned.firstStartAt !== undefined,
       waitingWork: () => this.waitingWorkOf(owned),
       demand: () => this.demandOf(owned)
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -50,10 +50,10 @@
   /** The caller stops waiting at this time. */
   readonly callerDeadline: Ms
   front: FrontSession
-  /** When the front last confirmed that it still wants the job. */
-  confirmedAt: Ms
+  /** When the latest confirmation or copy of the job arrived from its front. */
+  heardAt: Ms
   /** When the front sent its latest confirmation or copy of the job, at the earliest. */
-  frontSentAt: Ms
+  confirmedAt: Ms
   /** Number of the front's latest submission of the job; a decline refers to it. */
   attempt: number
   /** When the first task started; undefined until then. */
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -22,7 +22,7 @@
 }
 
 function setUp (): { ctx: ShardContext, intake: IntakeDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
-  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   const sessions = new SessionsDecider(ctx, () => 3, { peerLost: () => {}, peerRecovered: () => {} })
   const desired = new DesiredDecider(ctx, () => {}, () => true)
   desired.adopt(STATE, 'test')
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -214,7 +214,7 @@
     job.attempt++
     const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
     if (job.attempt > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
-    this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, ...this.readingOf(owner) })
+    this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner) })
   }
 
   /** Returns the reading of an owner's clock that messages about jobs carry. */
--- a/packages/core/src/introduction/introductionDecider.spec.ts
+++ b/packages/core/src/introduction/introductionDecider.spec.ts
@@ -8,7 +8,7 @@
 import type { Missing } from './introductionDecider.js'
 
 class Harness {
-  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me:1', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me:1', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
   missing: Missing = { desiredState: true, owner: true, records: true }
   readonly introduction = new IntroductionDecider(this.ctx, ['a:1', 'me:1', 'b:1'], () => this.missing, () => 0)
 
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -13,7 +13,7 @@
 const member = (name: string, incarnation = 1, cpuMilli = CPU_MILLI): MemberRecord => ({ instance: name as InstanceId, incarnation, failureDomain: DOMAIN, address: name, cpuMilli })
 
 function setUp (): { ctx: ShardContext, ownership: OwnershipDecider, sessions: SessionsDecider, changes: string[] } {
-  const ctx: ShardContext = { self: { ...member('me') }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const ctx: ShardContext = { self: { ...member('me') }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
   const changes: string[] = []
   const ownership = new OwnershipDecider(ctx, sessions, {
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -272,11 +272,11 @@
   }
 
   private announce (failureDomain: FailureDomain): void {
-    const { self, now } = this.ctx
+    const { self } = this.ctx
     const ownership = this.db.owned.get(failureDomain)
     if (ownership === undefined) return
     for (const member of this.db.members.values()) {
-      if (member.instance !== self.instance) this.sessions.send(member.instance, { type: 'announce', incarnation: self.incarnation, address: self.address, failureDomain, token: ownership.token, time: now })
+      if (member.instance !== self.instance) this.sessions.send(member.instance, { type: 'announce', incarnation: self.incarnation, address: self.address, failureDomain, token: ownership.token, time: this.sessions.timeForPeers() })
     }
   }
 
--- a/packages/core/src/placement/placementDecider.spec.ts
+++ b/packages/core/src/placement/placementDecider.spec.ts
@@ -22,7 +22,7 @@
 }
 
 function setUp (): { ctx: ShardContext, placement: PlacementDecider } {
-  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  const ctx: ShardContext = { self: { instance: 'i' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'i', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   return { ctx, placement: new PlacementDecider(ctx) }
 }
 
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -18,7 +18,7 @@
 
 /** Runs ticks for a span of time. A message from the owner arrives at each tick for which `isHeardAt` returns true. */
 function watchOwner (forMs: number, isHeardAt: (at: number) => boolean): WatchResult {
-  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0) }
+  const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
   let lostAt: number | undefined
   const peerLost = (): void => {
     lostAt = ctx.now
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -115,6 +115,11 @@
     return this.db.peers.get(instance)?.lost === true
   }
 
+  /** Returns the time that messages to peers carry. */
+  timeForPeers (): Ms {
+    return ms(this.ctx.now + this.ctx.suspendedMs)
+  }
+
   /** Returns the time that a peer's clock shows at least; undefined if it is not known. */
   clockOf (instance: InstanceId): ClockReading | undefined {
     const clock = this.db.peers.get(instance)?.clock
@@ -139,7 +144,7 @@
     const { now, self } = this.ctx
     peer.lastPingAt = now
     peer.firstUnansweredPingAt ??= now
-    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), time: now, ...this.leaving ? { leaving: true } : {} })
+    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), time: this.timeForPeers(), ...this.leaving ? { leaving: true } : {} })
   }
 
   private checkSilence (peer: PeerSession): void {
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -10,6 +10,7 @@
   'shard.jobs.lost': 'Jobs given up with an unknown outcome; the caller may send them again.',
   'shard.jobs.crashing': 'Jobs given up because a task of theirs crashes the endpoints that start it.',
   'shard.jobs.joined': 'Submissions joined to a job that was already known.',
+  'shard.jobs.outdated': 'Copies of jobs that an owner did not take, since their fronts may have given them up.',
   'shard.jobs.declined': 'Jobs that an owner turned away before any start.',
   'shard.tasks.started': 'Start orders sent to endpoints, repeats included.',
   'shard.tasks.startSilent': 'Start orders without an answer in time.',
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { EndpointId, EndpointReport, FailureDomain, InstanceId, ServiceName } from '@cranberryyard/protocol'
+import type { ClockReading, DispatchOrder, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from './settings.js'
 import { ShardInstance } from './shardInstance.js'
@@ -41,3 +41,52 @@
     expect(loggedEvents([[0, REACHABLE], [1, listInput(ENDPOINT)], [100, listInput()], [101 + missingEndpointRetentionMs, listInput()]])).to.include('endpoint.gone')
   })
 })
+
+describe('the age of an order', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const FRONT = 'front' as InstanceId
+  const ORDER: DispatchOrder = {
+    job: { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] },
+    queue: { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false },
+    ageMs: ms(0),
+    remainingMs: ms(5000),
+    attempt: 1,
+    resumed: true,
+    done: []
+  }
+
+  /** Makes an owner of a shard and lets a peer submit a job at 10 s. @returns whether the owner took it, and its last message to the peer before the answer */
+  function submitTo (message: { readonly ownerClock?: ClockReading, readonly time?: Ms }, wall = (now: number): number => now): { readonly taken: boolean, readonly clock: Ms | undefined } {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput): ShardMessage[] => owner.handle(input, ms(now), ms(wall(now))).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, TICK)
+    handle(2, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(9990, TICK)
+    const answers = handle(10_000, { type: 'peer', from: FRONT, message: { type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order: ORDER, ...message } })
+    const pong = answers.find(answer => answer.type === 'pong')
+    return { taken: !answers.some(answer => answer.type === 'notOwner'), clock: pong?.time }
+  }
+
+  it('is proved by a reading of the owner\'s clock', () => {
+    const { jobLeaseMs } = SHARD_DEFAULTS
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(10_000 - jobLeaseMs) } }).taken).to.equal(true)
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(10_000 - jobLeaseMs - 1) } }).taken).to.equal(false)
+  })
+
+  it('is not proved without a reading or by one of an earlier incarnation, and the answer carries the clock', () => {
+    expect(submitTo({ time: ms(1) })).to.deep.equal({ taken: false, clock: 10_000 })
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 0, at: ms(10_000) } })).to.deep.equal({ taken: false, clock: 10_000 })
+  })
+
+  it('is not asked of a front of an earlier version, which knows no readings', () => {
+    expect(submitTo({}).taken).to.equal(true)
+  })
+
+  it('includes the time for which the owner was suspended, which its monotonic clock does not count', () => {
+    const suspendedMs = 3000
+    const wall = (now: number): number => now < 10_000 ? now : now + suspendedMs
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(10_000) } }, wall).taken).to.equal(false)
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(10_000 + suspendedMs) } }, wall).taken).to.equal(true)
+  })
+})
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -60,7 +60,7 @@
   private registeredAt: Ms = ms(0)
 
   constructor ({ self, cfg, seeds = [] }: ShardInstanceOptions) {
-    this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0) }
+    this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const { ctx } = this
     this.sessions = new SessionsDecider(ctx, () => this.desired.db.version(), {
       peerLost: instance => this.peerLost(instance),
@@ -284,7 +284,7 @@
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadSentAt = now
     const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
-    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), time: now, ...attempts === undefined ? {} : { attempts } })
+    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), time: this.sessions.timeForPeers(), ...attempts === undefined ? {} : { attempts } })
   }
 
   /**
@@ -324,7 +324,11 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
-    this.execution.submit(front, message.failureDomain, message.order, this.sentAt(message.ownerClock))
+    const sentAt = this.sentAt(front.instance, message.ownerClock)
+    if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
+    // The answer carries this instance's clock, so that the next copy can prove its age.
+    this.sendLoad(front.instance)
+    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
@@ -353,18 +357,20 @@
   }
 
   /**
-   * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. Without one, the message counts
-   * from its arrival.
+   * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
+   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings.
    */
-  private sentAt (ownerClock: ClockReading | undefined): Ms {
-    const { now, self } = this.ctx
-    return ownerClock?.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at)) : now
+  private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
+    const { now, self, suspendedMs } = this.ctx
+    if (front === self.instance) return now
+    if (ownerClock === undefined) return this.sessions.clockOf(front) === undefined ? now : ms(-Infinity)
+    return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
   }
 
   private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
     const peer = this.sessions.db.peers.get(from)
     const front = { instance: from, incarnation: peer?.incarnation ?? this.ctx.self.incarnation, address: peer?.address ?? '' }
-    this.execution.confirmJobs(front, failureDomain, jobIds, this.sentAt(ownerClock))
+    this.execution.confirmJobs(front, failureDomain, jobIds, this.sentAt(from, ownerClock))
   }
 
   private linkDown (peer: InstanceId): void {
@@ -443,6 +449,7 @@
     this.lastInputAt = now
     this.lastInputWallTime = wall
     if (elapsedMs < cfg.pauseMs) return
+    this.ctx.suspendedMs = ms(this.ctx.suspendedMs + elapsedMs - steadyMs)
     out.count('shard.pauses')
     out.log('process.paused', { pausedMs: Math.round(elapsedMs), steadyMs: Math.round(steadyMs), frontedJobs: this.intake.db.jobs.size, ownedJobs: this.execution.db.jobs.size }, 'warn')
     this.intake.giveUpAll()
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -117,10 +117,14 @@
   }
 }
 
-/** Context shared by all decisions. `now` is the monotonic time of the current input. */
+/**
+ * Context shared by all decisions. `now` is the monotonic time of the current input. Peers are told `now + suspendedMs`: some monotonic clocks do not
+ * count the time for which a machine is suspended, and messages that arrived meanwhile must not count as sent just now.
+ */
 export interface ShardContext {
   readonly self: ShardSelf
   readonly cfg: ShardSettings
   readonly out: ShardOutbox
   now: Ms
+  suspendedMs: Ms
 }
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -49,7 +49,7 @@
   ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger, leaving: optional(flag), time },
   pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text, clock })), desiredVersion: nonNegativeInteger, attempts, time },
   announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber, time },
-  submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order, ownerClock: clock },
+  submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order, ownerClock: clock, time },
   checkJobs: { failureDomain: text, jobIds: listOf(text), ownerClock: clock },
   cancelJob: { jobId: text },
   ended: { jobId: text, outcome: oneOf('completed', 'failed') },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -65,7 +65,7 @@
   /** Announces a new owner. */
   | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken, readonly time?: Ms }
   /** Forwards a job to the owner of a failure domain's endpoints. */
-  | { readonly type: 'submit', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly order: DispatchOrder, readonly ownerClock?: ClockReading }
+  | { readonly type: 'submit', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly order: DispatchOrder, readonly ownerClock?: ClockReading, readonly time?: Ms }
   /** From a front to an owner: asks whether the owner still knows these jobs. */
   | { readonly type: 'checkJobs', readonly failureDomain: FailureDomain, readonly jobIds: readonly JobId[], readonly ownerClock?: ClockReading }
   /** The caller no longer waits for the job. */
