The lease of a run ends before its caller may have the job run elsewhere

Seen by callers: a task ran in two failure domains at once after its front and the owner were lost within a second, or while stop orders did not arrive. Cause: an endpoint's lease lasted up to 1 s from the last hold, however long the front had not been heard; holds renewed it for runs that were being stopped and for runs that a new owner had found and nobody claimed. An owner waits 700 ms for a front, so runs could last 1.7 s and longer, and the caller sends the job again after 1.3 s. Change: each job has a lease that ends 50 ms before the platform's resend time counted from the last confirmation, less the endpoint clock's drift. No hold or start lets an endpoint's lease outlast the job of any run there; a run found after a takeover has no lease until a job claims it. So the endpoint ends runs in time whatever becomes of fronts, owners and orders. The resend time is read from the platform's bounds.

--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -53,6 +53,7 @@
     confirmed: false,
     token: 0 as FencingToken,
     orderId: 0,
+    lease: { endsBy: now },
     exclusive: false,
     sends: 0,
     refusedSends: 0,
@@ -134,6 +135,13 @@
   }
 }
 
+/** Returns until when the endpoint's lease may last, which all runs there share: none of them may outlast the lease of its job. */
+export function leaseBoundOf (endpoint: LedgerEndpoint): Ms {
+  let bound = Infinity
+  for (const { lease } of endpoint.runs.values()) bound = Math.min(bound, lease.endsBy)
+  return ms(bound)
+}
+
 /**
  * Estimates the present value of an endpoint's clock.
  * @param endpoint - the endpoint, which must have reported its clock before
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -10,6 +10,8 @@
 
 const ID = 'e-1' as EndpointId
 const TASK = 'job.0.0.0' as TaskName
+/** The lease of a job that its front confirms throughout the test. */
+const LEASE = { endsBy: ms(Infinity) }
 const NEEDS = { cpuMilli: 14_000, memoryMb: 64, accelerators: 0 }
 const REPORT: EndpointReport = {
   id: ID,
@@ -102,12 +104,51 @@
   const { ctx, ledger } = parts
   ledger.adopt([REPORT])
   answerHold(ctx, ledger, listing(500))
-  const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+  const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
   ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
   return parts
 }
 
 describe('EndpointsDecider, the ledger of endpoints', () => {
+  it('lets no hold extend the lease of an endpoint beyond that of any job with a run there, stopping or not', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const lease = { endsBy: ms(ctx.now + 400) }
+    const runs = [1, 2].map((number) => {
+      const run = ledger.start(endpointOf(ledger), `job.0.0.${number}` as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: number === 1 ? lease : LEASE })
+      ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+      return run
+    })
+    const running = runs.map(({ task, run }) => ({ task, run, percent: 1 }))
+    const extensions: (number | undefined)[] = []
+    const holdAgain = (afterMs: number): void => {
+      ctx.now = ms(ctx.now + afterMs)
+      ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(500 + ctx.now - 1000, running) })
+      extensions.push(takeEffects(ctx, 'hold').at(-1)?.extendTo)
+    }
+    holdAgain(0)
+    ledger.stop(runs[0] as LedgerRun)
+    holdAgain(300)
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+    holdAgain(100)
+    lease.endsBy = ms(ctx.now + 2000)
+    holdAgain(10)
+    expect(extensions).to.deep.equal([900, 900, undefined, 910 + SHARD_DEFAULTS.leaseMs])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(true)
+  })
+
+  it('does not extend the lease of runs that it finds until a job claims them', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500, [{ task: TASK, run: 3, percent: 10 }]))
+    expect(takeEffects(ctx, 'hold').at(-1)?.extendTo).to.equal(undefined)
+    const run = endpointOf(ledger).runs.get(TASK) as LedgerRun
+    ledger.claim(run, NEEDS, false, LEASE)
+    ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(500, [{ task: TASK, run: 3, percent: 10 }]) })
+    expect(takeEffects(ctx, 'hold').at(-1)?.extendTo).to.equal(500 + SHARD_DEFAULTS.leaseMs)
+  })
+
   it('uses an endpoint only after it has answered under the fencing token', () => {
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
@@ -144,7 +185,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     for (let i = 0; i < 3; i++) {
       ctx.now = ms(ctx.now + 100)
       ledger.startOutcome(ID, run.orderId, { type: 'silent' })
@@ -162,7 +203,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 510 as EndpointClockMs })
     ledger.markUnlisted(ID)
     expect(listener.events).to.deep.equal(['started 1'])
@@ -178,7 +219,7 @@
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     ledger.markUnlisted(ID)
     ledger.update([REPORT], true)
     expect(ledger.usable(endpointOf(ledger))).to.equal(true)
@@ -201,7 +242,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
     const holdSentAt = ctx.now
     for (let i = 0; i < 40 && listener.events.length < 2; i++) {
@@ -219,7 +260,7 @@
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     const extensions: (number | undefined)[] = []
     for (let i = 0; i < 12; i++) {
       const hold = takeEffects(ctx, 'hold').at(-1)
@@ -238,7 +279,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 510 as EndpointClockMs })
     listener.events.length = 0
     answerHold(ctx, ledger, listing(3, [], [], 900))
@@ -280,7 +321,7 @@
 
   it('gives up a start at once that was refused, since it never arrived, and does not count a crash against it', () => {
     const { ledger, listener } = setUpWithRun()
-    const later = ledger.start(endpointOf(ledger), 'job.0.0.1' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const later = ledger.start(endpointOf(ledger), 'job.0.0.1' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     ledger.startOutcome(ID, later.orderId, { type: 'refused' })
     expect(listener.events).to.deep.equal(['started 1', 'rejected 1 refused'])
     expect(endpointOf(ledger).runsAtRefusal?.map(({ task }) => task)).to.deep.equal([TASK])
@@ -291,7 +332,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     ledger.startOutcome(ID, run.orderId, { type: 'silent' })
     ledger.startOutcome(ID, run.orderId, { type: 'refused' })
     expect(listener.events).to.deep.equal([])
@@ -314,7 +355,7 @@
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
     answerHold(ctx, ledger, listing(500))
-    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false })
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
     answerHold(ctx, ledger, listing(3, [], [], 900))
     expect(listener.events).to.deep.equal([])
     ledger.update([{ ...REPORT, bornAt: 900 }], true)
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -21,11 +21,13 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
-import { EndpointsDb, endpointClock, latestLeaseEnd, makeRun } from './endpointsDb.js'
-import type { LedgerEndpoint, LedgerRun, LossReason, PendingHold, RejectionReason, RunListener } from './types.js'
+import { EndpointsDb, endpointClock, latestLeaseEnd, leaseBoundOf, makeRun } from './endpointsDb.js'
+import type { LedgerEndpoint, LedgerRun, LossReason, PendingHold, RejectionReason, RunLease, RunListener } from './types.js'
 
 /** Consecutive holds without an answer after which leases are no longer renewed, so that the runs there are certain to end. */
 const UNANSWERED_HOLDS_MAX = 2
+/** How long a hold waits while runs are there that no job has claimed yet: what a claim allows is then renewed soon. */
+const UNCLAIMED_HOLD_WAIT_MS = ms(50)
 /** Longest gap between two holds at which the time of an end is still exact enough to judge the endpoint's speed. */
 const END_TIME_GAP_MAX_MS = 15
 /** Maximum number of times a start is sent; after that the owner waits until it can no longer take effect. */
@@ -99,16 +101,18 @@
    * An endpoint may get work when it answers under the present token in the incarnation that the store lists, and is
    * neither draining nor unlisted nor outdated. Starts sent to an earlier incarnation must no longer be able to arrive there. A new
    * owner's copy of the list may be seconds old, and the endpoint may drain or have shrunk since, so it waits for its own first reading.
+   * A start extends the lease of all runs there, so none of them may be about to outlast the lease of its job.
    */
   usable (endpoint: LedgerEndpoint): boolean {
     const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted, outdated, listedSinceTakeover } = endpoint
     if (!listedSinceTakeover && this.listAwaited(report.failureDomain)) return false
+    if (leaseBoundOf(endpoint) < this.ctx.now + this.ctx.cfg.startValidMs) return false
     return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
   /** Starts a run. The caller has checked that the run fits and that the endpoint is `usable`. */
-  start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, { spec, needs, expectedMs, exclusive }: Pick<LedgerRun, 'spec' | 'exclusive'> & { readonly needs: Resources, readonly expectedMs: number }): LedgerRun {
-    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec, exclusive })
+  start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, { spec, needs, expectedMs, exclusive, lease }: Pick<LedgerRun, 'spec' | 'exclusive' | 'lease'> & { readonly needs: Resources, readonly expectedMs: number }): LedgerRun {
+    const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec, exclusive, lease })
     this.db.addRun(endpoint, run)
     this.sendStart(endpoint, run)
     if (endpoint.hold === undefined) this.sendHold(endpoint)
@@ -124,9 +128,10 @@
     this.sendStop(endpoint, run)
   }
 
-  /** Assigns a found run to one of this owner's jobs, which knows its resource needs and whether it must be alone. */
-  claim (run: LedgerRun, needs: Resources, exclusive: boolean): void {
+  /** Assigns a found run to one of this owner's jobs, which knows its resource needs and whether it must be alone, and whose lease it gets. */
+  claim (run: LedgerRun, needs: Resources, exclusive: boolean, lease: RunLease): void {
     run.needs = needs
+    run.lease = lease
     run.exclusive = exclusive
     const endpoint = this.db.get(run.endpoint)
     if (endpoint !== undefined) endpoint.freeCapacity = undefined
@@ -234,15 +239,18 @@
     this.sendHold(endpoint)
   }
 
-  /** Sends a hold, which extends the leases while the endpoint answers and has runs; otherwise it only asks for the listing. */
+  /**
+   * Sends a hold, which extends the leases while the endpoint answers and has runs, as far as the jobs of all of them allow; otherwise it only asks
+   * for the listing.
+   */
   private sendHold (endpoint: LedgerEndpoint): void {
     const { now, cfg } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
-    const extend = endpoint.answeredUnderToken && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX && endpoint.runs.size > 0 && endpoint.clockOffset !== undefined
-    const extendTo = extend ? (endpointClock(endpoint, now) + cfg.leaseMs) as EndpointClockMs : undefined
+    const watchesRuns = endpoint.answeredUnderToken && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX && endpoint.runs.size > 0
+    const extendTo = watchesRuns ? this.extensionFor(endpoint) : undefined
     if (extendTo !== undefined) this.recordLeaseEnd(endpoint, extendTo)
-    const waitMs = extend && endpoint.unansweredHolds === 0 ? cfg.holdWaitMs : ms(0)
+    const waitMs = watchesRuns && endpoint.unansweredHolds === 0 ? this.holdWaitFor(endpoint) : ms(0)
     const orderId = ++this.orderCounter
     endpoint.hold = { orderId, token, sentAt: now, endTimeKnown: now - endpoint.answeredAt <= END_TIME_GAP_MAX_MS || endpoint.runs.size === 1 }
     this.ctx.out.count('shard.holds.sent')
@@ -259,6 +267,18 @@
     })
   }
 
+  private extensionFor (endpoint: LedgerEndpoint): EndpointClockMs | undefined {
+    const { now, cfg } = this.ctx
+    const extensionMs = Math.floor(Math.min(cfg.leaseMs, leaseBoundOf(endpoint) - now))
+    if (endpoint.clockOffset === undefined || extensionMs <= 0) return undefined
+    return endpointClock(endpoint, now) + extensionMs as EndpointClockMs
+  }
+
+  private holdWaitFor (endpoint: LedgerEndpoint): Ms {
+    const hasUnclaimed = [...endpoint.runs.values()].some(run => run.state === 'unclaimed')
+    return hasUnclaimed ? UNCLAIMED_HOLD_WAIT_MS : this.ctx.cfg.holdWaitMs
+  }
+
   private scheduleNextHold (endpoint: LedgerEndpoint): void {
     if (endpoint.runs.size > 0) this.sendHold(endpoint)
     else endpoint.nextHoldAt = ms(this.ctx.now + this.ctx.cfg.idleHoldPeriodMs)
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -23,6 +23,14 @@
  */
 export type RunState = 'ordered' | 'running' | 'stopping' | 'unclaimed'
 
+/**
+ * Until when the runs of a job may go on unless its front confirms the job again. Endpoints enforce it: no order lets their lease last longer. The runs of
+ * a job share one object, which the job's confirmations extend.
+ */
+export interface RunLease {
+  endsBy: Ms
+}
+
 /** A run that occupies capacity at an endpoint. */
 export interface LedgerRun {
   readonly task: TaskName
@@ -47,6 +55,8 @@
   token: FencingToken
   /** Order id of the latest start or stop, to match its answer. */
   orderId: number
+  /** The lease of its job; that of a found run has ended until a job claims the run. */
+  lease: RunLease
   /** Nothing else starts at the endpoint while the run is there. */
   exclusive: boolean
   /** How often the latest order, a start or a stop, was sent. */
--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -5,10 +5,13 @@
  */
 import type { DispatchOrder, JobId, JobOutcome, Ms, QueueTerms, StepSpec, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import type { ShardSettings } from '../shard/settings.js'
 import type { EndedJob, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
 /** How long outcomes are kept; callers resend a job within a few seconds. */
 const OUTCOME_RETENTION_MS = 10_000
+/** Runs have ended this long before their job may start elsewhere; covers the time that an endpoint takes to end them. */
+const RESEND_MARGIN_MS = 50
 
 /** Jobs held by this owner. */
 export class ExecutionDb {
@@ -64,6 +67,15 @@
   return { name: taskName(id, step, index), step, index, done, run: undefined, lastRun: 0, lostRuns: 0, failedEndpoints: new Set(), avoid: new Set() }
 }
 
+/**
+ * Returns by when the runs of a job must have ended if its front is lost right after a confirmation: before the caller sends the job again, which may
+ * then run in another failure domain.
+ * @param confirmedAt - when the front sent the confirmation, at the earliest
+ */
+export function runsEndBy (confirmedAt: Ms, { resendMs, clockDrift }: Pick<ShardSettings, 'resendMs' | 'clockDrift'>): Ms {
+  return ms(confirmedAt + (resendMs - RESEND_MARGIN_MS) / (1 + clockDrift))
+}
+
 /** @returns true when all steps that this one depends on are done */
 export function isReady (job: OwnedJob, step: OwnedStep): boolean {
   return step.spec.after.every(number => job.steps[number]?.unfinishedTasks === 0)
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -98,7 +98,7 @@
     this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
     this.settle()
     this.advanceMs(SHARD_DEFAULTS.leaseMs * 1.1)
-    for (const job of this.execution.db.jobs.values()) job.confirmedAt = this.ctx.now
+    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id])
     this.ledger.tick()
     this.settle()
   }
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -17,7 +17,7 @@
 import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
-import { ExecutionDb } from './executionDb.js'
+import { ExecutionDb, runsEndBy } from './executionDb.js'
 import { outlookOf } from './endpointOutlook.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { JobEstimates } from './jobEstimates.js'
@@ -329,6 +329,7 @@
   private confirm (job: OwnedJob, sentAt: Ms): void {
     job.heardAt = this.ctx.now
     job.confirmedAt = ms(Math.max(job.confirmedAt, sentAt))
+    job.runLease.endsBy = runsEndBy(job.confirmedAt, this.ctx.cfg)
   }
 
   private refuseOutdated (front: FrontSession, { job, attempt, resumed }: DispatchOrder, sentAt: Ms): false {
@@ -392,7 +393,8 @@
     }
     const step = job.steps[task.step]
     if (step === undefined) return
-    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs, this.attempts.standingOf(task.name) !== 'sound')
+    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs, this.attempts.standingOf(task.name) !== 'sound', job.runLease)
+    else run.lease = job.runLease
     run.expectedMs ??= this.estimates.expectedMs(job, step)
     task.run = run
     job.firstStartAt ??= this.ctx.now
@@ -440,7 +442,7 @@
 
   private startTask (job: OwnedJob, { step, task, candidate, exclusive }: PlannedStart): void {
     task.lastRun++
-    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.estimates.expectedMs(job, step), exclusive })
+    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.estimates.expectedMs(job, step), exclusive, lease: job.runLease })
     this.recordFirstStart(job)
   }
 
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -6,7 +6,7 @@
 import { ms } from '@cranberryyard/protocol'
 import type { Demand } from '../admission/slotForecast.js'
 import type { ShardContext } from '../shard/types.js'
-import { criticalPathOf, isReady, makeSteps, objectiveOf } from './executionDb.js'
+import { criticalPathOf, isReady, makeSteps, objectiveOf, runsEndBy } from './executionDb.js'
 import { RunTimes } from './runTimes.js'
 import type { FrontSession, OwnedJob, OwnedStep } from './types.js'
 
@@ -41,6 +41,7 @@
       front,
       heardAt: now,
       confirmedAt: sentAt,
+      runLease: { endsBy: runsEndBy(sentAt, cfg) },
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       admittedLate: false,
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -3,7 +3,7 @@
  */
 import type { DispatchOrder, EndpointId, FailureDomain, InstanceId, JobId, JobOutcome, Ms, StepSpec, TaskName } from '@cranberryyard/protocol'
 import type { QueuedWork } from '../admission/types.js'
-import type { LedgerRun } from '../endpoints/types.js'
+import type { LedgerRun, RunLease } from '../endpoints/types.js'
 
 /** One incarnation of the front, the instance that answers the caller. */
 export interface FrontSession {
@@ -54,6 +54,8 @@
   heardAt: Ms
   /** When the front sent its latest confirmation or copy of the job, at the earliest. */
   confirmedAt: Ms
+  /** Ends before the caller of a front that is lost sends the job again. */
+  readonly runLease: RunLease
   /** Number of the front's latest submission of the job; a decline refers to it. */
   attempt: number
   /** When the first task started; undefined until then. */
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -18,6 +18,8 @@
   readonly peerTimeoutMs: Ms
   /** An owner drops a job that its front has not confirmed for this long, which is well before callers resubmit it. */
   readonly jobLeaseMs: Ms
+  /** Shortest time after which a caller sends a job again whose outcome it does not know (bound of the platform). */
+  readonly resendMs: Ms
   /** Period at which fronts confirm their jobs to owners. */
   readonly confirmMs: Ms
   /**
@@ -70,6 +72,7 @@
   reconnectAfterMs: ms(400),
   peerTimeoutMs: ms(600),
   jobLeaseMs: ms(700),
+  resendMs: ms(1300),
   confirmMs: ms(200),
   reclaimMs: ms(2500),
   successionMs: ms(150),
