A new owner doubts a list of endpoints that has just grown; fuzzing with late messages and losses without a sign

An instance restarted while the entries of its domain had lapsed, read the list twice more while they had lapsed again, took over, and held the list to be complete as soon as the endpoints that had come back by then had answered. The others still ran tasks of the earlier owner. Cause, class: what a list leaves out is taken not to exist. The earlier rules doubt a list after a removal, and one that became complete only with the takeover. Change: additions count like removals. For 5 s after either, a new owner waits until the leases of unknown runs must have ended before it starts tasks of resumed jobs; other jobs are not affected.

--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -4,19 +4,24 @@
 import { ShardFleet } from './shardFleet.js'
 import { SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
+import type { ScenarioLoad } from './shardScenario.js'
 
 const FAULT_PHASE_MS = 15_000
 const JOBS_PER_SECOND = 30
 const SEED_COUNT = 20
 const HAZARD_SEED_COUNT = 12
+const STRAIN_SEED_COUNT = 10
+/** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
+const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
 /** Seeds that once violated an invariant, with the cause. */
-const REGRESSION_SEEDS = [
+const REGRESSION_SEEDS: readonly { readonly seed: number, readonly cause: string, readonly load?: ScenarioLoad }[] = [
   { seed: 9314, cause: 'an instance took over that had read the endpoint list only once, while entries were missing' },
   { seed: 9423, cause: 'runs at an endpoint that still answered were abandoned because its entry was missing' },
   { seed: 9429, cause: 'an earlier owner had runs at endpoints that the new owner did not know' },
   { seed: 50170, cause: 'the entries of a domain were missing at both reads after which a new owner held its list to be complete' },
-  { seed: 50159, cause: 'an endpoint that had restarted carried out a start whose task was placed elsewhere too' }
-] as const
+  { seed: 50159, cause: 'an endpoint that had restarted carried out a start whose task was placed elsewhere too' },
+  { seed: 91039, cause: 'a new owner started tasks anew before the last entries of its domain had come back', load: STRAIN_LOAD }
+]
 /** A deliberate fault must show in one of this many scenarios. */
 const MUTATION_SEEDS_MAX = 60
 /** Exceeds the capacity of the fleet, so that instances decline jobs too. */
@@ -54,9 +59,15 @@
     })
   }
 
-  for (const { seed, cause } of REGRESSION_SEEDS) {
+  for (let seed = 1; seed <= STRAIN_SEED_COUNT; seed++) {
+    it(`violates no invariant while messages arrive late and instances are lost without a sign, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, STRAIN_LOAD).violations).to.deep.equal([])
+    })
+  }
+
+  for (const { seed, cause, load } of REGRESSION_SEEDS) {
     it(`violates no invariant with seed ${seed}, which failed once: ${cause}`, () => {
-      expect(runShardScenario(seed, FAULT_PHASE_MS, { jobsPerSecond: JOBS_PER_SECOND }).violations).to.deep.equal([])
+      expect(runShardScenario(seed, FAULT_PHASE_MS, load ?? { jobsPerSecond: JOBS_PER_SECOND }).violations).to.deep.equal([])
     })
   }
 
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -5,6 +5,7 @@
 import type { FencedEndpointModel, ModelTask, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
+import { addStrains } from './strains.js'
 
 const DOMAINS = ['a', 'b', 'c'] as const
 const WARM_UP_MS = 2000
@@ -160,6 +161,8 @@
   readonly workFactor?: number
   /** Adds jobs with a task that crashes its endpoints, and endpoints that shrink and grow. */
   readonly withHazards?: boolean
+  /** Adds messages that arrive late, slow instances and losses without a sign. */
+  readonly withStrain?: boolean
 }
 
 /**
@@ -168,7 +171,7 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, workFactor = 1, withHazards = false }: ScenarioLoad): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, workFactor = 1, withHazards = false, withStrain = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
@@ -187,6 +190,7 @@
   }
   injectNextFault()
   if (withHazards) addHazards(fleet, faultsUntil)
+  if (withStrain) addStrains(fleet, faultsUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
--- a/packages/core/src/endpoints/endpointList.spec.ts
+++ b/packages/core/src/endpoints/endpointList.spec.ts
@@ -40,6 +40,19 @@
     expect([list.knownInFullSince, list.inFailureDomain(NEAR).map(entry => entry.id)]).to.deep.equal([missingEndpointRetentionMs + 100, ['a']])
   })
 
+  it('is in doubt for a while after an endpoint was added or removed, but not for the first list', () => {
+    const { ctx, list } = setUp()
+    list.applyList([report('a')], false)
+    expect(list.changedAfter(NEAR, -1)).to.equal(false)
+    ctx.now = ms(100)
+    list.applyList([report('a'), report('b')], false)
+    expect([list.changedAfter(NEAR, 99), list.changedAfter(NEAR, 100), list.changedAfter('far' as FailureDomain, 99)]).to.deep.equal([true, false, false])
+    list.applyList([report('a')], false)
+    ctx.now = ms(100 + missingEndpointRetentionMs)
+    list.applyList([report('a')], false)
+    expect(list.changedAfter(NEAR, 100)).to.equal(true)
+  })
+
   it('restarts the retention of missing entries after a store outage', () => {
     const { ctx, list, removed } = setUp()
     list.applyList([report('a')], false)
--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -19,8 +19,8 @@
   private lastFreshAt: Ms | undefined
   private firstReadAt: Ms | undefined
   private completeSince: Ms | undefined
-  /** When an endpoint of the failure domain was last removed. */
-  private readonly removedAt = new Map<FailureDomain, Ms>()
+  /** When an endpoint of the failure domain was last added, by a list after the first, or removed. */
+  private readonly changedAt = new Map<FailureDomain, Ms>()
 
   constructor (private readonly ctx: ShardContext, private readonly onRemoved: (id: EndpointId) => void) {}
 
@@ -38,11 +38,12 @@
   }
 
   /**
-   * Returns whether an endpoint of the failure domain was removed after the given time. It may still exist and run tasks: its entry may
-   * have lapsed twice, at the times at which the list was read.
+   * Returns whether an endpoint of the failure domain was added or removed after the given time. One that was removed may still exist and run
+   * tasks, since its entry may have lapsed twice, at the times at which the list was read. One that was added may have been missing for the same
+   * reason, and others may still be missing.
    */
-  removedAfter (failureDomain: FailureDomain, time: number): boolean {
-    return (this.removedAt.get(failureDomain) ?? -Infinity) > time
+  changedAfter (failureDomain: FailureDomain, time: number): boolean {
+    return (this.changedAt.get(failureDomain) ?? -Infinity) > time
   }
 
   /** Returns whether no endpoint is known, as before the first list. */
@@ -64,10 +65,12 @@
     const { now, cfg } = this.ctx
     const listedIds = new Set<EndpointId>()
     if (fresh) this.lastFreshAt = now
+    const isFirst = this.firstReadAt === undefined
     this.firstReadAt ??= now
     if (now - this.firstReadAt >= cfg.missingEndpointRetentionMs) this.completeSince ??= now
     for (const report of reports) {
       listedIds.add(report.id)
+      if (!isFirst && !this.entries.has(report.id)) this.changedAt.set(report.failureDomain, now)
       this.entries.set(report.id, { report, missingSince: undefined })
     }
     for (const [id, entry] of this.entries) {
@@ -92,7 +95,7 @@
     const missingMs = now - entry.missingSince
     if (missingMs < cfg.missingEndpointRetentionMs) return
     this.entries.delete(id)
-    this.removedAt.set(entry.report.failureDomain, now)
+    this.changedAt.set(entry.report.failureDomain, now)
     out.log('endpoint.gone', { endpoint: id, shard: entry.report.failureDomain, missingMs: Math.round(missingMs) })
     this.onRemoved(id)
   }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -26,8 +26,8 @@
 /** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
 const FIRST_LIST_WAIT_MS = 250
 
-/** An endpoint that was removed from the list within this time before a takeover may still run tasks of the earlier owner. */
-const REMOVED_ENDPOINT_DOUBT_MS = 5000
+/** A list to which endpoints were added, or from which they were removed, within this time before a takeover or since may lack some that run tasks of the earlier owner. */
+const LIST_DOUBT_MS = 5000
 
 /** Identity and settings of an instance. */
 export interface ShardInstanceOptions {
@@ -352,7 +352,7 @@
     if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
     // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
     if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
-    if (this.endpointList.removedAfter(failureDomain, owned.since - REMOVED_ENDPOINT_DOUBT_MS)) return false
+    if (this.endpointList.changedAfter(failureDomain, owned.since - LIST_DOUBT_MS)) return false
     return this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
   }
 
