--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
+import { countFromArrival, extendLeasesFreely } from './shardMutations.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 /** Downtime that is longer than the rest of any test run here. */
@@ -14,7 +15,7 @@
  * Plays a scenario with several seeds, which decide among other things to which instances callers send again.
  * @returns the violations of all plays
  */
-function violationsOf (play: (fleet: ShardFleet) => void, domains = ['a', 'b']): string[] {
+function violationsOf ({ play, domains = ['a', 'b'] }: Scenario): string[] {
   return SEEDS.flatMap((seed) => {
     const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed })
     // After 8 s the instances with the most processor time own the shards.
@@ -34,74 +35,111 @@
   return [...fleet.endpoints.keys()].filter(id => id.startsWith(`e-${domain}-`))
 }
 
-describe('a task does not run in two failure domains at once', () => {
-  it('when an order arrives at its owner after the front has given the job up', () => {
-    expect(violationsOf((fleet) => {
+/** A way in which a job may come to a second failure domain while the first still runs it. */
+interface Scenario {
+  readonly when: string
+  readonly domains?: string[]
+  readonly play: (fleet: ShardFleet) => void
+}
+
+const SCENARIOS = {
+  givenUp: {
+    when: 'an order arrives at its owner after the front has given the job up',
+    domains: ['a', 'b', 'c'],
+    play: (fleet) => {
       for (const id of endpointsOf(fleet, 'a')) fleet.drain(id, 10)
       fleet.run(2000)
       const remote = [...fleet.processes.keys()].filter(name => !name.startsWith('a'))
       fleet.holdUpLinks(linksBetween(['a-0'], remote), 3000 + fleet.randomBelow(1500))
       fleet.submit('a-0' as InstanceId, 2, LONG_TASK)
-    }, ['a', 'b', 'c'])).to.deep.equal([])
-  })
-
-  it('when the front loses power while its messages take long to the owner', () => {
-    expect(violationsOf((fleet) => {
+    }
+  },
+  slowLink: {
+    when: 'the front loses power while its messages take long to the owner',
+    play: (fleet) => {
       fleet.submit(FRONT, 2, LONG_TASK)
       for (const delayMs of [100, 200, 300, 400, 500, 600, 700, 800]) {
         fleet.delayLinks([`${FRONT}>${OWNER}`], delayMs)
         fleet.run(200)
       }
       fleet.losePower(FRONT, BEYOND_TEST_MS)
-    })).to.deep.equal([])
-  })
-
-  it('when the front and then the owner lose power before the owner has noticed', () => {
-    expect(violationsOf((fleet) => {
+    }
+  },
+  frontThenOwner: {
+    when: 'the front and then the owner lose power before the owner has noticed',
+    play: (fleet) => {
       fleet.submit(FRONT, 2, LONG_TASK)
       fleet.run(500)
       fleet.losePower(FRONT, BEYOND_TEST_MS)
       fleet.time.after(350 + fleet.randomBelow(300), () => fleet.losePower(OWNER, BEYOND_TEST_MS))
-    })).to.deep.equal([])
-  })
-
-  it('when an instance that is front and owner loses power and its successors are slow', () => {
-    expect(violationsOf((fleet) => {
+    }
+  },
+  slowSuccessors: {
+    when: 'an instance that is front and owner loses power and its successors are slow',
+    play: (fleet) => {
       fleet.submit(OWNER, 2, LONG_TASK)
       fleet.run(500)
       fleet.losePower(OWNER, BEYOND_TEST_MS)
       fleet.time.after(500, () => {
         for (const successor of ['b-0', 'b-2'] as InstanceId[]) fleet.slowDown(successor, 40 + fleet.randomBelow(300), 5000)
       })
-    })).to.deep.equal([])
-  })
-
-  it('when an instance that is front and owner and its successor lose power one after the other', () => {
-    expect(violationsOf((fleet) => {
+    }
+  },
+  successorsInTurn: {
+    when: 'an instance that is front and owner and its successor lose power one after the other',
+    play: (fleet) => {
       fleet.submit(OWNER, 2, LONG_TASK)
       fleet.run(500)
       fleet.losePower(OWNER, BEYOND_TEST_MS)
       for (const successor of ['b-0', 'b-2'] as InstanceId[]) {
         fleet.time.after(600 + fleet.randomBelow(400), () => fleet.losePower(successor, 1000 + fleet.randomBelow(500)))
       }
-    })).to.deep.equal([])
-  })
-
-  it('when the front loses power and the owner is then cut off from its endpoints', () => {
-    expect(violationsOf((fleet) => {
+    }
+  },
+  ownerCutOff: {
+    when: 'the front loses power and the owner is then cut off from its endpoints',
+    play: (fleet) => {
       fleet.submit(FRONT, 2, LONG_TASK)
       fleet.run(500)
       fleet.losePower(FRONT, BEYOND_TEST_MS)
       fleet.time.after(510 + fleet.randomBelow(40), () => fleet.cutPairs(linksBetween([OWNER], endpointsOf(fleet, 'b')), 3000))
-    })).to.deep.equal([])
-  })
-
-  it('when the front loses power and the endpoints carry out stop orders late', () => {
-    expect(violationsOf((fleet) => {
+    }
+  },
+  lateStops: {
+    when: 'the front loses power and the endpoints carry out stop orders late',
+    play: (fleet) => {
       fleet.submit(FRONT, 2, LONG_TASK)
       fleet.run(500)
       fleet.losePower(FRONT, BEYOND_TEST_MS)
       fleet.lateStopShare = 1
-    })).to.deep.equal([])
-  })
+    }
+  }
+} satisfies Record<string, Scenario>
+
+describe('a task does not run in two failure domains at once', () => {
+  for (const scenario of Object.values<Scenario>(SCENARIOS)) {
+    it(`when ${scenario.when}`, () => {
+      expect(violationsOf(scenario)).to.deep.equal([])
+    })
+  }
+})
+
+describe('two runs of a task at once', () => {
+  const MUTATIONS = [
+    { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
+    { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] }
+  ] as const
+
+  for (const { name, apply, shownBy } of MUTATIONS) {
+    for (const scenario of shownBy) {
+      it(`show if ${name}, when ${scenario.when}`, () => {
+        const undo = apply()
+        try {
+          expect(violationsOf(scenario).join()).to.include('TWICE')
+        } finally {
+          undo()
+        }
+      })
+    }
+  }
 })
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -22,6 +22,22 @@
   return replaceMethod(sample.endpoints, 'markOutdated', () => () => {})
 }
 
+/** A fault that shows when messages arrive long after they were sent, which random faults rarely bring about at the right moment. */
+export function countFromArrival (): Undo {
+  return replaceMethod(sample, 'sentAt', () => function (this: typeof sample) {
+    return this.ctx.now
+  })
+}
+
+/** A fault that shows when fronts, owners or stop orders are lost within a second of each other, as above. */
+export function extendLeasesFreely (): Undo {
+  return replaceMethod(sample.endpoints, 'extensionFor', () => function (this: typeof sample.endpoints, ...args) {
+    const [endpoint] = args as unknown as Parameters<typeof sample.endpoints.usable>
+    const { ctx } = this as unknown as { ctx: typeof sample.ctx }
+    return Math.floor(ctx.now + (endpoint.clockOffset ?? 0)) + ctx.cfg.leaseMs
+  })
+}
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
