--- a/packages/fakes/src/faultProxy.ts
+++ b/packages/fakes/src/faultProxy.ts
@@ -32,6 +32,8 @@
   upstream: Socket | undefined
   /** The first bytes that the client has sent. */
   opening: string
+  /** Number of bytes that the client has sent. */
+  bytesSent: number
   held: boolean
   readonly queues: Record<Direction, Parcel[]>
   readonly timers: Record<Direction, NodeJS.Timeout | undefined>
@@ -99,6 +101,11 @@
     }
   }
 
+  /** @returns the number of bytes that the present connections whose first bytes contain `from` have sent, delivered or not */
+  bytesFrom (from: string): number {
+    return [...this.connections].filter(({ opening }) => opening.includes(from)).reduce((sum, { bytesSent }) => sum + bytesSent, 0)
+  }
+
   reset (): void {
     for (const { client, upstream, timers } of this.connections) {
       clearTimeout(timers.forward)
@@ -126,12 +133,15 @@
   }
 
   private accept (client: Socket): void {
-    const connection: ProxiedConnection = { client, upstream: undefined, opening: '', held: this.heldFrom !== undefined, queues: { forward: [], backward: [] }, timers: { forward: undefined, backward: undefined } }
+    const connection: ProxiedConnection = { client, upstream: undefined, opening: '', bytesSent: 0, held: this.heldFrom !== undefined, queues: { forward: [], backward: [] }, timers: { forward: undefined, backward: undefined } }
     this.connections.add(connection)
     client.once('data', (chunk) => {
       connection.opening = chunk.toString('latin1', 0, OPENING_BYTES)
       connection.held = this.isHeld(connection)
     })
+    client.on('data', (chunk) => {
+      connection.bytesSent += chunk.length
+    })
     this.pipe(connection, client, 'forward', () => this.faults.cutForward)
     if (!connection.held) this.connectUpstream(connection)
   }
