Copies of a job that later ones have overtaken are not taken

Review of the code found the same class elsewhere: a cancel that overtakes its order leaves no trace; the number of a copy started from one again when a caller came back to the same front, so that an old decline matched it; an older copy lowered the number that the next decline carries, which the front then ignored; the last messages of a dead process made its live successor count as lost, with all its jobs. Cause, class: two connections keep no common order, and what an owner has dropped was forgotten at once. Change: copies are numbered over all jobs of a front's incarnation; owners keep for 10 s which numbers they have declined or dropped, or a front has cancelled; messages of an incarnation that another one has followed are ignored.

--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -6,9 +6,9 @@
 import type { DispatchOrder, JobId, JobOutcome, Ms, QueueTerms, StepSpec, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ShardSettings } from '../shard/settings.js'
-import type { EndedJob, OwnedJob, OwnedStep, OwnedTask } from './types.js'
+import type { DroppedCopies, EndedJob, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
-/** How long outcomes are kept; callers resend a job within a few seconds. */
+/** How long outcomes and the numbers of dropped copies are kept; callers resend a job, and old copies arrive, within a few seconds. */
 const OUTCOME_RETENTION_MS = 10_000
 /** Runs have ended this long before their job may start elsewhere; covers the time that an endpoint takes to end them. */
 const RESEND_MARGIN_MS = 50
@@ -17,6 +17,7 @@
 export class ExecutionDb {
   readonly jobs = new Map<JobId, OwnedJob>()
   private readonly ended = new Map<JobId, EndedJob>()
+  private readonly dropped = new Map<JobId, DroppedCopies>()
 
   /** Keeps the outcome of an ended job for `OUTCOME_RETENTION_MS`. */
   keepOutcome (id: JobId, outcome: JobOutcome, now: Ms): void {
@@ -28,8 +29,27 @@
     return this.ended.get(id)?.outcome
   }
 
-  /** Drops expired outcomes. The map is in order of insertion, so the oldest come first. */
+  /** Remembers for a while that copies of a job up to a number are not to be taken any more. */
+  keepDropped (id: JobId, front: DroppedCopies['front'], attempt: number, now: Ms): void {
+    const known = this.dropped.get(id)
+    const isSameFront = known?.front.instance === front.instance && known.front.incarnation === front.incarnation
+    this.dropped.delete(id)
+    this.dropped.set(id, { front, attempt: isSameFront ? Math.max(known.attempt, attempt) : attempt, until: ms(now + OUTCOME_RETENTION_MS) })
+  }
+
+  /** @returns whether the front sent this copy before or as the last one that this owner has dropped */
+  isDropped (id: JobId, front: DroppedCopies['front'], attempt: number): boolean {
+    const dropped = this.dropped.get(id)
+    return dropped?.front.instance === front.instance && dropped.front.incarnation === front.incarnation && attempt <= dropped.attempt
+  }
+
+  /** Drops what is kept for a while only. The maps are in order of insertion, so the oldest come first. */
   expire (now: Ms): void {
+    for (const [id, { until }] of this.dropped) {
+      if (until > now) break
+      this.dropped.delete(id)
+    }
+
     for (const [id, ended] of this.ended) {
       if (ended.until > now) return
       this.ended.delete(id)
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -260,6 +260,29 @@
     expect(owner.starts).to.have.length(2)
   })
 
+  it('does not start a copy of a job that a later copy, declined or abandoned, or a cancel has overtaken', () => {
+    const owner = new OwnerHarness(1)
+    const refused = (id: string, attempt: number): boolean => !owner.execution.submit(FRONT, DOMAIN, order(id, 1, 5000, { attempt }))
+    owner.submit(order('runs', 1, 5000))
+    owner.submit(withObjective(order('declined', 1, 100, { attempt: 3, lastChance: false }), 0))
+    expect(owner.sentToFronts.at(-1)?.type).to.equal('declined')
+    owner.submit(withObjective(order('abandoned', 1, 100, { attempt: 4 }), 60_000))
+    owner.execution.cancel('abandoned' as JobId, FRONT.instance)
+    owner.execution.cancel('cancelled' as JobId, FRONT.instance, { incarnation: FRONT.incarnation, attempt: 5 })
+    owner.answerHold('e-0' as EndpointId, [], [{ task: 'runs.0.0.0' as TaskName, run: 1, how: 'done' }])
+    expect([refused('declined', 2), refused('abandoned', 4), refused('cancelled', 5)]).to.deep.equal([true, true, true])
+    expect([refused('declined', 6), refused('abandoned', 7), refused('cancelled', 8)]).to.deep.equal([false, false, false])
+    expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }))).to.equal(true)
+  })
+
+  it('lets an older copy of a job that it holds change nothing, so that its next decline counts', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('runs', 1, 5000))
+    owner.submit(withObjective(order('a', 1, 100, { attempt: 3 }), 5000))
+    owner.submit(withObjective(order('a', 1, 100, { attempt: 2 }), 5000))
+    expect(owner.execution.db.jobs.get('a' as JobId)?.attempt).to.equal(3)
+  })
+
   it('counts a confirmation from when its front sent it, not from its arrival', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 5000))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -64,7 +64,7 @@
   /**
    * Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job.
    * @param sentAt - when the front sent this copy, at the earliest
-   * @returns false if the copy may be so old that the front has given the job up, whose caller then sends it again to any front
+   * @returns false if a later copy was dropped, or if this one may be so old that its front has given the job up, which then may run elsewhere
    */
   submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms = this.ctx.now): boolean {
     const { id } = order.job
@@ -74,7 +74,8 @@
       this.ports.sendToFront(front, { type: 'ended', jobId: id, outcome })
       return true
     }
-    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) return this.refuseOutdated(front, order, sentAt)
+    if (known === undefined && this.db.isDropped(id, front, order.attempt)) return this.refuseOutdated(front, order, 'overtaken', sentAt)
+    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) return this.refuseOutdated(front, order, 'tooOld', sentAt)
     if (known === undefined) this.submitNew(front, failureDomain, order, sentAt)
     else this.join(known, front, order, sentAt)
     return true
@@ -92,10 +93,11 @@
     if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
   }
 
-  /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. */
-  cancel (id: JobId, from: InstanceId): void {
+  /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. Copies that the cancel has overtaken are not taken. */
+  cancel (id: JobId, from: InstanceId, { incarnation, attempt }: { readonly incarnation?: number, readonly attempt?: number } = {}): void {
     const job = this.db.jobs.get(id)
     if (job !== undefined && job.front.instance === from) this.abandon(job, 'callerLeft')
+    if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, this.ctx.now)
   }
 
   /**
@@ -318,9 +320,10 @@
 
   private join (job: OwnedJob, front: FrontSession, order: DispatchOrder, sentAt: Ms): void {
     const { out } = this.ctx
+    const isSameFront = job.front.instance === front.instance && job.front.incarnation === front.incarnation
     this.confirm(job, sentAt)
-    job.attempt = order.attempt
-    if (job.front.instance === front.instance && job.front.incarnation === front.incarnation) return
+    job.attempt = isSameFront ? Math.max(job.attempt, order.attempt) : order.attempt
+    if (isSameFront) return
     out.count('shard.jobs.joined')
     out.log('job.joined', { job: job.id, attempt: order.attempt, front: front.instance, before: job.front.instance, transitMs: Math.round(this.ctx.now - sentAt) })
     job.front = front
@@ -332,10 +335,10 @@
     job.runLease.endsBy = runsEndBy(job.confirmedAt, this.ctx.cfg)
   }
 
-  private refuseOutdated (front: FrontSession, { job, attempt, resumed }: DispatchOrder, sentAt: Ms): false {
+  private refuseOutdated (front: FrontSession, { job, attempt, resumed }: DispatchOrder, why: 'overtaken' | 'tooOld', sentAt: Ms): false {
     const { out, now } = this.ctx
     out.count('shard.jobs.outdated')
-    out.log('job.outdated', { job: job.id, front: front.instance, attempt, resumed, transitMs: sentAt === -Infinity ? undefined : Math.round(now - sentAt) })
+    out.log('job.outdated', { job: job.id, why, front: front.instance, attempt, resumed, transitMs: sentAt === -Infinity ? undefined : Math.round(now - sentAt) })
     return false
   }
 
@@ -355,6 +358,7 @@
 
   private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
     const { out, now } = this.ctx
+    this.db.keepDropped(job.id, job.front, job.attempt, now)
     out.count('shard.jobs.declined')
     out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.capacity())), waitingJobs: this.admission.db.waiting.size })
     this.ports.sendToFront(job.front, { type: 'declined', jobId: job.id, attempt: job.attempt, retryAfterMs })
@@ -560,6 +564,7 @@
   }
 
   private forget (job: OwnedJob): void {
+    this.db.keepDropped(job.id, job.front, job.attempt, this.ctx.now)
     this.db.jobs.delete(job.id)
     this.admission.db.waiting.delete(job)
   }
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -71,3 +71,11 @@
   readonly outcome: JobOutcome
   readonly until: Ms
 }
+
+/** The copies of a job that an owner does not take any more, since it has declined or dropped them or their front has cancelled the job. */
+export interface DroppedCopies {
+  readonly front: Pick<FrontSession, 'instance' | 'incarnation'>
+  /** Number of the latest of these copies. */
+  readonly attempt: number
+  readonly until: Ms
+}
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -64,6 +64,16 @@
     expect(replies().map(reply => reply.type)).to.deep.equal(['refused'])
   })
 
+  it('gives each copy a higher number, also when a caller sends a job again that this front has given up, and cancels by number', () => {
+    const { intake, sent, ctx } = setUp()
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    ctx.now = ms(ctx.now + 1501)
+    intake.tick()
+    intake.submit('c2', 'h', '/q/a', job('a'), ms(1500))
+    intake.declined('a' as JobId, OWNER, 1, ms(1000))
+    expect(sent.flatMap(message => message.type === 'submit' ? [`submit ${message.order.attempt}`] : message.type === 'cancelJob' ? [`cancel ${message.attempt}`] : [])).to.deep.equal(['submit 1', 'cancel 1', 'submit 2'])
+  })
+
   it('resumes a job at the next owner of its shard, and reports it as lost when there is none', () => {
     const { ctx, intake, sessions, sent, replies } = setUp()
     intake.submit('c1', 'h', '/q/a', job('a', 2000), ms(9000))
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -38,6 +38,7 @@
 export class IntakeDecider {
   readonly db = new IntakeDb()
   private leavingSince: Ms | undefined
+  private lastAttempt = 0
 
   constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly attempts: AttemptsDecider, private readonly deliver: Deliver) {}
 
@@ -69,6 +70,7 @@
       location: { type: 'unplaced', since: now },
       done: [],
       attempt: 0,
+      copies: 0,
       resends: 0,
       checkedAt: now
     }
@@ -211,9 +213,10 @@
     const { now, self } = this.ctx
     job.location = { type: 'atOwner', failureDomain, owner, since: now }
     job.checkedAt = now
-    job.attempt++
+    job.attempt = ++this.lastAttempt
+    job.copies++
     const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
-    if (job.attempt > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
+    if (job.copies > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, copies: job.copies, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner) })
   }
 
@@ -277,7 +280,7 @@
   private cancelAtOwner (job: FrontedJob): void {
     const { location } = job
     const owner = location.type === 'atOwner' ? location.owner : location.type === 'detached' ? location.lastOwner : undefined
-    if (owner !== undefined) this.deliver(owner, { type: 'cancelJob', jobId: job.id })
+    if (owner !== undefined) this.deliver(owner, { type: 'cancelJob', jobId: job.id, incarnation: this.ctx.self.incarnation, attempt: job.attempt })
   }
 
   private answerCallers (job: FrontedJob, reply: CallerReply): void {
@@ -295,7 +298,7 @@
       outcome: reply.type === 'ended' ? reply.outcome : undefined,
       cause: reply.type === 'refused' ? reply.cause : undefined,
       tookMs: Math.round(tookMs),
-      attempt: job.attempt,
+      copies: job.copies,
       where: job.location.type,
       owner: job.location.type === 'atOwner' ? job.location.owner : undefined,
       shard: job.location.type === 'unplaced' ? undefined : job.location.failureDomain,
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -29,8 +29,10 @@
   location: JobLocation
   /** Tasks that an earlier owner reported as done. */
   done: DispatchOrder['done']
-  /** Number of the latest copy sent, counted over all owners. */
+  /** Number of the latest copy sent, which rises over all jobs of this incarnation. */
   attempt: number
+  /** Number of copies sent. */
+  copies: number
   /** How often the job was sent again to an owner that did not know it. */
   resends: number
   /** When the job was last sent to its owner, or the owner was last asked about it. */
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -25,6 +25,7 @@
       instance,
       address,
       incarnation: 0,
+      formerIncarnations: [],
       clock: undefined,
       lastReceivedAt: undefined,
       reportedLiveAt: undefined,
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -47,6 +47,16 @@
     expect(lostAt).to.be.within(peerTimeoutMs, peerTimeoutMs + TICK_MS)
   })
 
+  it('ignores a process that another one has followed, so that its last messages do not make the live one count as lost', () => {
+    const lost: string[] = []
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const sessions = new SessionsDecider(ctx, () => 1, { peerLost: (_peer, why) => lost.push(why), peerRecovered: () => {} })
+    const received = [5, 3, 5, 3].map(incarnation => sessions.messageReceived(OWNER, incarnation, 'owner', ms(incarnation)))
+    expect(received).to.deep.equal([true, true, false, true])
+    expect(lost).to.deep.equal(['otherLife'])
+    expect(sessions.clockOf(OWNER)).to.deep.equal({ incarnation: 3, at: 3 })
+  })
+
   it('keeps an owner live that sends nothing but answers to pings', () => {
     const { pings, resets, lostAt } = watchOwner(5000, at => at % pingMs === TICK_MS)
     expect(pings).to.be.at.most(5000 / pingMs)
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -14,6 +14,9 @@
 /** Period of pings to a lost owner; they detect that it is back. */
 const LOST_PEER_PING_PERIOD_MS = 400
 
+/** Number of earlier incarnations of a peer that are remembered; a process that restarts over and over leaves messages of the last few. */
+const FORMER_INCARNATIONS_MAX = 8
+
 /** How long an owner of another domain counts as live after a report by the own domain's owner; a few of its ping periods. */
 const REPORTED_LIVE_VALID_MS = 800
 
@@ -37,11 +40,19 @@
   /**
    * Records that a message arrived from a peer. A changed incarnation means that its previous process is lost.
    * @param time - the peer's clock when it sent the message, if the message carries it
+   * @returns false if the message comes from a process that another one has followed, and has to be ignored
    */
-  messageReceived (from: InstanceId, incarnation: number | undefined, address: string, time?: Ms): void {
+  messageReceived (from: InstanceId, incarnation: number | undefined, address: string, time?: Ms): boolean {
+    if (incarnation !== undefined && this.db.peers.get(from)?.formerIncarnations.includes(incarnation) === true) {
+      this.ctx.out.log('peer.formerIncarnation', { peer: from, peerIncarnation: incarnation })
+      return false
+    }
     const peer = this.db.peer(from, address)
     const restarted = incarnation !== undefined && peer.incarnation !== 0 && incarnation !== peer.incarnation
-    if (restarted) this.markLost(peer, 'otherLife')
+    if (restarted) {
+      this.markLost(peer, 'otherLife')
+      peer.formerIncarnations = [...peer.formerIncarnations, peer.incarnation].slice(-FORMER_INCARNATIONS_MAX)
+    }
     if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
     if (incarnation !== undefined && time !== undefined) peer.clock = { reading: { incarnation, at: time }, readAt: this.ctx.now }
     peer.lastReceivedAt = this.ctx.now
@@ -52,6 +63,7 @@
       this.ctx.out.log('peer.heard', { peer: from, peerIncarnation: peer.incarnation })
       this.listener.peerRecovered(from)
     }
+    return true
   }
 
   /** A ping arrived: the peer uses a shard that this instance owns, so its silence matters from now on. */
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -145,7 +145,7 @@
     if (from !== this.ctx.self.instance) {
       const incarnation = 'incarnation' in message ? message.incarnation : undefined
       const address = 'address' in message ? message.address : ''
-      this.sessions.messageReceived(from, incarnation, address, 'time' in message ? message.time : undefined)
+      if (!this.sessions.messageReceived(from, incarnation, address, 'time' in message ? message.time : undefined)) return
       this.introduction.peerHeard(address)
     }
     switch (message.type) {
@@ -164,7 +164,7 @@
         return this.intake.ownerKnown(message.failureDomain)
       case 'submit': return this.receiveSubmit({ instance: from, incarnation: message.incarnation, address: message.address }, message)
       case 'checkJobs': return this.receiveJobCheck(from, message)
-      case 'cancelJob': return this.execution.cancel(message.jobId, from)
+      case 'cancelJob': return this.execution.cancel(message.jobId, from, message)
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
       case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
       case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain)
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -51,7 +51,7 @@
   announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber, time },
   submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order, ownerClock: clock, time },
   checkJobs: { failureDomain: text, jobIds: listOf(text), ownerClock: clock },
-  cancelJob: { jobId: text },
+  cancelJob: { jobId: text, incarnation: optional(nonNegativeInteger), attempt: optional(nonNegativeInteger) },
   ended: { jobId: text, outcome: oneOf('completed', 'failed') },
   declined: { jobId: text, attempt: nonNegativeInteger, retryAfterMs: nonNegative },
   notOwner: { jobId: text, failureDomain: text },
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -127,7 +127,10 @@
   readonly ageMs: Ms
   /** Time until the caller stops waiting. */
   readonly remainingMs: Ms
-  /** Number of times that the front has sent the job. A decline carries the same number, because it does not apply to later copies. */
+  /**
+   * Number of the copy. It rises with each copy of any job that the front's incarnation sends, so that owners recognise a copy that later ones have overtaken.
+   * A decline carries the same number, because it does not apply to later copies.
+   */
   readonly attempt: number
   /** True when runs started by an earlier owner may still exist. */
   readonly resumed: boolean
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -68,8 +68,11 @@
   | { readonly type: 'submit', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly order: DispatchOrder, readonly ownerClock?: ClockReading, readonly time?: Ms }
   /** From a front to an owner: asks whether the owner still knows these jobs. */
   | { readonly type: 'checkJobs', readonly failureDomain: FailureDomain, readonly jobIds: readonly JobId[], readonly ownerClock?: ClockReading }
-  /** The caller no longer waits for the job. */
-  | { readonly type: 'cancelJob', readonly jobId: JobId }
+  /**
+   * The caller no longer waits for the job. It holds for all copies up to number `attempt` of the front's incarnation, also for those that it has overtaken;
+   * without a number, as in earlier versions, for the copy that the owner has.
+   */
+  | { readonly type: 'cancelJob', readonly jobId: JobId, readonly incarnation?: number, readonly attempt?: number }
   | { readonly type: 'ended', readonly jobId: JobId, readonly outcome: JobOutcome }
   /** No task of the job has started and none will. */
   | { readonly type: 'declined', readonly jobId: JobId, readonly attempt: number, readonly retryAfterMs: Ms }
