A new instance goes on asking peers while it knows no endpoint of its domain and the store is away

Seen: storeDown.spec.ts failed once beside other load (b-0 answered 429 for 20 s). Traced in its logs: b-0 restarted while the store was silent, and the first peer that answered, itself restarted, knew the records and the queues but no endpoint of b's domain. That counted as a complete introduction, so b-0 owned its domain without endpoints for as long as the store was away. Cause: what an introduction has to bring was the desired state, an owner and the records, not the endpoints. Change: an instance without an endpoint of its own domain asks on, the peers that it hears from next, and takes the endpoints from whoever knows them.

--- a/packages/core/src/introduction/introductionDecider.spec.ts
+++ b/packages/core/src/introduction/introductionDecider.spec.ts
@@ -9,7 +9,7 @@
 
 class Harness {
   readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me:1', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
-  missing: Missing = { desiredState: true, owner: true, records: true }
+  missing: Missing = { desiredState: true, owner: true, records: true, endpoints: true }
   readonly introduction = new IntroductionDecider(this.ctx, ['a:1', 'me:1', 'b:1'], () => this.missing, () => 0)
 
   /** Ticks every 25 ms. @returns the messages sent, as address and type */
@@ -28,11 +28,19 @@
 
   it('ends when owners and the desired state are known', () => {
     const harness = new Harness()
-    harness.missing = { desiredState: false, owner: false, records: false }
+    harness.missing = { desiredState: false, owner: false, records: false, endpoints: false }
     expect(harness.introduction.isPending()).to.equal(false)
     expect(harness.run(1000)).to.deep.equal([])
   })
 
+  it('goes on while no peer that answered knew the endpoints of its domain', () => {
+    const harness = new Harness()
+    harness.missing = { desiredState: false, owner: false, records: false, endpoints: true }
+    harness.run(175)
+    harness.introduction.peerHeard('c:1')
+    expect(harness.run(900)).to.include('c:1 desiredRequest')
+  })
+
   it('asks a peer that has sent a message next', () => {
     const harness = new Harness()
     harness.run(175)
--- a/packages/core/src/introduction/introductionDecider.ts
+++ b/packages/core/src/introduction/introductionDecider.ts
@@ -20,6 +20,8 @@
   readonly owner: boolean
   /** The records of members and shards, without which it cannot become an owner. */
   readonly records: boolean
+  /** The endpoints of its own failure domain, without which it can own the domain but starts nothing there. */
+  readonly endpoints: boolean
 }
 
 /** Returns what is missing at present. */
@@ -41,8 +43,8 @@
 
   /** Returns whether this instance still depends on what peers tell it. */
   isPending (): boolean {
-    const { desiredState, owner, records } = this.missing()
-    return desiredState || owner || records
+    const { desiredState, owner, records, endpoints } = this.missing()
+    return desiredState || owner || records || endpoints
   }
 
   /** A peer sent its address, so it can be asked as well; it is up, so it comes next. */
@@ -61,10 +63,10 @@
     this.nextIndex = (this.nextIndex + 1) % this.addresses.length
     this.askedAt = now
     this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
-    const { desiredState, records } = this.missing()
-    if ((!desiredState && !records) || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return
+    const { desiredState, records, endpoints } = this.missing()
+    if ((!desiredState && !records && !endpoints) || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return
     this.stateRequestedAt = now
-    this.send(address, { type: 'desiredRequest', introduce: records })
+    this.send(address, { type: 'desiredRequest', introduce: records || endpoints })
   }
 
   private send (address: string, message: ShardMessage): void {
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -258,10 +258,11 @@
       ownership.token = token
       ownership.rank = rank
       ownership.revision = revision
+      ownership.tokenSince = now
       // A successor may have started tasks meanwhile without this instance having noticed, so each endpoint has to answer again.
       this.listener.ownershipGained(failureDomain, token)
     } else {
-      this.db.owned.set(failureDomain, { failureDomain, token, rank, revision, since: now })
+      this.db.owned.set(failureDomain, { failureDomain, token, rank, revision, since: now, tokenSince: now })
       out.count('shard.owner.takeovers')
       out.log('shard.owned', { shard: failureDomain, token, how, rank, revision, vacantMs: Math.round(now - (this.vacantSince ?? now)) })
       if (this.vacantSince !== undefined) out.push({ type: 'observe', histogram: 'takeoverMs', label: how, valueMs: now - this.vacantSince })
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -13,6 +13,8 @@
   /** Revision of the record that the token is derived from. */
   revision: number
   readonly since: Ms
+  /** When the present token replaced the one before; another instance may have owned the shard between two tokens. */
+  tokenSince: Ms
 }
 
 /** A claim on a shard that the store has not answered yet. */
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { ClockReading, DispatchOrder, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from './settings.js'
 import { ShardInstance } from './shardInstance.js'
@@ -90,3 +90,35 @@
     expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(10_000 + suspendedMs) } }, wall).taken).to.equal(true)
   })
 })
+
+describe('an owner that renews its token', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const ENDPOINTS = ['e', 'f'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id }))
+
+  it('starts no task of a resumed job before every endpoint has answered under it, since a successor may have started the task', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const holds = new Map<string, number>()
+    const starts: string[] = []
+    const handle = (now: number, input: ShardInput): void => {
+      for (const effect of owner.handle(input, ms(now), ms(now))) {
+        if (effect.type === 'hold') holds.set(effect.endpoint, effect.orderId)
+        if (effect.type === 'startTask') starts.push(effect.endpoint)
+      }
+    }
+    const answer = (now: number, id: string): void => handle(now, { type: 'holdOutcome', endpoint: id as EndpointId, orderId: holds.get(id) ?? 0, outcome: { type: 'listed', listing: { clock: now as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, listInput(...ENDPOINTS))
+    handle(2, TICK)
+    handle(3, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    for (const { id } of ENDPOINTS) answer(4, id)
+    for (let at = 300; at < 9000; at += 300) handle(at, { type: 'endpoints', reports: ENDPOINTS, fresh: true })
+    handle(9000, { type: 'records', members: [], shards: [{ revision: 2, value: { failureDomain: DOMAIN, owner: { ...owner.ctx.self }, successors: [] } }] })
+    const job = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+    const queue = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+    handle(9001, { type: 'peer', from: 'front' as InstanceId, message: { type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order: { job, queue, ageMs: ms(0), remainingMs: ms(5000), attempt: 1, resumed: true, done: [] } } })
+    answer(9002, 'e')
+    expect(starts).to.deep.equal([])
+    answer(9003, 'f')
+    expect(starts).to.have.length(1)
+  })
+})
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -12,6 +12,7 @@
 import { ExecutionDecider } from '../execution/executionDecider.js'
 import type { FrontSession } from '../execution/types.js'
 import { IntroductionDecider } from '../introduction/introductionDecider.js'
+import type { Missing } from '../introduction/introductionDecider.js'
 import { IntakeDecider } from '../intake/intakeDecider.js'
 import { OwnershipDecider } from '../ownership/ownershipDecider.js'
 import { PlacementDecider } from '../placement/placementDecider.js'
@@ -83,7 +84,7 @@
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, (to, message) => this.deliver(to, message))
-    this.introduction = new IntroductionDecider(ctx, seeds, () => ({ desiredState: this.desired.db.state === undefined, owner: !this.hasLiveOwner(), records: !this.ownership.db.recordsRead }), () => this.desired.db.version())
+    this.introduction = new IntroductionDecider(ctx, seeds, () => this.missing(), () => this.desired.db.version())
   }
 
   /**
@@ -189,7 +190,20 @@
   /** Applies what a peer has read from the store; what this instance has read itself since it started takes precedence. */
   private receiveIntroduction ({ members, shards, endpoints }: Extract<ShardMessage, { type: 'introduction' }>): void {
     this.ownership.recordsLearned(members, shards)
-    if (this.endpointList.isEmpty()) this.applyReports(endpoints, false)
+    if (this.knowsNoLocalEndpoint()) this.applyReports(endpoints, false)
+  }
+
+  private missing (): Missing {
+    return {
+      desiredState: this.desired.db.state === undefined,
+      owner: !this.hasLiveOwner(),
+      records: !this.ownership.db.recordsRead,
+      endpoints: !this.storeReachable && this.knowsNoLocalEndpoint()
+    }
+  }
+
+  private knowsNoLocalEndpoint (): boolean {
+    return this.endpointList.inFailureDomain(this.ctx.self.failureDomain).length === 0
   }
 
   /** Delivers a message to a peer. One to this instance itself is handled directly, without a connection. */
@@ -348,12 +362,13 @@
     const owned = this.ownership.db.owned.get(failureDomain)
     const { knownInFullSince, freshAt } = this.endpointList
     if (owned === undefined || knownInFullSince === undefined) return false
-    const since = Math.max(owned.since, knownInFullSince)
-    if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
+    const leasesEndMs = cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs
+    const allHaveAnswered = this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
+    if (now - Math.max(owned.since, knownInFullSince) > leasesEndMs) return allHaveAnswered || now - owned.tokenSince > leasesEndMs
     // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
     if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
     if (this.endpointList.changedAfter(failureDomain, owned.since - LIST_DOUBT_MS)) return false
-    return this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
+    return allHaveAnswered
   }
 
   /**
