The capacity of a run that never arrived is free again although its stop goes unanswered

Cause: a listing that lacks a run counts only if its hold was sent after the latest order. Stops are repeated every 100 ms, holds wait 250 ms, so no listing ever counted. Change: only a start can bring a run about, so the hold has to be younger than the latest start order.

--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -138,6 +138,22 @@
     expect(ledger.usable(endpointOf(ledger))).to.equal(true)
   })
 
+  it('gives up a run that never arrived although its stop is repeated more often than holds are answered', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    ledger.stop(run)
+    for (let elapsedMs = 0; elapsedMs <= 1000; elapsedMs += 25) {
+      ctx.now = ms(ctx.now + 25)
+      ledger.tick()
+      const { hold } = endpointOf(ledger)
+      if (hold !== undefined && ctx.now - hold.sentAt >= SHARD_DEFAULTS.holdWaitMs) ledger.holdOutcome(ID, hold.orderId, { type: 'listed', listing: listing(500 + ctx.now - 1000) })
+    }
+    expect(listener.events).to.deep.equal(['rejected 1 neverArrived'])
+  })
+
   it('does not extend the lease of runs that it finds until a job claims them', () => {
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -361,14 +361,14 @@
 
   /**
    * Handles runs that the listing lacks: a run that had started is lost, and a start without an answer is rejected once it
-   * can no longer take effect. A hold sent before the run's latest order or start proves nothing about that run.
+   * can no longer take effect. A hold sent before the latest start order proves nothing about the run.
    */
   private resolveMissingRuns (endpoint: LedgerEndpoint, listing: EndpointListing, sentAt: Ms): void {
     const listedTasks = new Set(listing.running.map(row => row.task))
     for (const run of [...endpoint.runs.values()]) {
       if (listedTasks.has(run.task)) continue
       if (run.state === 'ordered' || (run.state === 'stopping' && !run.confirmed)) {
-        if (listing.clock <= run.notAfter || sentAt < run.lastSentAt) continue
+        if (listing.clock <= run.notAfter || sentAt < run.startSentAt) continue
         this.db.removeRun(endpoint, run)
         this.listener.runRejected(run, 'neverArrived')
       } else if (sentAt > run.startedAt) {
@@ -417,6 +417,7 @@
     run.notAfter = (endpointClock(endpoint, now) + cfg.startValidMs) as EndpointClockMs
     this.recordLeaseEnd(endpoint, run.notAfter)
     this.stampOrder(run, token)
+    run.startSentAt = now
     out.count('shard.tasks.started')
     out.push({
       type: 'startTask',
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -64,6 +64,8 @@
   /** How often the start was refused by the network or the address, so that it did not arrive. */
   refusedSends: number
   lastSentAt: Ms
+  /** When the start was last sent. */
+  startSentAt: Ms
   percent: number
   percentAt: Ms
   /** Progress at the time at which this owner found the run; undefined for a run that it started itself. */
