Store entries: an id that cannot be sent as a header made the endpoint at the same address unreachable

Cause: undici refuses a request with such a header, but its pool then waits for ever for the connection to drain that it had chosen (a valid call after one such call, with one connection: no answer in 1 s). Ten entries with a line break in the id and the address of a good endpoint took all six connections; the good endpoint got no order in 20 s.

--- a/packages/dispatcher/src/shard/httpCaller.spec.ts
+++ b/packages/dispatcher/src/shard/httpCaller.spec.ts
@@ -106,4 +106,15 @@
     expect(results.map(({ type }) => type)).to.deep.equal(odd.map(() => 'silent'))
     expect(reasons).to.deep.equal(odd.map(address => `${address}: the address is not an IP address with a port`))
   })
+
+  it('serves an address after calls to it with a header that cannot be sent', async () => {
+    const server = await listenHttp(0, (_req, res) => sendJson(res, 200, {}))
+    const caller = new HttpCaller(1, ignoreReason)
+    const address = `127.0.0.1:${server.port}`
+    const oddCall = { ...call, headers: { 'expect-instance': 'line\nbreak \u20ac' } }
+    const results = [await caller.call(address, oddCall, LONG_TIMEOUT_MS), await caller.call(address, oddCall, LONG_TIMEOUT_MS), await caller.call(address, call, LONG_TIMEOUT_MS)]
+    await caller.close()
+    await server.close()
+    expect(results.map(({ type }) => type)).to.deep.equal(['silent', 'silent', 'reply'])
+  })
 })
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -5,6 +5,7 @@
  * example because its address is not one, ends like a call to an address that is out of reach.
  */
 import type { Ms } from '@cranberryyard/protocol'
+import { validateHeaderValue } from 'node:http'
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { parseAddress } from './address.js'
@@ -132,6 +133,7 @@
     return new Promise((resolve) => {
       const pending = new PendingCall(typeof timeouts === 'number' ? { idleTimeoutMs: timeouts, totalTimeoutMs: timeouts } : timeouts, resolve, reason => this.logFailure(address, reason))
       try {
+        checkHeaders(call)
         this.pool(address).dispatch({
           method: call.method,
           path: call.path,
@@ -167,6 +169,11 @@
   }
 }
 
+/** Throws for a header that cannot be sent. A request that undici rejects itself would occupy a connection of its pool for ever. */
+function checkHeaders ({ headers = {} }: HttpCall): void {
+  for (const [name, value] of Object.entries(headers)) validateHeaderValue(name, value)
+}
+
 function isConnectionRefused (err: unknown): boolean {
   return err instanceof Error && 'code' in err && err.code === 'ECONNREFUSED'
 }
