Links: a peer's unusable address, or a field too deep to pass on, ended every process that it reached

Cause: an address of a ping, announce, submit or member record went unread to net.connect, which throws for a port out of range (RangeError ERR_SOCKET_BAD_PORT in LinkTask.getOrConnect) outside any connection. A desired state of a peer with an unknown field nested deeper than 100 ended the process when it was passed on (Error: Too deep objects in depth 101, in Encoder.doEncode). Messages that wait for a connection had no bound.

Change: a message to an unusable address is reported as not sent in a later turn, as for a peer that refuses the connection, and logged once for each peer and address. A message that cannot be encoded is left out and logged. With 10,000 waiting messages the attempt to connect ends.

--- a/packages/dispatcher/src/shard/linkTask.spec.ts
+++ b/packages/dispatcher/src/shard/linkTask.spec.ts
@@ -116,4 +116,47 @@
     expect(b.events).to.deep.equal([{ type: 'peer', from: A, message: message(3) }])
     expect(b.brokenLinks.map(line => line.split(':')[0])).to.deep.equal(['unknown', 'unknown', 'unknown'])
   })
+
+  it('report messages to an address that nothing can connect to as not sent, in a later turn, and log it once', async () => {
+    const a = new TestPeer(A)
+    const odd = ['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1:text', '127.0.0.1', '', 'a b:80', '[::1', 'localhost:80']
+    for (const [n, address] of odd.entries()) {
+      for (let copy = 0; copy < 3; copy++) a.task.send({ to: B, address, message: message(n) })
+    }
+    expect(a.events).to.deep.equal([])
+    await a.waitUntil(() => a.events.length >= 3 * odd.length)
+    a.task.close()
+    expect(a.events).to.deep.equal(odd.flatMap((_, n) => [n, n, n]).map(n => ({ type: 'sendFailed', to: B, message: message(n) })))
+    expect(a.brokenLinks).to.deep.equal(odd.map(address => `${B}: '${address}' is not an IP address with a port`))
+  })
+
+  it('leave out a message that cannot be encoded, and deliver the others', async () => {
+    const [a, b] = [await new TestPeer(A).listen(), await new TestPeer(B).listen()]
+    let deep: unknown = 1
+    for (let depth = 0; depth < 1000; depth++) deep = [deep]
+    for (const sent of [message(1), { ...message(2), ...{ deep } }, message(3)]) a.task.send({ to: B, address: b.address, message: sent })
+    await b.waitUntil(() => b.events.length === 2)
+    a.task.send({ to: B, address: b.address, message: { ...message(4), ...{ deep } } })
+    a.task.send({ to: B, address: b.address, message: message(5) })
+    await b.waitUntil(() => b.events.length === 3)
+    a.task.close()
+    b.task.close()
+    expect(b.ofType('peer').map(event => event.message)).to.deep.equal([message(1), message(3), message(5)])
+    expect(a.brokenLinks.length).to.equal(2)
+  })
+
+  it('give up a connection that is not established while too many messages wait for it', async () => {
+    const [a, b] = [new TestPeer(A), await new TestPeer(B).listen()]
+    const count = 10_000
+    // No connection is established before this loop ends.
+    for (let n = 0; n < count; n++) a.task.send({ to: B, address: b.address, message: message(n) })
+    await a.waitUntil(() => a.events.length >= count)
+    a.task.send({ to: B, address: b.address, message: message(count) })
+    await b.waitUntil(() => b.ofType('peer').length > 0)
+    a.task.close()
+    b.task.close()
+    expect(a.ofType('sendFailed').length).to.equal(count)
+    expect(b.ofType('peer').map(event => event.message)).to.deep.equal([message(count)])
+    expect(a.brokenLinks).to.deep.equal([`${B}: ${count} messages waited for a connection`])
+  })
 })
--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -12,12 +12,17 @@
 import type { Server, Socket } from 'node:net'
 import { encodeEnvelope, readEnvelope } from '../peers/peerCodec.js'
 import { listen } from '../utils/plainServer.js'
+import { parseAddress } from './address.js'
 import { isShardMessage } from './messageCheck.js'
 
 /** Longest time to connect to a peer before its pending messages are reported as not sent; allows a few round trips. */
 const CONNECT_TIMEOUT_MS = 800
 /** Bytes buffered for a peer that does not read, enough for a few thousand jobs; beyond this the connection is reset. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+/** Messages that wait for a connection to be established; beyond this the attempt ends and they are reported as not sent. */
+const MAX_PENDING_MESSAGES = 10_000
+/** Characters of an unusable address that are logged. */
+const MAX_LOGGED_ADDRESS = 100
 /** Bounds on decoded messages; the largest message is a desired state with a few thousand queues. */
 const DECODE_LIMITS = { context: undefined, maxStrLength: 1_048_576, maxArrayLength: 100_000, maxMapLength: 1000, maxBinLength: 0, maxExtLength: 16 }
 
@@ -47,6 +52,8 @@
   private readonly links = new Map<InstanceId, Link>()
   private readonly inbound = new Set<Socket>()
   private readonly server: Server
+  /** The unusable address with which each peer was last addressed, so that it is logged once. */
+  private readonly unusableAddresses = new Map<InstanceId, string>()
   private closed = false
 
   constructor (private readonly self: InstanceId, private readonly post: (event: LinkEvent) => void, private readonly logBrokenLink: LogBrokenLink) {
@@ -62,9 +69,10 @@
   send ({ to, address, message }: { readonly to: InstanceId, readonly address: string, readonly message: ShardMessage }): void {
     if (this.closed) return
     const link = this.getOrConnect(to, address)
-    if (!link.connected) link.pending.push(message)
+    if (link === undefined) this.rejectAddress(to, address, message)
+    else if (!link.connected) this.enqueue(to, link, message)
     else if (link.socket.writableLength > MAX_BUFFERED_BYTES) this.reset(to)
-    else this.write(link, message)
+    else this.write(to, link, message)
   }
 
   /** Closes the connection to a peer, so that the next message opens a new one; messages in transit may be lost. */
@@ -120,16 +128,19 @@
     }
   }
 
-  private getOrConnect (peer: InstanceId, address: string): Link {
+  /** @returns undefined if nothing can connect to the address */
+  private getOrConnect (peer: InstanceId, address: string): Link | undefined {
     const existing = this.links.get(peer)
     if (existing !== undefined && existing.address === address) return existing
+    const target = parseAddress(address)
+    if (target === undefined) return undefined
+    this.unusableAddresses.delete(peer)
     existing?.socket.destroy()
-    const [host, port] = address.split(':')
-    const socket = connect({ host: host ?? '', port: Number(port), noDelay: true })
+    const socket = connect({ host: target.ip, port: target.port, noDelay: true })
     const link: Link = { address, socket, connected: false, corked: false, pending: existing?.pending ?? [] }
     this.links.set(peer, link)
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => socket.destroy())
-    socket.once('connect', () => this.onConnected(link))
+    socket.once('connect', () => this.onConnected(peer, link))
     socket.on('error', (err) => {
       if (link.connected) this.logBrokenLink(peer, err.message)
       socket.destroy()
@@ -138,15 +149,34 @@
     return link
   }
 
-  private onConnected (link: Link): void {
+  /** Reports the message as not sent, in a later turn, as for a peer that refuses the connection. */
+  private rejectAddress (to: InstanceId, address: string, message: ShardMessage): void {
+    if (this.unusableAddresses.get(to) !== address) this.logBrokenLink(to, `'${address.slice(0, MAX_LOGGED_ADDRESS)}' is not an IP address with a port`)
+    this.unusableAddresses.set(to, address)
+    setImmediate(() => {
+      if (!this.closed) this.post({ type: 'sendFailed', to, message })
+    })
+  }
+
+  private enqueue (to: InstanceId, { pending, socket }: Link, message: ShardMessage): void {
+    pending.push(message)
+    if (pending.length < MAX_PENDING_MESSAGES || socket.destroyed) return
+    this.logBrokenLink(to, `${pending.length} messages waited for a connection`)
+    socket.destroy()
+  }
+
+  private onConnected (peer: InstanceId, link: Link): void {
     link.socket.setTimeout(0)
     link.socket.resume()
     link.connected = true
-    for (const message of link.pending.splice(0)) this.write(link, message)
+    for (const message of link.pending.splice(0)) this.write(peer, link, message)
   }
 
-  private write (link: Link, message: ShardMessage): void {
+  /** Writes a message; one that cannot be encoded is left out. It holds fields of a peer that were passed on unread, for example very deeply nested ones. */
+  private write (peer: InstanceId, link: Link, message: ShardMessage): void {
     const { socket } = link
+    const bytes = this.encode(peer, message)
+    if (bytes === undefined) return
     if (!link.corked) {
       link.corked = true
       socket.cork()
@@ -155,7 +185,16 @@
         socket.uncork()
       })
     }
-    socket.write(encodeEnvelope({ from: this.self, message }))
+    socket.write(bytes)
+  }
+
+  private encode (peer: InstanceId, message: ShardMessage): Buffer | undefined {
+    try {
+      return encodeEnvelope({ from: this.self, message })
+    } catch (err) {
+      this.logBrokenLink(peer, `cannot encode a message of type '${message.type}': ${err instanceof Error ? err.message : String(err)}`)
+      return undefined
+    }
   }
 
   private onClosed (peer: InstanceId, link: Link): void {
