--- a/packages/dispatcher/src/shard/index.ts
+++ b/packages/dispatcher/src/shard/index.ts
@@ -4,6 +4,7 @@
  */
 export { ShardDaemon } from './shardDaemon.js'
 export type { ShardDaemonOptions } from './shardDaemon.js'
+export { isShardMessage } from './messageCheck.js'
 export { isPort, parseAddress } from './address.js'
 export type { SocketAddress } from './address.js'
 export type * from './wires.js'
