cranberryyardd: a request with the target '//' ended the process

Cause: new URL threw for it (TypeError: Invalid URL) in the handlers of callers and operators, outside any promise.

--- a/packages/dispatcher/src/callers/callerTask.ts
+++ b/packages/dispatcher/src/callers/callerTask.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { EffectOf, Post } from '../messages.js'
 import { keyHashOf } from '../utils/keys.js'
-import { readJson, sendJson, statusOf } from '../utils/httpServer.js'
+import { readJson, sendJson, statusOf, targetOf } from '../utils/httpServer.js'
 
 /** An open request of a caller. */
 interface Call {
@@ -31,7 +31,9 @@
 
   /** Routes one request of a caller: health check, submission, or the fetch or cancellation of an earlier one. */
   handle (req: IncomingMessage, res: ServerResponse): void {
-    const url = new URL(req.url ?? '/', 'http://caller')
+    const target = targetOf(req)
+    if (target.isErr) return this.sendRefusal(res, target.error)
+    const url = target.value
     if (req.method === 'GET' && url.pathname === '/healthz') return sendJson(res, this.healthy ? 200 : 503, { serving: this.healthy })
     if (req.method === 'POST' && url.pathname === '/v1/jobs') {
       void this.submit(req, res, url.searchParams.get('wait') !== '0')
--- a/packages/dispatcher/src/operators/operatorTask.ts
+++ b/packages/dispatcher/src/operators/operatorTask.ts
@@ -11,7 +11,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { EffectOf, Post } from '../messages.js'
 import { keyHashOf } from '../utils/keys.js'
-import { readJson, sendJson, statusOf } from '../utils/httpServer.js'
+import { readJson, sendJson, statusOf, targetOf } from '../utils/httpServer.js'
 
 /** Interval between checks whether a change is in force. */
 const IN_FORCE_POLL_MS = 50
@@ -51,7 +51,9 @@
   handle (req: IncomingMessage, res: ServerResponse): void {
     const actor = findActor(keyHashOf(req), this.settings.teamKeys, this.view.fleet())
     if (actor === undefined) return this.sendRefusal(res, codedError('unauthorized', 'unknown key'))
-    const url = new URL(req.url ?? '/', 'http://operator')
+    const target = targetOf(req)
+    if (target.isErr) return this.sendRefusal(res, target.error)
+    const url = target.value
     switch (`${req.method} ${url.pathname}`) {
       case 'GET /v1/status': return sendJson(res, 200, this.visibleStatus(actor))
       case 'GET /v1/contracts': return sendJson(res, 200, this.visibleContracts(actor))
--- a/packages/dispatcher/src/utils/httpServer.ts
+++ b/packages/dispatcher/src/utils/httpServer.ts
@@ -27,6 +27,12 @@
   return createTlsServer({ ...senderLimits(senderTimeoutMs), ...certificate, ...ca }, handler)
 }
 
+/** Parses the target of a request; `//` for example is none. */
+export function targetOf (req: IncomingMessage): Result<URL, CodedError> {
+  const [target, base] = [req.url ?? '/', 'http://this-server']
+  return URL.canParse(target, base) ? Result.ok(new URL(target, base)) : Result.err(codedError('invalidField', 'the target of the request is not a path', 'target'))
+}
+
 /**
  * Reads and parses a JSON body within the size limit.
  * @param req - the request
