--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -6,7 +6,7 @@
 import type { ListPace, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
-import { FencedEndpointModel, RecordStoreModel, ShardOracle } from '@cranberryyard/fakes'
+import { FencedEndpointModel, RecordStoreModel, ShardOracle, taskSpec } from '@cranberryyard/fakes'
 import type { ModelTask } from '@cranberryyard/fakes'
 import type {
   DesiredState,
@@ -644,10 +644,3 @@
   const needs = { cpuMilli: spec.cpuMilli, memoryMb: 64, accelerators: 0 }
   return { id: job.id, spec: JSON.stringify(spec), features: [], steps: [{ count: job.tasks, needs, estimateMs: ms(spec.workMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
 }
-
-/** @returns the task's behaviour: a spec is the JSON of one `ModelTask` for all tasks of a job, or of a list with one for each */
-function taskSpec (spec: string, task: TaskName): ModelTask {
-  const parsed = JSON.parse(spec) as ModelTask | readonly ModelTask[]
-  if (!Array.isArray(parsed)) return parsed as ModelTask
-  return parsed[Number(task.slice(task.lastIndexOf('.') + 1))] as ModelTask
-}
--- a/packages/fakes/src/fencedEndpointModel.ts
+++ b/packages/fakes/src/fencedEndpointModel.ts
@@ -19,6 +19,13 @@
   readonly crashAfterMs?: number
 }
 
+/** @returns the task's behaviour: a spec is the JSON of one `ModelTask` for all tasks of a job, or of a list with one for each */
+export function taskSpec (spec: string, task: string): ModelTask {
+  const parsed = JSON.parse(spec) as ModelTask | readonly ModelTask[]
+  if (!Array.isArray(parsed)) return parsed as ModelTask
+  return parsed[Number(task.slice(task.lastIndexOf('.') + 1))] as ModelTask
+}
+
 /** A run of a task at the endpoint; `run` is its number, which rises with each new attempt. */
 export interface ModelRun {
   readonly task: string
--- a/packages/fakes/src/recordStoreModel.ts
+++ b/packages/fakes/src/recordStoreModel.ts
@@ -28,6 +28,12 @@
     return this.revision
   }
 
+  /** Removes a key, as the lapse of its lease does. */
+  remove (key: string): void {
+    this.items.delete(key)
+    this.revision++
+  }
+
   /** @returns items whose key begins with the prefix, sorted by key */
   range (prefix: string): RecordItem[] {
     return [...this.items.values()].filter(item => item.key.startsWith(prefix)).sort((a, b) => a.key < b.key ? -1 : 1)
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -130,6 +130,12 @@
     return this.crashesByTask.get(task)?.crashes ?? 0
   }
 
+  /** @returns the number of crashes that tasks have caused, and the most that one of them has */
+  crashCounts (): { readonly crashes: number, readonly crashesOfOneTask: number } {
+    const counts = [...this.crashesByTask.values()].map(({ crashes }) => crashes)
+    return { crashes: counts.reduce((sum, n) => sum + n, 0), crashesOfOneTask: Math.max(0, ...counts) }
+  }
+
   /** @returns the number of runs of a task that ended as failed */
   failuresOf (task: string): number {
     return this.failuresByTask.get(task) ?? 0
