Oracle: a job answered as failed without a cause is a violation

Change: rule LOST: an answer failed needs a run that failed, or a task that met two crashes of its endpoint. Restarts of endpoints in the fleet in memory count as crashes.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -292,7 +292,10 @@
 
   /** Crashes an endpoint and restarts it at once under the same id. */
   restartEndpoint (id: string): void {
-    this.endpoints.get(id)?.restart(this.time.now)
+    const endpoint = this.endpoints.get(id)
+    if (endpoint === undefined) return
+    this.oracle.recordCrash(endpoint)
+    endpoint.restart(this.time.now)
   }
 
   /** Changes the capacity of an endpoint while it runs; its entry in the store shows the new one at once. */
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -12,11 +12,12 @@
  * - TWICE: two runs of one task were active at once
  * - REFUSED: a task started although all submissions of its job were refused
  * - MIXED: a job was reported as completed although not all its tasks ended with success
+ * - LOST: a job was reported as failed although no run of it had failed and no task of it had met two crashes
  * - DRAIN: a task started on an endpoint that had been draining for too long
  * - BUDGET: a task that crashes its endpoints was started too often after it had crashed some of them
  * - CONFIG: an instance went back to an older version of the desired state
  */
-export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'DRAIN' | 'BUDGET' | 'CONFIG'
+export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'CONFIG'
 
 /** A violation of an invariant. */
 export interface Violation {
@@ -40,6 +41,8 @@
 
 /** How long an earlier, larger capacity of an endpoint counts: the time that an instance needs to be in touch, and one beat of the endpoint. */
 const SHRUNK_CAPACITY_GRACE_MS = 4500
+/** A task under which this many endpoints have crashed may be given up. */
+const CRASHES_TO_GIVE_UP = 2
 /** A task that has crashed this many endpoints must be given up soon. */
 const CRASHES_MAX = 3
 /** Number of starts after that which are one too many. */
@@ -60,6 +63,7 @@
   private readonly earlierCapacities = new Map<string, { readonly until: number, readonly cpuMilli: number }[]>()
   /** Number of runs that were lost beside a task that had crashed an endpoint before. */
   runsLostToSuspects = 0
+  private readonly crashesMetByTask = new Map<string, number>()
   private readonly failuresByTask = new Map<string, number>()
   private readonly crashesByTask = new Map<string, CrashObservation>()
   private readonly desiredVersions = new Map<string, number>()
@@ -79,6 +83,7 @@
     if (kind === 'refused') job.refusals++
     else job.otherReplies++
     if (kind === 'refused' && job.started) this.checkRefusedJob(id, at)
+    if (kind === 'failed' && !this.mayFail(id)) this.reportViolation('LOST', at, `${id} failed without a cause`)
     if (kind === 'completed' && job.doneTasks.size < job.tasks) this.reportViolation('MIXED', at, `${id} completed with ${job.doneTasks.size} of ${job.tasks} tasks done`)
   }
 
@@ -114,9 +119,10 @@
     this.earlierCapacities.set(endpoint.id, [...this.earlierCapacities.get(endpoint.id) ?? [], { until: at, cpuMilli: endpoint.cpuMilli }])
   }
 
-  /** Records a crash of an endpoint under the tasks that cause crashes; other tasks there are not blamed for it. */
+  /** Records a crash of an endpoint; only the tasks that cause crashes are blamed for it. Call it before the runs are gone. */
   recordCrash (endpoint: FencedEndpointModel): void {
     for (const { task, spec } of endpoint.runs.values()) {
+      this.crashesMetByTask.set(task, (this.crashesMetByTask.get(task) ?? 0) + 1)
       if (spec.crashAfterMs === undefined) continue
       const seen = this.crashesByTask.get(task) ?? { crashes: 0, startsAfterwards: 0 }
       if (seen.crashes > 0) this.runsLostToSuspects += endpoint.runs.size - 1
@@ -160,6 +166,11 @@
     return Math.max(endpoint.cpuMilli, ...earlier.map(({ cpuMilli }) => cpuMilli))
   }
 
+  private mayFail (id: string): boolean {
+    const isOfJob = (task: string): boolean => task.startsWith(`${id}.`)
+    return [...this.failuresByTask.keys()].some(isOfJob) || [...this.crashesMetByTask].some(([task, crashes]) => isOfJob(task) && crashes >= CRASHES_TO_GIVE_UP)
+  }
+
   private checkCrashes (task: string, at: number): void {
     const seen = this.crashesByTask.get(task)
     if (seen === undefined || seen.crashes < CRASHES_MAX) return
