Attempts: what is known of crashes outlives a domain that falls silent, and costs linear time

Cause: the bound was 1,000 jobs, the one without a change for longest dropped first. Each lost run judged all tasks of its job. Change: 5,000 attempts are kept; jobs of which only silence is known are dropped first. Faults are counted as they come, and only tasks with a failed run or two crashes are judged.

--- a/packages/core/src/attempts/attemptsDb.ts
+++ b/packages/core/src/attempts/attemptsDb.ts
@@ -1,18 +1,34 @@
 /**
  * State of the attempts decision: the attempts that went wrong, by job, task and run. They outlive the job, because its caller may send
- * it again, and are forgotten some time after the last one.
+ * it again, and are forgotten some time after the last one. Their number is bounded. When a whole failure domain falls silent, that says
+ * nothing about its tasks, so jobs of which only that is known are dropped first.
  */
 import type { AttemptFault, JobId, Ms, TaskAttempts, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 
 /** How long the attempts of a job are kept; callers send a job again within seconds, a few times. */
 const RETENTION_MS = 60_000
-/** Upper bound of the jobs that are kept; beyond it, the one without a change for longest is dropped. */
-const JOBS_MAX = 1000
+/** Upper bound of the attempts that are kept: a few racks that crash, and what still fits into one message to a new owner. */
+const ATTEMPTS_MAX = 5000
+
+/** Number of a task's attempts by what became of them. */
+export type FaultCounts = Readonly<Record<AttemptFault, number>>
+
+const NO_FAULTS: FaultCounts = { silent: 0, crashed: 0, crashedAlone: 0, failed: 0, outOfReach: 0 }
+
+interface TaskHistory {
+  readonly runs: Map<string, AttemptFault>
+  readonly counts: Record<AttemptFault, number>
+}
 
 interface JobAttempts {
   until: Ms
-  readonly tasks: Map<TaskName, Map<string, AttemptFault>>
+  attempts: number
+  /** A run has failed or an endpoint has crashed under it, so what is known counts for more than silence. */
+  evident: boolean
+  readonly tasks: Map<TaskName, TaskHistory>
+  /** Tasks whose attempts may be reason enough to give the job up. */
+  readonly doubtful: Set<TaskName>
 }
 
 /** A later report on the same run replaces an earlier one only with a fault further down in this list. */
@@ -21,6 +37,9 @@
 /** Attempts that went wrong. */
 export class AttemptsDb {
   private readonly jobs = new Map<JobId, JobAttempts>()
+  /** The jobs that are dropped first. Both maps are in order of change, so that the oldest entry comes first. */
+  private readonly silentJobs = new Map<JobId, JobAttempts>()
+  private attempts = 0
 
   /**
    * Adds what became of a run.
@@ -28,23 +47,37 @@
    */
   add (task: TaskName, run: string, fault: AttemptFault, now: Ms): boolean {
     const id = jobIdOf(task)
-    const job = this.jobs.get(id) ?? { until: now, tasks: new Map() }
-    const runs = job.tasks.get(task) ?? new Map<string, AttemptFault>()
-    const known = runs.get(run)
+    const job = this.jobs.get(id) ?? { until: now, attempts: 0, evident: false, tasks: new Map<TaskName, TaskHistory>(), doubtful: new Set<TaskName>() }
+    const history = job.tasks.get(task) ?? { runs: new Map<string, AttemptFault>(), counts: { ...NO_FAULTS } }
+    const known = history.runs.get(run)
     if (known !== undefined && PRECEDENCE.indexOf(fault) <= PRECEDENCE.indexOf(known)) return false
-    runs.set(run, fault)
-    job.tasks.set(task, runs)
+    this.drop(id, job)
+    job.tasks.set(task, history)
+    history.runs.set(run, fault)
+    history.counts[fault]++
+    if (known === undefined) job.attempts++
+    else history.counts[known]--
+    if (history.counts.failed > 0 || history.counts.crashed + history.counts.crashedAlone > 1) job.doubtful.add(task)
+    job.evident ||= fault !== 'silent' && fault !== 'outOfReach'
     job.until = ms(now + RETENTION_MS)
-    // The map is in order of change, so that the oldest entry comes first.
-    this.jobs.delete(id)
-    this.jobs.set(id, job)
-    if (this.jobs.size > JOBS_MAX) this.jobs.delete(this.jobs.keys().next().value as JobId)
+    this.keep(id, job)
+    while (this.attempts > ATTEMPTS_MAX) this.dropOldest()
     return true
   }
 
   /** @returns the faults of a task's attempts */
   faultsOf (task: TaskName): readonly AttemptFault[] {
-    return [...this.jobs.get(jobIdOf(task))?.tasks.get(task)?.values() ?? []]
+    return [...this.jobs.get(jobIdOf(task))?.tasks.get(task)?.runs.values() ?? []]
+  }
+
+  /** @returns how many of a task's attempts ended in each way */
+  countsOf (task: TaskName): FaultCounts {
+    return this.jobs.get(jobIdOf(task))?.tasks.get(task)?.counts ?? NO_FAULTS
+  }
+
+  /** @returns the tasks of a job with a failed run or more than one crash; no other task can be reason to give the job up */
+  doubtfulTasksOf (id: JobId): Iterable<TaskName> {
+    return this.jobs.get(id)?.doubtful ?? []
   }
 
   /** @returns whether any attempt at a task of the job went wrong */
@@ -54,7 +87,7 @@
 
   /** @returns the attempts at the tasks of a job */
   ofJob (id: JobId): TaskAttempts[] {
-    return [...this.jobs.get(id)?.tasks ?? []].map(([task, runs]) => ({ task, attempts: [...runs].map(([run, fault]) => ({ run, fault })) }))
+    return [...this.jobs.get(id)?.tasks ?? []].map(([task, { runs }]) => ({ task, attempts: [...runs].map(([run, fault]) => ({ run, fault })) }))
   }
 
   /** @returns the jobs with attempts that went wrong */
@@ -66,9 +99,26 @@
   expire (now: Ms): void {
     for (const [id, job] of this.jobs) {
       if (job.until > now) return
-      this.jobs.delete(id)
+      this.drop(id, job)
     }
   }
+
+  private keep (id: JobId, job: JobAttempts): void {
+    this.jobs.set(id, job)
+    if (!job.evident) this.silentJobs.set(id, job)
+    this.attempts += job.attempts
+  }
+
+  private drop (id: JobId, job: JobAttempts): void {
+    if (!this.jobs.delete(id)) return
+    this.silentJobs.delete(id)
+    this.attempts -= job.attempts
+  }
+
+  private dropOldest (): void {
+    const [oldest] = this.silentJobs.size > 0 ? this.silentJobs : this.jobs
+    if (oldest !== undefined) this.drop(...oldest)
+  }
 }
 
 /** @returns the job that a task belongs to; its id is the first part of the task's name */
--- a/packages/core/src/attempts/attemptsDecider.spec.ts
+++ b/packages/core/src/attempts/attemptsDecider.spec.ts
@@ -8,6 +8,7 @@
 import { AttemptsDecider } from './attemptsDecider.js'
 
 const TASK = 'a.0.0.0' as TaskName
+const TASKS_OF_A_WIDE_JOB = 340
 
 class Harness {
   readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
@@ -82,6 +83,22 @@
     expect(harness.attempts.standingOf(TASK)).to.equal('sound')
   })
 
+  it('judge each task of a wide job at most once when a rack crashes under all of them', () => {
+    const harness = new Harness()
+    let judged = 0
+    const original = harness.attempts.standingOf.bind(harness.attempts)
+    harness.attempts.standingOf = (task) => {
+      judged++
+      return original(task)
+    }
+    for (let index = 0; index < TASKS_OF_A_WIDE_JOB; index++) {
+      const run = makeRun({ id: `e-${index % 20}` as EndpointId }, `a.0.0.${index}` as TaskName, 1, harness.ctx.now, { state: 'running' })
+      harness.attempts.record(run, { bornAt: 5 }, 'crashed')
+      expect(harness.attempts.hopelessTaskOf('a' as JobId, 4)).to.equal(undefined)
+    }
+    expect(judged).to.be.at.most(TASKS_OF_A_WIDE_JOB)
+  })
+
   it('are forgotten a minute after the last one', () => {
     const harness = new Harness()
     harness.record(1, 'crashed')
--- a/packages/core/src/attempts/attemptsDecider.ts
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -48,18 +48,16 @@
 
   /** @returns whether a task may start as usual, only alone at an endpoint, not for now, or not at all */
   standingOf (task: TaskName): TaskStanding {
-    const faults = this.db.faultsOf(task)
-    const count = (fault: AttemptFault): number => faults.filter(other => other === fault).length
-    const [alone, silences] = [count('crashedAlone'), count('silent')]
-    const crashes = alone + count('crashed')
-    if ((crashes >= CRASHES_MAX && alone > 0) || crashes >= LOSSES_MAX) return 'crashing'
-    if (crashes + silences >= LOSSES_MAX) return 'unclear'
-    return crashes > 0 || silences >= SUSPECT_SILENCES ? 'suspect' : 'sound'
+    const { crashed, crashedAlone, silent } = this.db.countsOf(task)
+    const crashes = crashedAlone + crashed
+    if ((crashes >= CRASHES_MAX && crashedAlone > 0) || crashes >= LOSSES_MAX) return 'crashing'
+    if (crashes + silent >= LOSSES_MAX) return 'unclear'
+    return crashes > 0 || silent >= SUSPECT_SILENCES ? 'suspect' : 'sound'
   }
 
   /** @returns how many runs of a task its endpoints have listed as failed */
   failuresOf (task: TaskName): number {
-    return this.db.faultsOf(task).filter(fault => fault === 'failed').length
+    return this.db.countsOf(task).failed
   }
 
   /**
@@ -67,7 +65,10 @@
    * @returns a task of the job that must not start again, if there is one
    */
   hopelessTaskOf (id: JobId, maxAttempts: number): TaskName | undefined {
-    return this.db.ofJob(id).find(({ task }) => this.standingOf(task) === 'crashing' || this.failuresOf(task) >= Math.max(1, maxAttempts))?.task
+    for (const task of this.db.doubtfulTasksOf(id)) {
+      if (this.standingOf(task) === 'crashing' || this.failuresOf(task) >= Math.max(1, maxAttempts)) return task
+    }
+    return undefined
   }
 
   tick (): void {
