Attempts: the answer of an endpoint settles silences that an earlier owner has met

Cause: silence counts until the endpoint answers, and only the owner that met it connects the answer with its runs. A new owner learns of the silence and not of its end, so a task with three of them waits until its caller leaves. Change: attempts are found by their endpoint; endpointAnswered takes them back, or counts a crash if another incarnation answers. The endpoints decision does not call it yet.

--- a/packages/core/src/attempts/attemptsDb.ts
+++ b/packages/core/src/attempts/attemptsDb.ts
@@ -3,7 +3,7 @@
  * it again, and are forgotten some time after the last one. Their number is bounded. When a whole failure domain falls silent, that says
  * nothing about its tasks, so jobs of which only that is known are dropped first.
  */
-import type { AttemptFault, JobId, Ms, TaskAttempts, TaskName } from '@cranberryyard/protocol'
+import type { AttemptFault, EndpointId, JobId, Ms, TaskAttempts, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 
 /** How long the attempts of a job are kept; callers send a job again within seconds, a few times. */
@@ -34,11 +34,18 @@
 /** A later report on the same run replaces an earlier one only with a fault further down in this list. */
 const PRECEDENCE: readonly AttemptFault[] = ['silent', 'crashed', 'crashedAlone', 'failed', 'outOfReach']
 
+/** A run of which only the silence of its endpoint is known. */
+export interface SilentAttempt {
+  readonly task: TaskName
+  readonly run: string
+}
+
 /** Attempts that went wrong. */
 export class AttemptsDb {
   private readonly jobs = new Map<JobId, JobAttempts>()
   /** The jobs that are dropped first. Both maps are in order of change, so that the oldest entry comes first. */
   private readonly silentJobs = new Map<JobId, JobAttempts>()
+  private readonly silences = new Map<string, Map<string, SilentAttempt>>()
   private attempts = 0
 
   /**
@@ -57,6 +64,8 @@
     history.counts[fault]++
     if (known === undefined) job.attempts++
     else history.counts[known]--
+    if (fault === 'silent') this.keepSilence({ task, run })
+    else if (known === 'silent') this.dropSilence({ task, run })
     if (history.counts.failed > 0 || history.counts.crashed + history.counts.crashedAlone > 1) job.doubtful.add(task)
     job.evident ||= fault !== 'silent' && fault !== 'outOfReach'
     job.until = ms(now + RETENTION_MS)
@@ -80,6 +89,11 @@
     return this.jobs.get(id)?.doubtful ?? []
   }
 
+  /** @returns the attempts at an endpoint of which only its silence is known */
+  silentAt (endpoint: EndpointId): SilentAttempt[] {
+    return [...this.silences.get(endpoint)?.values() ?? []]
+  }
+
   /** @returns whether any attempt at a task of the job went wrong */
   has (id: JobId): boolean {
     return this.jobs.has(id)
@@ -99,7 +113,7 @@
   expire (now: Ms): void {
     for (const [id, job] of this.jobs) {
       if (job.until > now) return
-      this.drop(id, job)
+      this.forget(id, job)
     }
   }
 
@@ -115,12 +129,43 @@
     this.attempts -= job.attempts
   }
 
+  private forget (id: JobId, job: JobAttempts): void {
+    this.drop(id, job)
+    for (const [task, { runs }] of job.tasks) {
+      for (const [run, fault] of runs) if (fault === 'silent') this.dropSilence({ task, run })
+    }
+  }
+
+  private keepSilence (attempt: SilentAttempt): void {
+    const endpoint = endpointOf(attempt.run)
+    const there = this.silences.get(endpoint) ?? new Map<string, SilentAttempt>()
+    this.silences.set(endpoint, there.set(`${attempt.task}#${attempt.run}`, attempt))
+  }
+
+  private dropSilence ({ task, run }: SilentAttempt): void {
+    const there = this.silences.get(endpointOf(run))
+    there?.delete(`${task}#${run}`)
+    if (there?.size === 0) this.silences.delete(endpointOf(run))
+  }
+
   private dropOldest (): void {
     const [oldest] = this.silentJobs.size > 0 ? this.silentJobs : this.jobs
-    if (oldest !== undefined) this.drop(...oldest)
+    if (oldest !== undefined) this.forget(...oldest)
   }
 }
 
+/** @returns the name of a run over all incarnations of all endpoints; the run numbers of different tasks may be the same */
+export function runName (endpoint: EndpointId, bornAt: number, run: number): string {
+  return `${endpoint}@${bornAt}#${run}`
+}
+
+const endpointOf = (run: string): string => run.slice(0, run.lastIndexOf('@'))
+
+/** @returns whether a run was started at this incarnation of its endpoint */
+export function isOfIncarnation (run: string, bornAt: number): boolean {
+  return run.slice(run.lastIndexOf('@') + 1, run.lastIndexOf('#')) === String(bornAt)
+}
+
 /** @returns the job that a task belongs to; its id is the first part of the task's name */
 export function jobIdOf (task: TaskName): JobId {
   return task.slice(0, task.indexOf('.')) as JobId
--- a/packages/core/src/attempts/attemptsDecider.spec.ts
+++ b/packages/core/src/attempts/attemptsDecider.spec.ts
@@ -74,6 +74,21 @@
     expect(other.attempts.hopelessTaskOf('a' as JobId, 4)).to.equal(TASK)
   })
 
+  it('are settled by the next answer of a silent endpoint, also for an owner that learned of the silence', () => {
+    const [owner, next] = [new Harness(), new Harness()]
+    for (const run of [1, 2, 3]) owner.record(run, 'silent')
+    next.attempts.learn(owner.attempts.db.ofJob('a' as JobId))
+    expect(next.attempts.standingOf(TASK)).to.equal('unclear')
+    expect([...next.attempts.endpointAnswered('e-1' as EndpointId, 5)]).to.deep.equal(['a'])
+    expect([...next.attempts.endpointAnswered('e-1' as EndpointId, 5)]).to.deep.equal([])
+    expect(next.attempts.standingOf(TASK)).to.equal('suspect')
+    next.attempts.endpointAnswered('e-2' as EndpointId, 6)
+    expect(next.attempts.db.faultsOf(TASK)).to.deep.equal(['outOfReach', 'crashed', 'silent'])
+    next.ctx.now = ms(120_000)
+    next.attempts.tick()
+    expect(next.attempts.db.silentAt('e-3' as EndpointId)).to.deep.equal([])
+  })
+
   it('end the job when as many runs of a task have failed as are allowed', () => {
     const harness = new Harness()
     harness.record(1, 'failed')
--- a/packages/core/src/attempts/attemptsDecider.ts
+++ b/packages/core/src/attempts/attemptsDecider.ts
@@ -5,10 +5,10 @@
  * shows the cause and costs no other job its run. An endpoint that falls silent may have crashed or may be cut off, and its next
  * answer shows which; until then the silence keeps a task from starting at most, and fails no job.
  */
-import type { AttemptFault, JobId, TaskAttempts, TaskName } from '@cranberryyard/protocol'
+import type { AttemptFault, EndpointId, JobId, TaskAttempts, TaskName } from '@cranberryyard/protocol'
 import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
 import type { ShardContext } from '../shard/types.js'
-import { AttemptsDb, jobIdOf } from './attemptsDb.js'
+import { AttemptsDb, isOfIncarnation, jobIdOf, runName } from './attemptsDb.js'
 import type { TaskStanding } from './types.js'
 
 /** Crashes under a task, one of them while nothing else ran there, after which it is not started again. */
@@ -29,7 +29,7 @@
    * @returns false when this was known
    */
   record (run: LedgerRun, endpoint: Pick<LedgerEndpoint, 'bornAt'>, fault: AttemptFault): boolean {
-    return this.db.add(run.task, `${run.endpoint}@${endpoint.bornAt ?? 0}#${run.run}`, fault, this.ctx.now)
+    return this.db.add(run.task, runName(run.endpoint, endpoint.bornAt ?? 0, run.run), fault, this.ctx.now)
   }
 
   /**
@@ -46,6 +46,19 @@
     return changed
   }
 
+  /**
+   * Settles the silences of an endpoint that answers, those that an earlier owner has met included. Another incarnation has crashed; how many
+   * runs it had then is not known.
+   * @returns the jobs about which something new is known
+   */
+  endpointAnswered (endpoint: EndpointId, bornAt: number): Set<JobId> {
+    const changed = new Set<JobId>()
+    for (const { task, run } of this.db.silentAt(endpoint)) {
+      if (this.db.add(task, run, isOfIncarnation(run, bornAt) ? 'outOfReach' : 'crashed', this.ctx.now)) changed.add(jobIdOf(task))
+    }
+    return changed
+  }
+
   /** @returns whether a task may start as usual, only alone at an endpoint, not for now, or not at all */
   standingOf (task: TaskName): TaskStanding {
     const { crashed, crashedAlone, silent } = this.db.countsOf(task)
