--- a/packages/bench/src/shard/crashingTasks.spec.ts
+++ b/packages/bench/src/shard/crashingTasks.spec.ts
@@ -104,6 +104,16 @@
   return [...play.problems(job, 2), ...job.reply === 'failed' ? [] : [`seed ${play.seed}: answered ${job.reply}`]]
 }
 
+/** Kills all instances that know of a crash: the owners and the job's fronts. */
+const allWhoKnowKilled = (losses: number): Scenario => (play) => {
+  const job = play.submitCrashing()
+  let killed = 0
+  play.followChanges(() => play.crashesOf(job), 300, () => {
+    if (killed++ < losses) for (const name of new Set([...play.fleet.owners(), ...play.fleet.fronts(job.id)])) play.fleet.kill(name, 500)
+  })
+  return play.problems(job, 3 + losses)
+}
+
 /** A crash without a sign shows only when the endpoint is back, so the task may cost one endpoint more. */
 const silentCrashes: Scenario = (play) => {
   play.fleet.crashesAreSilent = true
@@ -185,6 +195,10 @@
     expect(playAll(domainLost)).to.deep.equal([])
   })
 
+  it('cost one endpoint more each time all instances that know of a crash are killed at once', () => {
+    for (const losses of [1, 2]) expect(playAll(allWhoKnowKilled(losses))).to.deep.equal([])
+  })
+
   it('are given up although the endpoints give no sign when they crash', () => {
     expect(playAll(silentCrashes)).to.deep.equal([])
   })
