Tests: a rack that crashes at once, and a mutation for rule LOST

Cause found: when the endpoint of a task's trial has crashed with the rest of its rack, the refused hold comes before the refused start and the run counts as a crash, although it never arrived: a sound job fails.

--- a/packages/bench/src/shard/crashingTasks.spec.ts
+++ b/packages/bench/src/shard/crashingTasks.spec.ts
@@ -13,6 +13,8 @@
 const WARM_UP_MS = 8000
 const PATIENCE_MS = 20_000
 const DISTURBED_MS = 9000
+const RACK_ENDPOINTS = 20
+const RACK_SEEDS = [1, 2, 3] as const
 const SOUND: ModelTask = { cpuMilli: 14_000, workMs: 60, fails: false }
 const CRASHING: ModelTask = { ...SOUND, crashAfterMs: 2 }
 
@@ -223,6 +225,25 @@
   })
 })
 
+describe('sound tasks at a rack that crashes at once', function () {
+  this.timeout(60_000)
+
+  it('do not make their job fail when the next endpoint is of the rack too and refuses them', () => {
+    const failed = RACK_SEEDS.flatMap((seed) => {
+      const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 3, endpointsPerDomain: 0, seed, endpointKinds: [{ count: RACK_ENDPOINTS * 6, cpuMilli: 48_000, speed: 1 }] })
+      fleet.run(WARM_UP_MS)
+      for (let at = 0; at < 4500; at += 16) fleet.time.after(at, () => fleet.submit(FRONT, 8, { cpuMilli: 2000, workMs: 1000, fails: false }))
+      // Idle endpoints are asked every 2 s, so the crash of some is not noticed before the first tasks start again.
+      fleet.run(3500)
+      const byLoad = [...fleet.endpoints.values()].sort((a, b) => b.runs.size - a.runs.size)
+      for (const endpoint of byLoad.filter((_, index) => index % 6 === 0)) endpoint.crash(fleet.time.now)
+      fleet.run(2000)
+      return [...fleet.oracle.violations.map(({ rule, detail }) => `seed ${seed}: ${rule} ${detail}`), ...fleet.jobs.filter(job => job.reply === 'failed').map(job => `seed ${seed}: ${job.id} failed`)]
+    })
+    expect(failed).to.deep.equal([])
+  })
+})
+
 describe('a task whose runs fail', function () {
   this.timeout(60_000)
 
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -96,6 +96,15 @@
     load: { jobsPerSecond: 30, withHazards: true },
     apply: () => replaceMethod(sample.attempts, 'record', () => () => false)
   },
+  {
+    name: 'an endpoint that falls silent counts as crashed',
+    breaks: ['LOST'],
+    load: { jobsPerSecond: 30, withHazards: true },
+    apply: () => replaceMethod(sample.attempts, 'record', original => function (this: typeof sample.attempts, ...args) {
+      const [run, endpoint, fault] = args as unknown as Parameters<typeof sample.attempts.record>
+      return original.apply(this, [run, endpoint, fault === 'silent' ? 'crashed' : fault] as never[])
+    })
+  },
   {
     name: 'the owner goes on with the capacity that an endpoint had at first',
     breaks: ['LIMIT'],
