--- a/packages/bench/src/shard/crashingTasks.spec.ts
+++ b/packages/bench/src/shard/crashingTasks.spec.ts
@@ -13,6 +13,8 @@
 const WARM_UP_MS = 8000
 const PATIENCE_MS = 20_000
 const DISTURBED_MS = 9000
+const RACK_ENDPOINTS = 20
+const RACK_SEEDS = [1, 2, 3] as const
 const SOUND: ModelTask = { cpuMilli: 14_000, workMs: 60, fails: false }
 const CRASHING: ModelTask = { ...SOUND, crashAfterMs: 2 }
 
@@ -104,6 +106,16 @@
   return [...play.problems(job, 2), ...job.reply === 'failed' ? [] : [`seed ${play.seed}: answered ${job.reply}`]]
 }
 
+/** Kills all instances that know of a crash: the owners and the job's fronts. */
+const allWhoKnowKilled = (losses: number): Scenario => (play) => {
+  const job = play.submitCrashing()
+  let killed = 0
+  play.followChanges(() => play.crashesOf(job), 300, () => {
+    if (killed++ < losses) for (const name of new Set([...play.fleet.owners(), ...play.fleet.fronts(job.id)])) play.fleet.kill(name, 500)
+  })
+  return play.problems(job, 3 + losses)
+}
+
 /** A crash without a sign shows only when the endpoint is back, so the task may cost one endpoint more. */
 const silentCrashes: Scenario = (play) => {
   play.fleet.crashesAreSilent = true
@@ -185,6 +197,10 @@
     expect(playAll(domainLost)).to.deep.equal([])
   })
 
+  it('cost one endpoint more each time all instances that know of a crash are killed at once', () => {
+    for (const losses of [1, 2]) expect(playAll(allWhoKnowKilled(losses))).to.deep.equal([])
+  })
+
   it('are given up although the endpoints give no sign when they crash', () => {
     expect(playAll(silentCrashes)).to.deep.equal([])
   })
@@ -209,6 +225,25 @@
   })
 })
 
+describe('sound tasks at a rack that crashes at once', function () {
+  this.timeout(60_000)
+
+  it('do not make their job fail when the next endpoint is of the rack too and refuses them', () => {
+    const failed = RACK_SEEDS.flatMap((seed) => {
+      const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 3, endpointsPerDomain: 0, seed, endpointKinds: [{ count: RACK_ENDPOINTS * 6, cpuMilli: 48_000, speed: 1 }] })
+      fleet.run(WARM_UP_MS)
+      for (let at = 0; at < 4500; at += 16) fleet.time.after(at, () => fleet.submit(FRONT, 8, { cpuMilli: 2000, workMs: 1000, fails: false }))
+      // Idle endpoints are asked every 2 s, so the crash of some is not noticed before the first tasks start again.
+      fleet.run(3500)
+      const byLoad = [...fleet.endpoints.values()].sort((a, b) => b.runs.size - a.runs.size)
+      for (const endpoint of byLoad.filter((_, index) => index % 6 === 0)) endpoint.crash(fleet.time.now)
+      fleet.run(2000)
+      return [...fleet.oracle.violations.map(({ rule, detail }) => `seed ${seed}: ${rule} ${detail}`), ...fleet.jobs.filter(job => job.reply === 'failed').map(job => `seed ${seed}: ${job.id} failed`)]
+    })
+    expect(failed).to.deep.equal([])
+  })
+})
+
 describe('a task whose runs fail', function () {
   this.timeout(60_000)
 
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -53,6 +53,7 @@
     this.refusals.push(`had crashed under ${runs.length}`)
   }
 
+  endpointAnswered (): void {}
   endpointBack (): void {
     this.refusals.push('back')
   }
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -308,6 +308,7 @@
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
     else if (endpoint.runsAtRefusal !== undefined || endpoint.runsLostInSilence.length > 0) this.listener.endpointBack(endpoint, [...endpoint.runsAtRefusal ?? [], ...endpoint.runsLostInSilence])
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
+    this.listener.endpointAnswered(endpoint, listing.bornAt)
     endpoint.bornAt = listing.bornAt
     endpoint.clockOffset = listing.clock - now
     endpoint.unansweredHolds = 0
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -148,6 +148,8 @@
   runLost (run: LedgerRun, loss: RunLoss): void
   /** An endpoint refuses connections, so it has most likely crashed under these runs, which are lost once their leases have ended. */
   endpointRefused (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
+  /** The endpoint answers in the given incarnation, which settles what became of runs that this owner or an earlier one lost in its silence. */
+  endpointAnswered (endpoint: LedgerEndpoint, bornAt: number): void
   /** The endpoint answers again in the same incarnation, so it had not crashed under these runs. */
   endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void
   /** The endpoint answers in another incarnation, so it had crashed under these runs, which were lost in silence. */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -255,6 +255,13 @@
     for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
   }
 
+  endpointAnswered ({ id }: LedgerEndpoint, bornAt: number): void {
+    const changed = this.attempts.endpointAnswered(id, bornAt)
+    if (changed.size === 0) return
+    this.shareAttempts(changed)
+    for (const jobId of changed) this.attemptsLearned(jobId)
+  }
+
   endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
     this.recordFaults(runs, endpoint, 'outOfReach')
   }
@@ -487,7 +494,11 @@
   /** Records what became of runs, and passes on what is new: the job may go on at another owner, or come again from another front. */
   private recordFaults (runs: readonly LedgerRun[], endpoint: LedgerEndpoint, fault: AttemptFault): void {
     const changed = jobIdsOf(runs.filter(run => this.attempts.record(run, endpoint, fault)))
-    if (changed.size > 0) this.ports.attemptsChanged(new Map([...changed].map(id => [id, this.db.jobs.get(id)?.front])))
+    if (changed.size > 0) this.shareAttempts(changed)
+  }
+
+  private shareAttempts (ids: ReadonlySet<JobId>): void {
+    this.ports.attemptsChanged(new Map([...ids].map(id => [id, this.db.jobs.get(id)?.front])))
   }
 
   /** @returns whether the job has ended as failed, since a task of it must not start again */
