--- /dev/null
+++ b/packages/dispatcher/src/shard/jobServerTask.spec.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai'
+import type { ShardInput } from '@cranberryyard/core/shard'
+import type { JobId } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { connect, createServer } from 'node:net'
+import type { Socket } from 'node:net'
+import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { listen } from '../utils/plainServer.js'
+import { JobServerTask } from './jobServerTask.js'
+import type { CallerWire } from './wires.js'
+
+const REQUEST = 'POST /q/1 HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n{}'
+/** Longer than the server needs for anything that has arrived. */
+const SETTLED_MS = 100
+
+const WIRE: CallerWire = {
+  read: (_method, path) => ({ type: 'submit', path, job: { id: '1' as JobId, spec: '', features: [], steps: [] }, deadlineMs: ms(1000) }),
+  answer: () => ({ status: 200, headers: {}, body: '{}' }),
+  answerMalformed: () => ({ status: 400, headers: {}, body: '{}' }),
+  answerTooLarge: () => ({ status: 413, headers: {}, body: '{}' }),
+  answerNoQueue: () => ({ status: 404, headers: {}, body: '{}' }),
+  answerUnknownJob: () => ({ status: 410, headers: {}, body: '{}' }),
+  answerWaitingCount: () => ({ status: 200, headers: {}, body: '{}' })
+}
+
+/** Sends a request on a connection that the server reads only after the caller has done something more. @returns the types of the inputs */
+async function inputsOf (andThen: (caller: Socket) => void): Promise<string[]> {
+  const inputs: string[] = []
+  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => true)
+  const holding = createServer({ pauseOnConnect: true })
+  const caller = connect(await listen(holding, '127.0.0.1', 0), '127.0.0.1')
+  caller.on('error', () => {})
+  const [held] = await once(holding, 'connection') as [Socket]
+  caller.write(REQUEST)
+  andThen(caller)
+  await sleep(SETTLED_MS)
+  task.callers.emit('connection', held)
+  held.resume()
+  await sleep(SETTLED_MS)
+  caller.destroy()
+  await sleep(SETTLED_MS)
+  holding.close()
+  return inputs
+}
+
+describe('the task that serves callers', () => {
+  it('submits the job of a caller that waits, and reports when the caller leaves', async () => {
+    expect(await inputsOf(() => {})).to.deep.equal(['submit', 'callerLeft'])
+  })
+
+  it('submits no job of a caller that had left before its request was read', async () => {
+    expect(await inputsOf(caller => caller.destroySoon())).to.deep.equal([])
+    expect(await inputsOf(caller => setTimeout(() => caller.resetAndDestroy(), SETTLED_MS / 4))).to.deep.equal([])
+  })
+})
--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -82,13 +82,22 @@
     else this.send(res, request.type === 'waitingCount' ? this.wire.answerWaitingCount(0) : this.wire.answerUnknownJob())
   }
 
+  /**
+   * Submits a job once everything else that has arrived was read: a request that was held up on its way may be followed by the end of its connection.
+   * Its caller may have sent the job again elsewhere by now.
+   */
   private submit (res: ServerResponse, host: string, request: Extract<CallerRequest, { type: 'submit' }>): void {
     const callId = `c${++this.callCounter}`
+    let submitted = false
     this.openResponses.set(callId, res)
     res.on('close', () => {
-      if (this.openResponses.delete(callId)) this.post({ type: 'callerLeft', callId })
+      if (this.openResponses.delete(callId) && submitted) this.post({ type: 'callerLeft', callId })
+    })
+    afterNextRead(() => {
+      if (!this.openResponses.has(callId) || res.socket?.readableEnded === true) return
+      submitted = true
+      this.post({ type: 'submit', callId, host, path: request.path, job: request.job, deadlineMs: ms(request.deadlineMs) })
     })
-    this.post({ type: 'submit', callId, host, path: request.path, job: request.job, deadlineMs: ms(request.deadlineMs) })
   }
 
   private send (res: ServerResponse, answer: CallerAnswer): void {
@@ -98,3 +107,8 @@
     res.end(answer.body)
   }
 }
+
+/** Calls back after the next turn of the event loop, which reads the end of a connection whose data the present turn has read. */
+function afterNextRead (callback: () => void): void {
+  setImmediate(() => setImmediate(callback))
+}
