Messages: a version or revision beyond the safe integers is not accepted from a peer

Change: whole numbers of messages are safe integers. Test, which failed before by construction of the check: messageCheck.spec.ts.

--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -63,6 +63,12 @@
     expect(incomplete.filter(message => isShardMessage(message as { type: string }))).to.deep.equal([])
   })
 
+  it('rejects versions and revisions beyond the safe integers, above which no later one could be put in force', () => {
+    const desired = VALID_MESSAGES.find(message => (message as { type: string }).type === 'desired') as unknown as { type: string, state: object }
+    expect([7, 2 ** 53 - 1, 2 ** 53, 1e308].map(version => isShardMessage({ ...desired, state: { ...desired.state, version } } as { type: string }))).to.deep.equal([true, true, false, false])
+    expect([7, 1e308].map(revision => isShardMessage({ type: 'handover', failureDomain: 'd', revision, rank: 1 } as { type: string }))).to.deep.equal([true, false])
+  })
+
   it('accepts messages with and without the fields that earlier versions do not send, but not with values of another type', () => {
     expect(isShardMessage({ type: 'desiredRequest', introduce: true } as { type: string })).to.equal(true)
     expect(isShardMessage({ type: 'desiredRequest', introduce: 1 } as { type: string })).to.equal(false)
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -15,7 +15,7 @@
 const flag: Check = value => typeof value === 'boolean'
 const finiteNumber: Check = value => typeof value === 'number' && Number.isFinite(value)
 const nonNegative: Check = value => finiteNumber(value) && (value as number) >= 0
-const nonNegativeInteger: Check = value => Number.isInteger(value) && (value as number) >= 0
+const nonNegativeInteger: Check = value => Number.isSafeInteger(value) && (value as number) >= 0
 const oneOf = (...values: readonly string[]): Check => value => values.includes(value as string)
 const optional = (check: Check): Check => value => value === undefined || check(value)
 const listOf = (check: Check): Check => value => Array.isArray(value) && value.every(check)
