--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -155,6 +155,23 @@
     expect(listener.events).to.deep.equal(['rejected 1 neverArrived'])
   })
 
+  it('does not extend the lease of a run by repeating the start of another', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const lease = { endsBy: ms(ctx.now + 350) }
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease })
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const other = ledger.start(endpointOf(ledger), 'other.0.0.0' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    ctx.now = ms(ctx.now + 150)
+    ctx.out.takeEffects()
+    ledger.startOutcome(ID, other.orderId, { type: 'silent' })
+    expect(takeEffects(ctx, 'startTask').map(({ notAfter }) => notAfter)).to.deep.equal([850])
+    ctx.now = ms(ctx.now + 250)
+    ledger.startOutcome(ID, other.orderId, { type: 'silent' })
+    expect(takeEffects(ctx, 'startTask')).to.deep.equal([])
+  })
+
   it('does not extend the lease of runs that it finds until a job claims them', () => {
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -415,7 +415,9 @@
     const { now, cfg, out } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
-    run.notAfter = (endpointClock(endpoint, now) + cfg.startValidMs) as EndpointClockMs
+    const validMs = Math.floor(Math.min(cfg.startValidMs, leaseBoundOf(endpoint) - now))
+    if (validMs <= 0) return
+    run.notAfter = Math.max(run.notAfter, endpointClock(endpoint, now) + validMs) as EndpointClockMs
     this.recordLeaseEnd(endpoint, run.notAfter)
     this.stampOrder(run, token)
     run.startSentAt = now
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -275,6 +275,15 @@
     expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }))).to.equal(true)
   })
 
+  it('does not abandon a job for the cancel of an earlier copy', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 5000, { attempt: 3 }))
+    owner.execution.cancel('a' as JobId, FRONT.instance, { incarnation: FRONT.incarnation, attempt: 2 })
+    expect(owner.execution.db.jobs.has('a' as JobId)).to.equal(true)
+    owner.execution.cancel('a' as JobId, FRONT.instance, { incarnation: FRONT.incarnation, attempt: 3 })
+    expect(owner.execution.db.jobs.has('a' as JobId)).to.equal(false)
+  })
+
   it('lets an older copy of a job that it holds change nothing, so that its next decline counts', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('runs', 1, 5000))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -96,7 +96,7 @@
   /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. Copies that the cancel has overtaken are not taken. */
   cancel (id: JobId, from: InstanceId, { incarnation, attempt }: { readonly incarnation?: number, readonly attempt?: number } = {}): void {
     const job = this.db.jobs.get(id)
-    if (job !== undefined && job.front.instance === from) this.abandon(job, 'callerLeft')
+    if (job !== undefined && job.front.instance === from && (attempt === undefined || attempt >= job.attempt)) this.abandon(job, 'callerLeft')
     if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, this.ctx.now)
   }
 
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -74,6 +74,19 @@
     expect(sent.flatMap(message => message.type === 'submit' ? [`submit ${message.order.attempt}`] : message.type === 'cancelJob' ? [`cancel ${message.attempt}`] : [])).to.deep.equal(['submit 1', 'cancel 1', 'submit 2'])
   })
 
+  it('sends a job anew whose only copy an owner has not taken, resumes one of which an owner may have taken a copy, and ignores answers to earlier copies', () => {
+    const { intake, sent } = setUp()
+    const resumed = (): (boolean | undefined)[] => sent.map(message => message.type === 'submit' ? message.order.resumed : undefined)
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    intake.jobUnknownAtOwner('a' as JobId, OWNER, DOMAIN, 1)
+    expect(resumed()).to.deep.equal([false, false])
+    intake.linkReplaced(OWNER)
+    intake.jobUnknownAtOwner('a' as JobId, OWNER, DOMAIN, 2)
+    expect(resumed()).to.deep.equal([false, false, true])
+    intake.jobUnknownAtOwner('a' as JobId, OWNER, DOMAIN, 3)
+    expect(resumed()).to.deep.equal([false, false, true, true])
+  })
+
   it('resumes a job at the next owner of its shard, and reports it as lost when there is none', () => {
     const { ctx, intake, sessions, sent, replies } = setUp()
     intake.submit('c1', 'h', '/q/a', job('a', 2000), ms(9000))
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -108,10 +108,20 @@
     this.place(job)
   }
 
-  /** Called when an owner does not know the job or no longer owns the shard. */
-  jobUnknownAtOwner (id: JobId, from: InstanceId, failureDomain: FailureDomain): void {
+  /**
+   * Called when an owner does not know the job or no longer owns the shard.
+   * @param attempt - the copy that the owner has not taken, if that is known; an answer to an earlier copy says nothing about the latest
+   */
+  jobUnknownAtOwner (id: JobId, from: InstanceId, failureDomain: FailureDomain, attempt?: number): void {
     const job = this.db.jobs.get(id)
     if (job?.location.type !== 'atOwner' || job.location.owner !== from || job.location.failureDomain !== failureDomain) return
+    if (attempt !== undefined && attempt !== job.attempt) return
+    if (attempt !== undefined && !job.location.resumed && job.resends < RESENDS_MAX) {
+      job.resends++
+      job.location = { type: 'unplaced', since: this.ctx.now }
+      this.place(job)
+      return
+    }
     this.detach(job, failureDomain)
     if (this.sessions.ownerOf(failureDomain) !== from || job.resends >= RESENDS_MAX) return
     job.resends++
@@ -211,7 +221,7 @@
 
   private send (job: FrontedJob, failureDomain: FailureDomain, owner: InstanceId, resumed: boolean): void {
     const { now, self } = this.ctx
-    job.location = { type: 'atOwner', failureDomain, owner, since: now }
+    job.location = { type: 'atOwner', failureDomain, owner, since: now, resumed }
     job.checkedAt = now
     job.attempt = ++this.lastAttempt
     job.copies++
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -6,7 +6,7 @@
 
 /** Where a job is: at an owner, or waiting for one. */
 export type JobLocation =
-  | { readonly type: 'atOwner', readonly failureDomain: FailureDomain, readonly owner: InstanceId, readonly since: Ms }
+  | { readonly type: 'atOwner', readonly failureDomain: FailureDomain, readonly owner: InstanceId, readonly since: Ms, /** An owner may have taken an earlier copy. */ readonly resumed: boolean }
   /** The job has no owner at present. It may have runs in the shard, so only that shard's next owner may resume it. */
   | { readonly type: 'detached', readonly failureDomain: FailureDomain, readonly lastOwner: InstanceId | undefined, readonly since: Ms }
   /** No owner has the job, and none that had it has started it; any owner may get it. */
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -3,10 +3,13 @@
  * owners report about themselves with what they report about others. When a peer counts as live or lost is decided in
  * `sessionsDecider.ts`.
  */
-import type { FailureDomain, InstanceId, Ms, OtherShard, OwnedShard, ShardLoad } from '@cranberryyard/protocol'
+import type { ClockReading, FailureDomain, InstanceId, Ms, OtherShard, OwnedShard, ShardLoad } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { KnownShard, PeerSession } from './types.js'
 
+/** Time for which a reading of a peer's clock is preferred to one that others report; a few ping periods. */
+const READING_RECENT_MS = 1000
+
 const NO_LOAD: ShardLoad = { waitMs: ms(0), busyShare: 0 }
 
 /** The known peers and shards. */
@@ -25,7 +28,7 @@
       instance,
       address,
       incarnation: 0,
-      formerIncarnations: [],
+      incarnationHeardAt: undefined,
       clock: undefined,
       lastReceivedAt: undefined,
       reportedLiveAt: undefined,
@@ -72,10 +75,16 @@
     for (const { failureDomain, owner, address, token, load, clock } of others) {
       const peer = this.peer(owner, address)
       peer.reportedLiveAt = now
-      if (clock !== undefined) peer.clock = { reading: clock, readAt: now }
+      if (clock !== undefined && isBetterReading(peer, clock, now)) peer.clock = { reading: clock, readAt: now }
       this.learnOwner({ failureDomain, owner, token })
       const shard = this.shards.get(failureDomain)
       if (shard?.owner === owner) shard.load = load
     }
   }
 }
+
+/** A reading that came through another instance does not replace a recent one, unless it is ahead of it. */
+function isBetterReading ({ clock }: PeerSession, reading: ClockReading, now: Ms): boolean {
+  if (clock === undefined || now - clock.readAt >= READING_RECENT_MS) return true
+  return reading.incarnation === clock.reading.incarnation && reading.at > clock.reading.at + now - clock.readAt
+}
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -14,8 +14,8 @@
 /** Period of pings to a lost owner; they detect that it is back. */
 const LOST_PEER_PING_PERIOD_MS = 400
 
-/** Number of earlier incarnations of a peer that are remembered; a process that restarts over and over leaves messages of the last few. */
-const FORMER_INCARNATIONS_MAX = 8
+/** Silence of an incarnation after which a message of a lower one is taken for a restart with a clock that was set back. */
+const FORMER_INCARNATION_SILENCE_MS = 1000
 
 /** How long an owner of another domain counts as live after a report by the own domain's owner; a few of its ping periods. */
 const REPORTED_LIVE_VALID_MS = 800
@@ -40,19 +40,23 @@
   /**
    * Records that a message arrived from a peer. A changed incarnation means that its previous process is lost.
    * @param time - the peer's clock when it sent the message, if the message carries it
-   * @returns false if the message comes from a process that another one has followed, and has to be ignored
+   * @returns false if the message comes from a process that another one has followed, and has to be ignored. Incarnations rise, but a clock may have
+   * been set back before a restart, so a lower one counts once the higher one has been silent.
    */
   messageReceived (from: InstanceId, incarnation: number | undefined, address: string, time?: Ms): boolean {
-    if (incarnation !== undefined && this.db.peers.get(from)?.formerIncarnations.includes(incarnation) === true) {
-      this.ctx.out.log('peer.formerIncarnation', { peer: from, peerIncarnation: incarnation })
+    const { now, out } = this.ctx
+    const known = this.db.peers.get(from)
+    if (incarnation !== undefined && known !== undefined && incarnation < known.incarnation && now - (known.incarnationHeardAt ?? -Infinity) < FORMER_INCARNATION_SILENCE_MS) {
+      out.log('peer.formerIncarnation', { peer: from, formerIncarnation: incarnation, peerIncarnation: known.incarnation })
       return false
     }
     const peer = this.db.peer(from, address)
     const restarted = incarnation !== undefined && peer.incarnation !== 0 && incarnation !== peer.incarnation
     if (restarted) {
       this.markLost(peer, 'otherLife')
-      peer.formerIncarnations = [...peer.formerIncarnations, peer.incarnation].slice(-FORMER_INCARNATIONS_MAX)
+      peer.clock = undefined
     }
+    if (incarnation !== undefined) peer.incarnationHeardAt = now
     if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
     if (incarnation !== undefined && time !== undefined) peer.clock = { reading: { incarnation, at: time }, readAt: this.ctx.now }
     peer.lastReceivedAt = this.ctx.now
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -10,8 +10,8 @@
   address: string
   /** Latest incarnation that a message carried; 0 before the first message. */
   incarnation: number
-  /** Earlier incarnations, the latest last. Messages that they sent may still arrive. */
-  formerIncarnations: readonly number[]
+  /** When a message of this incarnation last arrived. */
+  incarnationHeardAt: Ms | undefined
   /** The latest reading of the peer's clock, with this instance's time at which it arrived. */
   clock: { readonly reading: ClockReading, readonly readAt: Ms } | undefined
   /** When the latest message of any kind arrived; undefined before the first and while the peer is not monitored. */
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -168,7 +168,7 @@
       case 'cancelJob': return this.execution.cancel(message.jobId, from, message)
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
       case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
-      case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain)
+      case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain, message.attempt)
       case 'moved': return this.intake.shardMoved(from, message.failureDomain, message.progress)
       case 'handover': return this.ownership.handoverReceived(message.failureDomain, message.revision, message.rank)
       case 'desiredRequest': return this.receiveDesiredRequest(from, message.introduce === true)
@@ -342,7 +342,7 @@
     if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
     this.sendLoad(front.instance)
-    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
+    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain, attempt: message.order.attempt })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -39,6 +39,7 @@
   { type: 'announce', incarnation: 1, address: 'a', failureDomain: 'd', token: 64, time: 1 },
   { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: ORDER, ownerClock: { incarnation: 1, at: 1 }, time: 1 },
   { type: 'cancelJob', jobId: '1', incarnation: 1, attempt: 1 },
+  { type: 'notOwner', jobId: '1', failureDomain: 'd', attempt: 1 },
   { type: 'checkJobs', failureDomain: 'd', jobIds: ['1'], ownerClock: { incarnation: 1, at: 1 } }
 ]
 
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -54,7 +54,7 @@
   cancelJob: { jobId: text, incarnation: optional(nonNegativeInteger), attempt: optional(nonNegativeInteger) },
   ended: { jobId: text, outcome: oneOf('completed', 'failed') },
   declined: { jobId: text, attempt: nonNegativeInteger, retryAfterMs: nonNegative },
-  notOwner: { jobId: text, failureDomain: text },
+  notOwner: { jobId: text, failureDomain: text, attempt: optional(nonNegativeInteger) },
   moved: { failureDomain: text, to: text, progress: listOf(progress) },
   handover: { failureDomain: text, revision: nonNegativeInteger, rank: nonNegativeInteger },
   desiredRequest: { introduce: optional(flag) },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -76,8 +76,11 @@
   | { readonly type: 'ended', readonly jobId: JobId, readonly outcome: JobOutcome }
   /** No task of the job has started and none will. */
   | { readonly type: 'declined', readonly jobId: JobId, readonly attempt: number, readonly retryAfterMs: Ms }
-  /** The sender of this message does not own the shard or does not know the job. */
-  | { readonly type: 'notOwner', readonly jobId: JobId, readonly failureDomain: FailureDomain }
+  /**
+   * The sender of this message does not own the shard or does not know the job. With `attempt`, it has not taken this copy, of which nothing runs or will
+   * run; absent in earlier versions.
+   */
+  | { readonly type: 'notOwner', readonly jobId: JobId, readonly failureDomain: FailureDomain, readonly attempt?: number }
   /** The sender has given up the shard. `to` is the successor that continues the jobs, or the sender itself if it knows none. */
   | { readonly type: 'moved', readonly failureDomain: FailureDomain, readonly to: InstanceId, readonly progress: readonly JobProgress[] }
   /** The owner asks its successor to take over the shard immediately. */
