--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -124,6 +124,25 @@
   }
 })
 
+describe('runs of a live front', () => {
+  it('go on beside those of an owner that was a front itself and has lost power', () => {
+    for (const seed of SEEDS) {
+      const fleet = new ShardFleet({ domains: ['b'], instancesPerDomain: 3, endpointsPerDomain: 3, seed, endpointKinds: [{ count: 3, cpuMilli: 32_000, speed: 1 }] })
+      fleet.run(8000)
+      const ofLiveFront = [1, 2, 3, 4, 5, 6].map(() => {
+        fleet.submit(OWNER, 1, { ...LONG_TASK, workMs: 2500 })
+        return fleet.submit(FRONT, 1, { ...LONG_TASK, workMs: 2500 })
+      })
+      fleet.run(300)
+      fleet.losePower(OWNER, BEYOND_TEST_MS)
+      fleet.run(4000)
+      expect(ofLiveFront.map(({ reply }) => reply), `seed ${seed}`).to.deep.equal(ofLiveFront.map(() => 'completed'))
+      expect(Math.max(...ofLiveFront.map(({ latencyMs }) => latencyMs ?? Infinity)), `seed ${seed}`).to.be.lessThan(2500 * 1.2)
+      expect(fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+    }
+  })
+})
+
 describe('two runs of a task at once', () => {
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -424,7 +424,7 @@
   /** Records a crash and breaks the connections. The endpoint refuses new ones until it starts again under the same id. */
   private endpointCrashed (endpoint: FencedEndpointModel): void {
     this.oracle.recordCrash(endpoint)
-    this.time.after(CRASH_DOWN_MIN_MS + this.randomBelow(CRASH_DOWN_SPREAD_MS), () => endpoint.restart(this.time.now))
+    this.time.after(CRASH_DOWN_MIN_MS + this.randomBelow(CRASH_DOWN_SPREAD_MS), () => !endpoint.up && endpoint.restart(this.time.now))
     if (this.crashesAreSilent) return
     for (const breakConnection of [...this.openOrders.get(endpoint.id) ?? []]) breakConnection()
   }
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -172,6 +172,34 @@
     expect(takeEffects(ctx, 'startTask')).to.deep.equal([])
   })
 
+  it('repeats a start after a restart of its endpoint with the usual deadline', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    answerHold(ctx, ledger, listing(20, [], [], 6))
+    ctx.now = ms(ctx.now + 100)
+    ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    expect(takeEffects(ctx, 'startTask').map(({ notAfter }) => notAfter)).to.deep.equal([120 + SHARD_DEFAULTS.startValidMs])
+    expect(run.notAfter).to.be.greaterThan(10_000)
+  })
+
+  it('does not take runs that it finds for lost before the leases of their earlier owner must have ended', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500, [{ task: TASK, run: 3, percent: 10 }]))
+    const loseHolds = (untilMs: number): void => {
+      for (; ctx.now < untilMs; ctx.now = ms(ctx.now + 50)) {
+        ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'silent' })
+        ledger.tick()
+      }
+    }
+    loseHolds(1000 + SHARD_DEFAULTS.leaseMs)
+    expect(listener.losses).to.deep.equal([])
+    loseHolds(1000 + SHARD_DEFAULTS.leaseMs * 1.2)
+    expect(listener.losses).to.deep.equal(['silent, 1 there'])
+  })
+
   it('does not extend the lease of runs that it finds until a job claims them', () => {
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -304,7 +304,7 @@
   }
 
   private applyListing (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
-    const { now, out } = this.ctx
+    const { now, out, cfg } = this.ctx
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
     else if (endpoint.runsAtRefusal !== undefined || endpoint.runsLostInSilence.length > 0) this.listener.endpointBack(endpoint, [...endpoint.runsAtRefusal ?? [], ...endpoint.runsLostInSilence])
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
@@ -315,6 +315,8 @@
     endpoint.runsAtRefusal = undefined
     endpoint.runsLostInSilence = []
     endpoint.answeredAt = now
+    // Until it answers under this owner's token, an earlier owner may have extended the leases there.
+    if (!endpoint.answeredUnderToken && listing.running.length > 0) this.recordLeaseEnd(endpoint, listing.clock + cfg.leaseMs as EndpointClockMs)
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
     this.resolveMissingRuns(endpoint, listing, hold.sentAt)
@@ -417,8 +419,9 @@
     if (token === undefined) return
     const validMs = Math.floor(Math.min(cfg.startValidMs, leaseBoundOf(endpoint) - now))
     if (validMs <= 0) return
-    run.notAfter = Math.max(run.notAfter, endpointClock(endpoint, now) + validMs) as EndpointClockMs
-    this.recordLeaseEnd(endpoint, run.notAfter)
+    const notAfter = endpointClock(endpoint, now) + validMs as EndpointClockMs
+    run.notAfter = Math.max(run.notAfter, notAfter) as EndpointClockMs
+    this.recordLeaseEnd(endpoint, notAfter)
     this.stampOrder(run, token)
     run.startSentAt = now
     out.count('shard.tasks.started')
@@ -431,7 +434,7 @@
       task: run.task,
       run: run.run,
       spec: run.spec,
-      notAfter: run.notAfter,
+      notAfter,
       timeoutMs: cfg.orderTimeoutMs
     })
   }
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -275,6 +275,25 @@
     expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }))).to.equal(true)
   })
 
+  it('does not let a late confirmation set back a later one', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 5000))
+    const { now } = owner.ctx
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['a' as JobId], ms(now - 500))
+    owner.advanceMs(SHARD_DEFAULTS.jobLeaseMs)
+    owner.execution.tick()
+    expect(owner.execution.db.jobs.has('a' as JobId)).to.equal(true)
+  })
+
+  it('gives a run whose start is unanswered the lease of the job that comes again after a pause of this process', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 5000))
+    owner.execution.forgetAllJobs()
+    owner.submit(order('a', 1, 5000, { attempt: 2, resumed: true }))
+    const job = owner.execution.db.jobs.get('a' as JobId)
+    expect(owner.ledger.db.runOf('a.0.0.0' as TaskName)?.lease).to.equal(job?.runLease)
+  })
+
   it('does not abandon a job for the cancel of an earlier copy', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 5000, { attempt: 3 }))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -583,8 +583,10 @@
   private stopUnclaimed (): void {
     const { now, cfg, out } = this.ctx
     for (const endpoint of this.endpoints.db.all()) {
+      const hasClaimedRuns = [...endpoint.runs.values()].some(run => run.state === 'running')
+      const graceMs = hasClaimedRuns ? cfg.claimGraceBesideOthersMs : cfg.claimGraceMs
       for (const run of endpoint.runs.values()) {
-        if (run.state !== 'unclaimed' || now - run.startedAt < cfg.claimGraceMs) continue
+        if (run.state !== 'unclaimed' || now - run.startedAt < graceMs) continue
         out.count('shard.tasks.unclaimed')
         out.log('task.unclaimed', { job: jobIdOf(run.task), task: run.task, run: run.run, endpoint: endpoint.id, foundAgeMs: Math.round(now - run.orderedAt) })
         this.endpoints.stop(run)
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { FailureDomain, InstanceId, Ms } from '@cranberryyard/protocol'
+import type { FailureDomain, FencingToken, InstanceId, Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from '../shard/settings.js'
 import { ShardOutbox } from '../shard/types.js'
@@ -60,6 +60,19 @@
     expect(sessions.clockOf(OWNER)).to.deep.equal({ incarnation: 3, at: 3 })
   })
 
+  it('prefers its own reading of a peer\'s clock to a reported one that is behind it', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
+    const report = (at: number, incarnation = 1): number | undefined => {
+      sessions.db.learnOthers([{ failureDomain: 'f' as FailureDomain, owner: OWNER, address: 'owner', token: 1 as FencingToken, load: { waitMs: ms(0), busyShare: 0 }, clock: { incarnation, at: ms(at) } }], ctx.now)
+      return sessions.clockOf(OWNER)?.at
+    }
+    sessions.messageReceived(OWNER, 1, 'owner', ms(5000))
+    expect([report(4000), report(9000, 0), report(5010)]).to.deep.equal([5000, 5000, 5010])
+    ctx.now = ms(1000)
+    expect(report(4000)).to.equal(4000)
+  })
+
   it('keeps an owner live that sends nothing but answers to pings', () => {
     const { pings, resets, lostAt } = watchOwner(5000, at => at % pingMs === TICK_MS)
     expect(pings).to.be.at.most(5000 / pingMs)
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -142,6 +142,12 @@
     return clock === undefined ? undefined : { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + this.ctx.now - clock.readAt) }
   }
 
+  /** Returns whether the present incarnation of a peer runs a version that sends clock readings. */
+  sendsReadings (instance: InstanceId): boolean {
+    const peer = this.db.peers.get(instance)
+    return peer?.clock !== undefined && peer.clock.reading.incarnation === peer.incarnation
+  }
+
   /** Returns the owner of a shard if it is live or this instance itself. */
   ownerOf (failureDomain: FailureDomain): InstanceId | undefined {
     const shard = this.db.shards.get(failureDomain)
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -49,6 +49,8 @@
   readonly leaseSlackMs: Ms
   /** Runs found after a takeover that no job claims within this span are stopped. */
   readonly claimGraceMs: Ms
+  /** The same at an endpoint that also has claimed runs, whose lease cannot be renewed meanwhile; a claim takes a live front one round trip. */
+  readonly claimGraceBesideOthersMs: Ms
   /** Longest time until a superseded owner has stopped sending orders: one hold and its answer. */
   readonly supersededMs: Ms
   /** How long a front waits for a new owner before it gives up its jobs. */
@@ -86,6 +88,7 @@
   silentHoldPeriodMs: ms(200),
   leaseSlackMs: ms(60),
   claimGraceMs: ms(250),
+  claimGraceBesideOthersMs: ms(100),
   supersededMs: ms(400),
   ownerWaitMs: ms(1200),
   pauseMs: ms(400),
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -83,6 +83,16 @@
     expect(submitTo({}).taken).to.equal(true)
   })
 
+  it('is not asked of a front that has gone back to an earlier version', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput): string[] => owner.handle(input, ms(now), ms(now)).flatMap(effect => effect.type === 'send' ? [effect.message.type] : [])
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, TICK)
+    handle(2, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(3, { type: 'peer', from: FRONT, message: { type: 'ping', incarnation: 7, address: 'front', desiredVersion: 1, time: ms(5) } })
+    expect(handle(4, { type: 'peer', from: FRONT, message: { type: 'submit', incarnation: 8, address: 'front', failureDomain: DOMAIN, order: ORDER } })).not.to.include('notOwner')
+  })
+
   it('includes the time for which the owner was suspended, which its monotonic clock does not count', () => {
     const suspendedMs = 3000
     const wall = (now: number): number => now < 10_000 ? now : now + suspendedMs
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -378,7 +378,7 @@
   private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
     const { now, self, suspendedMs } = this.ctx
     if (front === self.instance) return now
-    if (ownerClock === undefined) return this.sessions.clockOf(front) === undefined ? now : ms(-Infinity)
+    if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
     return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
   }
 
