--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -57,7 +57,7 @@
   }
 
   submit (job: DispatchOrder, front = FRONT): void {
-    this.execution.submit(front, DOMAIN, job)
+    this.execution.submit(front, DOMAIN, job, this.ctx.now)
     this.settle()
   }
 
@@ -98,7 +98,7 @@
     this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
     this.settle()
     this.advanceMs(SHARD_DEFAULTS.leaseMs * 1.1)
-    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id])
+    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id], this.ctx.now)
     this.ledger.tick()
     this.settle()
   }
@@ -262,7 +262,7 @@
 
   it('does not start a copy of a job that a later copy, declined or abandoned, or a cancel has overtaken', () => {
     const owner = new OwnerHarness(1)
-    const refused = (id: string, attempt: number): boolean => !owner.execution.submit(FRONT, DOMAIN, order(id, 1, 5000, { attempt }))
+    const refused = (id: string, attempt: number): boolean => !owner.execution.submit(FRONT, DOMAIN, order(id, 1, 5000, { attempt }), owner.ctx.now)
     owner.submit(order('runs', 1, 5000))
     owner.submit(withObjective(order('declined', 1, 100, { attempt: 3, lastChance: false }), 0))
     expect(owner.sentToFronts.at(-1)?.type).to.equal('declined')
@@ -272,7 +272,7 @@
     owner.answerHold('e-0' as EndpointId, [], [{ task: 'runs.0.0.0' as TaskName, run: 1, how: 'done' }])
     expect([refused('declined', 2), refused('abandoned', 4), refused('cancelled', 5)]).to.deep.equal([true, true, true])
     expect([refused('declined', 6), refused('abandoned', 7), refused('cancelled', 8)]).to.deep.equal([false, false, false])
-    expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }))).to.equal(true)
+    expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }), owner.ctx.now)).to.equal(true)
   })
 
   it('does not let a late confirmation set back a later one', () => {
@@ -334,7 +334,7 @@
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 100))
     owner.confirmStarts()
-    owner.execution.submit(FRONT, DOMAIN, withObjective(order('b', 1, 100), 5000))
+    owner.execution.submit(FRONT, DOMAIN, withObjective(order('b', 1, 100), 5000), owner.ctx.now)
     owner.advanceMs(SHARD_DEFAULTS.jobLeaseMs + 1)
     owner.starts = []
     owner.finishRuns('e-0' as EndpointId)
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -66,7 +66,7 @@
    * @param sentAt - when the front sent this copy, at the earliest
    * @returns false if a later copy was dropped, or if this one may be so old that its front has given the job up, which then may run elsewhere
    */
-  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms = this.ctx.now): boolean {
+  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms): boolean {
     const { id } = order.job
     const known = this.db.jobs.get(id)
     const outcome = this.db.outcomeOf(id)
@@ -132,7 +132,7 @@
    * it has to resubmit.
    * @param sentAt - when the front sent the confirmation, at the earliest
    */
-  confirmJobs (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[], sentAt: Ms = this.ctx.now): void {
+  confirmJobs (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[], sentAt: Ms): void {
     for (const id of ids) {
       const job = this.db.jobs.get(id)
       if (job !== undefined) {
@@ -549,7 +549,7 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
-    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job), ...this.lineage(job) })
+    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job), ...this.copyAges(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
     this.forget(job)
@@ -557,12 +557,12 @@
 
   private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost' | 'unconfirmed'): void {
     const runsStopped = this.stopRuns(job)
-    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined, runsStopped, ...this.lineage(job) })
+    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined, runsStopped, ...this.copyAges(job) })
     this.forget(job)
   }
 
   /** @returns which copy of the job this owner has, and for how long its front has not been heard about it */
-  private lineage (job: OwnedJob): { readonly attempt: number, readonly resumed: boolean, readonly heardAgeMs: number, readonly confirmedAgeMs: number } {
+  private copyAges (job: OwnedJob): { readonly attempt: number, readonly resumed: boolean, readonly heardAgeMs: number, readonly confirmedAgeMs: number } {
     const { now } = this.ctx
     return { attempt: job.attempt, resumed: job.order.resumed, heardAgeMs: Math.round(now - job.heardAt), confirmedAgeMs: Math.round(now - job.confirmedAt) }
   }
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -16,7 +16,7 @@
   readonly reconnectAfterMs: Ms
   /** Silence after which a peer counts as lost. The tasks of a lost front must have ended before its callers resubmit their jobs. */
   readonly peerTimeoutMs: Ms
-  /** An owner drops a job that its front has not confirmed for this long, which is well before callers resubmit it. */
+  /** An owner drops a job that its front has not confirmed for this long, counted from when the front sent the confirmation. */
   readonly jobLeaseMs: Ms
   /** Shortest time after which a caller sends a job again whose outcome it does not know (bound of the platform). */
   readonly resendMs: Ms
