--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -5,15 +5,19 @@
  */
 import type { DispatchOrder, JobId, JobOutcome, Ms, QueueTerms, StepSpec, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
-import type { EndedJob, OwnedJob, OwnedStep, OwnedTask } from './types.js'
+import type { ShardSettings } from '../shard/settings.js'
+import type { DroppedCopies, EndedJob, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
-/** How long outcomes are kept; callers resend a job within a few seconds. */
+/** How long outcomes and the numbers of dropped copies are kept; callers resend a job, and old copies arrive, within a few seconds. */
 const OUTCOME_RETENTION_MS = 10_000
+/** Runs have ended this long before their job may start elsewhere; covers the time that an endpoint takes to end them. */
+const RESEND_MARGIN_MS = 50
 
 /** Jobs held by this owner. */
 export class ExecutionDb {
   readonly jobs = new Map<JobId, OwnedJob>()
   private readonly ended = new Map<JobId, EndedJob>()
+  private readonly dropped = new Map<JobId, DroppedCopies>()
 
   /** Keeps the outcome of an ended job for `OUTCOME_RETENTION_MS`. */
   keepOutcome (id: JobId, outcome: JobOutcome, now: Ms): void {
@@ -25,8 +29,27 @@
     return this.ended.get(id)?.outcome
   }
 
-  /** Drops expired outcomes. The map is in order of insertion, so the oldest come first. */
+  /** Remembers for a while that copies of a job up to a number are not to be taken any more. */
+  keepDropped (id: JobId, front: DroppedCopies['front'], attempt: number, now: Ms): void {
+    const known = this.dropped.get(id)
+    const isSameFront = known?.front.instance === front.instance && known.front.incarnation === front.incarnation
+    this.dropped.delete(id)
+    this.dropped.set(id, { front, attempt: isSameFront ? Math.max(known.attempt, attempt) : attempt, until: ms(now + OUTCOME_RETENTION_MS) })
+  }
+
+  /** @returns whether the front sent this copy before or as the last one that this owner has dropped */
+  isDropped (id: JobId, front: DroppedCopies['front'], attempt: number): boolean {
+    const dropped = this.dropped.get(id)
+    return dropped?.front.instance === front.instance && dropped.front.incarnation === front.incarnation && attempt <= dropped.attempt
+  }
+
+  /** Drops what is kept for a while only. The maps are in order of insertion, so the oldest come first. */
   expire (now: Ms): void {
+    for (const [id, { until }] of this.dropped) {
+      if (until > now) break
+      this.dropped.delete(id)
+    }
+
     for (const [id, ended] of this.ended) {
       if (ended.until > now) return
       this.ended.delete(id)
@@ -64,6 +87,15 @@
   return { name: taskName(id, step, index), step, index, done, run: undefined, lastRun: 0, lostRuns: 0, failedEndpoints: new Set(), avoid: new Set() }
 }
 
+/**
+ * Returns by when the runs of a job must have ended if its front is lost right after a confirmation: before the caller sends the job again, which may
+ * then run in another failure domain.
+ * @param confirmedAt - when the front sent the confirmation, at the earliest
+ */
+export function runsEndBy (confirmedAt: Ms, { resendMs, clockDrift }: Pick<ShardSettings, 'resendMs' | 'clockDrift'>): Ms {
+  return ms(confirmedAt + (resendMs - RESEND_MARGIN_MS) / (1 + clockDrift))
+}
+
 /** @returns true when all steps that this one depends on are done */
 export function isReady (job: OwnedJob, step: OwnedStep): boolean {
   return step.spec.after.every(number => job.steps[number]?.unfinishedTasks === 0)
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -31,7 +31,7 @@
 
 /** A shard owner with endpoints that have capacity for a number of tasks each, usually one; tests answer its start, stop and hold orders explicitly. */
 class OwnerHarness {
-  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000) }
+  readonly ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   readonly sentToFronts: ShardMessage[] = []
   private readonly placement = new PlacementDecider(this.ctx)
   readonly execution: ExecutionDecider
@@ -98,7 +98,7 @@
     this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
     this.settle()
     this.advanceMs(SHARD_DEFAULTS.leaseMs * 1.1)
-    for (const job of this.execution.db.jobs.values()) job.confirmedAt = this.ctx.now
+    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id])
     this.ledger.tick()
     this.settle()
   }
@@ -249,6 +249,70 @@
     expect(owner.stops.map(stop => stop.task)).to.include('b.0.0.0')
   })
 
+  it('does not start a job whose order was on its way for longer than its front may wait', () => {
+    const owner = new OwnerHarness(2)
+    const sentAt = ms(owner.ctx.now - SHARD_DEFAULTS.jobLeaseMs - 1)
+    expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), sentAt)).to.equal(false)
+    owner.settle()
+    expect(owner.starts).to.deep.equal([])
+    expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), ms(sentAt + 2))).to.equal(true)
+    owner.settle()
+    expect(owner.starts).to.have.length(2)
+  })
+
+  it('does not start a copy of a job that a later copy, declined or abandoned, or a cancel has overtaken', () => {
+    const owner = new OwnerHarness(1)
+    const refused = (id: string, attempt: number): boolean => !owner.execution.submit(FRONT, DOMAIN, order(id, 1, 5000, { attempt }))
+    owner.submit(order('runs', 1, 5000))
+    owner.submit(withObjective(order('declined', 1, 100, { attempt: 3, lastChance: false }), 0))
+    expect(owner.sentToFronts.at(-1)?.type).to.equal('declined')
+    owner.submit(withObjective(order('abandoned', 1, 100, { attempt: 4 }), 60_000))
+    owner.execution.cancel('abandoned' as JobId, FRONT.instance)
+    owner.execution.cancel('cancelled' as JobId, FRONT.instance, { incarnation: FRONT.incarnation, attempt: 5 })
+    owner.answerHold('e-0' as EndpointId, [], [{ task: 'runs.0.0.0' as TaskName, run: 1, how: 'done' }])
+    expect([refused('declined', 2), refused('abandoned', 4), refused('cancelled', 5)]).to.deep.equal([true, true, true])
+    expect([refused('declined', 6), refused('abandoned', 7), refused('cancelled', 8)]).to.deep.equal([false, false, false])
+    expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }))).to.equal(true)
+  })
+
+  it('lets an older copy of a job that it holds change nothing, so that its next decline counts', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('runs', 1, 5000))
+    owner.submit(withObjective(order('a', 1, 100, { attempt: 3 }), 5000))
+    owner.submit(withObjective(order('a', 1, 100, { attempt: 2 }), 5000))
+    expect(owner.execution.db.jobs.get('a' as JobId)?.attempt).to.equal(3)
+  })
+
+  it('counts a confirmation from when its front sent it, not from its arrival', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 5000))
+    owner.confirmStarts()
+    const { jobLeaseMs } = SHARD_DEFAULTS
+    const sentAt = ms(owner.ctx.now + 100)
+    owner.advanceMs(jobLeaseMs)
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['a' as JobId], sentAt)
+    owner.execution.tick()
+    owner.advanceMs(99)
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.stops).to.deep.equal([])
+    owner.advanceMs(2)
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.stops).to.have.length(1)
+  })
+
+  it('starts no waiting task of a job whose confirmation has run out', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(order('a', 1, 100))
+    owner.confirmStarts()
+    owner.execution.submit(FRONT, DOMAIN, withObjective(order('b', 1, 100), 5000))
+    owner.advanceMs(SHARD_DEFAULTS.jobLeaseMs + 1)
+    owner.starts = []
+    owner.finishRuns('e-0' as EndpointId)
+    expect(owner.starts).to.deep.equal([])
+  })
+
   it('moves the only task of a step that makes no progress', () => {
     const owner = new OwnerHarness(5)
     owner.submit(order('a', 4, 400))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -17,7 +17,7 @@
 import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
-import { ExecutionDb } from './executionDb.js'
+import { ExecutionDb, runsEndBy } from './executionDb.js'
 import { outlookOf } from './endpointOutlook.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { JobEstimates } from './jobEstimates.js'
@@ -61,20 +61,29 @@
     this.estimates = new JobEstimates(ctx)
   }
 
-  /** Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job. */
-  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): void {
+  /**
+   * Handles a job sent by a front: joins a copy to the job already held, resends a kept outcome, or admits a new job.
+   * @param sentAt - when the front sent this copy, at the earliest
+   * @returns false if a later copy was dropped, or if this one may be so old that its front has given the job up, which then may run elsewhere
+   */
+  submit (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms = this.ctx.now): boolean {
     const { id } = order.job
     const known = this.db.jobs.get(id)
-    if (known !== undefined) {
-      this.join(known, front, order)
-      return
-    }
     const outcome = this.db.outcomeOf(id)
-    if (outcome !== undefined) {
+    if (known === undefined && outcome !== undefined) {
       this.ports.sendToFront(front, { type: 'ended', jobId: id, outcome })
-      return
+      return true
     }
-    const job = this.estimates.makeJob(front, failureDomain, order)
+    if (known === undefined && this.db.isDropped(id, front, order.attempt)) return this.refuseOutdated(front, order, 'overtaken', sentAt)
+    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) return this.refuseOutdated(front, order, 'tooOld', sentAt)
+    if (known === undefined) this.submitNew(front, failureDomain, order, sentAt)
+    else this.join(known, front, order, sentAt)
+    return true
+  }
+
+  private submitNew (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms): void {
+    const { id } = order.job
+    const job = this.estimates.makeJob(front, failureDomain, order, sentAt)
     this.attempts.learn(order.attempts ?? [])
     if (this.attempts.hopelessTaskOf(id, order.queue.maxAttempts) !== undefined) {
       this.db.jobs.set(id, job)
@@ -84,10 +93,11 @@
     if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
   }
 
-  /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. */
-  cancel (id: JobId, from: InstanceId): void {
+  /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. Copies that the cancel has overtaken are not taken. */
+  cancel (id: JobId, from: InstanceId, { incarnation, attempt }: { readonly incarnation?: number, readonly attempt?: number } = {}): void {
     const job = this.db.jobs.get(id)
     if (job !== undefined && job.front.instance === from) this.abandon(job, 'callerLeft')
+    if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, this.ctx.now)
   }
 
   /**
@@ -120,12 +130,13 @@
   /**
    * Answers a front that confirms the jobs it still wants: resends the outcome of ended jobs and reports unknown ones, which
    * it has to resubmit.
+   * @param sentAt - when the front sent the confirmation, at the earliest
    */
-  confirmJobs (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[]): void {
+  confirmJobs (front: FrontSession, failureDomain: FailureDomain, ids: readonly JobId[], sentAt: Ms = this.ctx.now): void {
     for (const id of ids) {
       const job = this.db.jobs.get(id)
       if (job !== undefined) {
-        if (job.front.instance === front.instance) job.confirmedAt = this.ctx.now
+        if (job.front.instance === front.instance) this.confirm(job, sentAt)
         continue
       }
       const outcome = this.db.outcomeOf(id)
@@ -172,7 +183,7 @@
     if (!anyFits(this.admission.db.waiting, largest)) return
     let mayStartPartially = true
     for (const job of this.admission.inStartOrder(this.ctx.now)) {
-      if (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain)) continue
+      if (this.isConfirmationExpired(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain))) continue
       const complete = smallestCpuNeed(job) <= largest && this.startTasks(job, candidates, mayStartPartially || job.firstStartAt !== undefined)
       if (!complete && job.firstStartAt === undefined) mayStartPartially = false
       if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
@@ -307,16 +318,30 @@
     return cpuMilli
   }
 
-  private join (job: OwnedJob, front: FrontSession, order: DispatchOrder): void {
+  private join (job: OwnedJob, front: FrontSession, order: DispatchOrder, sentAt: Ms): void {
     const { out } = this.ctx
-    job.attempt = order.attempt
-    job.confirmedAt = this.ctx.now
-    if (job.front.instance === front.instance && job.front.incarnation === front.incarnation) return
+    const isSameFront = job.front.instance === front.instance && job.front.incarnation === front.incarnation
+    this.confirm(job, sentAt)
+    job.attempt = isSameFront ? Math.max(job.attempt, order.attempt) : order.attempt
+    if (isSameFront) return
     out.count('shard.jobs.joined')
-    out.log('job.joined', { job: job.id, front: front.instance, before: job.front.instance })
+    out.log('job.joined', { job: job.id, attempt: order.attempt, front: front.instance, before: job.front.instance, transitMs: Math.round(this.ctx.now - sentAt) })
     job.front = front
   }
 
+  private confirm (job: OwnedJob, sentAt: Ms): void {
+    job.heardAt = this.ctx.now
+    job.confirmedAt = ms(Math.max(job.confirmedAt, sentAt))
+    job.runLease.endsBy = runsEndBy(job.confirmedAt, this.ctx.cfg)
+  }
+
+  private refuseOutdated (front: FrontSession, { job, attempt, resumed }: DispatchOrder, why: 'overtaken' | 'tooOld', sentAt: Ms): false {
+    const { out, now } = this.ctx
+    out.count('shard.jobs.outdated')
+    out.log('job.outdated', { job: job.id, why, front: front.instance, attempt, resumed, transitMs: sentAt === -Infinity ? undefined : Math.round(now - sentAt) })
+    return false
+  }
+
   private admit (job: OwnedJob): boolean {
     if (!this.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
     const verdict = this.admission.decide(job, {
@@ -333,6 +358,7 @@
 
   private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
     const { out, now } = this.ctx
+    this.db.keepDropped(job.id, job.front, job.attempt, now)
     out.count('shard.jobs.declined')
     out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.capacity())), waitingJobs: this.admission.db.waiting.size })
     this.ports.sendToFront(job.front, { type: 'declined', jobId: job.id, attempt: job.attempt, retryAfterMs })
@@ -371,7 +397,8 @@
     }
     const step = job.steps[task.step]
     if (step === undefined) return
-    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs, this.attempts.standingOf(task.name) !== 'sound')
+    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs, this.attempts.standingOf(task.name) !== 'sound', job.runLease)
+    else run.lease = job.runLease
     run.expectedMs ??= this.estimates.expectedMs(job, step)
     task.run = run
     job.firstStartAt ??= this.ctx.now
@@ -419,7 +446,7 @@
 
   private startTask (job: OwnedJob, { step, task, candidate, exclusive }: PlannedStart): void {
     task.lastRun++
-    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.estimates.expectedMs(job, step), exclusive })
+    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.estimates.expectedMs(job, step), exclusive, lease: job.runLease })
     this.recordFirstStart(job)
   }
 
@@ -511,27 +538,33 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
-    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job) })
+    out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job), ...this.lineage(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
     this.forget(job)
   }
 
   private abandon (job: OwnedJob, why: 'callerLeft' | 'callerDeadline' | 'frontLost' | 'unconfirmed'): void {
-    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined })
-    this.stopRuns(job)
+    const runsStopped = this.stopRuns(job)
+    this.ctx.out.log('job.abandoned', { job: job.id, why, front: job.front.instance, ageMs: Math.round(this.ctx.now - job.receivedAt), started: job.firstStartAt !== undefined, runsStopped, ...this.lineage(job) })
     this.forget(job)
   }
 
-  private stopRuns (job: OwnedJob): void {
-    for (const step of job.steps) {
-      for (const task of step.tasks) {
-        if (task.run !== undefined) this.endpoints.stop(task.run)
-      }
-    }
+  /** @returns which copy of the job this owner has, and for how long its front has not been heard about it */
+  private lineage (job: OwnedJob): { readonly attempt: number, readonly resumed: boolean, readonly heardAgeMs: number, readonly confirmedAgeMs: number } {
+    const { now } = this.ctx
+    return { attempt: job.attempt, resumed: job.order.resumed, heardAgeMs: Math.round(now - job.heardAt), confirmedAgeMs: Math.round(now - job.confirmedAt) }
+  }
+
+  /** @returns the number of runs that are being stopped now */
+  private stopRuns (job: OwnedJob): number {
+    const runs = job.steps.flatMap(step => step.tasks.flatMap(task => task.run ?? []))
+    for (const run of runs) this.endpoints.stop(run)
+    return runs.length
   }
 
   private forget (job: OwnedJob): void {
+    this.db.keepDropped(job.id, job.front, job.attempt, this.ctx.now)
     this.db.jobs.delete(job.id)
     this.admission.db.waiting.delete(job)
   }
@@ -542,7 +575,7 @@
       for (const run of endpoint.runs.values()) {
         if (run.state !== 'unclaimed' || now - run.startedAt < cfg.claimGraceMs) continue
         out.count('shard.tasks.unclaimed')
-        out.log('task.unclaimed', { task: run.task, run: run.run, endpoint: endpoint.id })
+        out.log('task.unclaimed', { job: jobIdOf(run.task), task: run.task, run: run.run, endpoint: endpoint.id, foundAgeMs: Math.round(now - run.orderedAt) })
         this.endpoints.stop(run)
       }
     }
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -6,7 +6,7 @@
 import { ms } from '@cranberryyard/protocol'
 import type { Demand } from '../admission/slotForecast.js'
 import type { ShardContext } from '../shard/types.js'
-import { criticalPathOf, isReady, makeSteps, objectiveOf } from './executionDb.js'
+import { criticalPathOf, isReady, makeSteps, objectiveOf, runsEndBy } from './executionDb.js'
 import { RunTimes } from './runTimes.js'
 import type { FrontSession, OwnedJob, OwnedStep } from './types.js'
 
@@ -19,15 +19,18 @@
 
   constructor (private readonly ctx: ShardContext) {}
 
-  /** Makes the owner's record of a job that a front has sent. */
-  makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder): OwnedJob {
+  /**
+   * Makes the owner's record of a job that a front has sent.
+   * @param sentAt - when the front sent this copy, at the earliest
+   */
+  makeJob (front: FrontSession, failureDomain: FailureDomain, order: DispatchOrder, sentAt: Ms): OwnedJob {
     const { now, cfg } = this.ctx
     const { queue, job } = order
     const runTimes = this.runTimes.of(queue.name)
     const criticalPathMs = criticalPathOf(job.steps, estimateMs => runTimes.expectedMs(estimateMs))
     const shortestPathMs = criticalPathOf(job.steps, estimateMs => runTimes.lowMs(estimateMs, LOW_RUN_TIME_DEVIATIONS))
-    const sentAt = now - order.ageMs
-    const callerDeadline = ms(now + order.remainingMs)
+    const calledAt = now - order.ageMs
+    const callerDeadline = ms(sentAt + order.remainingMs)
     const owned: OwnedJob = {
       id: job.id,
       failureDomain,
@@ -36,7 +39,9 @@
       receivedAt: now,
       callerDeadline,
       front,
-      confirmedAt: now,
+      heardAt: now,
+      confirmedAt: sentAt,
+      runLease: { endsBy: runsEndBy(sentAt, cfg) },
       firstStartAt: undefined,
       mayHaveRun: order.resumed,
       admittedLate: false,
@@ -45,8 +50,8 @@
       service: queue.service,
       priority: queue.priority,
       criticalPathMs,
-      latestStart: ms(sentAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
-      usefulUntil: ms(Math.min(callerDeadline, sentAt + objectiveOf(queue, criticalPathMs) * cfg.usefulFactor)),
+      latestStart: ms(calledAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
+      usefulUntil: ms(Math.min(callerDeadline, calledAt + objectiveOf(queue, criticalPathMs) * cfg.usefulFactor)),
       hasStarted: () => owned.firstStartAt !== undefined,
       waitingWork: () => this.waitingWorkOf(owned),
       demand: () => this.demandOf(owned)
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -3,7 +3,7 @@
  */
 import type { DispatchOrder, EndpointId, FailureDomain, InstanceId, JobId, JobOutcome, Ms, StepSpec, TaskName } from '@cranberryyard/protocol'
 import type { QueuedWork } from '../admission/types.js'
-import type { LedgerRun } from '../endpoints/types.js'
+import type { LedgerRun, RunLease } from '../endpoints/types.js'
 
 /** One incarnation of the front, the instance that answers the caller. */
 export interface FrontSession {
@@ -50,8 +50,12 @@
   /** The caller stops waiting at this time. */
   readonly callerDeadline: Ms
   front: FrontSession
-  /** When the front last confirmed that it still wants the job. */
+  /** When the latest confirmation or copy of the job arrived from its front. */
+  heardAt: Ms
+  /** When the front sent its latest confirmation or copy of the job, at the earliest. */
   confirmedAt: Ms
+  /** Ends before the caller of a front that is lost sends the job again. */
+  readonly runLease: RunLease
   /** Number of the front's latest submission of the job; a decline refers to it. */
   attempt: number
   /** When the first task started; undefined until then. */
@@ -67,3 +71,11 @@
   readonly outcome: JobOutcome
   readonly until: Ms
 }
+
+/** The copies of a job that an owner does not take any more, since it has declined or dropped them or their front has cancelled the job. */
+export interface DroppedCopies {
+  readonly front: Pick<FrontSession, 'instance' | 'incarnation'>
+  /** Number of the latest of these copies. */
+  readonly attempt: number
+  readonly until: Ms
+}
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -5,7 +5,8 @@
  * instances rely on the reports of their own domain's owner, so the number of pings does not grow with instances times
  * domains.
  */
-import type { FailureDomain, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, FailureDomain, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { SessionsDb } from './sessionsDb.js'
 import type { PeerSession, SessionListener } from './types.js'
@@ -13,6 +14,9 @@
 /** Period of pings to a lost owner; they detect that it is back. */
 const LOST_PEER_PING_PERIOD_MS = 400
 
+/** Number of earlier incarnations of a peer that are remembered; a process that restarts over and over leaves messages of the last few. */
+const FORMER_INCARNATIONS_MAX = 8
+
 /** How long an owner of another domain counts as live after a report by the own domain's owner; a few of its ping periods. */
 const REPORTED_LIVE_VALID_MS = 800
 
@@ -33,20 +37,33 @@
     this.ctx.out.push({ type: 'send', to, address: peer.address, message })
   }
 
-  /** Records that a message arrived from a peer. A changed incarnation means that its previous process is lost. */
-  messageReceived (from: InstanceId, incarnation: number | undefined, address: string): void {
+  /**
+   * Records that a message arrived from a peer. A changed incarnation means that its previous process is lost.
+   * @param time - the peer's clock when it sent the message, if the message carries it
+   * @returns false if the message comes from a process that another one has followed, and has to be ignored
+   */
+  messageReceived (from: InstanceId, incarnation: number | undefined, address: string, time?: Ms): boolean {
+    if (incarnation !== undefined && this.db.peers.get(from)?.formerIncarnations.includes(incarnation) === true) {
+      this.ctx.out.log('peer.formerIncarnation', { peer: from, peerIncarnation: incarnation })
+      return false
+    }
     const peer = this.db.peer(from, address)
     const restarted = incarnation !== undefined && peer.incarnation !== 0 && incarnation !== peer.incarnation
-    if (restarted) this.markLost(peer, 'otherLife')
+    if (restarted) {
+      this.markLost(peer, 'otherLife')
+      peer.formerIncarnations = [...peer.formerIncarnations, peer.incarnation].slice(-FORMER_INCARNATIONS_MAX)
+    }
     if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
+    if (incarnation !== undefined && time !== undefined) peer.clock = { reading: { incarnation, at: time }, readAt: this.ctx.now }
     peer.lastReceivedAt = this.ctx.now
     peer.firstUnansweredPingAt = undefined
     peer.connectionReplaced = false
     if (peer.lost) {
       peer.lost = false
-      this.ctx.out.log('peer.heard', { peer: from, incarnation: peer.incarnation })
+      this.ctx.out.log('peer.heard', { peer: from, peerIncarnation: peer.incarnation })
       this.listener.peerRecovered(from)
     }
+    return true
   }
 
   /** A ping arrived: the peer uses a shard that this instance owns, so its silence matters from now on. */
@@ -110,6 +127,17 @@
     return this.db.peers.get(instance)?.lost === true
   }
 
+  /** Returns the time that messages to peers carry. */
+  timeForPeers (): Ms {
+    return ms(this.ctx.now + this.ctx.suspendedMs)
+  }
+
+  /** Returns the time that a peer's clock shows at least; undefined if it is not known. */
+  clockOf (instance: InstanceId): ClockReading | undefined {
+    const clock = this.db.peers.get(instance)?.clock
+    return clock === undefined ? undefined : { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + this.ctx.now - clock.readAt) }
+  }
+
   /** Returns the owner of a shard if it is live or this instance itself. */
   ownerOf (failureDomain: FailureDomain): InstanceId | undefined {
     const shard = this.db.shards.get(failureDomain)
@@ -128,7 +156,7 @@
     const { now, self } = this.ctx
     peer.lastPingAt = now
     peer.firstUnansweredPingAt ??= now
-    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), ...this.leaving ? { leaving: true } : {} })
+    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), time: this.timeForPeers(), ...this.leaving ? { leaving: true } : {} })
   }
 
   private checkSilence (peer: PeerSession): void {
@@ -151,7 +179,7 @@
     peer.lost = true
     peer.usesOwnedShard = false
     out.count('shard.peers.lost')
-    out.log('peer.lost', { peer: peer.instance, why, silentMs: Math.round(now - (peer.lastReceivedAt ?? now)), incarnation: peer.incarnation }, 'warn')
+    out.log('peer.lost', { peer: peer.instance, why, silentMs: Math.round(now - (peer.lastReceivedAt ?? now)), peerIncarnation: peer.incarnation }, 'warn')
     this.listener.peerLost(peer.instance, why)
   }
 }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -3,7 +3,7 @@
  * together and routes each input to them. It returns effects instead of performing I/O, and it has no timers and no clock
  * of its own, so the daemon and the tests can drive it alike.
  */
-import type { EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
+import type { ClockReading, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { DesiredDecider } from '../desired/desiredDecider.js'
@@ -26,8 +26,8 @@
 /** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
 const FIRST_LIST_WAIT_MS = 250
 
-/** An endpoint that was removed from the list within this time before a takeover may still run tasks of the earlier owner. */
-const REMOVED_ENDPOINT_DOUBT_MS = 5000
+/** A list to which endpoints were added, or from which they were removed, within this time before a takeover or since may lack some that run tasks of the earlier owner. */
+const LIST_DOUBT_MS = 5000
 
 /** Identity and settings of an instance. */
 export interface ShardInstanceOptions {
@@ -60,7 +60,7 @@
   private registeredAt: Ms = ms(0)
 
   constructor ({ self, cfg, seeds = [] }: ShardInstanceOptions) {
-    this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0) }
+    this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const { ctx } = this
     this.sessions = new SessionsDecider(ctx, () => this.desired.db.version(), {
       peerLost: instance => this.peerLost(instance),
@@ -145,7 +145,7 @@
     if (from !== this.ctx.self.instance) {
       const incarnation = 'incarnation' in message ? message.incarnation : undefined
       const address = 'address' in message ? message.address : ''
-      this.sessions.messageReceived(from, incarnation, address)
+      if (!this.sessions.messageReceived(from, incarnation, address, 'time' in message ? message.time : undefined)) return
       this.introduction.peerHeard(address)
     }
     switch (message.type) {
@@ -163,8 +163,8 @@
         this.sendAttempts(from, this.attempts.db.jobIds())
         return this.intake.ownerKnown(message.failureDomain)
       case 'submit': return this.receiveSubmit({ instance: from, incarnation: message.incarnation, address: message.address }, message)
-      case 'checkJobs': return this.receiveJobCheck(from, message.failureDomain, message.jobIds)
-      case 'cancelJob': return this.execution.cancel(message.jobId, from)
+      case 'checkJobs': return this.receiveJobCheck(from, message)
+      case 'cancelJob': return this.execution.cancel(message.jobId, from, message)
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
       case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
       case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain)
@@ -284,7 +284,7 @@
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadSentAt = now
     const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
-    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), ...attempts === undefined ? {} : { attempts } })
+    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), time: this.sessions.timeForPeers(), ...attempts === undefined ? {} : { attempts } })
   }
 
   /**
@@ -299,7 +299,8 @@
       if (disowned || peer === undefined || this.ownership.db.owned.has(failureDomain)) continue
       const isLive = this.ownership.owns() ? !peer.lost && peer.lastReceivedAt !== undefined : this.sessions.isLive(owner)
       if (!isLive) continue
-      others.push({ failureDomain, owner, address: peer.address, token, load })
+      const clock = this.sessions.clockOf(owner)
+      others.push({ failureDomain, owner, address: peer.address, token, load, ...clock === undefined ? {} : { clock } })
     }
     return others
   }
@@ -323,7 +324,11 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
-    this.execution.submit(front, message.failureDomain, message.order)
+    const sentAt = this.sentAt(front.instance, message.ownerClock)
+    if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
+    // The answer carries this instance's clock, so that the next copy can prove its age.
+    this.sendLoad(front.instance)
+    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
@@ -347,14 +352,25 @@
     if (now - since > cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs) return true
     // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
     if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
-    if (this.endpointList.removedAfter(failureDomain, owned.since - REMOVED_ENDPOINT_DOUBT_MS)) return false
+    if (this.endpointList.changedAfter(failureDomain, owned.since - LIST_DOUBT_MS)) return false
     return this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
   }
 
-  private receiveJobCheck (from: InstanceId, failureDomain: FailureDomain, jobIds: readonly JobId[]): void {
+  /**
+   * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
+   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings.
+   */
+  private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
+    const { now, self, suspendedMs } = this.ctx
+    if (front === self.instance) return now
+    if (ownerClock === undefined) return this.sessions.clockOf(front) === undefined ? now : ms(-Infinity)
+    return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
+  }
+
+  private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
     const peer = this.sessions.db.peers.get(from)
     const front = { instance: from, incarnation: peer?.incarnation ?? this.ctx.self.incarnation, address: peer?.address ?? '' }
-    this.execution.confirmJobs(front, failureDomain, jobIds)
+    this.execution.confirmJobs(front, failureDomain, jobIds, this.sentAt(from, ownerClock))
   }
 
   private linkDown (peer: InstanceId): void {
@@ -433,6 +449,7 @@
     this.lastInputAt = now
     this.lastInputWallTime = wall
     if (elapsedMs < cfg.pauseMs) return
+    this.ctx.suspendedMs = ms(this.ctx.suspendedMs + elapsedMs - steadyMs)
     out.count('shard.pauses')
     out.log('process.paused', { pausedMs: Math.round(elapsedMs), steadyMs: Math.round(steadyMs), frontedJobs: this.intake.db.jobs.size, ownedJobs: this.execution.db.jobs.size }, 'warn')
     this.intake.giveUpAll()
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -69,7 +69,8 @@
  */
 export type ListPace = 'owner' | 'near' | 'far'
 
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
+/** Fields of a log line. Those that every line carries are reserved: a reader of JSON keeps only one of two fields with the same name. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>> & { readonly instance?: never, readonly incarnation?: never, readonly failureDomain?: never }
 
 export type ShardEffect =
   | { readonly type: 'reply', readonly callId: string, readonly reply: CallerReply }
@@ -116,10 +117,14 @@
   }
 }
 
-/** Context shared by all decisions. `now` is the monotonic time of the current input. */
+/**
+ * Context shared by all decisions. `now` is the monotonic time of the current input. Peers are told `now + suspendedMs`: some monotonic clocks do not
+ * count the time for which a machine is suspended, and messages that arrived meanwhile must not count as sent just now.
+ */
 export interface ShardContext {
   readonly self: ShardSelf
   readonly cfg: ShardSettings
   readonly out: ShardOutbox
   now: Ms
+  suspendedMs: Ms
 }
