--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -308,6 +308,7 @@
     if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
     else if (endpoint.runsAtRefusal !== undefined || endpoint.runsLostInSilence.length > 0) this.listener.endpointBack(endpoint, [...endpoint.runsAtRefusal ?? [], ...endpoint.runsLostInSilence])
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
+    this.listener.endpointAnswered(endpoint, listing.bornAt)
     endpoint.bornAt = listing.bornAt
     endpoint.clockOffset = listing.clock - now
     endpoint.unansweredHolds = 0
@@ -361,14 +362,14 @@
 
   /**
    * Handles runs that the listing lacks: a run that had started is lost, and a start without an answer is rejected once it
-   * can no longer take effect. A hold sent before the run's latest order or start proves nothing about that run.
+   * can no longer take effect. A hold sent before the latest start order proves nothing about the run.
    */
   private resolveMissingRuns (endpoint: LedgerEndpoint, listing: EndpointListing, sentAt: Ms): void {
     const listedTasks = new Set(listing.running.map(row => row.task))
     for (const run of [...endpoint.runs.values()]) {
       if (listedTasks.has(run.task)) continue
       if (run.state === 'ordered' || (run.state === 'stopping' && !run.confirmed)) {
-        if (listing.clock <= run.notAfter || sentAt < run.lastSentAt) continue
+        if (listing.clock <= run.notAfter || sentAt < run.startSentAt) continue
         this.db.removeRun(endpoint, run)
         this.listener.runRejected(run, 'neverArrived')
       } else if (sentAt > run.startedAt) {
@@ -414,9 +415,12 @@
     const { now, cfg, out } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
-    run.notAfter = (endpointClock(endpoint, now) + cfg.startValidMs) as EndpointClockMs
+    const validMs = Math.floor(Math.min(cfg.startValidMs, leaseBoundOf(endpoint) - now))
+    if (validMs <= 0) return
+    run.notAfter = Math.max(run.notAfter, endpointClock(endpoint, now) + validMs) as EndpointClockMs
     this.recordLeaseEnd(endpoint, run.notAfter)
     this.stampOrder(run, token)
+    run.startSentAt = now
     out.count('shard.tasks.started')
     out.push({
       type: 'startTask',
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -96,7 +96,7 @@
   /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. Copies that the cancel has overtaken are not taken. */
   cancel (id: JobId, from: InstanceId, { incarnation, attempt }: { readonly incarnation?: number, readonly attempt?: number } = {}): void {
     const job = this.db.jobs.get(id)
-    if (job !== undefined && job.front.instance === from) this.abandon(job, 'callerLeft')
+    if (job !== undefined && job.front.instance === from && (attempt === undefined || attempt >= job.attempt)) this.abandon(job, 'callerLeft')
     if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, this.ctx.now)
   }
 
@@ -255,6 +255,13 @@
     for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
   }
 
+  endpointAnswered ({ id }: LedgerEndpoint, bornAt: number): void {
+    const changed = this.attempts.endpointAnswered(id, bornAt)
+    if (changed.size === 0) return
+    this.shareAttempts(changed)
+    for (const jobId of changed) this.attemptsLearned(jobId)
+  }
+
   endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
     this.recordFaults(runs, endpoint, 'outOfReach')
   }
@@ -487,7 +494,11 @@
   /** Records what became of runs, and passes on what is new: the job may go on at another owner, or come again from another front. */
   private recordFaults (runs: readonly LedgerRun[], endpoint: LedgerEndpoint, fault: AttemptFault): void {
     const changed = jobIdsOf(runs.filter(run => this.attempts.record(run, endpoint, fault)))
-    if (changed.size > 0) this.ports.attemptsChanged(new Map([...changed].map(id => [id, this.db.jobs.get(id)?.front])))
+    if (changed.size > 0) this.shareAttempts(changed)
+  }
+
+  private shareAttempts (ids: ReadonlySet<JobId>): void {
+    this.ports.attemptsChanged(new Map([...ids].map(id => [id, this.db.jobs.get(id)?.front])))
   }
 
   /** @returns whether the job has ended as failed, since a task of it must not start again */
