--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -60,6 +60,17 @@
     expect(sessions.clockOf(OWNER)).to.deep.equal({ incarnation: 3, at: 3 })
   })
 
+  it('forgets the reading of a process that has restarted, and takes a reported one of it for no sign of what the new one sends', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
+    sessions.messageReceived(OWNER, 1, 'owner', ms(5000))
+    expect(sessions.sendsReadings(OWNER)).to.equal(true)
+    sessions.messageReceived(OWNER, 2, 'owner')
+    expect([sessions.clockOf(OWNER), sessions.sendsReadings(OWNER)]).to.deep.equal([undefined, false])
+    sessions.db.learnOthers([{ failureDomain: 'f' as FailureDomain, owner: OWNER, address: 'owner', token: 1 as FencingToken, load: { waitMs: ms(0), busyShare: 0 }, clock: { incarnation: 1, at: ms(5000) } }], ctx.now)
+    expect(sessions.sendsReadings(OWNER)).to.equal(false)
+  })
+
   it('prefers its own reading of a peer\'s clock to a reported one that is behind it', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
