--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -6,7 +6,7 @@
 import type { ListPace, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
-import { FencedEndpointModel, RecordStoreModel, ShardOracle, taskSpec } from '@cranberryyard/fakes'
+import { FencedEndpointModel, RecordStoreModel, SLOWEST_CLOCK_RATE, ShardOracle, taskSpec } from '@cranberryyard/fakes'
 import type { ModelTask } from '@cranberryyard/fakes'
 import type {
   DesiredState,
@@ -414,7 +414,7 @@
   }
 
   private addEndpoint (id: string, domain: FailureDomain, cpuMilli: number): FencedEndpointModel {
-    const endpoint = new FencedEndpointModel(id, cpuMilli, this.time.now, (run, how) => this.oracle.recordEnd(run, how))
+    const endpoint = new FencedEndpointModel(id, cpuMilli, this.time.now, (run, how) => this.oracle.recordEnd(run, how), this.endpoints.size % 2 === 1 ? SLOWEST_CLOCK_RATE : 1)
     endpoint.onCrash = () => this.endpointCrashed(endpoint)
     this.domainOf.set(id, domain)
     this.endpoints.set(id, endpoint)
--- a/packages/fakes/src/fencedEndpointModel.ts
+++ b/packages/fakes/src/fencedEndpointModel.ts
@@ -9,6 +9,8 @@
 const LEASE_MAX_MS = 1000
 /** Time from a stop order to the end of the run. */
 const STOP_DELAY_MS = 30
+/** Rate of the slowest clock that an endpoint may have, on which it measures its lease. */
+export const SLOWEST_CLOCK_RATE = 0.98
 
 /** Resources that a task needs and how it behaves. Tests pass it, as JSON, in the task's spec. */
 export interface ModelTask {
@@ -84,21 +86,28 @@
    * @param cpuMilli - capacity in thousandths of a core
    * @param bornAt - time of the latest start of the endpoint
    * @param onEnd - called with each end of a run
+   * @param clockRate - milliseconds that the endpoint's clock counts in one
    */
-  constructor (readonly id: string, public cpuMilli: number, public bornAt: number, private readonly onEnd: (run: ModelRun, how: ModelEnd['how'], at: number) => void = () => {}) {}
+  constructor (readonly id: string, public cpuMilli: number, public bornAt: number, private readonly onEnd: (run: ModelRun, how: ModelEnd['how'], at: number) => void = () => {}, private readonly clockRate = 1) {}
 
-  /** @returns the endpoint's clock: milliseconds since its latest start */
+  /** @returns the endpoint's clock: milliseconds since its latest start, as it counts them */
   clock (now: number): number {
-    return Math.floor(now - this.bornAt)
+    return Math.floor((now - this.bornAt) * this.clockRate)
   }
 
-  /** Executes an order to start a run; a repeated order for the same run is answered `started` again. */
+  /**
+   * Executes an order to start a run; a repeated order for the same run is answered `started` again. A start that is repeated or refused as `oldRun`
+   * extends the lease as well.
+   */
   start (now: number, order: ModelStart): ModelStartReply {
     this.advance(now)
     if (order.token < this.highestToken) return 'fenced'
     this.highestToken = order.token
-    if (this.runs.get(order.task)?.run === order.run) return 'started'
-    if (order.run <= (this.highestRun.get(order.task) ?? 0)) return 'oldRun'
+    const isRepeated = this.runs.get(order.task)?.run === order.run
+    if (isRepeated || order.run <= (this.highestRun.get(order.task) ?? 0)) {
+      this.extendLease(now, order.untilMs)
+      return isRepeated ? 'started' : 'oldRun'
+    }
     if (order.untilMs <= this.clock(now)) return 'late'
     if (this.faults.refusesStarts) return 'unhealthy'
     this.extendLease(now, order.untilMs)
@@ -174,7 +183,7 @@
   /** Ends the runs that have finished, were stopped or lost their lease up to a time, or crashes if one of them is due to do that. */
   advance (now: number): void {
     if ([...this.runs.values()].some(run => run.startedAt + (run.spec.crashAfterMs ?? Infinity) <= now)) this.crash(now)
-    const leaseEndsAt = this.bornAt + this.leaseUntilClockMs
+    const leaseEndsAt = this.bornAt + this.leaseUntilClockMs / this.clockRate
     for (const run of [...this.runs.values()]) {
       const stopAt = run.stopAt ?? Infinity
       const at = Math.min(run.endsAt, stopAt, leaseEndsAt)
