Endpoints: start a task only where the lease ends with that of its job

A job whose front has lost power could start up to 0.7 s later at an endpoint whose lease its owner had just extended by 1 s for other runs. If the owner was lost right after, the runs lasted until 1.5 s after the front's loss, and their caller's next sending, after 1.3 s, ran beside them (TWICE).

Cause: leases are bounded by the confirmations of the jobs that have runs at the endpoint when an order is sent. A start was checked only for what it extends, not for what the lease, which never shortens and outlasts the runs that it was extended for, already allows.

The ledger keeps up to when the endpoint's lease may last on its own clock, and a round leaves out the endpoints where that is later than the job allows. A unit test that expected a start of a job confirmed 699 ms ago right after the takeover of its endpoint, where an earlier owner may have extended the lease by 1 s, now lets that lease end first; what it checks about the age is unchanged.

--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -1,13 +1,16 @@
 import { expect } from 'chai'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { countFromArrival, extendLeasesFreely } from './shardMutations.js'
+import type { FleetOptions } from './shardFleet.js'
+import { countFromArrival, extendLeasesFreely, startUnderAnyLease } from './shardMutations.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 /** Downtime that is longer than the rest of any test run here. */
 const BEYOND_TEST_MS = 60_000
 /** Tasks that still run when their caller sends the job again. */
 const LONG_TASK = { cpuMilli: 8000, workMs: 5000, fails: false }
+const ENDPOINT_CPU_MILLI = 32_000
+const HALF_ENDPOINT = { ...LONG_TASK, cpuMilli: ENDPOINT_CPU_MILLI / 2 }
 const FRONT = 'b-0' as InstanceId
 const OWNER = 'b-1' as InstanceId
 
@@ -15,9 +18,9 @@
  * Plays a scenario with several seeds, which decide among other things to which instances callers send again.
  * @returns the violations of all plays
  */
-function violationsOf ({ play, domains = ['a', 'b'] }: Scenario): string[] {
+function violationsOf ({ play, domains = ['a', 'b'], endpointKinds }: Scenario): string[] {
   return SEEDS.flatMap((seed) => {
-    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed, ...endpointKinds === undefined ? {} : { endpointKinds } })
     // After 8 s the instances with the most processor time own the shards.
     fleet.run(8000)
     play(fleet)
@@ -39,6 +42,8 @@
 interface Scenario {
   readonly when: string
   readonly domains?: string[]
+  /** Endpoints of each domain, if their size matters. */
+  readonly endpointKinds?: FleetOptions['endpointKinds']
   readonly play: (fleet: ShardFleet) => void
 }
 
@@ -105,6 +110,22 @@
       fleet.time.after(510 + fleet.randomBelow(40), () => fleet.cutPairs(linksBetween([OWNER], endpointsOf(fleet, 'b')), 3000))
     }
   },
+  longerLease: {
+    endpointKinds: [{ count: 4, cpuMilli: ENDPOINT_CPU_MILLI, speed: 1 }],
+    when: 'a waiting task starts beside runs with a longer lease after its front has lost power, and then the owner does',
+    play: (fleet) => {
+      const halfOfEach = 4
+      fleet.submit(OWNER, halfOfEach, HALF_ENDPOINT)
+      fleet.submit('a-1' as InstanceId, halfOfEach, HALF_ENDPOINT)
+      fleet.submit(OWNER, halfOfEach, { ...HALF_ENDPOINT, workMs: 900 })
+      fleet.submit('a-1' as InstanceId, halfOfEach, { ...HALF_ENDPOINT, workMs: 1400 })
+      fleet.run(300)
+      fleet.submit(FRONT, 2, HALF_ENDPOINT)
+      fleet.run(100 + fleet.randomBelow(100))
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      fleet.time.after(520, () => fleet.losePower(OWNER, BEYOND_TEST_MS))
+    }
+  },
   lateStops: {
     when: 'the front loses power and the endpoints carry out stop orders late',
     play: (fleet) => {
@@ -146,7 +167,8 @@
 describe('two runs of a task at once', () => {
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
-    { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] }
+    { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] },
+    { name: 'tasks start under whatever lease there is', apply: startUnderAnyLease, shownBy: [SCENARIOS.longerLease] }
   ] as const
 
   for (const { name, apply, shownBy } of MUTATIONS) {
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -46,6 +46,11 @@
   })
 }
 
+/** A fault that shows when a task starts long after its front was last heard, as above. */
+export function startUnderAnyLease (): Undo {
+  return replaceMethod(sample.endpoints, 'endsWithLease', () => () => true)
+}
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -99,6 +99,7 @@
       answeredAt: now,
       nextHoldAt: now,
       leasesEndBy: now,
+      leaseUntil: 0 as EndpointClockMs,
       startsBlockedUntil: now,
       unlisted: false,
       listedSinceTakeover: false,
@@ -148,7 +149,7 @@
  * Estimates the present value of an endpoint's clock.
  * @param endpoint - the endpoint, which must have reported its clock before
  * @param now - this instance's time
- * @returns a value slightly behind the true one, since the answer that carried the clock took time to arrive
+ * @returns a value that is behind the true one by the time that the answer took to arrive, and ahead of it by what a slow clock has lost since then
  */
 export function endpointClock (endpoint: LedgerEndpoint, now: Ms): EndpointClockMs {
   return Math.floor(now + (endpoint.clockOffset ?? 0)) as EndpointClockMs
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -110,7 +110,14 @@
     return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
-  /** Starts a run. The caller has checked that the run fits and that the endpoint is `usable`. */
+  /** Returns whether a run that started at the endpoint now would end with the lease of its job: the one there, which all runs share, may last longer. */
+  endsWithLease (endpoint: LedgerEndpoint, lease: RunLease): boolean {
+    const { now, cfg } = this.ctx
+    const remainingMs = lease.endsBy - now
+    return remainingMs >= cfg.leaseMs || endpoint.leaseUntil <= endpointClock(endpoint, now) + remainingMs
+  }
+
+  /** Starts a run. The caller has checked that the run fits, that the endpoint is `usable` and that the run `endsWithLease`. */
   start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, { spec, needs, expectedMs, exclusive, lease }: Pick<LedgerRun, 'spec' | 'exclusive' | 'lease'> & { readonly needs: Resources, readonly expectedMs: number }): LedgerRun {
     const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec, exclusive, lease })
     this.db.addRun(endpoint, run)
@@ -321,8 +328,9 @@
     endpoint.runsAtRefusal = undefined
     endpoint.runsLostInSilence = []
     endpoint.answeredAt = now
-    // Until it answers under this owner's token, an earlier owner may have extended the leases there.
-    if (!endpoint.answeredUnderToken && listing.running.length > 0) this.recordLeaseEnd(endpoint, listing.clock + cfg.leaseMs as EndpointClockMs)
+    // Until it answers under this owner's token, an earlier owner may have extended the lease there, which outlasts the runs.
+    if (!endpoint.answeredUnderToken) endpoint.leaseUntil = listing.clock + cfg.leaseMs as EndpointClockMs
+    if (!endpoint.answeredUnderToken && listing.running.length > 0) this.recordLeaseEnd(endpoint, endpoint.leaseUntil)
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
     this.resolveMissingRuns(endpoint, listing, hold.sentAt)
@@ -395,6 +403,7 @@
     out.count('shard.endpoints.reborn')
     out.log('endpoint.reborn', { endpoint: endpoint.id, bornAt, before: endpoint.bornAt, runs: endpoint.runs.size }, 'warn')
     endpoint.acknowledged = 0
+    endpoint.leaseUntil = clock + this.ctx.cfg.leaseMs as EndpointClockMs
     if (endpoint.runsLostInSilence.length > 0) this.listener.endpointHadCrashed(endpoint, endpoint.runsLostInSilence)
     const runsThere = endpoint.runs.size
     for (const run of [...endpoint.runs.values()]) {
@@ -465,6 +474,7 @@
   /** Records that leases may now last until the given time on the endpoint's clock. */
   private recordLeaseEnd (endpoint: LedgerEndpoint, until: EndpointClockMs): void {
     const { now, cfg } = this.ctx
+    endpoint.leaseUntil = Math.max(endpoint.leaseUntil, until) as EndpointClockMs
     endpoint.leasesEndBy = ms(Math.max(endpoint.leasesEndBy, latestLeaseEnd(endpoint, until, now, cfg.clockDrift, cfg.leaseSlackMs)))
   }
 
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -124,6 +124,8 @@
   nextHoldAt: Ms
   /** Latest time, on this instance's clock, up to which runs may keep running without further holds. */
   leasesEndBy: Ms
+  /** Latest time, on the endpoint's clock, up to which its lease may last. */
+  leaseUntil: EndpointClockMs
   /** Nothing is placed before this time, because starts sent to an earlier incarnation may still arrive. */
   startsBlockedUntil: Ms
   /** The store's list has left the endpoint out for a while; it gets no more work. */
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -7,6 +7,7 @@
 import { SHARD_DEFAULTS } from '../shard/settings.js'
 import { ShardOutbox } from '../shard/types.js'
 import type { ShardContext, ShardEffect } from '../shard/types.js'
+import { runsEndBy } from './executionDb.js'
 import { ExecutionDecider } from './executionDecider.js'
 import type { FrontSession } from './types.js'
 
@@ -25,6 +26,11 @@
   return { job: { id: id as JobId, spec: '', features: [], steps: [step] }, queue, ageMs: ms(0), remainingMs: ms(10_000), attempt: 1, resumed: false, done: [], lastChance: true, ...overrides }
 }
 
+/** Returns when a confirmation was sent that lets runs go on until the given time. */
+function confirmedFor (endsBy: number): number {
+  return endsBy - runsEndBy(ms(0), SHARD_DEFAULTS)
+}
+
 function withObjective (of: DispatchOrder, latencyObjectiveMs: number): DispatchOrder {
   return { ...of, queue: { ...of.queue, latencyObjectiveMs: ms(latencyObjectiveMs) } }
 }
@@ -251,6 +257,7 @@
 
   it('does not start a job whose order was on its way for longer than its front may wait', () => {
     const owner = new OwnerHarness(2)
+    owner.advanceMs(SHARD_DEFAULTS.leaseMs)
     const sentAt = ms(owner.ctx.now - SHARD_DEFAULTS.jobLeaseMs - 1)
     expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), sentAt)).to.equal(false)
     owner.settle()
@@ -260,6 +267,25 @@
     expect(owner.starts).to.have.length(2)
   })
 
+  it('does not start a task where the lease, which another run has extended, outlasts that of its job', () => {
+    const owner = new OwnerHarness(1, 2)
+    owner.advanceMs(SHARD_DEFAULTS.leaseMs)
+    owner.submit(order('a', 1, 5000))
+    owner.confirmStarts()
+    owner.answerHold('e-0' as EndpointId, [{ task: 'a.0.0.0' as TaskName, run: 1, percent: 1 }])
+    const heldAt = owner.ctx.now
+    const sentAt = ms(heldAt - 400)
+    owner.execution.submit(FRONT, DOMAIN, order('b', 1, 5000), sentAt)
+    owner.settle()
+    expect(owner.starts).to.deep.equal([])
+    // Of the lease of 1000 ms that the hold has extended, no more is left than of the job's.
+    owner.ctx.now = ms(heldAt + 1)
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['b' as JobId], ms(confirmedFor(heldAt + SHARD_DEFAULTS.leaseMs)))
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['b.0.0.0'])
+  })
+
   it('does not start a copy of a job that a later copy, declined or abandoned, or a cancel has overtaken', () => {
     const owner = new OwnerHarness(1)
     const refused = (id: string, attempt: number): boolean => !owner.execution.submit(FRONT, DOMAIN, order(id, 1, 5000, { attempt }), owner.ctx.now)
