Fronts: date what is said of a job with the last look at its caller

A front whose event loop was blocked for up to 0.39 s, which it does not take for a pause, confirmed jobs whose callers had left meanwhile: Node runs timers before it reads sockets, and the confirmation was dated with the present time. If the front was lost right after and the stop was late, the runs went on for up to 1.6 s after the caller had left, beside those of its next sending after 1.3 s (TWICE). Copies sent on a new link, or after an answer that is read before the end of the call in the same turn, had the same fault.

In jobServerTask.spec.ts a caller leaves (FIN, RST) while the event loop is blocked; without the wait, or without listening to the end and the error of the socket, the tick comes before the end of the call. Mutations of the date, the wait and both listeners are caught.

A front dates orders and confirmations with the time up to which it has read its sockets (SocketReads), also those to itself as the owner. While calls are open, ticks wait until the sockets were read; without calls nothing changes, so an instance at rest pays nothing. The end of a call is posted when it is read, no longer when the response closes, some turns later.

--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -1,12 +1,15 @@
 import { expect } from 'chai'
+import { SHARD_DEFAULTS } from '@cranberryyard/core/shard'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
 import type { FleetOptions } from './shardFleet.js'
-import { countFromArrival, extendLeasesFreely, startUnderAnyLease } from './shardMutations.js'
+import { countFromArrival, countFromSending, extendLeasesFreely, startUnderAnyLease } from './shardMutations.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 /** Downtime that is longer than the rest of any test run here. */
 const BEYOND_TEST_MS = 60_000
+/** Time for which an instance may handle nothing before it takes itself for paused. */
+const UNNOTICED_PAUSE_MS = SHARD_DEFAULTS.pauseMs - 10
 /** Tasks that still run when their caller sends the job again. */
 const LONG_TASK = { cpuMilli: 8000, workMs: 5000, fails: false }
 const ENDPOINT_CPU_MILLI = 32_000
@@ -126,6 +129,32 @@
       fleet.time.after(520, () => fleet.losePower(OWNER, BEYOND_TEST_MS))
     }
   },
+  unreadEnd: {
+    when: 'the front has not yet read that its caller has left, and then loses power',
+    play: (fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500 + fleet.randomBelow(200))
+      fleet.lateStopShare = 1
+      fleet.slowDown(FRONT, UNNOTICED_PAUSE_MS, UNNOTICED_PAUSE_MS)
+      fleet.breakCallers(FRONT)
+      fleet.run(UNNOTICED_PAUSE_MS - 1)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+    }
+  },
+  unreadEndNewLink: {
+    when: 'the front has not yet read that its caller has left, sends the job again on a new connection, and then loses power',
+    play: (fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500 + fleet.randomBelow(200))
+      fleet.lateStopShare = 1
+      fleet.slowDown(FRONT, UNNOTICED_PAUSE_MS, UNNOTICED_PAUSE_MS)
+      fleet.replaceConnections(FRONT, OWNER)
+      fleet.breakCallers(FRONT)
+      fleet.run(UNNOTICED_PAUSE_MS - 1)
+      fleet.replaceConnections(FRONT, OWNER)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+    }
+  },
   lateStops: {
     when: 'the front loses power and the endpoints carry out stop orders late',
     play: (fleet) => {
@@ -167,6 +196,7 @@
 describe('two runs of a task at once', () => {
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
+    { name: 'orders and confirmations count from their sending by a front that has not read its callers\' connections', apply: countFromSending, shownBy: [SCENARIOS.unreadEnd, SCENARIOS.unreadEndNewLink] },
     { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] },
     { name: 'tasks start under whatever lease there is', apply: startUnderAnyLease, shownBy: [SCENARIOS.longerLease] }
   ] as const
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -108,6 +108,10 @@
   backlogMs: number
   /** When the latest of these inputs is handled; later ones do not overtake it. */
   backlogUntil: number
+  /** The longest that any of these inputs waits. */
+  backlogMaxMs: number
+  /** Everything that callers had sent by then has been handled. */
+  callersReadAt: number
   /** Latest time at which the process did not run or could not reach the store. */
   lastDisturbedAt: number
   /** Reply callbacks of submissions that wait for an answer, by call id. */
@@ -271,10 +275,18 @@
     this.time.after(downMs, () => this.boot(process))
   }
 
-  /** Makes an instance handle everything that arrives from outside late, by a constant time. */
+  /** Breaks the connections of an instance's callers, which it notices only when it reads them. */
+  breakCallers (name: InstanceId): void {
+    const process = this.process(name)
+    for (const callId of process.pendingCalls.keys()) this.postFromOutside(process, { type: 'callerLeft', callId })
+    this.failPendingCalls(process)
+  }
+
+  /** Makes an instance handle everything that arrives from outside late, by a constant time. Its timers run on time, before it reads. */
   slowDown (name: InstanceId, backlogMs: number, durationMs: number): void {
     const process = this.process(name)
     process.backlogMs = backlogMs
+    process.backlogMaxMs = backlogMs
     this.time.after(durationMs, () => {
       process.backlogMs = 0
     })
@@ -398,7 +410,7 @@
 
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
-    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, lastDisturbedAt: 0, pendingCalls: new Map() })
+    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callersReadAt: 0, lastDisturbedAt: 0, pendingCalls: new Map() })
   }
 
   private addEndpoints (domain: FailureDomain): void {
@@ -539,7 +551,9 @@
       return
     }
     const now = ms(this.time.now)
-    const effects = process.core.handle(input, this.monotonic(process), now)
+    const hasBacklog = process.backlogMs > 0 || process.backlogUntil > now
+    if (input.type === 'tick' || input.type === 'submit') process.callersReadAt = Math.max(process.callersReadAt, now - (hasBacklog ? process.backlogMaxMs : 0))
+    const effects = process.core.handle(input, this.monotonic(process), now, ms(this.monotonic(process) - (now - process.callersReadAt)))
     this.oracle.recordDesiredVersion(`${process.name}#${process.incarnation}`, process.core.desired.db.version(), now)
     this.executeEffects(process, effects)
   }
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -51,6 +51,13 @@
   return replaceMethod(sample.endpoints, 'endsWithLease', () => () => true)
 }
 
+/** A fault that shows when a front is slow, as above. */
+export function countFromSending (): Undo {
+  return replaceMethod(sample.intake, 'callersSeenAt', () => function (this: typeof sample.intake) {
+    return (this as unknown as { ctx: typeof sample.ctx }).ctx.now
+  })
+}
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -225,14 +225,19 @@
     job.checkedAt = now
     job.attempt = ++this.lastAttempt
     job.copies++
-    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - now), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
+    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt()), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
     if (job.copies > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, copies: job.copies, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner) })
   }
 
-  /** Returns the reading of an owner's clock that messages about jobs carry. */
+  /** Returns until when this front knows that the callers of its jobs wait; the end of a call may have arrived since then and not been read. */
+  callersSeenAt (): Ms {
+    return ms(Math.min(this.ctx.now, this.db.callersReadAt))
+  }
+
+  /** Returns the reading of an owner's clock that messages about jobs carry, for the time until which their callers are known to wait. */
   private readingOf (owner: InstanceId): { readonly ownerClock?: ClockReading } {
-    const ownerClock = this.sessions.clockOf(owner)
+    const ownerClock = this.sessions.clockOf(owner, this.callersSeenAt())
     return ownerClock === undefined ? {} : { ownerClock }
   }
 
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -136,10 +136,13 @@
     return ms(this.ctx.now + this.ctx.suspendedMs)
   }
 
-  /** Returns the time that a peer's clock shows at least; undefined if it is not known. */
-  clockOf (instance: InstanceId): ClockReading | undefined {
+  /**
+   * Returns the time that a peer's clock shows, or showed, at least; undefined if it is not known.
+   * @param at - a time on this instance's clock, by default the present one
+   */
+  clockOf (instance: InstanceId, at = this.ctx.now): ClockReading | undefined {
     const clock = this.db.peers.get(instance)?.clock
-    return clock === undefined ? undefined : { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + this.ctx.now - clock.readAt) }
+    return clock === undefined ? undefined : { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + at - clock.readAt) }
   }
 
   /** Returns whether the present incarnation of a peer runs a version that sends clock readings. */
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
-import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, FencingToken, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from './settings.js'
 import { ShardInstance } from './shardInstance.js'
-import type { ShardInput } from './types.js'
+import type { ShardEffect, ShardInput } from './types.js'
 
 const ENDPOINT: EndpointReport = {
   id: 'e' as EndpointId,
@@ -93,6 +93,20 @@
     expect(handle(4, { type: 'peer', from: FRONT, message: { type: 'submit', incarnation: 8, address: 'front', failureDomain: DOMAIN, order: ORDER } })).not.to.include('notOwner')
   })
 
+  it('is that of the last look at the callers for a job of the owner\'s own callers', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput, callersReadAt = now): ShardEffect[] => owner.handle(input, ms(now), ms(now), ms(callersReadAt))
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, listInput(ENDPOINT))
+    handle(2, TICK)
+    const [hold] = handle(3, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } }).filter(effect => effect.type === 'hold')
+    handle(4, { type: 'holdOutcome', endpoint: ENDPOINT.id, orderId: hold?.orderId ?? 0, outcome: { type: 'listed', listing: { clock: 4 as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
+    handle(5, { type: 'desired', state: { version: 1, queues: [ORDER.queue], services: [] } })
+    handle(10, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: ORDER.job, deadlineMs: ms(9000) })
+    handle(390, TICK, 20)
+    expect([...owner.execution.db.jobs.values()].map(job => job.confirmedAt)).to.deep.equal([20])
+  })
+
   it('includes the time for which the owner was suspended, which its monotonic clock does not count', () => {
     const suspendedMs = 3000
     const wall = (now: number): number => now < 10_000 ? now : now + suspendedMs
@@ -101,6 +115,24 @@
   })
 })
 
+describe('what a front says of its jobs', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const OWNER = 'owner' as InstanceId
+  const JOB = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(5000), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+  const QUEUE = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+
+  it('counts from when it has read its callers\' connections, in confirmations and in copies sent on a new link', () => {
+    const front = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput, callersReadAt = now): (readonly [string, Ms | undefined])[] => front.handle(input, ms(now), ms(now), ms(callersReadAt))
+      .flatMap(effect => effect.type === 'send' && (effect.message.type === 'submit' || effect.message.type === 'checkJobs') ? [[effect.message.type, effect.message.ownerClock?.at] as const] : [])
+    handle(0, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
+    handle(1, { type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken, time: ms(1001) } })
+    expect(handle(10, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: JOB, deadlineMs: ms(9000) })).to.deep.equal([['submit', 1010]])
+    expect(handle(390, TICK, 11)).to.deep.equal([['checkJobs', 1011]])
+    expect(handle(391, { type: 'linkDown', peer: OWNER }, 12)).to.deep.equal([['submit', 1012]])
+  })
+})
+
 describe('an owner that renews its token', () => {
   const DOMAIN = 'd' as FailureDomain
   const ENDPOINTS = ['e', 'f'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id }))
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -92,10 +92,12 @@
    * @param input - what happened
    * @param now - monotonic time
    * @param wall - wall-clock time
+   * @param callersReadAt - everything that had arrived from callers by then has been handled
    * @returns the effects that the shell has to perform, in order
    */
-  handle (input: ShardInput, now: Ms, wall: Ms): ShardEffect[] {
+  handle (input: ShardInput, now: Ms, wall: Ms, callersReadAt = now): ShardEffect[] {
     this.ctx.now = now
+    this.intake.db.callersReadAt = callersReadAt
     this.detectPause(now, wall)
     this.dispatch(input)
     this.execution.startWaitingTasks()
@@ -377,7 +379,7 @@
    */
   private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
     const { now, self, suspendedMs } = this.ctx
-    if (front === self.instance) return now
+    if (front === self.instance) return this.intake.callersSeenAt()
     if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
     return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
   }
--- a/packages/dispatcher/src/shard/jobServerTask.spec.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.spec.ts
@@ -1,13 +1,14 @@
 import { expect } from 'chai'
 import type { ShardInput } from '@cranberryyard/core/shard'
 import type { JobId } from '@cranberryyard/protocol'
-import { ms } from '@cranberryyard/protocol'
+import { ms, systemClock } from '@cranberryyard/protocol'
 import { connect, createServer } from 'node:net'
 import type { Socket } from 'node:net'
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { listen } from '../utils/plainServer.js'
 import { JobServerTask } from './jobServerTask.js'
+import { SocketReads } from './socketReads.js'
 import type { CallerWire } from './wires.js'
 
 const REQUEST = 'POST /q/1 HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n{}'
@@ -24,10 +25,32 @@
   answerWaitingCount: () => ({ status: 200, headers: {}, body: '{}' })
 }
 
+/** Lets a caller leave while the event loop is blocked, and ticks as a timer that was due meanwhile does. @returns the types of the inputs */
+async function inputsWithTick (leave: (caller: Socket) => void): Promise<string[]> {
+  const inputs: string[] = []
+  const reads = new SocketReads(systemClock)
+  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => true, reads)
+  const caller = connect(await listen(task.callers, '127.0.0.1', 0), '127.0.0.1')
+  caller.on('error', () => {})
+  caller.write(REQUEST)
+  await sleep(SETTLED_MS)
+  await new Promise<void>(resolve => setTimeout(() => {
+    leave(caller)
+    for (const end = performance.now() + SETTLED_MS; performance.now() < end;);
+    reads.afterNextRead(() => {
+      inputs.push('tick')
+      resolve()
+    })
+  }))
+  await sleep(SETTLED_MS)
+  task.callers.close()
+  return inputs
+}
+
 /** Sends a request on a connection that the server reads only after the caller has done something more. @returns the types of the inputs */
 async function inputsOf (andThen: (caller: Socket) => void): Promise<string[]> {
   const inputs: string[] = []
-  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => true)
+  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => true, new SocketReads(systemClock))
   const holding = createServer({ pauseOnConnect: true })
   const caller = connect(await listen(holding, '127.0.0.1', 0), '127.0.0.1')
   caller.on('error', () => {})
@@ -49,6 +72,11 @@
     expect(await inputsOf(() => {})).to.deep.equal(['submit', 'callerLeft'])
   })
 
+  it('reports that a caller has left before a tick confirms its job, when both waited for a blocked event loop', async () => {
+    expect(await inputsWithTick(caller => caller.destroy())).to.deep.equal(['submit', 'callerLeft', 'tick'])
+    expect(await inputsWithTick(caller => caller.resetAndDestroy())).to.deep.equal(['submit', 'callerLeft', 'tick'])
+  })
+
   it('submits no job of a caller that had left before its request was read', async () => {
     expect(await inputsOf(caller => caller.destroySoon())).to.deep.equal([])
     expect(await inputsOf(caller => setTimeout(() => caller.resetAndDestroy(), SETTLED_MS / 4))).to.deep.equal([])
--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -7,6 +7,7 @@
 import { ms } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { makePlainServer } from '../utils/plainServer.js'
+import type { SocketReads } from './socketReads.js'
 import type { CallerAnswer, CallerRequest, CallerWire } from './wires.js'
 
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
@@ -28,7 +29,7 @@
   private ready = false
   private leaving = false
 
-  constructor (private readonly wire: CallerWire, private readonly post: (input: ShardInput) => void, private readonly hasQueue: HasQueue) {
+  constructor (private readonly wire: CallerWire, private readonly post: (input: ShardInput) => void, private readonly hasQueue: HasQueue, private readonly reads: SocketReads) {
     this.callers = makePlainServer(SENDER_TIMEOUT_MS, (req, res) => this.receive(req, res))
     this.readiness = makePlainServer(SENDER_TIMEOUT_MS, (req, res) => {
       req.resume()
@@ -88,16 +89,24 @@
    */
   private submit (res: ServerResponse, host: string, request: Extract<CallerRequest, { type: 'submit' }>): void {
     const callId = `c${++this.callCounter}`
+    const { socket } = res.req
     let submitted = false
-    this.openResponses.set(callId, res)
-    res.on('close', () => {
+    const left = (): void => {
       if (this.openResponses.delete(callId) && submitted) this.post({ type: 'callerLeft', callId })
+    }
+    this.openResponses.set(callId, res)
+    // The response closes some turns after the end of its connection was read.
+    socket.once('end', left).once('error', left)
+    res.once('close', () => {
+      socket.off('end', left).off('error', left)
+      left()
     })
-    afterNextRead(() => {
-      if (!this.openResponses.has(callId) || res.socket?.readableEnded === true) return
+    // What was read in this turn may be followed by the end of its connection, which the next turn reads.
+    setImmediate(() => this.reads.afterNextRead(() => {
+      if (!this.openResponses.has(callId) || socket.readableEnded) return
       submitted = true
       this.post({ type: 'submit', callId, host, path: request.path, job: request.job, deadlineMs: ms(request.deadlineMs) })
-    })
+    }))
   }
 
   private send (res: ServerResponse, answer: CallerAnswer): void {
@@ -107,8 +116,3 @@
     res.end(answer.body)
   }
 }
-
-/** Calls back after the next turn of the event loop, which reads the end of a connection whose data the present turn has read. */
-function afterNextRead (callback: () => void): void {
-  setImmediate(() => setImmediate(callback))
-}
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -14,6 +14,7 @@
 import { LinkTask } from './linkTask.js'
 import { MetricsServer } from './metricsServer.js'
 import { OrderTask } from './orderTask.js'
+import { SocketReads } from './socketReads.js'
 import { StoreTask } from './storeTask.js'
 import type { StoreList } from './storeTask.js'
 import type { PlatformWires } from './wires.js'
@@ -57,6 +58,7 @@
   private readonly store: StoreTask
   private readonly jobs: JobServerTask
   private readonly metrics: MetricsServer
+  private readonly reads: SocketReads
   private listPace: ListPace = 'near'
   private resolveDrained: () => void = () => {}
 
@@ -64,6 +66,7 @@
     const { self, cfg, seeds, wires, clock, random } = options
     const post = (input: ShardInput): void => this.post(input)
     this.core = new ShardInstance({ self, cfg, seeds })
+    this.reads = new SocketReads(clock)
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
     this.links = new LinkTask(self.instance, post, (peer, why) => this.log.write('warn', 'link.broken', { peer, why }))
     const failedCall: LogFailedCall = (address, reason) => this.log.writeRepeated('call.failed', `${address} ${reason}`, { address, reason })
@@ -73,7 +76,7 @@
       unreadableEntry: (list, { key, reason }) => this.unreadableEntry(list, key, reason),
       failedCall
     })
-    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path))
+    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path), this.reads)
     this.metrics = new MetricsServer(this.core.ctx.out.counters)
   }
 
@@ -134,7 +137,13 @@
 
   private tick (): void {
     this.post({ type: 'tick' })
-    setTimeout(() => this.tick(), this.core.isIdle() ? IDLE_TICK_MS : this.listPace === 'owner' ? OWNER_TICK_MS : ACTIVE_TICK_MS)
+    setTimeout(() => this.tickOnceRead(), this.core.isIdle() ? IDLE_TICK_MS : this.listPace === 'owner' ? OWNER_TICK_MS : ACTIVE_TICK_MS)
+  }
+
+  /** Ticks when the callers' connections were read, so that no job is confirmed whose caller has left. The wait costs processor time, and is of no use without callers. */
+  private tickOnceRead (): void {
+    if (this.jobs.openCalls() === 0) this.tick()
+    else this.reads.afterNextRead(() => this.tick())
   }
 
   private setPace (pace: ListPace): void {
@@ -144,7 +153,7 @@
 
   private post (input: ShardInput): void {
     const { clock } = this.options
-    this.executeEffects(this.core.handle(input, clock.now(), clock.wall()))
+    this.executeEffects(this.core.handle(input, clock.now(), clock.wall(), this.reads.upTo))
   }
 
   private executeEffects (effects: readonly ShardEffect[]): void {
--- /dev/null
+++ b/packages/dispatcher/src/shard/socketReads.ts
@@ -0,0 +1,26 @@
+/**
+ * Knows up to when this process has read its sockets. When the event loop was blocked, timers run before sockets are read, so a timer may act on
+ * calls whose end has arrived long ago.
+ */
+import type { Clock, Ms } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+
+/** Tracks the reads of one process. */
+export class SocketReads {
+  /** Everything that had arrived by then has been read. */
+  upTo: Ms = ms(0)
+
+  constructor (private readonly clock: Pick<Clock, 'now'>) {}
+
+  /**
+   * Calls back once everything has been read that has arrived by now. Call it from a timer or an immediate: the event loop reads all sockets between
+   * them and the immediates that follow.
+   */
+  afterNextRead (callback: () => void): void {
+    const calledAt = this.clock.now()
+    setImmediate(() => {
+      this.upTo = calledAt
+      callback()
+    })
+  }
+}
