Fronts: count what has arrived before a reading of the owner's clock as read with it

Dating with the last look at the callers added the lag of a slow front twice: to the reading of its owner's clock, which counts from when it was handled, and to the look at the callers.

When the reads of all sockets have ended since the reading was handled, whatever arrived before it has been handled too, so the callers were known to wait at the time that it shows. A reading that was handled in the present round of reads still counts for what was known before (shardInstance.spec.ts has one of each kind; both ways to get it wrong fail there).

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -110,8 +110,8 @@
   backlogUntil: number
   /** The longest that any of these inputs waits. */
   backlogMaxMs: number
-  /** Everything that callers had sent by then has been handled. */
-  callersReadAt: number
+  /** Everything that callers had sent by `upTo` was handled by `endedAt`. */
+  callerReads: { readonly upTo: number, readonly endedAt: number }
   /** Latest time at which the process did not run or could not reach the store. */
   lastDisturbedAt: number
   /** Reply callbacks of submissions that wait for an answer, by call id. */
@@ -410,7 +410,7 @@
 
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
-    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callersReadAt: 0, lastDisturbedAt: 0, pendingCalls: new Map() })
+    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, pendingCalls: new Map() })
   }
 
   private addEndpoints (domain: FailureDomain): void {
@@ -552,8 +552,10 @@
     }
     const now = ms(this.time.now)
     const hasBacklog = process.backlogMs > 0 || process.backlogUntil > now
-    if (input.type === 'tick' || input.type === 'submit') process.callersReadAt = Math.max(process.callersReadAt, now - (hasBacklog ? process.backlogMaxMs : 0))
-    const effects = process.core.handle(input, this.monotonic(process), now, ms(this.monotonic(process) - (now - process.callersReadAt)))
+    if (input.type === 'tick' || input.type === 'submit') process.callerReads = { upTo: Math.max(process.callerReads.upTo, now - (hasBacklog ? process.backlogMaxMs : 0)), endedAt: now }
+    const monotonic = this.monotonic(process)
+    const callerReads = { upTo: ms(monotonic - now + process.callerReads.upTo), endedAt: ms(monotonic - now + process.callerReads.endedAt) }
+    const effects = process.core.handle(input, monotonic, now, callerReads)
     this.oracle.recordDesiredVersion(`${process.name}#${process.incarnation}`, process.core.desired.db.version(), now)
     this.executeEffects(process, effects)
   }
--- a/packages/core/src/intake/intakeDb.ts
+++ b/packages/core/src/intake/intakeDb.ts
@@ -4,13 +4,13 @@
  */
 import type { InstanceId, JobId } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import type { CallerReads } from '../shard/types.js'
 import type { FrontedJob } from './types.js'
 
 /** The jobs for which this instance is the front, indexed by job and by call. */
 export class IntakeDb {
   readonly jobs = new Map<JobId, FrontedJob>()
-  /** Everything that had arrived from callers by then has been handled, so their calls had not ended before. */
-  callersReadAt = ms(Infinity)
+  callerReads: CallerReads = { upTo: ms(Infinity), endedAt: ms(Infinity) }
   private readonly byCall = new Map<string, JobId>()
 
   /** Adds a call that waits for a job. */
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -232,12 +232,12 @@
 
   /** Returns until when this front knows that the callers of its jobs wait; the end of a call may have arrived since then and not been read. */
   callersSeenAt (): Ms {
-    return ms(Math.min(this.ctx.now, this.db.callersReadAt))
+    return ms(Math.min(this.ctx.now, this.db.callerReads.upTo))
   }
 
   /** Returns the reading of an owner's clock that messages about jobs carry, for the time until which their callers are known to wait. */
   private readingOf (owner: InstanceId): { readonly ownerClock?: ClockReading } {
-    const ownerClock = this.sessions.clockOf(owner, this.callersSeenAt())
+    const ownerClock = this.sessions.clockAt(owner, this.callersSeenAt(), this.db.callerReads.endedAt)
     return ownerClock === undefined ? {} : { ownerClock }
   }
 
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -136,13 +136,21 @@
     return ms(this.ctx.now + this.ctx.suspendedMs)
   }
 
+  /** Returns the time that a peer's clock shows at least; undefined if it is not known. */
+  clockOf (instance: InstanceId): ClockReading | undefined {
+    return this.clockAt(instance, this.ctx.now, ms(-Infinity))
+  }
+
   /**
-   * Returns the time that a peer's clock shows, or showed, at least; undefined if it is not known.
-   * @param at - a time on this instance's clock, by default the present one
+   * Returns the time that a peer's clock showed at least when this instance last knew something of other connections; undefined if it is not known.
+   * @param knownAt - everything that had arrived by then has been handled
+   * @param readUntil - when reads of all connections last ended: what had arrived before a reading that was handled by then has been handled too
    */
-  clockOf (instance: InstanceId, at = this.ctx.now): ClockReading | undefined {
+  clockAt (instance: InstanceId, knownAt: Ms, readUntil: Ms): ClockReading | undefined {
     const clock = this.db.peers.get(instance)?.clock
-    return clock === undefined ? undefined : { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + at - clock.readAt) }
+    if (clock === undefined) return undefined
+    const sinceMs = knownAt - clock.readAt
+    return { incarnation: clock.reading.incarnation, at: ms(clock.reading.at + (clock.readAt <= readUntil ? Math.max(0, sinceMs) : sinceMs)) }
   }
 
   /** Returns whether the present incarnation of a peer runs a version that sends clock readings. */
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -95,7 +95,7 @@
 
   it('is that of the last look at the callers for a job of the owner\'s own callers', () => {
     const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
-    const handle = (now: number, input: ShardInput, callersReadAt = now): ShardEffect[] => owner.handle(input, ms(now), ms(now), ms(callersReadAt))
+    const handle = (now: number, input: ShardInput, upTo = now): ShardEffect[] => owner.handle(input, ms(now), ms(now), { upTo: ms(upTo), endedAt: ms(now) })
     handle(0, { type: 'records', members: [], shards: [] })
     handle(1, listInput(ENDPOINT))
     handle(2, TICK)
@@ -123,13 +123,17 @@
 
   it('counts from when it has read its callers\' connections, in confirmations and in copies sent on a new link', () => {
     const front = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
-    const handle = (now: number, input: ShardInput, callersReadAt = now): (readonly [string, Ms | undefined])[] => front.handle(input, ms(now), ms(now), ms(callersReadAt))
+    const handle = (now: number, input: ShardInput, upTo = now, endedAt = now): (readonly [string, Ms | undefined])[] => front.handle(input, ms(now), ms(now), { upTo: ms(upTo), endedAt: ms(endedAt) })
       .flatMap(effect => effect.type === 'send' && (effect.message.type === 'submit' || effect.message.type === 'checkJobs') ? [[effect.message.type, effect.message.ownerClock?.at] as const] : [])
     handle(0, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
     handle(1, { type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken, time: ms(1001) } })
     expect(handle(10, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: JOB, deadlineMs: ms(9000) })).to.deep.equal([['submit', 1010]])
     expect(handle(390, TICK, 11)).to.deep.equal([['checkJobs', 1011]])
     expect(handle(391, { type: 'linkDown', peer: OWNER }, 12)).to.deep.equal([['submit', 1012]])
+    // A reading that was read together with what had arrived before it, and one that was not.
+    handle(400, { type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken, time: ms(1300) } }, 12, 391)
+    expect(handle(401, { type: 'linkDown', peer: OWNER }, 12, 391)).to.deep.equal([['submit', 1300 + 12 - 400]])
+    expect(handle(410, { type: 'linkDown', peer: OWNER }, 12, 405)).to.deep.equal([['submit', 1300]])
   })
 })
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -19,7 +19,7 @@
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { ShardSettings } from './settings.js'
 import { ShardOutbox } from './types.js'
-import type { ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
+import type { CallerReads, ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
 
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
@@ -92,12 +92,12 @@
    * @param input - what happened
    * @param now - monotonic time
    * @param wall - wall-clock time
-   * @param callersReadAt - everything that had arrived from callers by then has been handled
+   * @param callerReads - how far the shell has read what callers sent, by default all
    * @returns the effects that the shell has to perform, in order
    */
-  handle (input: ShardInput, now: Ms, wall: Ms, callersReadAt = now): ShardEffect[] {
+  handle (input: ShardInput, now: Ms, wall: Ms, callerReads: CallerReads = { upTo: now, endedAt: now }): ShardEffect[] {
     this.ctx.now = now
-    this.intake.db.callersReadAt = callersReadAt
+    this.intake.db.callerReads = callerReads
     this.detectPause(now, wall)
     this.dispatch(input)
     this.execution.startWaitingTasks()
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -52,6 +52,12 @@
   | { readonly type: 'claimOutcome', readonly claimId: number, readonly result: ClaimResult }
   | { readonly type: 'leave' }
 
+/** How far this process has read what its callers sent. Everything that had arrived by `upTo` was handled by `endedAt`. */
+export interface CallerReads {
+  readonly upTo: Ms
+  readonly endedAt: Ms
+}
+
 /** Why a job was refused. No part of it has run or will run. */
 export type RefusalCause = 'noDesiredState' | 'noQueue' | 'unsupported' | 'noOwner' | 'overloaded' | 'cannotFit' | 'leaving'
 
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -153,7 +153,7 @@
 
   private post (input: ShardInput): void {
     const { clock } = this.options
-    this.executeEffects(this.core.handle(input, clock.now(), clock.wall(), this.reads.upTo))
+    this.executeEffects(this.core.handle(input, clock.now(), clock.wall(), this.reads))
   }
 
   private executeEffects (effects: readonly ShardEffect[]): void {
--- a/packages/dispatcher/src/shard/socketReads.spec.ts
+++ b/packages/dispatcher/src/shard/socketReads.spec.ts
@@ -9,6 +9,6 @@
     const read = new Promise<void>(resolve => reads.afterNextRead(resolve))
     now = 395
     await read
-    expect(reads.upTo).to.equal(5)
+    expect([reads.upTo, reads.endedAt]).to.deep.equal([5, 395])
   })
 })
--- a/packages/dispatcher/src/shard/socketReads.ts
+++ b/packages/dispatcher/src/shard/socketReads.ts
@@ -9,6 +9,8 @@
 export class SocketReads {
   /** Everything that had arrived by then has been read. */
   upTo: Ms = ms(0)
+  /** When that was done. */
+  endedAt: Ms = ms(0)
 
   constructor (private readonly clock: Pick<Clock, 'now'>) {}
 
@@ -20,6 +22,7 @@
     const calledAt = this.clock.now()
     setImmediate(() => {
       this.upTo = calledAt
+      this.endedAt = this.clock.now()
       callback()
     })
   }
