Execution: keep unconfirmed jobs until shortly before the lease of their runs ends

Callers of a front that was 250 ms behind, with an owner that was, got their jobs' answers late or never: the owner dropped sound jobs 700 ms after the last confirmation, which on such a path is older than that when it is read, and started them again.

The lease of the runs already ends before the caller sends the job again, so the limit follows it: orders are taken, and tasks started, up to 925 ms after the confirmation, which with the 300 ms for which a start is valid makes the 1225 ms of the lease; the job is dropped 100 ms, an order's time-out, before the lease ends, so that the runs beside it keep theirs.

--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -193,6 +193,25 @@
   })
 })
 
+describe('runs of a front and an owner that are slow', () => {
+  it('are not stopped and started again while each handles messages 250 ms late', () => {
+    for (const seed of SEEDS.slice(0, 4)) {
+      const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+      fleet.run(8000)
+      const from = fleet.time.now
+      for (const name of [FRONT, OWNER]) fleet.slowDown(name, 250, BEYOND_TEST_MS)
+      for (let job = 0; job < 30; job++) {
+        fleet.run(400)
+        fleet.submit(FRONT, 2, { ...LONG_TASK, cpuMilli: 4000, workMs: 1000 })
+      }
+      fleet.run(6000)
+      const unconfirmed = fleet.logs.filter(({ at, event, fields }) => at > from && event === 'job.abandoned' && 'why' in fields && fields.why === 'unconfirmed')
+      expect(unconfirmed.map(({ at, fields }) => ({ at, fields })), `seed ${seed}`).to.deep.equal([])
+      expect(fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+    }
+  })
+})
+
 describe('two runs of a task at once', () => {
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -594,18 +594,23 @@
     }
   }
 
-  /** A front that stopped confirming a job may have given it up without reaching this owner; its caller resends the job to any front. */
+  /** A front that stopped confirming a job may have given it up without reaching this owner; its caller resends the job to any front. Nothing more starts then. */
   private isConfirmationExpired (job: OwnedJob): boolean {
     return this.ctx.now - job.confirmedAt > this.ctx.cfg.jobLeaseMs
   }
 
+  /** The runs go on as long as a stop can still end them before their lease does, which they share with the other runs at their endpoints. */
+  private mustStop (job: OwnedJob): boolean {
+    return this.ctx.now > job.runLease.endsBy - this.ctx.cfg.orderTimeoutMs
+  }
+
   private tickJob (job: OwnedJob): void {
     const { now } = this.ctx
     if (now > job.callerDeadline) {
       this.abandon(job, 'callerDeadline')
       return
     }
-    if (this.isConfirmationExpired(job)) this.abandon(job, 'unconfirmed')
+    if (this.mustStop(job)) this.abandon(job, 'unconfirmed')
   }
 
   /** Declines waiting jobs that can no longer be on time because other jobs overtook them or capacity was lost. */
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -16,7 +16,10 @@
   readonly reconnectAfterMs: Ms
   /** Silence after which a peer counts as lost. The tasks of a lost front must have ended before its callers resubmit their jobs. */
   readonly peerTimeoutMs: Ms
-  /** An owner drops a job that its front has not confirmed for this long, counted from when the front sent the confirmation. */
+  /**
+   * An owner takes no order that is older than this, and starts nothing for a job whose confirmation is: what starts until then is valid for
+   * `startValidMs` and ends before the caller sends the job again.
+   */
   readonly jobLeaseMs: Ms
   /** Shortest time after which a caller sends a job again whose outcome it does not know (bound of the platform). */
   readonly resendMs: Ms
@@ -73,7 +76,7 @@
   remotePingMs: ms(250),
   reconnectAfterMs: ms(400),
   peerTimeoutMs: ms(600),
-  jobLeaseMs: ms(700),
+  jobLeaseMs: ms(925),
   resendMs: ms(1300),
   confirmMs: ms(200),
   reclaimMs: ms(2500),
