Intake: try another domain once an owner has refused two copies of a job as too old

Over a link on which orders take longer than 925 ms, a caller of a remote job got no answer before its deadline: the owner refused each copy as too old, and the front sent further ones to it, some because the owner's answers to its confirmations, which name no copy, counted for the latest one.

The front sends a job that the owner has not taken once more, with a reading of its clock, and after that to another domain, if one can take it. Nothing of the refused copies can start: each was sent after the refusal of the one before, owners keep the numbers of refused copies as they keep those of dropped ones, and a job of which a copy may have been taken stays with its shard. Owners name the refused copy when they are asked about the job, so that an answer to an earlier copy is ignored; they name none to a front whose job they have from another one.

--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -212,6 +212,27 @@
   })
 })
 
+describe('a job whose owner is at the end of a slow link', () => {
+  it('goes to another domain after that owner has refused its copies as too old, and runs there only', () => {
+    for (const seed of SEEDS) {
+      const fleet = new ShardFleet({ domains: ['a', 'b', 'c'], instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+      fleet.run(6000)
+      for (const id of endpointsOf(fleet, 'a')) fleet.drain(id, 10)
+      fleet.submit('c-1' as InstanceId, 2, LONG_TASK)
+      // The delay grows slowly, so that the link does not seem silent, beyond the age up to which orders are taken.
+      for (let delayMs = 25; delayMs <= 1000; delayMs += 25) {
+        fleet.delayLinks(['a-1>b-1'], delayMs)
+        fleet.run(100)
+      }
+      const job = fleet.submit('a-1' as InstanceId, 2, { ...LONG_TASK, workMs: 500 })
+      fleet.run(6000)
+      expect(job.reply, `seed ${seed}`).to.equal('completed')
+      expect(fleet.logs.filter(({ event, fields }) => event === 'job.outdated' && 'job' in fields && fields.job === job.id), `seed ${seed}`).to.have.length(2)
+      expect(fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+    }
+  })
+})
+
 describe('two runs of a task at once', () => {
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -29,18 +29,30 @@
     return this.ended.get(id)?.outcome
   }
 
-  /** Remembers for a while that copies of a job up to a number are not to be taken any more. */
-  keepDropped (id: JobId, front: DroppedCopies['front'], attempt: number, now: Ms): void {
-    const known = this.dropped.get(id)
-    const isSameFront = known?.front.instance === front.instance && known.front.incarnation === front.incarnation
+  /**
+   * Remembers for a while that copies of a job up to a number are not to be taken any more.
+   * @param neverTaken - whether this owner has taken none of them
+   */
+  keepDropped (id: JobId, front: DroppedCopies['front'], attempt: number, neverTaken: boolean, now: Ms): void {
+    const known = this.droppedOf(id, front)
     this.dropped.delete(id)
-    this.dropped.set(id, { front, attempt: isSameFront ? Math.max(known.attempt, attempt) : attempt, until: ms(now + OUTCOME_RETENTION_MS) })
+    this.dropped.set(id, { front, attempt: Math.max(known?.attempt ?? 0, attempt), neverTaken: neverTaken && known?.neverTaken !== false, until: ms(now + OUTCOME_RETENTION_MS) })
   }
 
   /** @returns whether the front sent this copy before or as the last one that this owner has dropped */
   isDropped (id: JobId, front: DroppedCopies['front'], attempt: number): boolean {
+    return attempt <= (this.droppedOf(id, front)?.attempt ?? 0)
+  }
+
+  /** @returns the number of the latest copy of the front's that was refused, while that is kept; undefined if one was taken */
+  refusedAttempt (id: JobId, front: DroppedCopies['front']): number | undefined {
+    const dropped = this.droppedOf(id, front)
+    return dropped?.neverTaken === true ? dropped.attempt : undefined
+  }
+
+  private droppedOf (id: JobId, front: DroppedCopies['front']): DroppedCopies | undefined {
     const dropped = this.dropped.get(id)
-    return dropped?.front.instance === front.instance && dropped.front.incarnation === front.incarnation && attempt <= dropped.attempt
+    return dropped?.front.instance === front.instance && dropped.front.incarnation === front.incarnation ? dropped : undefined
   }
 
   /** Drops what is kept for a while only. The maps are in order of insertion, so the oldest come first. */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -75,7 +75,10 @@
       return true
     }
     if (known === undefined && this.db.isDropped(id, front, order.attempt)) return this.refuseOutdated(front, order, 'overtaken', sentAt)
-    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) return this.refuseOutdated(front, order, 'tooOld', sentAt)
+    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) {
+      if (known === undefined) this.db.keepDropped(id, front, order.attempt, !order.resumed, this.ctx.now)
+      return this.refuseOutdated(front, order, 'tooOld', sentAt)
+    }
     if (known === undefined) this.submitNew(front, failureDomain, order, sentAt)
     else this.join(known, front, order, sentAt)
     return true
@@ -97,7 +100,7 @@
   cancel (id: JobId, from: InstanceId, { incarnation, attempt }: { readonly incarnation?: number, readonly attempt?: number } = {}): void {
     const job = this.db.jobs.get(id)
     if (job !== undefined && job.front.instance === from && (attempt === undefined || attempt >= job.attempt)) this.abandon(job, 'callerLeft')
-    if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, this.ctx.now)
+    if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, false, this.ctx.now)
   }
 
   /**
@@ -140,7 +143,8 @@
         continue
       }
       const outcome = this.db.outcomeOf(id)
-      this.ports.sendToFront(front, outcome === undefined ? { type: 'notOwner', jobId: id, failureDomain } : { type: 'ended', jobId: id, outcome })
+      const attempt = this.db.refusedAttempt(id, front)
+      this.ports.sendToFront(front, outcome === undefined ? { type: 'notOwner', jobId: id, failureDomain, ...attempt === undefined ? {} : { attempt } } : { type: 'ended', jobId: id, outcome })
     }
   }
 
@@ -365,7 +369,7 @@
 
   private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
     const { out, now } = this.ctx
-    this.db.keepDropped(job.id, job.front, job.attempt, now)
+    this.db.keepDropped(job.id, job.front, job.attempt, !job.mayHaveRun, now)
     out.count('shard.jobs.declined')
     out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.capacity())), waitingJobs: this.admission.db.waiting.size })
     this.ports.sendToFront(job.front, { type: 'declined', jobId: job.id, attempt: job.attempt, retryAfterMs })
@@ -575,7 +579,7 @@
   }
 
   private forget (job: OwnedJob): void {
-    this.db.keepDropped(job.id, job.front, job.attempt, this.ctx.now)
+    this.db.keepDropped(job.id, job.front, job.attempt, false, this.ctx.now)
     this.db.jobs.delete(job.id)
     this.admission.db.waiting.delete(job)
   }
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -77,5 +77,7 @@
   readonly front: Pick<FrontSession, 'instance' | 'incarnation'>
   /** Number of the latest of these copies. */
   readonly attempt: number
+  /** None of these copies was taken, so the job has not run here. */
+  readonly neverTaken: boolean
   readonly until: Ms
 }
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -87,6 +87,30 @@
     expect(resumed()).to.deep.equal([false, false, true, true])
   })
 
+  it('sends a job to another domain once an owner has refused two copies of it, but not one of which it may have taken a copy', () => {
+    const { intake, sessions, sent } = setUp()
+    const other = 'other' as InstanceId
+    sessions.messageReceived(other, 1, 'other')
+    sessions.db.learnOwner({ failureDomain: 'far' as FailureDomain, owner: other, token: 1 as FencingToken })
+    const domains = (id: string): string[] => sent.flatMap(message => message.type === 'submit' && message.order.job.id === id ? [message.failureDomain] : [])
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    intake.jobUnknownAtOwner('a' as JobId, OWNER, DOMAIN, 1)
+    expect(domains('a')).to.deep.equal([DOMAIN, DOMAIN])
+    intake.jobUnknownAtOwner('a' as JobId, OWNER, DOMAIN, 1)
+    intake.jobUnknownAtOwner('a' as JobId, OWNER, DOMAIN, 2)
+    expect(domains('a')).to.deep.equal([DOMAIN, DOMAIN, 'far'])
+    intake.submit('c2', 'h', '/q/b', job('b'), ms(1500))
+    intake.linkReplaced(OWNER)
+    for (const attempt of [5, 6, 7]) intake.jobUnknownAtOwner('b' as JobId, OWNER, DOMAIN, attempt)
+    expect(new Set(domains('b'))).to.deep.equal(new Set([DOMAIN]))
+    intake.submit('c3', 'h', '/q/c', job('c'), ms(1500))
+    const { lastAttempt } = intake as unknown as { lastAttempt: number }
+    intake.jobUnknownAtOwner('c' as JobId, OWNER, DOMAIN, lastAttempt)
+    intake.jobUnknownAtOwner('c' as JobId, OWNER, DOMAIN)
+    intake.jobUnknownAtOwner('c' as JobId, OWNER, DOMAIN, lastAttempt + 2)
+    expect(new Set(domains('c'))).to.deep.equal(new Set([DOMAIN]))
+  })
+
   it('resumes a job at the next owner of its shard, and reports it as lost when there is none', () => {
     const { ctx, intake, sessions, sent, replies } = setUp()
     intake.submit('c1', 'h', '/q/a', job('a', 2000), ms(9000))
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -26,6 +26,8 @@
 const LEAVING_RETRY_MS = ms(1000)
 /** How often a job is sent again to an owner that does not know it. */
 const RESENDS_MAX = 3
+/** After how many of them a job that the owner has not taken goes to another domain; the first may have been refused for want of a reading of its clock. */
+const RESENDS_BEFORE_MOVE = 1
 /** Retry delay after a refusal because there is no owner, no desired state or no queue. */
 const NO_OWNER_RETRY_MS = ms(1000)
 /** Retry delay for a job that uses features which this system does not support. */
@@ -116,11 +118,14 @@
     const job = this.db.jobs.get(id)
     if (job?.location.type !== 'atOwner' || job.location.owner !== from || job.location.failureDomain !== failureDomain) return
     if (attempt !== undefined && attempt !== job.attempt) return
-    if (attempt !== undefined && !job.location.resumed && job.resends < RESENDS_MAX) {
-      job.resends++
-      job.location = { type: 'unplaced', since: this.ctx.now }
-      this.place(job)
-      return
+    if (attempt !== undefined && !job.location.resumed) {
+      if (job.resends >= RESENDS_BEFORE_MOVE && this.moveElsewhere(job, failureDomain)) return
+      if (job.resends < RESENDS_MAX) {
+        job.resends++
+        job.location = { type: 'unplaced', since: this.ctx.now }
+        this.place(job)
+        return
+      }
     }
     this.detach(job, failureDomain)
     if (this.sessions.ownerOf(failureDomain) !== from || job.resends >= RESENDS_MAX) return
@@ -215,6 +220,22 @@
     return best
   }
 
+  /**
+   * Sends a job to another domain after the present one has refused all copies of it, each before the next was sent. None of them can start any more.
+   * @returns false if no other domain can take it
+   */
+  private moveElsewhere (job: FrontedJob, refusedBy: FailureDomain): boolean {
+    job.declinedBy.add(refusedBy)
+    const target = this.chooseShard(job)
+    if (target === undefined) {
+      job.declinedBy.delete(refusedBy)
+      return false
+    }
+    job.resends = 0
+    this.send(job, target.failureDomain, target.owner, false)
+    return true
+  }
+
   private resume (job: FrontedJob, failureDomain: FailureDomain, owner: InstanceId): void {
     this.send(job, failureDomain, owner, true)
   }
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -79,6 +79,20 @@
     expect(submitTo({ time: ms(1), ownerClock: { incarnation: 0, at: ms(10_000) } })).to.deep.equal({ taken: false, clock: 10_000 })
   })
 
+  it('does not let a front take a job elsewhere that this owner has from another front', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput): ShardMessage[] => owner.handle(input, ms(now), ms(now)).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+    const submit = (from: string, at: number): ShardInput => ({ type: 'peer', from: from as InstanceId, message: { type: 'submit', incarnation: 7, address: from, failureDomain: DOMAIN, order: ORDER, time: ms(1), ownerClock: { incarnation: 1, at: ms(at) } } })
+    const refusals = (messages: readonly ShardMessage[]): unknown[] => messages.filter(message => message.type === 'notOwner')
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, TICK)
+    handle(2, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(1990, TICK)
+    expect(refusals(handle(2000, submit('other', 100)))).to.deep.equal([{ type: 'notOwner', jobId: 'a', failureDomain: DOMAIN, attempt: 1 }])
+    expect(refusals(handle(2001, submit('front', 2001)))).to.deep.equal([])
+    expect(refusals(handle(2002, submit('other', 100)))).to.deep.equal([{ type: 'notOwner', jobId: 'a', failureDomain: DOMAIN }])
+  })
+
   it('is not asked of a front of an earlier version, which knows no readings', () => {
     expect(submitTo({}).taken).to.equal(true)
   })
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -344,7 +344,10 @@
     if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
     this.sendLoad(front.instance)
-    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain, attempt: message.order.attempt })
+    const { job, attempt } = message.order
+    // Without the number of the copy, the front keeps the job here, where another front's copy of it may run.
+    const isOthers = this.execution.db.jobs.get(job.id)?.front.instance !== front.instance && this.execution.db.jobs.has(job.id)
+    this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...isOthers ? {} : { attempt } })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
