Owners: take a reading ahead of their clock for no proof of age

An owner whose machine was suspended while its wall clock stepped back did not notice the suspension: its monotonic clock had stood still. Fronts counted on meanwhile, so their orders and confirmations carried readings of a time to come, and what had been sent seconds before and was read afterwards counted as sent now, until the next message of the owner. A task could then start for a job that its front had given up.

Evidence: two unit tests (an order and a confirmation whose reading is 3 s ahead), which failed before the change and pass now.

A reading more than 20 ms ahead proves nothing: an order with it is refused with the present time, and a confirmation does not count. The 20 ms allow for clocks of different rate.

--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -93,6 +93,11 @@
     expect(refusals(handle(2002, submit('other', 100)))).to.deep.equal([{ type: 'notOwner', jobId: 'a', failureDomain: DOMAIN }])
   })
 
+  it('is not proved by a reading ahead of the owner\'s clock, which stood still while its machine was suspended and its wall clock stepped back', () => {
+    const wall = (now: number): number => now < 10_000 ? now : now - 5000
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(13_000) } }, wall)).to.deep.equal({ taken: false, clock: 10_000 })
+  })
+
   it('is not asked of a front of an earlier version, which knows no readings', () => {
     expect(submitTo({}).taken).to.equal(true)
   })
@@ -129,6 +134,30 @@
   })
 })
 
+describe('a confirmation with a reading ahead of the owner\'s clock', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const FRONT = 'front' as InstanceId
+
+  it('confirms nothing, until the front has the present time', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput): unknown => owner.handle(input, ms(now), ms(now))
+    const peer = (message: ShardMessage): ShardInput => ({ type: 'peer', from: FRONT, message })
+    const confirmedAt = (): Ms | undefined => owner.execution.db.jobs.get('a' as JobId)?.confirmedAt
+    const check = (at: number): ShardInput => peer({ type: 'checkJobs', failureDomain: DOMAIN, jobIds: ['a' as JobId], ownerClock: { incarnation: 1, at: ms(at) } })
+    const job = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+    const queue = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, TICK)
+    handle(2, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(10, peer({ type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order: { job, queue, ageMs: ms(0), remainingMs: ms(5000), attempt: 1, resumed: true, done: [] }, time: ms(1), ownerClock: { incarnation: 1, at: ms(9) } }))
+    handle(200, check(3200))
+    expect(confirmedAt()).to.equal(9)
+    // Clocks of two machines differ a little in their rate.
+    handle(210, check(212))
+    expect(confirmedAt()).to.equal(210)
+  })
+})
+
 describe('what a front says of its jobs', () => {
   const DOMAIN = 'd' as FailureDomain
   const OWNER = 'owner' as InstanceId
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -24,6 +24,9 @@
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
 
+/** How far a reading of this instance's clock may be ahead of it, since the clocks of machines differ in their rate. */
+const READING_AHEAD_MAX_MS = 20
+
 /** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
 const FIRST_LIST_WAIT_MS = 250
 
@@ -378,13 +381,15 @@
 
   /**
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
-   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings.
+   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
+   * time to come: this clock has stood still since, unnoticed, because the machine was suspended and its wall clock stepped back.
    */
   private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
     const { now, self, suspendedMs } = this.ctx
     if (front === self.instance) return this.intake.callersSeenAt()
     if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
-    return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
+    const readAt = ms(ownerClock.at - suspendedMs)
+    return ownerClock.incarnation === self.incarnation && readAt <= now + READING_AHEAD_MAX_MS ? ms(Math.min(now, readAt)) : ms(-Infinity)
   }
 
   private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
