--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -1,13 +1,19 @@
 import { expect } from 'chai'
+import { SHARD_DEFAULTS } from '@cranberryyard/core/shard'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { countFromArrival, extendLeasesFreely } from './shardMutations.js'
+import type { FleetOptions } from './shardFleet.js'
+import { countFromArrival, countFromSending, extendLeasesFreely, startUnderAnyLease } from './shardMutations.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 /** Downtime that is longer than the rest of any test run here. */
 const BEYOND_TEST_MS = 60_000
+/** Time for which an instance may handle nothing before it takes itself for paused. */
+const UNNOTICED_PAUSE_MS = SHARD_DEFAULTS.pauseMs - 10
 /** Tasks that still run when their caller sends the job again. */
 const LONG_TASK = { cpuMilli: 8000, workMs: 5000, fails: false }
+const ENDPOINT_CPU_MILLI = 32_000
+const HALF_ENDPOINT = { ...LONG_TASK, cpuMilli: ENDPOINT_CPU_MILLI / 2 }
 const FRONT = 'b-0' as InstanceId
 const OWNER = 'b-1' as InstanceId
 
@@ -15,9 +21,9 @@
  * Plays a scenario with several seeds, which decide among other things to which instances callers send again.
  * @returns the violations of all plays
  */
-function violationsOf ({ play, domains = ['a', 'b'] }: Scenario): string[] {
+function violationsOf ({ play, domains = ['a', 'b'], endpointKinds }: Scenario): string[] {
   return SEEDS.flatMap((seed) => {
-    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed, ...endpointKinds === undefined ? {} : { endpointKinds } })
     // After 8 s the instances with the most processor time own the shards.
     fleet.run(8000)
     play(fleet)
@@ -39,6 +45,8 @@
 interface Scenario {
   readonly when: string
   readonly domains?: string[]
+  /** Endpoints of each domain, if their size matters. */
+  readonly endpointKinds?: FleetOptions['endpointKinds']
   readonly play: (fleet: ShardFleet) => void
 }
 
@@ -105,6 +113,48 @@
       fleet.time.after(510 + fleet.randomBelow(40), () => fleet.cutPairs(linksBetween([OWNER], endpointsOf(fleet, 'b')), 3000))
     }
   },
+  longerLease: {
+    endpointKinds: [{ count: 4, cpuMilli: ENDPOINT_CPU_MILLI, speed: 1 }],
+    when: 'a waiting task starts beside runs with a longer lease after its front has lost power, and then the owner does',
+    play: (fleet) => {
+      const halfOfEach = 4
+      fleet.submit(OWNER, halfOfEach, HALF_ENDPOINT)
+      fleet.submit('a-1' as InstanceId, halfOfEach, HALF_ENDPOINT)
+      fleet.submit(OWNER, halfOfEach, { ...HALF_ENDPOINT, workMs: 900 })
+      fleet.submit('a-1' as InstanceId, halfOfEach, { ...HALF_ENDPOINT, workMs: 1400 })
+      fleet.run(300)
+      fleet.submit(FRONT, 2, HALF_ENDPOINT)
+      fleet.run(100 + fleet.randomBelow(100))
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      fleet.time.after(520, () => fleet.losePower(OWNER, BEYOND_TEST_MS))
+    }
+  },
+  unreadEnd: {
+    when: 'the front has not yet read that its caller has left, and then loses power',
+    play: (fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500 + fleet.randomBelow(200))
+      fleet.lateStopShare = 1
+      fleet.slowDown(FRONT, UNNOTICED_PAUSE_MS, UNNOTICED_PAUSE_MS)
+      fleet.breakCallers(FRONT)
+      fleet.run(UNNOTICED_PAUSE_MS - 1)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+    }
+  },
+  unreadEndNewLink: {
+    when: 'the front has not yet read that its caller has left, sends the job again on a new connection, and then loses power',
+    play: (fleet) => {
+      fleet.submit(FRONT, 2, LONG_TASK)
+      fleet.run(500 + fleet.randomBelow(200))
+      fleet.lateStopShare = 1
+      fleet.slowDown(FRONT, UNNOTICED_PAUSE_MS, UNNOTICED_PAUSE_MS)
+      fleet.replaceConnections(FRONT, OWNER)
+      fleet.breakCallers(FRONT)
+      fleet.run(UNNOTICED_PAUSE_MS - 1)
+      fleet.replaceConnections(FRONT, OWNER)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+    }
+  },
   lateStops: {
     when: 'the front loses power and the endpoints carry out stop orders late',
     play: (fleet) => {
@@ -143,10 +193,52 @@
   })
 })
 
+describe('runs of a front and an owner that are slow', () => {
+  it('are not stopped and started again while each handles messages 250 ms late', () => {
+    for (const seed of SEEDS.slice(0, 4)) {
+      const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+      fleet.run(8000)
+      const from = fleet.time.now
+      for (const name of [FRONT, OWNER]) fleet.slowDown(name, 250, BEYOND_TEST_MS)
+      for (let job = 0; job < 30; job++) {
+        fleet.run(400)
+        fleet.submit(FRONT, 2, { ...LONG_TASK, cpuMilli: 4000, workMs: 1000 })
+      }
+      fleet.run(6000)
+      const unconfirmed = fleet.logs.filter(({ at, event, fields }) => at > from && event === 'job.abandoned' && 'why' in fields && fields.why === 'unconfirmed')
+      expect(unconfirmed.map(({ at, fields }) => ({ at, fields })), `seed ${seed}`).to.deep.equal([])
+      expect(fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+    }
+  })
+})
+
+describe('a job whose owner is at the end of a slow link', () => {
+  it('goes to another domain after that owner has refused its copies as too old, and runs there only', () => {
+    for (const seed of SEEDS) {
+      const fleet = new ShardFleet({ domains: ['a', 'b', 'c'], instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+      fleet.run(6000)
+      for (const id of endpointsOf(fleet, 'a')) fleet.drain(id, 10)
+      fleet.submit('c-1' as InstanceId, 2, LONG_TASK)
+      // The delay grows slowly, so that the link does not seem silent, beyond the age up to which orders are taken.
+      for (let delayMs = 25; delayMs <= 1000; delayMs += 25) {
+        fleet.delayLinks(['a-1>b-1'], delayMs)
+        fleet.run(100)
+      }
+      const job = fleet.submit('a-1' as InstanceId, 2, { ...LONG_TASK, workMs: 500 })
+      fleet.run(6000)
+      expect(job.reply, `seed ${seed}`).to.equal('completed')
+      expect(fleet.logs.filter(({ event, fields }) => event === 'job.outdated' && 'job' in fields && fields.job === job.id), `seed ${seed}`).to.have.length(2)
+      expect(fleet.oracle.violations, `seed ${seed}`).to.deep.equal([])
+    }
+  })
+})
+
 describe('two runs of a task at once', () => {
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
-    { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] }
+    { name: 'orders and confirmations count from their sending by a front that has not read its callers\' connections', apply: countFromSending, shownBy: [SCENARIOS.unreadEnd, SCENARIOS.unreadEndNewLink] },
+    { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] },
+    { name: 'tasks start under whatever lease there is', apply: startUnderAnyLease, shownBy: [SCENARIOS.longerLease] }
   ] as const
 
   for (const { name, apply, shownBy } of MUTATIONS) {
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -26,8 +26,10 @@
 
 /** Consecutive holds without an answer after which leases are no longer renewed, so that the runs there are certain to end. */
 const UNANSWERED_HOLDS_MAX = 2
-/** How long a hold waits while runs are there that no job has claimed yet: what a claim allows is then renewed soon. */
+/** How long a hold waits while runs are there that no job has claimed yet: what a claim allows is then renewed soon. Also the shortest wait. */
 const UNCLAIMED_HOLD_WAIT_MS = ms(50)
+/** A hold waits for at most this part of the lease that it leaves, so that the next one comes in time although this owner handles the answer late. */
+const HOLD_WAIT_PER_LEASE = 0.25
 /** Longest gap between two holds at which the time of an end is still exact enough to judge the endpoint's speed. */
 const END_TIME_GAP_MAX_MS = 15
 /** Maximum number of times a start is sent; after that the owner waits until it can no longer take effect. */
@@ -110,7 +112,14 @@
     return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
-  /** Starts a run. The caller has checked that the run fits and that the endpoint is `usable`. */
+  /** Returns whether a run that started at the endpoint now would end with the lease of its job: the one there, which all runs share, may last longer. */
+  endsWithLease (endpoint: LedgerEndpoint, lease: RunLease): boolean {
+    const { now, cfg } = this.ctx
+    const remainingMs = lease.endsBy - now
+    return remainingMs >= cfg.leaseMs || endpoint.leaseUntil <= endpointClock(endpoint, now) + remainingMs
+  }
+
+  /** Starts a run. The caller has checked that the run fits, that the endpoint is `usable` and that the run `endsWithLease`. */
   start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, { spec, needs, expectedMs, exclusive, lease }: Pick<LedgerRun, 'spec' | 'exclusive' | 'lease'> & { readonly needs: Resources, readonly expectedMs: number }): LedgerRun {
     const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec, exclusive, lease })
     this.db.addRun(endpoint, run)
@@ -252,7 +261,7 @@
     const watchesRuns = endpoint.answeredUnderToken && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX && endpoint.runs.size > 0
     const extendTo = watchesRuns ? this.extensionFor(endpoint) : undefined
     if (extendTo !== undefined) this.recordLeaseEnd(endpoint, extendTo)
-    const waitMs = watchesRuns && endpoint.unansweredHolds === 0 ? this.holdWaitFor(endpoint) : ms(0)
+    const waitMs = watchesRuns && endpoint.unansweredHolds === 0 ? this.holdWaitFor(endpoint, extendTo) : ms(0)
     const orderId = ++this.orderCounter
     endpoint.hold = { orderId, token, sentAt: now, endTimeKnown: now - endpoint.answeredAt <= END_TIME_GAP_MAX_MS || endpoint.runs.size === 1 }
     this.ctx.out.count('shard.holds.sent')
@@ -276,9 +285,12 @@
     return endpointClock(endpoint, now) + extensionMs as EndpointClockMs
   }
 
-  private holdWaitFor (endpoint: LedgerEndpoint): Ms {
+  private holdWaitFor (endpoint: LedgerEndpoint, extendTo: EndpointClockMs | undefined): Ms {
+    const { now, cfg } = this.ctx
     const hasUnclaimed = [...endpoint.runs.values()].some(run => run.state === 'unclaimed')
-    return hasUnclaimed ? UNCLAIMED_HOLD_WAIT_MS : this.ctx.cfg.holdWaitMs
+    if (hasUnclaimed) return UNCLAIMED_HOLD_WAIT_MS
+    if (extendTo === undefined) return cfg.holdWaitMs
+    return ms(Math.min(cfg.holdWaitMs, Math.max(UNCLAIMED_HOLD_WAIT_MS, Math.floor((extendTo - endpointClock(endpoint, now)) * HOLD_WAIT_PER_LEASE))))
   }
 
   private scheduleNextHold (endpoint: LedgerEndpoint): void {
@@ -321,8 +333,9 @@
     endpoint.runsAtRefusal = undefined
     endpoint.runsLostInSilence = []
     endpoint.answeredAt = now
-    // Until it answers under this owner's token, an earlier owner may have extended the leases there.
-    if (!endpoint.answeredUnderToken && listing.running.length > 0) this.recordLeaseEnd(endpoint, listing.clock + cfg.leaseMs as EndpointClockMs)
+    // Until it answers under this owner's token, an earlier owner may have extended the lease there, which outlasts the runs.
+    if (!endpoint.answeredUnderToken) endpoint.leaseUntil = listing.clock + cfg.leaseMs as EndpointClockMs
+    if (!endpoint.answeredUnderToken && listing.running.length > 0) this.recordLeaseEnd(endpoint, endpoint.leaseUntil)
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
     this.resolveMissingRuns(endpoint, listing, hold.sentAt)
@@ -395,6 +408,7 @@
     out.count('shard.endpoints.reborn')
     out.log('endpoint.reborn', { endpoint: endpoint.id, bornAt, before: endpoint.bornAt, runs: endpoint.runs.size }, 'warn')
     endpoint.acknowledged = 0
+    endpoint.leaseUntil = clock + this.ctx.cfg.leaseMs as EndpointClockMs
     if (endpoint.runsLostInSilence.length > 0) this.listener.endpointHadCrashed(endpoint, endpoint.runsLostInSilence)
     const runsThere = endpoint.runs.size
     for (const run of [...endpoint.runs.values()]) {
@@ -465,6 +479,7 @@
   /** Records that leases may now last until the given time on the endpoint's clock. */
   private recordLeaseEnd (endpoint: LedgerEndpoint, until: EndpointClockMs): void {
     const { now, cfg } = this.ctx
+    endpoint.leaseUntil = Math.max(endpoint.leaseUntil, until) as EndpointClockMs
     endpoint.leasesEndBy = ms(Math.max(endpoint.leasesEndBy, latestLeaseEnd(endpoint, until, now, cfg.clockDrift, cfg.leaseSlackMs)))
   }
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -19,11 +19,14 @@
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { ShardSettings } from './settings.js'
 import { ShardOutbox } from './types.js'
-import type { ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
+import type { CallerReads, ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
 
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
 
+/** How far a reading of this instance's clock may be ahead of it, since the clocks of machines differ in their rate. */
+const READING_AHEAD_MAX_MS = 20
+
 /** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
 const FIRST_LIST_WAIT_MS = 250
 
@@ -92,10 +95,12 @@
    * @param input - what happened
    * @param now - monotonic time
    * @param wall - wall-clock time
+   * @param callerReads - how far the shell has read what callers sent, by default all
    * @returns the effects that the shell has to perform, in order
    */
-  handle (input: ShardInput, now: Ms, wall: Ms): ShardEffect[] {
+  handle (input: ShardInput, now: Ms, wall: Ms, callerReads: CallerReads = { upTo: now, endedAt: now }): ShardEffect[] {
     this.ctx.now = now
+    this.intake.db.callerReads = callerReads
     this.detectPause(now, wall)
     this.dispatch(input)
     this.execution.startWaitingTasks()
@@ -342,7 +347,10 @@
     if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
     this.sendLoad(front.instance)
-    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain, attempt: message.order.attempt })
+    const { job, attempt } = message.order
+    // Without the number of the copy, the front keeps the job here, where another front's copy of it may run.
+    const isOthers = this.execution.db.jobs.get(job.id)?.front.instance !== front.instance && this.execution.db.jobs.has(job.id)
+    this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...isOthers ? {} : { attempt } })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
@@ -373,13 +381,15 @@
 
   /**
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
-   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings.
+   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
+   * time to come: this clock has stood still since, unnoticed, because the machine was suspended and its wall clock stepped back.
    */
   private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
     const { now, self, suspendedMs } = this.ctx
-    if (front === self.instance) return now
+    if (front === self.instance) return this.intake.callersSeenAt()
     if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
-    return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
+    const readAt = ms(ownerClock.at - suspendedMs)
+    return ownerClock.incarnation === self.incarnation && readAt <= now + READING_AHEAD_MAX_MS ? ms(Math.min(now, readAt)) : ms(-Infinity)
   }
 
   private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
