A new instance asks each peer in turn for what it lacks, not the same one again and again

What callers saw: nothing while the peer that is asked first has what is missing. Otherwise an instance that started while the store was down did not get the records of members and shards, nor the endpoints of its domain, from the other peers that had them, and its domain could be without an owner.

Cause: addresses are asked in turn every 150 ms, and every 600 ms one of them also for the records and the desired state. With as many addresses as are asked between two requests (four at ticks of 25 ms, three at the 100 ms of an idle instance), each request went to the same one.

Change: a request goes to an address only after all others had one. An instance does not ask itself either when a peer names its address.

Evidence: the new test failed before (requests to `a:1` alone for 4 s, four addresses).

--- a/packages/core/src/introduction/introductionDecider.spec.ts
+++ b/packages/core/src/introduction/introductionDecider.spec.ts
@@ -41,14 +41,26 @@
     expect(harness.run(900)).to.include('c:1 desiredRequest')
   })
 
-  it('asks a peer that has sent a message next', () => {
+  it('asks a peer that has sent a message next, but not itself', () => {
     const harness = new Harness()
     harness.run(175)
+    harness.introduction.peerHeard('me:1')
     harness.introduction.peerHeard('c:1')
     harness.introduction.peerHeard('c:1')
     expect(harness.run(450)).to.deep.equal(['c:1 ping', 'b:1 ping', 'a:1 ping'])
   })
 
+  it('asks each of its addresses for records in turn, also when as many are asked between two requests as there are addresses', () => {
+    const harness = new Harness()
+    const introduction = new IntroductionDecider(harness.ctx, ['a:1', 'b:1', 'c:1', 'd:1'], () => harness.missing, () => 0)
+    const asked = new Set<string>()
+    for (const until = harness.ctx.now + 4000; harness.ctx.now < until; harness.ctx.now = ms(harness.ctx.now + 25)) {
+      introduction.tick()
+      for (const effect of harness.ctx.out.takeEffects()) if (effect.type === 'send' && effect.message.type === 'desiredRequest') asked.add(effect.address)
+    }
+    expect([...asked].sort()).to.deep.equal(['a:1', 'b:1', 'c:1', 'd:1'])
+  })
+
   it('asks nobody while it knows no address', () => {
     const harness = new Harness()
     const alone = new IntroductionDecider(harness.ctx, ['me:1'], () => harness.missing, () => 0)
--- a/packages/core/src/introduction/introductionDecider.ts
+++ b/packages/core/src/introduction/introductionDecider.ts
@@ -18,7 +18,7 @@
 export interface Missing {
   readonly desiredState: boolean
   readonly owner: boolean
-  /** The records of members and shards, without which it cannot become an owner. */
+  /** The records of members and shards, and of its own domain the latest one, without which it cannot become an owner. */
   readonly records: boolean
   /** The endpoints of its own failure domain, without which it can own the domain but starts nothing there. */
   readonly endpoints: boolean
@@ -35,6 +35,8 @@
   private startedAt: Ms | undefined
   private askedAt = -Infinity
   private stateRequestedAt = -Infinity
+  /** Addresses of which the desired state has been requested since all of them were. */
+  private readonly requestedOf = new Set<string>()
 
   /** @param seeds - addresses of instances that may be stale, down or this instance's own */
   constructor (private readonly ctx: ShardContext, seeds: readonly string[], private readonly missing: GetMissing, private readonly desiredVersion: () => number) {
@@ -49,7 +51,7 @@
 
   /** A peer sent its address, so it can be asked as well; it is up, so it comes next. */
   peerHeard (address: string): void {
-    if (address === '' || this.addresses.includes(address) || !this.isPending()) return
+    if (address === '' || address === this.ctx.self.address || this.addresses.includes(address) || !this.isPending()) return
     this.addresses.splice(this.nextIndex, 0, address)
   }
 
@@ -64,8 +66,10 @@
     this.askedAt = now
     this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
     const { desiredState, records, endpoints } = this.missing()
-    if ((!desiredState && !records && !endpoints) || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return
+    if ((!desiredState && !records && !endpoints) || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS || this.requestedOf.has(address)) return
     this.stateRequestedAt = now
+    this.requestedOf.add(address)
+    if (this.requestedOf.size >= this.addresses.length) this.requestedOf.clear()
     this.send(address, { type: 'desiredRequest', introduce: records || endpoints })
   }
 
