An instance with an outdated record of its domain asks peers for the latest one while the store is down

What was seen (fleet in memory): in a store outage, a failure domain had no owner any more after the kill of the old one, although an instance of it was up; it took no shard until the store was back. Callers of such a domain depend on the capacity of other domains; that was not measured.

Cause: an instance takes over without the store by its rank in the record, under a token above all known ones. (1) It took the records of the first peer that introduced it for good; that peer may have read the record of a foreign domain up to 5 s before it was written anew, or not at all. (2) An instance that had lost the store just before its domain's record was written learned the new owner's token by announcement, but never its record. In both cases no rank of the old record gives a token that is high enough.

Change: records that a peer knows count if they are later than the known ones, whatever was read before; while the store is not reachable, an instance whose record of its own domain is missing or older than the owner's token goes on asking, first the owner, which knows its own record. Members are added from peers only until the store was read, since it may have removed them.

--- a/packages/bench/src/shard/takeover.spec.ts
+++ b/packages/bench/src/shard/takeover.spec.ts
@@ -80,6 +80,37 @@
   }
 })
 
+describe('an instance that knows an outdated record of its domain while the store is down', () => {
+  /** The owner writes its record anew while some instances do not reach the store, and is killed when nobody does. @returns the owners of its domain for some seeds */
+  function ownersAfterOutage (unserved: readonly string[], meanwhile: (fleet: ShardFleet) => void): string[] {
+    return [1, 2, 3, 4].map((seed) => {
+      const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 2, endpointsPerDomain: 3, seed })
+      fleet.run(8000)
+      for (const name of unserved) fleet.storeFaults.unservedInstances.add(name)
+      fleet.kill(OWNER, 1000)
+      fleet.run(8000)
+      fleet.storeFaults.down = true
+      fleet.run(1000)
+      meanwhile(fleet)
+      fleet.run(4000)
+      fleet.kill(OWNER, BEYOND_TEST_MS)
+      fleet.run(3000)
+      expect(fleet.oracle.violations).to.deep.equal([])
+      return fleet.owners().filter(name => name.startsWith('a-')).join()
+    })
+  }
+
+  it('can take the domain over after it was introduced by a peer with that record', () => {
+    const owners = ownersAfterOutage(['b-0'], fleet => fleet.kill(SUBMISSION_INSTANCE, 500))
+    expect(owners).to.deep.equal(owners.map(() => SUBMISSION_INSTANCE))
+  })
+
+  it('can take the domain over when only the owner knew the latest one', () => {
+    const owners = ownersAfterOutage([SUBMISSION_INSTANCE, 'b-0', 'b-1'], () => {})
+    expect(owners).to.deep.equal(owners.map(() => SUBMISSION_INSTANCE))
+  })
+})
+
 describe('an instance that takes over with an outdated endpoint list while the store is down', () => {
   it('does not restart tasks that run at an endpoint it does not know', () => {
     const violations = [1, 2, 3, 4].flatMap((seed) => {
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -100,6 +100,32 @@
     expect(changes).to.deep.equal([`gained ${tokenOf(40, 4)}`])
   })
 
+  it('takes over without the store by the latest record that any peer has told it', () => {
+    const { ctx, ownership, sessions, changes } = setUp()
+    ownership.recordsLearned([member('me'), member('owner')], [record(40, 'owner', 'me')])
+    sessions.db.learnOwner({ failureDomain: DOMAIN, owner: 'other' as InstanceId, token: tokenOf(41, 0) })
+    expect(ownership.knowsOwnRecord()).to.equal(false)
+    ownership.recordsLearned([member('other')], [record(41, 'other', 'owner', 'me')])
+    expect(ownership.knowsOwnRecord()).to.equal(true)
+    expect([...ownership.db.members.keys()]).to.have.members(['me', 'owner', 'other'])
+    ownership.recordsLearned([], [record(40, 'owner', 'me')])
+    sessions.connectionFailed('other' as InstanceId)
+    ownership.tick()
+    ctx.now = ms(ctx.now + SHARD_DEFAULTS.successionMs)
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'unavailable' })
+    expect(changes).to.deep.equal([`gained ${tokenOf(41, 2)}`])
+  })
+
+  it('takes no member from a peer once it has read the store itself, since the member may have been removed', () => {
+    const { ownership } = setUp()
+    ownership.recordsRead(members('me'), [])
+    ownership.recordsLearned([member('removed')], [record(41, 'other', 'me')])
+    expect([...ownership.db.members.keys()]).to.deep.equal(['me'])
+    expect(ownership.db.records.get(DOMAIN)?.revision).to.equal(41)
+  })
+
   it('does not take over without the store soon after an endpoint has refused its token: another instance owns the shard', () => {
     const { ctx, ownership, changes } = setUp()
     ownership.recordsRead(members('me', 'other'), [record(40, 'other', 'me')])
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -38,23 +38,39 @@
   private leaving = false
   private reclaimAllowedAt = -Infinity
   private rankTakeoverAllowedAt = -Infinity
+  private storeRead = false
 
   constructor (private readonly ctx: ShardContext, private readonly sessions: SessionsDecider, private readonly listener: OwnershipListener) {}
 
   /** Applies the member and shard records read from the store. Members that are not among them are removed. */
   recordsRead (members: readonly Revised<MemberRecord>[], shards: readonly Revised<ShardRecord>[]): void {
     this.db.recordsRead = true
+    this.storeRead = true
     this.db.members.clear()
-    for (const { value } of members) {
-      this.db.members.set(value.instance, value)
-      if (value.instance !== this.ctx.self.instance) this.sessions.db.peer(value.instance, value.address)
-    }
+    for (const { value } of members) this.applyMember(value)
     for (const record of shards) this.applyRecord(record)
   }
 
-  /** Applies the records that a peer has read, unless this instance has read the store itself since it started. */
+  /**
+   * Applies the records that a peer has read. They may be older than what this instance knows, so only later ones count; a member can also have
+   * been removed, so members count only while this instance has not read the store itself since it started.
+   */
   recordsLearned (members: readonly MemberRecord[], shards: readonly Revised<ShardRecord>[]): void {
-    if (!this.db.recordsRead) this.recordsRead(members.map(value => ({ revision: 0, value })), shards)
+    this.db.recordsRead = true
+    for (const member of this.storeRead ? [] : members) {
+      if (member.incarnation > (this.db.members.get(member.instance)?.incarnation ?? -Infinity)) this.applyMember(member)
+    }
+    for (const record of shards) this.applyRecord(record)
+  }
+
+  /**
+   * Returns whether this instance knows the record of its own domain that is in force, as far as tokens show. Under an earlier one, it cannot take the
+   * shard over while the store does not answer.
+   */
+  knowsOwnRecord (): boolean {
+    const { failureDomain } = this.ctx.self
+    const record = this.db.records.get(failureDomain)
+    return record !== undefined && (this.sessions.db.shards.get(failureDomain)?.token ?? 0) < tokenOf(record.revision + 1, 0)
   }
 
   /** Claims the shard of the own failure domain if it is vacant; otherwise, as its owner, keeps its record up to date. */
@@ -152,6 +168,11 @@
     }
   }
 
+  private applyMember (member: MemberRecord): void {
+    this.db.members.set(member.instance, member)
+    if (member.instance !== this.ctx.self.instance) this.sessions.db.peer(member.instance, member.address)
+  }
+
   private applyRecord (record: Revised<ShardRecord>): void {
     const { failureDomain, owner } = record.value
     const known = this.db.records.get(failureDomain)
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -197,7 +197,7 @@
     return {
       desiredState: this.desired.db.state === undefined,
       owner: !this.hasLiveOwner(),
-      records: !this.ownership.db.recordsRead,
+      records: !this.ownership.db.recordsRead || (!this.storeReachable && !this.ownership.knowsOwnRecord()),
       endpoints: !this.storeReachable && this.knowsNoLocalEndpoint()
     }
   }
@@ -215,6 +215,7 @@
   private tick (): void {
     const fronts = this.execution.frontInstances()
     this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.usesOwnedShard && this.expectsPingsFrom(peer.instance)))
+    if (!this.storeReachable) this.introduction.peerHeard(this.ownDomainOwnerAddress())
     this.introduction.tick()
     this.desired.tick()
     this.ownership.tick()
@@ -259,6 +260,12 @@
     return this.ownership.owns() && this.ownership.db.members.get(instance)?.failureDomain === this.ctx.self.failureDomain
   }
 
+  /** Returns the address of the own domain's owner, which knows the record that is in force; empty without a live one. */
+  private ownDomainOwnerAddress (): string {
+    const owner = this.sessions.ownerOf(this.ctx.self.failureDomain)
+    return owner === undefined ? '' : this.sessions.db.peers.get(owner)?.address ?? ''
+  }
+
   /** Returns whether the given instance owns the shard of this instance's own domain. */
   private ownsLocalDomain (instance: InstanceId): boolean {
     return this.sessions.db.shards.get(this.ctx.self.failureDomain)?.owner === instance
