The endpoints of a failure domain stay known when its instances are restarted in turn while the store is down

Cause: an introduction had only the endpoints of the domain of the instance that asked. After a restart, an instance thus knew nothing of other domains. Once those that had read the store were restarted, b-0 was introduced by a-0, which no longer knew the endpoints of b, and b-1 by b-0; nobody had them.

Change: an instance that does not reach the store itself tells all endpoints that it knows, and an introduced one keeps those of other domains to pass them on. While the sender reaches the store, the list is as short as before, since a long one costs many bytes. An introduction without endpoints of the own domain no longer counts as a reading of the list.

--- a/packages/bench/src/shard/takeover.spec.ts
+++ b/packages/bench/src/shard/takeover.spec.ts
@@ -111,6 +111,25 @@
   })
 })
 
+describe('a fleet in which every instance is restarted in turn while the store is down', () => {
+  it('still knows the endpoints of every failure domain', () => {
+    const capacities = [1, 2, 3, 4].map((seed) => {
+      const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 2, endpointsPerDomain: 3, seed })
+      fleet.run(8000)
+      fleet.storeFaults.down = true
+      fleet.run(2000)
+      for (const name of fleet.processes.keys()) {
+        fleet.kill(name, 500)
+        fleet.run(850)
+      }
+      fleet.run(5000)
+      expect(fleet.oracle.violations).to.deep.equal([])
+      return fleet.owners().map(name => `${name.slice(0, 1)} ${(fleet.processes.get(name)?.core.execution.capacity().totalCpuMilli ?? 0) > 0}`).sort().join()
+    })
+    expect(capacities).to.deep.equal(capacities.map(() => 'a true,b true'))
+  })
+})
+
 describe('an instance that takes over with an outdated endpoint list while the store is down', () => {
   it('does not restart tasks that run at an endpoint it does not know', () => {
     const violations = [1, 2, 3, 4].flatMap((seed) => {
--- a/packages/core/src/endpoints/endpointList.spec.ts
+++ b/packages/core/src/endpoints/endpointList.spec.ts
@@ -29,6 +29,15 @@
     expect(list.freshAt).to.equal(50)
   })
 
+  it('takes from peers only endpoints of failure domains of which it knows none, since a list that was read from the store may be newer', () => {
+    const { list } = setUp()
+    const far = 'far' as FailureDomain
+    list.applyList([report('a')], false)
+    list.learn([report('gone'), report('b', far), report('c', far)])
+    list.learn([report('gone too', far)])
+    expect(list.reports().map(entry => entry.id)).to.deep.equal(['a', 'b', 'c'])
+  })
+
   it('is known in full once entries that had lapsed before the first read have had time to come back', () => {
     const { ctx, list } = setUp()
     list.applyList([report('a')], false)
--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -53,7 +53,18 @@
 
   /** Returns the endpoints of a failure domain. */
   inFailureDomain (failureDomain: FailureDomain): EndpointReport[] {
-    return [...this.entries.values()].map(entry => entry.report).filter(report => report.failureDomain === failureDomain)
+    return this.reports().filter(report => report.failureDomain === failureDomain)
+  }
+
+  /** Returns the endpoints of all failure domains. */
+  reports (): EndpointReport[] {
+    return [...this.entries.values()].map(entry => entry.report)
+  }
+
+  /** Adds endpoints that a peer knows, of failure domains of which none is known here, so that they can be passed on. */
+  learn (reports: readonly EndpointReport[]): void {
+    const known = new Set(this.reports().map(report => report.failureDomain))
+    for (const report of reports) if (!known.has(report.failureDomain)) this.entries.set(report.id, { report, missingSince: undefined })
   }
 
   /**
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -42,6 +42,34 @@
   })
 })
 
+describe('an introduction', () => {
+  const FAR: EndpointReport = { ...ENDPOINT, id: 'f' as EndpointId, failureDomain: 'far' as FailureDomain }
+
+  it('has the endpoints of all failure domains only while its sender does not reach the store, since a long list costs many bytes', () => {
+    const member = { instance: 'new' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'new', cpuMilli: 500 }
+    const introduced = [true, false].map((reachable) => {
+      const instance = new ShardInstance({ self: { ...member, instance: 'me' as InstanceId, address: 'me' }, cfg: SHARD_DEFAULTS })
+      const handle = (input: ShardInput): ShardMessage[] => instance.handle(input, ms(0), ms(0)).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+      handle({ type: 'records', members: [{ revision: 1, value: member }], shards: [] })
+      handle(listInput(ENDPOINT, FAR))
+      handle({ type: 'storeReachable', reachable })
+      const answer = handle({ type: 'peer', from: member.instance, message: { type: 'desiredRequest', introduce: true } }).find(message => message.type === 'introduction')
+      return answer?.endpoints.map(({ id }) => id)
+    })
+    expect(introduced).to.deep.equal([['e'], ['e', 'f']])
+  })
+
+  it('passes on the endpoints of another failure domain that one peer knew, also when others know none', () => {
+    const member = { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }
+    const instance = new ShardInstance({ self: member, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, message: ShardMessage): ShardMessage[] => instance.handle({ type: 'peer', from: 'peer' as InstanceId, message }, ms(now), ms(now)).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+    handle(0, { type: 'ping', incarnation: 1, address: 'peer', desiredVersion: 0 })
+    for (const [n, endpoints] of [[FAR], [], []].entries()) handle(n * SHARD_DEFAULTS.missingEndpointRetentionMs, { type: 'introduction', members: [member], shards: [], endpoints })
+    const answer = handle(10_000, { type: 'desiredRequest', introduce: true }).find(message => message.type === 'introduction')
+    expect(answer?.endpoints.map(({ id }) => id)).to.deep.equal(['f'])
+  })
+})
+
 describe('the age of an order', () => {
   const DOMAIN = 'd' as FailureDomain
   const FRONT = 'front' as InstanceId
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -177,20 +177,25 @@
     }
   }
 
-  /** Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. */
+  /**
+   * Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. While this instance
+   * does not reach the store either, that includes the endpoints of all domains: once each instance has been restarted, only what they told each other is left.
+   */
   private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
     this.desired.stateRequested(from)
     const { members, records, recordsRead } = this.ownership.db
     if (!introduce || !recordsRead) return
     const failureDomain = members.get(from)?.failureDomain
-    const endpoints = failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
+    const endpoints = !this.storeReachable ? this.endpointList.reports() : failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
     this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints })
   }
 
   /** Applies what a peer has read from the store; what this instance has read itself since it started takes precedence. */
   private receiveIntroduction ({ members, shards, endpoints }: Extract<ShardMessage, { type: 'introduction' }>): void {
     this.ownership.recordsLearned(members, shards)
-    if (this.knowsNoLocalEndpoint()) this.applyReports(endpoints, false)
+    const local = endpoints.filter(report => report.failureDomain === this.ctx.self.failureDomain)
+    if (local.length > 0 && this.knowsNoLocalEndpoint()) this.applyReports(local, false)
+    this.endpointList.learn(endpoints)
   }
 
   private missing (): Missing {
