A peer that has the desired state gets no copy of it with an introduction

Cause: each request for an introduction was also answered with the whole desired state, every 600 ms for as long as the asking instance lacked something else.

Change: the copy is sent only to a peer that is not known to have that version; its ping, which comes just before the request, says so.

Evidence: the new test failed before (a copy for both peers). Requests without an introduction are answered as before.

--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -22,6 +22,8 @@
   readonly db = new DesiredDb()
   /** Peers that wait for a copy. One is served per tick, because a state with many queues saturates a connection. */
   private readonly requesters = new Set<InstanceId>()
+  /** The version that each peer named last. */
+  private readonly peerVersions = new Map<InstanceId, number>()
   private behindSince: Ms | undefined
   private lastRequestAt = -Infinity
 
@@ -39,6 +41,7 @@
 
   /** A peer mentioned its version. It is asked for a copy if the version is newer and the store does not deliver it in time. */
   peerVersionReceived (from: InstanceId, version: number): void {
+    this.peerVersions.set(from, version)
     if (version <= this.db.version()) return
     const { now } = this.ctx
     this.behindSince ??= now
@@ -48,6 +51,11 @@
     this.send(from, { type: 'desiredRequest' })
   }
 
+  /** Returns whether a peer is not known to have the version that is in force here. */
+  isBehind (peer: InstanceId): boolean {
+    return (this.peerVersions.get(peer) ?? 0) < this.db.version()
+  }
+
   /** A peer requests the desired state; `tick` answers it. */
   stateRequested (from: InstanceId): void {
     this.requesters.add(from)
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -59,6 +59,19 @@
     expect(introduced).to.deep.equal([['e'], ['e', 'f']])
   })
 
+  it('comes without a copy of the desired state for a peer that has it, since the copy may be long', () => {
+    const copies = [2, 3].map((desiredVersion) => {
+      const instance = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+      const handle = (input: ShardInput): string[] => instance.handle(input, ms(0), ms(0)).flatMap(effect => effect.type === 'send' ? [effect.message.type] : [])
+      handle({ type: 'records', members: [], shards: [] })
+      handle({ type: 'desired', state: { version: 3, queues: [], services: [] } })
+      handle({ type: 'peer', from: 'peer' as InstanceId, message: { type: 'ping', incarnation: 1, address: 'peer', desiredVersion } })
+      expect(handle({ type: 'peer', from: 'peer' as InstanceId, message: { type: 'desiredRequest', introduce: true } })).to.include('introduction')
+      return handle(TICK).includes('desired')
+    })
+    expect(copies).to.deep.equal([true, false])
+  })
+
   it('passes on the endpoints of another failure domain that one peer knew, also when others know none', () => {
     const member = { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }
     const instance = new ShardInstance({ self: member, cfg: SHARD_DEFAULTS })
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -182,7 +182,7 @@
    * does not reach the store either, that includes the endpoints of all domains: once each instance has been restarted, only what they told each other is left.
    */
   private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
-    this.desired.stateRequested(from)
+    if (!introduce || this.desired.isBehind(from)) this.desired.stateRequested(from)
     const { members, records, recordsRead } = this.ownership.db
     if (!introduce || !recordsRead) return
     const failureDomain = members.get(from)?.failureDomain
