--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -182,27 +182,32 @@
     }
   }
 
-  /** Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. */
+  /**
+   * Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. While this instance
+   * does not reach the store either, that includes the endpoints of all domains: once each instance has been restarted, only what they told each other is left.
+   */
   private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
-    this.desired.stateRequested(from)
+    if (!introduce || this.desired.isBehind(from)) this.desired.stateRequested(from)
     const { members, records, recordsRead } = this.ownership.db
     if (!introduce || !recordsRead) return
     const failureDomain = members.get(from)?.failureDomain
-    const endpoints = failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
+    const endpoints = !this.storeReachable ? this.endpointList.reports() : failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
     this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints })
   }
 
   /** Applies what a peer has read from the store; what this instance has read itself since it started takes precedence. */
   private receiveIntroduction ({ members, shards, endpoints }: Extract<ShardMessage, { type: 'introduction' }>): void {
     this.ownership.recordsLearned(members, shards)
-    if (this.knowsNoLocalEndpoint()) this.applyReports(endpoints, false)
+    const local = endpoints.filter(report => report.failureDomain === this.ctx.self.failureDomain)
+    if (local.length > 0 && this.knowsNoLocalEndpoint()) this.applyReports(local, false)
+    this.endpointList.learn(endpoints)
   }
 
   private missing (): Missing {
     return {
       desiredState: this.desired.db.state === undefined,
       owner: !this.hasLiveOwner(),
-      records: !this.ownership.db.recordsRead,
+      records: !this.ownership.db.recordsRead || (!this.storeReachable && !this.ownership.knowsOwnRecord()),
       endpoints: !this.storeReachable && this.knowsNoLocalEndpoint()
     }
   }
@@ -220,6 +225,7 @@
   private tick (): void {
     const fronts = this.execution.frontInstances()
     this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.usesOwnedShard && this.expectsPingsFrom(peer.instance)))
+    if (!this.storeReachable) this.introduction.peerHeard(this.ownDomainOwnerAddress())
     this.introduction.tick()
     this.desired.tick()
     this.ownership.tick()
@@ -264,6 +270,12 @@
     return this.ownership.owns() && this.ownership.db.members.get(instance)?.failureDomain === this.ctx.self.failureDomain
   }
 
+  /** Returns the address of the own domain's owner, which knows the record that is in force; empty without a live one. */
+  private ownDomainOwnerAddress (): string {
+    const owner = this.sessions.ownerOf(this.ctx.self.failureDomain)
+    return owner === undefined ? '' : this.sessions.db.peers.get(owner)?.address ?? ''
+  }
+
   /** Returns whether the given instance owns the shard of this instance's own domain. */
   private ownsLocalDomain (instance: InstanceId): boolean {
     return this.sessions.db.shards.get(this.ctx.self.failureDomain)?.owner === instance
