A run starts at an endpoint only if the lease in force there ends within the bound of its job

A job waits for capacity, its front loses power, and up to 0.6 s after the front's last confirmation the owner starts its task at an endpoint where runs of another job go on. Then the owner is lost as well, or the stop is. The caller sends the job again after 1.3 s, and another domain starts it.

Cause: an endpoint has one lease for all its runs. Holds are bounded by the oldest confirmation among the jobs of the runs that are there when the hold is sent, but a run that starts afterwards joins the lease that has been granted, 1 s at most. Started 300 to 700 ms after the confirmation of its own job, it may go on until 1.3 to 1.7 s after it. The same holds for a lease that an earlier owner has left at an endpoint where nothing runs any more.

A mutation lets runs start whatever lease is in force.

Why this works: the rest of the lease in force is known to the ledger, and a task whose job allows less is not placed there before the front confirms again or the lease has run down. Jobs that were confirmed within 225 ms fit any lease, so fronts that confirm every 200 ms are hardly delayed.

Two unit tests have another set-up and the same checks: one took an endpoint for free of leases right after the takeover, the other did not confirm its jobs for 400 ms.

The mutation "the jobs of a lost front go on" no longer broke a rule, since the lease of the job's bound now ends its runs too; it lets runs join any lease as well, which is the code on which it was caught before.

--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { countFromArrival, extendLeasesFreely, waitFromTakeover } from './shardMutations.js'
+import type { EndpointKind } from './shardFleet.js'
+import { countFromArrival, extendLeasesFreely, joinAnyLease, waitFromTakeover } from './shardMutations.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 /** Downtime that is longer than the rest of any test run here. */
@@ -15,9 +16,9 @@
  * Plays a scenario with several seeds, which decide among other things to which instances callers send again.
  * @returns the violations of all plays
  */
-function violationsOf ({ play, domains = ['a', 'b'] }: Scenario): string[] {
+function violationsOf ({ play, domains = ['a', 'b'], endpointKinds }: Scenario): string[] {
   return SEEDS.flatMap((seed) => {
-    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+    const fleet = new ShardFleet({ domains, instancesPerDomain: 3, endpointsPerDomain: 4, seed, ...endpointKinds === undefined ? {} : { endpointKinds } })
     // After 8 s the instances with the most processor time own the shards.
     fleet.run(8000)
     play(fleet)
@@ -39,6 +40,8 @@
 interface Scenario {
   readonly when: string
   readonly domains?: string[]
+  /** In place of four endpoints of random size. */
+  readonly endpointKinds?: readonly EndpointKind[]
   readonly play: (fleet: ShardFleet) => void
 }
 
@@ -105,6 +108,22 @@
       fleet.time.after(510 + fleet.randomBelow(40), () => fleet.cutPairs(linksBetween([OWNER], endpointsOf(fleet, 'b')), 3000))
     }
   },
+  lateStart: {
+    when: 'a task starts beside one of a live front after its own front has lost power, and then the owner does',
+    endpointKinds: [{ count: 1, cpuMilli: 16_000, speed: 1 }],
+    play: (fleet) => {
+      fleet.submit('b-2' as InstanceId, 1, LONG_TASK)
+      fleet.submit('b-2' as InstanceId, 1, { ...LONG_TASK, workMs: 800 })
+      fleet.run(2)
+      const { id } = fleet.submit(FRONT, 1, LONG_TASK)
+      // The front has just confirmed its job when it loses power; the task starts when the short one ends.
+      fleet.run(228)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      const hasStarted = (): boolean => [...fleet.endpoints.get('e-b-0')?.runs.keys() ?? []].some(task => task.startsWith(id))
+      const loseOwner = (): void => hasStarted() ? fleet.losePower(OWNER, BEYOND_TEST_MS) : fleet.time.after(1, loseOwner)
+      loseOwner()
+    }
+  },
   lateStops: {
     when: 'the front loses power and the endpoints carry out stop orders late',
     play: (fleet) => {
@@ -166,6 +185,7 @@
   const MUTATIONS = [
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
     { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] },
+    { name: 'runs start whatever lease is in force at the endpoint', apply: joinAnyLease, shownBy: [SCENARIOS.lateStart] },
     { name: 'a resumed job waits for the end of earlier leases from the takeover and not from when it arrives', apply: waitFromTakeover, shownBy: [OWNERS_APART] }
   ] as const
 
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -46,6 +46,11 @@
   })
 }
 
+/** A fault that shows when a task starts late beside others, and its owner is lost right afterwards, as above. */
+export function joinAnyLease (): Undo {
+  return replaceMethod(sample.endpoints, 'mayJoinLease', () => () => true)
+}
+
 /** A fault that shows when two owners of a shard go on side by side for a while, as above. */
 export function waitFromTakeover (): Undo {
   return replaceMethod(sample, 'earlierRunsKnown', original => function (this: typeof sample, ...args) {
@@ -91,9 +96,12 @@
     apply: () => {
       const undoLost = replaceMethod(sample.execution, 'frontLost', () => () => {})
       const undoConfirmationExpired = replaceMethod(sample.execution, 'isConfirmationExpired', () => () => false)
+      // The leases of endpoints would end these jobs as well.
+      const undoJoin = joinAnyLease()
       return () => {
         undoLost()
         undoConfirmationExpired()
+        undoJoin()
       }
     }
   },
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -139,6 +139,24 @@
     expect(ledger.usable(endpointOf(ledger))).to.equal(true)
   })
 
+  it('lets a run join the lease that is in force at an endpoint only if that ends before the lease of its job', () => {
+    const { ctx, ledger } = setUpWithRun()
+    answerHold(ctx, ledger, listing(500, [{ task: TASK, run: 1, percent: 10 }]))
+    const { leaseMs } = SHARD_DEFAULTS
+    const mayJoin = (endsInMs: number): boolean => ledger.mayJoinLease(endpointOf(ledger), { endsBy: ms(ctx.now + endsInMs) })
+    expect([mayJoin(leaseMs - 1), mayJoin(leaseMs)]).to.deep.equal([false, true])
+    ctx.now = ms(ctx.now + 510)
+    expect([mayJoin(leaseMs / 2 - 1), mayJoin(leaseMs / 2)]).to.deep.equal([false, true])
+  })
+
+  it('expects a lease of the earlier owner at an endpoint, also if nothing runs there any more', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    expect(ledger.mayJoinLease(endpointOf(ledger), { endsBy: ms(ctx.now + SHARD_DEFAULTS.leaseMs - 1) })).to.equal(false)
+    expect(ledger.mayJoinLease(endpointOf(ledger), { endsBy: ms(ctx.now + SHARD_DEFAULTS.leaseMs) })).to.equal(true)
+  })
+
   it('gives up a run that never arrived although its stop is repeated more often than holds are answered', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -110,7 +110,14 @@
     return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
-  /** Starts a run. The caller has checked that the run fits and that the endpoint is `usable`. */
+  /** A run that starts at an endpoint gets the lease that is in force there already, which must not outlast that of its job. */
+  mayJoinLease (endpoint: LedgerEndpoint, lease: RunLease): boolean {
+    const { now, cfg } = this.ctx
+    const remainingMs = (endpoint.leasesEndBy - cfg.leaseSlackMs - now) / (1 + cfg.clockDrift)
+    return remainingMs <= lease.endsBy - now
+  }
+
+  /** Starts a run. The caller has checked that the run fits, that the endpoint is `usable` and that the run may join its lease. */
   start (endpoint: LedgerEndpoint, task: TaskName, runNumber: number, { spec, needs, expectedMs, exclusive, lease }: Pick<LedgerRun, 'spec' | 'exclusive' | 'lease'> & { readonly needs: Resources, readonly expectedMs: number }): LedgerRun {
     const run = makeRun(endpoint, task, runNumber, this.ctx.now, { needs, expectedMs, state: 'ordered', spec, exclusive, lease })
     this.db.addRun(endpoint, run)
@@ -321,8 +328,8 @@
     endpoint.runsAtRefusal = undefined
     endpoint.runsLostInSilence = []
     endpoint.answeredAt = now
-    // Until it answers under this owner's token, an earlier owner may have extended the leases there.
-    if (!endpoint.answeredUnderToken && listing.running.length > 0) this.recordLeaseEnd(endpoint, listing.clock + cfg.leaseMs as EndpointClockMs)
+    // Until it answers under this owner's token, an earlier owner may have extended the lease there, which also holds for runs that start later.
+    if (!endpoint.answeredUnderToken) this.recordLeaseEnd(endpoint, listing.clock + cfg.leaseMs as EndpointClockMs)
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
     this.resolveMissingRuns(endpoint, listing, hold.sentAt)
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -98,11 +98,16 @@
     this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
     this.settle()
     this.advanceMs(SHARD_DEFAULTS.leaseMs * 1.1)
-    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id], this.ctx.now)
+    this.confirmJobs()
     this.ledger.tick()
     this.settle()
   }
 
+  /** Confirms all jobs, as their fronts do every `confirmMs`. */
+  confirmJobs (): void {
+    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id], this.ctx.now)
+  }
+
   /** Frees an endpoint of its runs, which end with success. */
   finishRuns (id: EndpointId): void {
     const runs = [...this.ledger.db.get(id)?.runs.values() ?? []]
@@ -251,6 +256,7 @@
 
   it('does not start a job whose order was on its way for longer than its front may wait', () => {
     const owner = new OwnerHarness(2)
+    owner.advanceMs(SHARD_DEFAULTS.leaseMs)
     const sentAt = ms(owner.ctx.now - SHARD_DEFAULTS.jobLeaseMs - 1)
     expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), sentAt)).to.equal(false)
     owner.settle()
@@ -330,6 +336,21 @@
     expect(owner.stops).to.have.length(1)
   })
 
+  it('starts a task beside the run of another job only if the lease there does not outlast its front\'s latest confirmation', () => {
+    const owner = new OwnerHarness(1, 2)
+    owner.submit(order('a', 1, 900))
+    owner.confirmStarts()
+    owner.answerHold('e-0' as EndpointId, [{ task: 'a.0.0.0' as TaskName, run: 1, percent: 10 }])
+    const { now } = owner.ctx
+    owner.execution.submit(FRONT, DOMAIN, withObjective(order('b', 1, 100), 5000), ms(now - 400))
+    owner.settle()
+    expect(owner.starts).to.deep.equal([])
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['b' as JobId], ms(now - 200))
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.starts.map(({ task }) => task)).to.deep.equal(['b.0.0.0'])
+  })
+
   it('starts no waiting task of a job whose confirmation has run out', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 100))
@@ -363,6 +384,7 @@
     expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.0'])
     owner.reportEnd('a.0.0.0', 'stopped')
     owner.advanceMs(100)
+    owner.confirmJobs()
     owner.reportEnd('b.0.0.0', 'done')
     expect(owner.starts.map(start => start.task)[0]).to.equal('a.0.0.0')
   })
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -433,7 +433,8 @@
    * @returns true when every task of the ready steps has started
    */
   private startTasks (job: OwnedJob, candidates: Candidate[], allowPartial: boolean): boolean {
-    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: this.attempts.db.has(job.id) ? task => this.attempts.standingOf(task) : () => 'sound', allowPartial })
+    const mayJoin = candidates.filter(({ endpoint }) => this.endpoints.mayJoinLease(endpoint, job.runLease))
+    const plan = planStarts(job, { placement: this.placement, candidates: mayJoin, mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: this.attempts.db.has(job.id) ? task => this.attempts.standingOf(task) : () => 'sound', allowPartial })
     for (const start of plan.starts) this.startTask(job, start)
     if (plan.suspectWithoutEndpoint !== undefined && this.ctx.now <= job.usefulUntil) this.keepEndpointFree(job, plan.suspectWithoutEndpoint, candidates)
     if (plan.isComplete && !plan.hasBlockedSteps) this.admission.db.waiting.delete(job)
