--- a/packages/bench/src/shard/runsAtOnce.spec.ts
+++ b/packages/bench/src/shard/runsAtOnce.spec.ts
@@ -3,7 +3,7 @@
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
 import type { FleetOptions } from './shardFleet.js'
-import { countFromArrival, countFromSending, extendLeasesFreely, startUnderAnyLease } from './shardMutations.js'
+import { countFromArrival, countFromSending, extendLeasesFreely, startUnderAnyLease, waitFromTakeover } from './shardMutations.js'
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]
 /** Downtime that is longer than the rest of any test run here. */
@@ -155,6 +155,22 @@
       fleet.losePower(FRONT, BEYOND_TEST_MS)
     }
   },
+  lateStart: {
+    when: 'a task starts beside one of a live front after its own front has lost power, and then the owner does',
+    endpointKinds: [{ count: 1, cpuMilli: 16_000, speed: 1 }],
+    play: (fleet) => {
+      fleet.submit('b-2' as InstanceId, 1, LONG_TASK)
+      fleet.submit('b-2' as InstanceId, 1, { ...LONG_TASK, workMs: 800 })
+      fleet.run(2)
+      const { id } = fleet.submit(FRONT, 1, LONG_TASK)
+      // The front has just confirmed its job when it loses power; the task starts when the short one ends.
+      fleet.run(228)
+      fleet.losePower(FRONT, BEYOND_TEST_MS)
+      const hasStarted = (): boolean => [...fleet.endpoints.get('e-b-0')?.runs.keys() ?? []].some(task => task.startsWith(id))
+      const loseOwner = (): void => hasStarted() ? fleet.losePower(OWNER, BEYOND_TEST_MS) : fleet.time.after(1, loseOwner)
+      loseOwner()
+    }
+  },
   lateStops: {
     when: 'the front loses power and the endpoints carry out stop orders late',
     play: (fleet) => {
@@ -166,6 +182,25 @@
   }
 } satisfies Record<string, Scenario>
 
+/** The owner goes on beside its successor until it meets the new token, since none of its endpoints but that of the run is asked often. */
+const OWNERS_APART: Scenario = {
+  when: 'the owner\'s successor reaches neither the owner nor the endpoint of the run',
+  domains: ['b'],
+  play: (fleet) => {
+    fleet.run(fleet.randomBelow(2000))
+    fleet.submit('b-2' as InstanceId, 1, LONG_TASK)
+    fleet.run(100)
+    const withRun = endpointsOf(fleet, 'b').filter(id => fleet.endpoints.get(id)?.runs.size === 1)
+    fleet.cutPairs(linksBetween(['b-0'], [OWNER, ...withRun]), 10_000)
+  }
+}
+
+describe('a task does not run at two owners of a failure domain at once', () => {
+  it(`when ${OWNERS_APART.when}`, () => {
+    expect(violationsOf(OWNERS_APART)).to.deep.equal([])
+  })
+})
+
 describe('a task does not run in two failure domains at once', () => {
   for (const scenario of Object.values<Scenario>(SCENARIOS)) {
     it(`when ${scenario.when}`, () => {
@@ -238,7 +273,8 @@
     { name: 'orders and confirmations count from their arrival', apply: countFromArrival, shownBy: [SCENARIOS.givenUp, SCENARIOS.slowLink] },
     { name: 'orders and confirmations count from their sending by a front that has not read its callers\' connections', apply: countFromSending, shownBy: [SCENARIOS.unreadEnd, SCENARIOS.unreadEndNewLink] },
     { name: 'holds extend leases whatever the jobs of the runs allow', apply: extendLeasesFreely, shownBy: [SCENARIOS.frontThenOwner, SCENARIOS.successorsInTurn, SCENARIOS.ownerCutOff, SCENARIOS.lateStops] },
-    { name: 'tasks start under whatever lease there is', apply: startUnderAnyLease, shownBy: [SCENARIOS.longerLease] }
+    { name: 'tasks start under whatever lease there is', apply: startUnderAnyLease, shownBy: [SCENARIOS.longerLease, SCENARIOS.lateStart] },
+    { name: 'a resumed job waits for the end of earlier leases from the takeover and not from when it arrives', apply: waitFromTakeover, shownBy: [OWNERS_APART] }
   ] as const
 
   for (const { name, apply, shownBy } of MUTATIONS) {
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -58,6 +58,13 @@
   })
 }
 
+/** A fault that shows when two owners of a shard go on side by side for a while, as above. */
+export function waitFromTakeover (): Undo {
+  return replaceMethod(sample, 'earlierRunsKnown', original => function (this: typeof sample, ...args) {
+    return original.apply(this, [{ ...args[0] as object, receivedAt: -Infinity }] as never[])
+  })
+}
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -96,9 +103,12 @@
     apply: () => {
       const undoLost = replaceMethod(sample.execution, 'frontLost', () => () => {})
       const undoConfirmationExpired = replaceMethod(sample.execution, 'isConfirmationExpired', () => () => false)
+      // The leases of endpoints would end these jobs as well.
+      const undoLease = startUnderAnyLease()
       return () => {
         undoLost()
         undoConfirmationExpired()
+        undoLease()
       }
     }
   },
