--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -349,8 +349,8 @@
     this.sendLoad(front.instance)
     const { job, attempt } = message.order
     // Without the number of the copy, the front keeps the job here, where another front's copy of it may run.
-    const isOthers = this.execution.db.jobs.get(job.id)?.front.instance !== front.instance && this.execution.db.jobs.has(job.id)
-    this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...isOthers ? {} : { attempt } })
+    const holder = this.execution.db.jobs.get(job.id)?.front.instance ?? front.instance
+    this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...holder === front.instance ? { attempt } : {} })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
