--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -90,15 +90,19 @@
     apply: () => replaceMethod(sample, 'earlierRunsKnown', () => () => true)
   },
   {
-    name: 'the jobs of a lost front go on',
+    name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
     load: { jobsPerSecond: 12, workFactor: 2.5 },
     apply: () => {
       const undoLost = replaceMethod(sample.execution, 'frontLost', () => () => {})
       const undoConfirmationExpired = replaceMethod(sample.execution, 'isConfirmationExpired', () => () => false)
+      const undoMustStop = replaceMethod(sample.execution, 'mustStop', () => () => false)
+      const undoStart = startUnderAnyLease()
       return () => {
         undoLost()
         undoConfirmationExpired()
+        undoMustStop()
+        undoStart()
       }
     }
   },
