--- a/packages/bench/src/processes/processes.spec.ts
+++ b/packages/bench/src/processes/processes.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { mkdtempSync } from 'node:fs'
+import { mkdtempSync, writeFileSync } from 'node:fs'
 import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -216,7 +216,8 @@
       await sleep(1000)
       await load.end()
       await running
-      expect(load.findings(), `logs of the instances are kept in ${fleet.folder}`).to.deep.equal([])
+      writeFileSync(join(fleet.folder, 'accounts.json'), JSON.stringify({ endpoints: fleet.endpoints.map(({ fake }) => fake.model.log), answers: load.caller.ends }))
+      expect(load.findings(), `logs of the instances, and what endpoints and callers saw, are kept in ${fleet.folder}`).to.deep.equal([])
       expect(load.caller.ends.filter(e => e.answer?.outcome === 'complete').length).to.be.greaterThan(50)
     })
 
