An introduction always has the endpoints of all failure domains

Of the instances that could have told a-0 about the endpoints of b, b-0 did so while it did not know yet that the store was down.

Cause: an instance notices 0.7 to 2.3 s late that the store is silent (two calls that time out), and until then left out the endpoints of other domains.

Change: they are always included. An instance asks for an introduction only if the store has not answered it for 150 ms, so this costs bytes in outages and with a slow store only: about 200 bytes an endpoint.

Evidence: the unit test of that fixed the short list is replaced; it now asks for the whole list in both states of the store and failed before this change in one of them.

--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -45,7 +45,7 @@
 describe('an introduction', () => {
   const FAR: EndpointReport = { ...ENDPOINT, id: 'f' as EndpointId, failureDomain: 'far' as FailureDomain }
 
-  it('has the endpoints of all failure domains only while its sender does not reach the store, since a long list costs many bytes', () => {
+  it('has the endpoints of all failure domains, also from a sender that has not noticed yet that the store is down', () => {
     const member = { instance: 'new' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'new', cpuMilli: 500 }
     const introduced = [true, false].map((reachable) => {
       const instance = new ShardInstance({ self: { ...member, instance: 'me' as InstanceId, address: 'me' }, cfg: SHARD_DEFAULTS })
@@ -56,7 +56,7 @@
       const answer = handle({ type: 'peer', from: member.instance, message: { type: 'desiredRequest', introduce: true } }).find(message => message.type === 'introduction')
       return answer?.endpoints.map(({ id }) => id)
     })
-    expect(introduced).to.deep.equal([['e'], ['e', 'f']])
+    expect(introduced).to.deep.equal([['e', 'f'], ['e', 'f']])
   })
 
   it('comes without a copy of the desired state for a peer that has it, since the copy may be long', () => {
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -178,16 +178,14 @@
   }
 
   /**
-   * Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. While this instance
-   * does not reach the store either, that includes the endpoints of all domains: once each instance has been restarted, only what they told each other is left.
+   * Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard, and to tell others the
+   * same: once every instance has been restarted while the store is down, only what they told each other is left.
    */
   private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
     if (!introduce || this.desired.isBehind(from)) this.desired.stateRequested(from)
     const { members, records, recordsRead } = this.ownership.db
     if (!introduce || !recordsRead) return
-    const failureDomain = members.get(from)?.failureDomain
-    const endpoints = !this.storeReachable ? this.endpointList.reports() : failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
-    this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints })
+    this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints: this.endpointList.reports() })
   }
 
   /** Applies what a peer has read from the store; what this instance has read itself since it started takes precedence. */
