An owner tells all members the record that it has just written

Cause: other members learn a record by reading the store, up to 5 s after it was written. The announcement that comes with it has the token only, and without the record nobody can have a higher one while the store is down.

Change: whoever writes a record sends it to all members as an introduction without members and endpoints. It does not count as having read the records.

--- a/packages/bench/src/shard/takeover.spec.ts
+++ b/packages/bench/src/shard/takeover.spec.ts
@@ -128,6 +128,24 @@
     })
     expect(capacities).to.deep.equal(capacities.map(() => 'a true,b true'))
   })
+
+  it('still knows a record that its owner wrote just before', () => {
+    const owners = [1, 2, 3, 4].map((seed) => {
+      const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 2, endpointsPerDomain: 3, seed })
+      fleet.run(8000)
+      for (const name of [SUBMISSION_INSTANCE, 'b-0', 'b-1']) fleet.storeFaults.unservedInstances.add(name)
+      fleet.kill(OWNER, 1000)
+      fleet.run(8000)
+      fleet.storeFaults.down = true
+      fleet.kill(SUBMISSION_INSTANCE, 3000)
+      fleet.run(3400)
+      fleet.kill(OWNER, BEYOND_TEST_MS)
+      fleet.run(3000)
+      expect(fleet.oracle.violations).to.deep.equal([])
+      return fleet.owners().filter(name => name.startsWith('a-')).join()
+    })
+    expect(owners).to.deep.equal(owners.map(() => SUBMISSION_INSTANCE))
+  })
 })
 
 describe('an instance that takes over with an outdated endpoint list while the store is down', () => {
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -118,6 +118,19 @@
     expect(changes).to.deep.equal([`gained ${tokenOf(41, 2)}`])
   })
 
+  it('tells all members a record that it has written, which does not count as a reading of the store for them', () => {
+    const { ctx, ownership } = setUp()
+    ownership.recordsRead(members('me', 'other'), [])
+    ownership.tick()
+    const [claim] = claims(ctx)
+    ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
+    const sent = ctx.out.takeEffects().flatMap(effect => effect.type === 'send' && effect.message.type === 'introduction' ? [{ to: effect.to, ...effect.message }] : [])
+    expect(sent).to.deep.equal([{ to: 'other', type: 'introduction', members: [], shards: [record(40, 'me', 'other')], endpoints: [] }])
+    const { ownership: other } = setUp()
+    other.recordsLearned([], sent[0]?.shards ?? [])
+    expect([other.db.records.get(DOMAIN)?.revision, other.db.recordsRead]).to.deep.equal([40, false])
+  })
+
   it('takes no member from a peer once it has read the store itself, since the member may have been removed', () => {
     const { ownership } = setUp()
     ownership.recordsRead(members('me'), [])
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -56,7 +56,7 @@
    * been removed, so members count only while this instance has not read the store itself since it started.
    */
   recordsLearned (members: readonly MemberRecord[], shards: readonly Revised<ShardRecord>[]): void {
-    this.db.recordsRead = true
+    if (members.length > 0) this.db.recordsRead = true
     for (const member of this.storeRead ? [] : members) {
       if (member.incarnation > (this.db.members.get(member.instance)?.incarnation ?? -Infinity)) this.applyMember(member)
     }
@@ -268,6 +268,16 @@
     const successors = this.db.membersOf(failureDomain, self.instance).map(member => member.instance)
     this.db.records.set(failureDomain, { revision, value: { failureDomain, owner: { ...self }, successors } })
     this.acquire(failureDomain, revision, 0, 'store')
+    this.shareRecord(failureDomain)
+  }
+
+  /** Tells all members a record that was just written, so that it is not lost with this instance when the store goes down before they have read it. */
+  private shareRecord (failureDomain: FailureDomain): void {
+    const record = this.db.records.get(failureDomain)
+    if (record === undefined) return
+    for (const { instance } of this.db.members.values()) {
+      if (instance !== this.ctx.self.instance) this.sessions.send(instance, { type: 'introduction', members: [], shards: [record], endpoints: [] })
+    }
   }
 
   private acquire (failureDomain: FailureDomain, revision: number, rank: number, how: string): void {
