A new instance asks the members of its own domain that an introduction names

Its only seed, b-0, had neither the record nor the owner of domain a, since the store had gone down 1.3 s after the fleet had started. a-1 owned a all the while, but did not know a-0 as a member and so did not ping it. a-0 asked b-0 alone, claimed its domain without a record every 0.3 s, and served from domain b only, until the end.

Cause: only seeds and peers that send something themselves are asked. The introduction that lacked the record named a-1 as a member, with its address.

Change: the members of the own domain in an introduction are asked next, for as long as something is missing.

--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, MemberRecord, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from './settings.js'
 import { ShardInstance } from './shardInstance.js'
@@ -59,6 +59,16 @@
     expect(introduced).to.deep.equal([['e', 'f'], ['e', 'f']])
   })
 
+  it('names the members of the own domain, which are asked next when it lacks the record of that domain', () => {
+    const member = (name: string, failureDomain: string): MemberRecord => ({ instance: name as InstanceId, incarnation: 1, failureDomain: failureDomain as FailureDomain, address: name, cpuMilli: 500 })
+    const instance = new ShardInstance({ self: member('me', 'd'), cfg: SHARD_DEFAULTS, seeds: ['seed'] })
+    const handle = (now: number, input: ShardInput): string[] => instance.handle(input, ms(now), ms(now)).flatMap(effect => effect.type === 'send' && effect.message.type === 'desiredRequest' ? [effect.address] : [])
+    const ticks = (from: number, to: number): string[] => Array.from({ length: (to - from) / 100 }, (_, n) => handle(from + n * 100, TICK)).flat()
+    expect(ticks(0, 700)).to.deep.equal(['seed'])
+    handle(700, { type: 'peer', from: 'seed' as InstanceId, message: { type: 'introduction', members: [member('me', 'd'), member('seed', 'far'), member('near', 'd'), member('other', 'far')], shards: [], endpoints: [ENDPOINT, FAR] } })
+    expect(ticks(700, 2000)[0]).to.equal('near')
+  })
+
   it('comes without a copy of the desired state for a peer that has it, since the copy may be long', () => {
     const copies = [2, 3].map((desiredVersion) => {
       const instance = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -194,6 +194,9 @@
     const local = endpoints.filter(report => report.failureDomain === this.ctx.self.failureDomain)
     if (local.length > 0 && this.knowsNoLocalEndpoint()) this.applyReports(local, false)
     this.endpointList.learn(endpoints)
+    for (const { failureDomain, address } of members) {
+      if (failureDomain === this.ctx.self.failureDomain) this.introduction.peerHeard(address)
+    }
   }
 
   private missing (): Missing {
