A tick comes after what has arrived was read, so that a delayed front does not confirm jobs whose callers have left

What callers would see: a job that its caller sends again after a broken connection may find its first runs still going on (TWICE) if the stops of these runs are late. A front whose process was delayed for up to 390 ms, less than it notices, ran its tick before it read its sockets: it confirmed the job of a caller that had left long before, and cancelled it a moment later. Holds went on to extend the lease up to 1225 ms after that confirmation, and the caller sends again 1300 ms after its connection ended.

A confirmation counts from its sending, but what the front knows of its caller is as old as its last reading of the sockets. Node runs timers first.

Why this works: after the timer has fired, the daemon waits for the next two turns of the event loop, as the server of callers does already before it submits a job: the end of a connection is reported, and the job cancelled, before the tick confirms jobs. The tick judges silence of peers and missing confirmations as well, and now knows all messages that were waiting.

--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -6,6 +6,7 @@
 import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import { ms } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { afterNextRead } from '../utils/eventLoop.js'
 import { makePlainServer } from '../utils/plainServer.js'
 import type { CallerAnswer, CallerRequest, CallerWire } from './wires.js'
 
@@ -107,8 +108,3 @@
     res.end(answer.body)
   }
 }
-
-/** Calls back after the next turn of the event loop, which reads the end of a connection whose data the present turn has read. */
-function afterNextRead (callback: () => void): void {
-  setImmediate(() => setImmediate(callback))
-}
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -6,6 +6,7 @@
 import { ShardInstance } from '@cranberryyard/core/shard'
 import type { ListPace, ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
 import type { Clock } from '@cranberryyard/protocol'
+import { afterNextRead } from '../utils/eventLoop.js'
 import { listen } from '../utils/plainServer.js'
 import { StructuredLog } from '../utils/structuredLog.js'
 import type { SocketAddress } from './address.js'
@@ -132,9 +133,10 @@
     this.log.writeRepeated('store.unreadableEntry', `${key} ${reason}`, { list, key, reason })
   }
 
+  /** A tick confirms the jobs of callers and judges silence, so it comes after what has arrived while the process was delayed. */
   private tick (): void {
     this.post({ type: 'tick' })
-    setTimeout(() => this.tick(), this.core.isIdle() ? IDLE_TICK_MS : this.listPace === 'owner' ? OWNER_TICK_MS : ACTIVE_TICK_MS)
+    setTimeout(() => afterNextRead(() => this.tick()), this.core.isIdle() ? IDLE_TICK_MS : this.listPace === 'owner' ? OWNER_TICK_MS : ACTIVE_TICK_MS)
   }
 
   private setPace (pace: ListPace): void {
