A run that a restarted endpoint lists was not lost with its earlier life

What callers would see: a sound job answered as `failed` after a single crash. An idle endpoint is asked every 2 s, so one that restarts under its id may get a task before its owner has noticed. The next listing, in the new incarnation, showed the run, and the owner counted it as lost in a crash; a run that had ended by then started again. With a second crash, alone there, the task counted as the cause.

Cause: everything in the ledger was taken for runs of the earlier incarnation, whatever the new one listed.

Evidence: two unit tests failed before ("takes no run for lost ...", "does not count runs ...").

Why this works: an endpoint that starts anew has no runs, so what it lists as running or ended it has started itself. Such runs stay in the ledger, and do not count among those that were there when it crashed.

--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -367,6 +367,23 @@
     expect(listener.losses).to.deep.equal(['restarted, 1 there'])
   })
 
+  it('takes no run for lost with a restarted endpoint that it has started, or ended, since it is back', () => {
+    for (const ended of [false, true]) {
+      const { ctx, ledger, listener } = setUpWithRun()
+      answerHold(ctx, ledger, ended ? listing(20, [], [{ sequence: 1, task: TASK, run: 1, how: 'done' }], 6) : listing(20, [{ task: TASK, run: 1, percent: 10 }], [], 6))
+      expect(listener.events).to.deep.equal(['started 1', ...ended ? ['done 1'] : []])
+      expect(listener.losses).to.deep.equal([])
+    }
+  })
+
+  it('does not count runs that a restarted endpoint has started since among those that were there when it crashed', () => {
+    const { ctx, ledger, listener } = setUpWithRun()
+    const other = ledger.start(endpointOf(ledger), 'other.0.0.0' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    ledger.startOutcome(ID, other.orderId, { type: 'started', clock: 10 as EndpointClockMs })
+    answerHold(ctx, ledger, listing(20, [{ task: other.task, run: 1, percent: 10 }], [], 6))
+    expect(listener.losses).to.deep.equal(['restarted, 1 there'])
+  })
+
   it('reports that an endpoint refused connections before the leases of its runs ended', () => {
     const { ctx, ledger, listener } = setUpWithRun()
     for (let i = 0; i < 40 && listener.losses.length === 0; i++) {
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -395,23 +395,22 @@
 
   /**
    * Reports the runs of the earlier incarnation as lost, but not a run whose start is unanswered: the order may have been, or
-   * may still be, carried out by the new incarnation, whose clock makes it valid for longer.
+   * may still be, carried out by the new incarnation, whose clock makes it valid for longer. What the new incarnation lists, it has started itself.
    */
-  private endpointRestarted (endpoint: LedgerEndpoint, { bornAt, clock }: EndpointListing): void {
+  private endpointRestarted (endpoint: LedgerEndpoint, { bornAt, clock, running, ended }: EndpointListing): void {
     const { out, now } = this.ctx
     out.count('shard.endpoints.reborn')
     out.log('endpoint.reborn', { endpoint: endpoint.id, bornAt, before: endpoint.bornAt, runs: endpoint.runs.size }, 'warn')
     endpoint.acknowledged = 0
     if (endpoint.runsLostInSilence.length > 0) this.listener.endpointHadCrashed(endpoint, endpoint.runsLostInSilence)
-    const runsThere = endpoint.runs.size
-    for (const run of [...endpoint.runs.values()]) {
-      if (run.state === 'ordered') {
-        run.notAfter = (clock + LATE_ORDER_MS) as EndpointClockMs
-        endpoint.startsBlockedUntil = ms(now + LATE_ORDER_MS)
-      } else {
-        this.reportRunLost(endpoint, run, 'restarted', runsThere)
-      }
+    const startedSince = [...running, ...ended]
+    const earlierRuns = [...endpoint.runs.values()].filter(({ task, run }) => !startedSince.some(row => row.task === task && row.run === run))
+    for (const run of endpoint.runs.values()) {
+      if (run.state !== 'ordered') continue
+      run.notAfter = (clock + LATE_ORDER_MS) as EndpointClockMs
+      endpoint.startsBlockedUntil = ms(now + LATE_ORDER_MS)
     }
+    for (const run of earlierRuns) if (run.state !== 'ordered') this.reportRunLost(endpoint, run, 'restarted', earlierRuns.length)
   }
 
   private reportRunsLost (endpoint: LedgerEndpoint): void {
