Order timeouts follow measured round trips, from 100 to 200 ms

Cause: an order without an answer after 100 ms is sent again and its connection is closed. Where the owner's link is nearly full, round trips pass 100 ms in a burst; then each start goes out up to three times, holds fail, ends become known late, and the state outlasts the burst.

A hold waits at its endpoint for as much less as its timeout is longer, so one hold still takes 350 ms at most; three sends of a start lie within `supersededMs`. An endpoint that is silent for two holds teaches nothing.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -31,6 +31,7 @@
 import { Timeline } from '../memory/timeline.js'
 
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
+type OrderEffect = EffectOf<'hold' | 'startTask' | 'stopTask'>
 
 const TICK_MS = 25
 const DESIRED_STATE_PERIOD_MS = 50
@@ -51,6 +52,9 @@
 const CRASH_DOWN_MIN_MS = 2500
 const CRASH_DOWN_SPREAD_MS = 1000
 const DEFAULT_DEADLINE_MS = 6000
+/** Bytes of an order without the text of its job, and of its answer, with the headers of all layers. */
+const ORDER_BYTES = 450
+const ANSWER_BYTES = 350
 /** Difference between the monotonic clocks of two processes. */
 const CLOCK_STEP_MS = 12_345
 /** Connections of a link that was held up deliver their messages up to this much later than the link works again. */
@@ -164,6 +168,10 @@
   private readonly linkQueueMs = new Map<string, number>()
   /** Number of the present connection of each directed link. */
   private readonly connections = new Map<string, number>()
+  /** Bytes that the links of instances carry in a millisecond each way; orders and their answers queue there. Other links are not limited. */
+  readonly narrowLinks = new Map<InstanceId, number>()
+  /** When the orders and answers that are queued on a narrow link have passed it, by instance and direction. */
+  private readonly linkBusyUntil = new Map<string, number>()
   /** Whether crashed endpoints give no sign, as machines without power do, in place of refused and broken connections. */
   crashesAreSilent = false
   /** Share of orders to endpoints that take effect 2 to 12 s late and get no answer. */
@@ -596,6 +604,16 @@
     return (this.domainOf.get(from) === this.domainOf.get(to) ? 0.1 : 1.4) + this.randomBelow(10) / 10
   }
 
+  /** @returns the time until bytes have passed the link of an instance, behind those that are queued there */
+  private queueOnLink (instance: InstanceId, direction: 'in' | 'out', bytes: number): number {
+    const bytesPerMs = this.narrowLinks.get(instance)
+    if (bytesPerMs === undefined) return 0
+    const link = `${instance} ${direction}`
+    const passedAt = Math.max(this.time.now, this.linkBusyUntil.get(link) ?? 0) + bytes / bytesPerMs
+    this.linkBusyUntil.set(link, passedAt)
+    return passedAt - this.time.now
+  }
+
   private isCut (from: string, to: string): boolean {
     return this.cutLinks.has(`${from}>${to}`)
   }
@@ -619,7 +637,7 @@
    * Sends an order to an endpoint. A cut link loses the order or its answer, and the configured shares of orders are late or
    * lose their answer. An order that is not answered within the timeout, or whose connection breaks, is reported as `silent`.
    */
-  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, lateShare: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
+  private sendOrder<T> (process: Process, { endpoint: id, timeoutMs }: OrderEffect, bytes: number, lateShare: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
     const endpoint = this.endpoints.get(id)
     const openOrders = this.openOrders.get(id) ?? new Set()
     this.openOrders.set(id, openOrders)
@@ -636,7 +654,7 @@
     if (endpoint === undefined || this.isCut(process.name, id)) return
     const late = this.randomBelow(1000) < lateShare * 1000
     const lost = this.randomBelow(1000) < this.lostAnswerShare * 1000
-    const deliveryDelayMs = this.linkDelayMs(process.name, id)
+    const deliveryDelayMs = this.linkDelayMs(process.name, id) + this.queueOnLink(process.name, 'out', bytes)
     const { bornAt } = endpoint
     this.time.after(late ? 2000 + this.randomBelow(10_000) : deliveryDelayMs, () => {
       endpoint.advance(this.time.now)
@@ -644,14 +662,14 @@
       if (this.departedEndpoints.has(id) || !endpoint.up || endpoint.bornAt !== bornAt) return
       execute(endpoint, (outcome) => {
         if (late || lost || this.isCut(id, process.name)) return
-        this.time.after(this.linkDelayMs(id, process.name), () => settle(outcome))
+        this.time.after(this.linkDelayMs(id, process.name) + this.queueOnLink(process.name, 'in', ANSWER_BYTES), () => settle(outcome))
       })
     })
   }
 
   private hold (process: Process, effect: EffectOf<'hold'>): void {
     type Outcome = Extract<ShardInput, { type: 'holdOutcome' }>['outcome']
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect, ORDER_BYTES, this.lateOrderShare, (endpoint, answer) => {
       if (!endpoint.hold(this.time.now, effect.token, effect.acknowledged, effect.extendTo)) {
         answer({ type: 'fenced' })
         return
@@ -672,7 +690,7 @@
   private startTask (process: Process, effect: EffectOf<'startTask'>): void {
     type Outcome = Extract<ShardInput, { type: 'taskStartOutcome' }>['outcome']
     const spec = taskSpec(effect.spec, effect.task)
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect, ORDER_BYTES + effect.spec.length, this.lateOrderShare, (endpoint, answer) => {
       const previousRun = endpoint.runs.get(effect.task)
       const reply = endpoint.start(this.time.now, { token: effect.token, task: effect.task, run: effect.run, spec, untilMs: effect.notAfter })
       if (reply === 'started' && endpoint.runs.get(effect.task) !== previousRun) this.oracle.recordStart(endpoint, effect.task, this.time.now, this.hadSteadyContact(process))
@@ -682,7 +700,7 @@
 
   private stopTask (process: Process, effect: EffectOf<'stopTask'>): void {
     type Outcome = Extract<ShardInput, { type: 'taskStopOutcome' }>['outcome']
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, Math.max(this.lateOrderShare, this.lateStopShare), (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect, ORDER_BYTES, Math.max(this.lateOrderShare, this.lateStopShare), (endpoint, answer) => {
       answer({ type: endpoint.stop(this.time.now, effect.token, effect.task, effect.run) })
     }, outcome => ({ type: 'taskStopOutcome', endpoint: effect.endpoint, orderId: effect.orderId, outcome }))
   }
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -94,6 +94,7 @@
       acknowledged: 0,
       hold: undefined,
       unansweredHolds: 0,
+      missedAnswer: false,
       runsAtRefusal: undefined,
       runsLostInSilence: [],
       answeredAt: now,
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -110,6 +110,19 @@
   return parts
 }
 
+/** Sets up a ledger whose endpoint has answered starts slowly and has one run. */
+function setUpOnSlowLink (): ReturnType<typeof setUp> {
+  const parts = setUpWithRun()
+  const { ctx, ledger } = parts
+  for (let i = 0; i < 100; i++) {
+    const run = ledger.start(endpointOf(ledger), `slow.0.0.${i}` as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    ctx.now = ms(ctx.now + 60 + i % 2 * 80)
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+  }
+  ctx.out.takeEffects()
+  return parts
+}
+
 describe('EndpointsDecider, the ledger of endpoints', () => {
   it('lets no hold extend the lease of an endpoint beyond that of any job with a run there, stopping or not', () => {
     const { ctx, ledger } = setUp()
@@ -442,4 +455,94 @@
     ledger.holdOutcome(ID, nextHold?.orderId ?? 0, { type: 'fenced' })
     expect(listener.events).to.deep.equal(['superseded'])
   })
+
+  it('waits longer for answers once orders were answered slowly, and repeats a start no longer than before', () => {
+    const { ctx, ledger } = setUpOnSlowLink()
+    const endpoint = endpointOf(ledger)
+    const run = ledger.start(endpoint, 'late.0.0.0' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    const firstSentAt = ctx.now
+    let lastSentAt = ctx.now
+    for (let start = takeEffects(ctx, 'startTask').at(-1); start !== undefined; start = takeEffects(ctx, 'startTask').at(-1)) {
+      expect(start.timeoutMs).to.be.within(SHARD_DEFAULTS.orderTimeoutMs + 1, SHARD_DEFAULTS.orderTimeoutMaxMs)
+      lastSentAt = ctx.now
+      ctx.now = ms(ctx.now + start.timeoutMs)
+      ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    }
+    expect(lastSentAt - firstSentAt).to.be.greaterThan(2 * SHARD_DEFAULTS.orderTimeoutMs)
+    expect(lastSentAt - firstSentAt).to.be.at.most(SHARD_DEFAULTS.supersededMs)
+  })
+
+  it('gives up a hold after the usual time, although it waits longer for the answer on a slow link', () => {
+    const { ctx, ledger } = setUpOnSlowLink()
+    ctx.out.takeEffects()
+    ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(500, [{ task: TASK, run: 1, percent: 1 }]) })
+    const hold = takeEffects(ctx, 'hold').at(-1)
+    expect(hold?.waitMs).to.be.lessThan(SHARD_DEFAULTS.holdWaitMs)
+    expect(hold?.timeoutMs).to.equal(SHARD_DEFAULTS.holdWaitMs + SHARD_DEFAULTS.orderTimeoutMs)
+  })
+
+  it('takes the time for which a hold waited at the endpoint, or may have, for no part of a round trip', () => {
+    const { ctx, ledger } = setUpWithRun()
+    for (let sequence = 1; sequence <= 100; sequence++) {
+      const { hold } = endpointOf(ledger)
+      const ended = sequence % 2 === 0 ? [] : [{ sequence, task: 'other.0.0.0' as TaskName, run: 1, how: 'done' as const }]
+      ctx.now = ms(ctx.now + (hold?.waitMs ?? 0) + 5)
+      ledger.holdOutcome(ID, hold?.orderId ?? 0, { type: 'listed', listing: listing(500, [{ task: TASK, run: 1, percent: 1 }], ended) })
+    }
+    expect(takeEffects(ctx, 'hold').map(({ waitMs }) => waitMs).slice(-100)).to.deep.equal(Array(100).fill(SHARD_DEFAULTS.holdWaitMs))
+  })
+
+  it('learns nothing from a hold whose answer shows an end, since it has waited for an unknown time', () => {
+    const { ctx, ledger } = setUpOnSlowLink()
+    for (let sequence = 1; sequence <= 200; sequence++) {
+      ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(500, [{ task: TASK, run: 1, percent: 1 }], [{ sequence, task: 'other.0.0.0' as TaskName, run: 1, how: 'done' }]) })
+    }
+    expect(takeEffects(ctx, 'hold').at(-1)?.waitMs).to.be.lessThan(SHARD_DEFAULTS.holdWaitMs)
+  })
+
+  it('learns from a start whose first answer was missed', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    for (let i = 0; i < 100; i++) {
+      const run = ledger.start(endpointOf(ledger), `slow.0.0.${i}` as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+      ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+      ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    }
+    expect(takeEffects(ctx, 'startTask').at(-1)?.timeoutMs).to.equal(SHARD_DEFAULTS.orderTimeoutMaxMs)
+  })
+
+  it('repeats a stop no sooner than its answer may take', () => {
+    const { ctx, ledger } = setUpOnSlowLink()
+    const stoppedAt = ctx.now
+    ledger.stop(endpointOf(ledger).runs.get(TASK) as LedgerRun)
+    const [first] = takeEffects(ctx, 'stopTask')
+    expect(first?.timeoutMs).to.be.greaterThan(SHARD_DEFAULTS.orderTimeoutMs)
+    while (takeEffects(ctx, 'stopTask').length === 0) {
+      ctx.now = ms(ctx.now + 5)
+      ledger.tick()
+    }
+    expect(ctx.now - stoppedAt).to.be.within(first?.timeoutMs ?? 0, (first?.timeoutMs ?? 0) + 5)
+  })
+
+  it('learns from an answer that was missed only if the endpoint was not silent altogether', () => {
+    for (const [silentHolds, expectedMs] of [[1, SHARD_DEFAULTS.orderTimeoutMaxMs], [2, SHARD_DEFAULTS.orderTimeoutMs]] as const) {
+      const { ctx, ledger } = setUp()
+      ledger.adopt([REPORT])
+      answerHold(ctx, ledger, listing(500))
+      for (let round = 1; round <= 200; round++) {
+        for (let i = 0; i <= silentHolds; i++) {
+          ctx.now = ms(Math.max(ctx.now, endpointOf(ledger).nextHoldAt))
+          ledger.tick()
+          const { hold } = endpointOf(ledger)
+          // The answer shows an end, so its own round trip is not known.
+          const outcome = i < silentHolds ? { type: 'silent' as const } : { type: 'listed' as const, listing: listing(500, [], [{ sequence: round, task: TASK, run: 1, how: 'done' }]) }
+          ledger.holdOutcome(ID, hold?.orderId ?? 0, outcome)
+        }
+      }
+      ctx.now = ms(Math.max(ctx.now, endpointOf(ledger).nextHoldAt))
+      ledger.tick()
+      expect(takeEffects(ctx, 'hold').at(-1)?.timeoutMs, `${silentHolds} silent`).to.equal(expectedMs)
+    }
+  })
 })
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -20,6 +20,7 @@
   TaskStopOutcome
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { OrderTimeoutsDecider } from '../orderTimeouts/orderTimeoutsDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { EndpointsDb, endpointClock, latestLeaseEnd, leaseBoundOf, makeRun } from './endpointsDb.js'
 import type { LedgerEndpoint, LedgerRun, LossReason, PendingHold, RejectionReason, RunLease, RunListener } from './types.js'
@@ -44,9 +45,12 @@
 /** Decides which holds, starts and stops are sent to owned endpoints, and reports what becomes of their runs. */
 export class EndpointsDecider {
   readonly db = new EndpointsDb()
+  private readonly timeouts: OrderTimeoutsDecider
   private orderCounter = 0
 
-  constructor (private readonly ctx: ShardContext, private readonly tokenOf: TokenOf, private readonly listAwaited: ListAwaited, private readonly listener: RunListener) {}
+  constructor (private readonly ctx: ShardContext, private readonly tokenOf: TokenOf, private readonly listAwaited: ListAwaited, private readonly listener: RunListener) {
+    this.timeouts = new OrderTimeoutsDecider(ctx.cfg)
+  }
 
   /** Takes over the endpoints of a shard. Each must answer under the new token before anything starts there. */
   adopt (reports: readonly EndpointReport[]): void {
@@ -167,6 +171,7 @@
     const hold = endpoint.hold
     endpoint.hold = undefined
     if (outcome.type === 'listed') {
+      this.learnRoundTrip(endpoint, outcome.listing.ended.some(end => end.sequence > endpoint.acknowledged) ? undefined : this.ctx.now - hold.sentAt - hold.waitMs)
       this.applyListing(endpoint, outcome.listing, hold)
       this.scheduleNextHold(endpoint)
       return
@@ -184,8 +189,11 @@
     const endpoint = this.db.get(id)
     const run = endpoint === undefined ? undefined : this.findOrdered(endpoint, orderId)
     if (endpoint === undefined || run === undefined) return
+    if (outcome.type === 'silent') endpoint.missedAnswer = true
     switch (outcome.type) {
-      case 'started': return this.startConfirmed(endpoint, run, outcome.clock)
+      case 'started':
+        this.learnRoundTrip(endpoint, this.ctx.now - run.startSentAt)
+        return this.startConfirmed(endpoint, run, outcome.clock)
       case 'oldRun':
       case 'noRoom':
       case 'invalid':
@@ -212,6 +220,16 @@
     if (outcome.type === 'stopping' && endpoint.hold === undefined) this.sendHold(endpoint)
   }
 
+  /**
+   * Learns from an answer of an endpoint. An answer that was missed before counts too, unless the endpoint was silent altogether.
+   * @param roundTripMs - undefined if the time for which the endpoint waited with its answer is not known
+   */
+  private learnRoundTrip (endpoint: LedgerEndpoint, roundTripMs: number | undefined): void {
+    if (endpoint.missedAnswer && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.timeouts.answeredTooLate()
+    endpoint.missedAnswer = false
+    if (roundTripMs !== undefined) this.timeouts.answered(Math.max(0, roundTripMs))
+  }
+
   private markOutdated (listed: ReadonlySet<EndpointId>): void {
     for (const endpoint of this.db.all()) {
       if (!listed.has(endpoint.id) && !endpoint.listedSinceTakeover) endpoint.outdated = true
@@ -231,7 +249,7 @@
 
   private resendStopIfDue (endpoint: LedgerEndpoint, run: LedgerRun): void {
     if (run.state !== 'stopping') return
-    if (this.ctx.now - run.lastSentAt >= this.ctx.cfg.orderTimeoutMs && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStop(endpoint, run)
+    if (this.ctx.now - run.lastSentAt >= this.timeouts.timeoutMs() && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStop(endpoint, run)
   }
 
   private requireFreshAnswer (endpoint: LedgerEndpoint): void {
@@ -246,7 +264,7 @@
    * for the listing.
    */
   private sendHold (endpoint: LedgerEndpoint): void {
-    const { now, cfg } = this.ctx
+    const { now } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
     const watchesRuns = endpoint.answeredUnderToken && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX && endpoint.runs.size > 0
@@ -254,7 +272,7 @@
     if (extendTo !== undefined) this.recordLeaseEnd(endpoint, extendTo)
     const waitMs = watchesRuns && endpoint.unansweredHolds === 0 ? this.holdWaitFor(endpoint) : ms(0)
     const orderId = ++this.orderCounter
-    endpoint.hold = { orderId, token, sentAt: now, endTimeKnown: now - endpoint.answeredAt <= END_TIME_GAP_MAX_MS || endpoint.runs.size === 1 }
+    endpoint.hold = { orderId, token, sentAt: now, waitMs, endTimeKnown: now - endpoint.answeredAt <= END_TIME_GAP_MAX_MS || endpoint.runs.size === 1 }
     this.ctx.out.count('shard.holds.sent')
     this.ctx.out.push({
       type: 'hold',
@@ -265,7 +283,7 @@
       extendTo,
       acknowledged: endpoint.acknowledged,
       waitMs,
-      timeoutMs: ms(waitMs + cfg.orderTimeoutMs)
+      timeoutMs: ms(waitMs + this.timeouts.timeoutMs())
     })
   }
 
@@ -278,7 +296,7 @@
 
   private holdWaitFor (endpoint: LedgerEndpoint): Ms {
     const hasUnclaimed = [...endpoint.runs.values()].some(run => run.state === 'unclaimed')
-    return hasUnclaimed ? UNCLAIMED_HOLD_WAIT_MS : this.ctx.cfg.holdWaitMs
+    return hasUnclaimed ? UNCLAIMED_HOLD_WAIT_MS : this.timeouts.holdWaitMs()
   }
 
   private scheduleNextHold (endpoint: LedgerEndpoint): void {
@@ -290,6 +308,7 @@
     const { out, now, cfg, self } = this.ctx
     out.count('shard.holds.silent')
     endpoint.unansweredHolds++
+    if (why === 'silent') endpoint.missedAnswer = true
     if (why === 'refused') this.endpointRefused(endpoint)
     if (endpoint.unansweredHolds === UNANSWERED_HOLDS_MAX) {
       out.log('endpoint.silent', { endpoint: endpoint.id, shard: endpoint.report.failureDomain, why, runs: endpoint.runs.size, lastAnswerAgeMs: Math.round(now - endpoint.answeredAt), owner: self.instance }, 'warn')
@@ -441,17 +460,17 @@
       run: run.run,
       spec: run.spec,
       notAfter,
-      timeoutMs: cfg.orderTimeoutMs
+      timeoutMs: this.timeouts.timeoutMs()
     })
   }
 
   private sendStop (endpoint: LedgerEndpoint, run: LedgerRun): void {
-    const { cfg, out } = this.ctx
+    const { out } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
     if (token === undefined) return
     this.stampOrder(run, token)
     out.count('shard.tasks.stopped')
-    out.push({ type: 'stopTask', endpoint: endpoint.id, address: endpoint.report.address, orderId: run.orderId, token, task: run.task, run: run.run, timeoutMs: cfg.orderTimeoutMs })
+    out.push({ type: 'stopTask', endpoint: endpoint.id, address: endpoint.report.address, orderId: run.orderId, token, task: run.task, run: run.run, timeoutMs: this.timeouts.timeoutMs() })
   }
 
   /** Assigns an id to the run's next order, to match its answer. */
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -79,6 +79,8 @@
   readonly orderId: number
   readonly token: FencingToken
   readonly sentAt: Ms
+  /** How long it waits at the endpoint for a run to end. */
+  readonly waitMs: Ms
   /** The endpoint was observed without a gap up to this hold, which waits for an end; the end's time is therefore known. */
   readonly endTimeKnown: boolean
 }
@@ -114,6 +116,8 @@
   hold: PendingHold | undefined
   /** Number of consecutive holds without an answer. */
   unansweredHolds: number
+  /** An order got no answer in time since the endpoint last answered. */
+  missedAnswer: boolean
   /** Runs that were lost because the endpoint did not answer. Its next answer shows whether it had crashed. */
   runsLostInSilence: readonly LedgerRun[]
   /** The runs there when one of the consecutive holds without an answer was first refused; undefined when none was. */
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -37,8 +37,10 @@
   readonly clockDrift: number
   /** Validity of a start order; an endpoint refuses it afterwards. Short, because its capacity stays reserved until then. */
   readonly startValidMs: Ms
-  /** Time-out for the answer to a start or stop order; several round trips. */
+  /** Shortest time-out for the answer to a start or stop order; several round trips on a fast link. */
   readonly orderTimeoutMs: Ms
+  /** Longest one, on a slow link. All sends of a start must lie within `supersededMs`, and a hold must wait for some time. */
+  readonly orderTimeoutMaxMs: Ms
   /** How long a hold waits at an endpoint with runs for a run to end; also the period at which progress is reported. */
   readonly holdWaitMs: Ms
   /** Period of holds at an endpoint without runs. */
@@ -83,6 +85,7 @@
   clockDrift: 0.02,
   startValidMs: ms(300),
   orderTimeoutMs: ms(100),
+  orderTimeoutMaxMs: ms(200),
   holdWaitMs: ms(250),
   idleHoldPeriodMs: ms(2000),
   silentHoldPeriodMs: ms(200),
