--- a/packages/bench/src/model/scopes.ts
+++ b/packages/bench/src/model/scopes.ts
@@ -18,6 +18,7 @@
 export const SCOPES: readonly Scope[] = [
   scope('two jobs, three crashes, a cancel', twoJobs, { crashes: 3, cancels: 1 }),
   scope('two jobs, copies that are declined, lost or sent again, a crash', twoJobs, { crashes: 1, resends: 1, declines: 1, answerLosses: 1 }),
+  scope('two jobs, a suspected owner', twoJobs, { suspicions: 1 }),
   scope('copies that are declined, lost or sent again, a suspected owner', { ...twoJobs, jobs: 1 }, { suspicions: 1, resends: 1, declines: 1, answerLosses: 1 }),
   scope('copies that are sent again, a suspected owner', twoEndpoints, { suspicions: 1, resends: 1 }),
   scope('a suspected owner, a restarted endpoint, a cancel', twoEndpoints, { suspicions: 1, restarts: 1, cancels: 1 }),
