--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -26,7 +26,7 @@
 
 /** Consecutive holds without an answer after which leases are no longer renewed, so that the runs there are certain to end. */
 const UNANSWERED_HOLDS_MAX = 2
-/** How long a hold waits while runs are there that no job has claimed yet: what a claim allows is then renewed soon. Also the shortest wait. */
+/** How long a hold waits while runs are there that no job has claimed yet: what a claim allows is then renewed soon. No hold at an endpoint with runs waits for less. */
 const UNCLAIMED_HOLD_WAIT_MS = ms(50)
 /** A hold waits for at most this part of the lease that it leaves, so that the next one comes in time although this owner handles the answer late. */
 const HOLD_WAIT_PER_LEASE = 0.25
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -26,7 +26,7 @@
 const LEAVING_RETRY_MS = ms(1000)
 /** How often a job is sent again to an owner that does not know it. */
 const RESENDS_MAX = 3
-/** After how many of them a job that the owner has not taken goes to another domain; the first may have been refused for want of a reading of its clock. */
+/** How often a job is sent again to an owner that refuses its copies as too old before it goes to another domain; the first may lack a reading of the owner's clock. */
 const RESENDS_BEFORE_MOVE = 1
 /** Retry delay after a refusal because there is no owner, no desired state or no queue. */
 const NO_OWNER_RETRY_MS = ms(1000)
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -142,7 +142,7 @@
   }
 
   /**
-   * Returns the time that a peer's clock showed at least when this instance last knew something of other connections; undefined if it is not known.
+   * Returns the earliest time that a peer's clock can have shown when this instance had last read its other connections; undefined if it is not known.
    * @param knownAt - everything that had arrived by then has been handled
    * @param readUntil - when reads of all connections last ended: what had arrived before a reading that was handled by then has been handled too
    */
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -95,7 +95,7 @@
    * @param input - what happened
    * @param now - monotonic time
    * @param wall - wall-clock time
-   * @param callerReads - how far the shell has read what callers sent, by default all
+   * @param callerReads - how far this process has read what callers sent, by default all
    * @returns the effects that the shell has to perform, in order
    */
   handle (input: ShardInput, now: Ms, wall: Ms, callerReads: CallerReads = { upTo: now, endedAt: now }): ShardEffect[] {
