--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -6,7 +6,7 @@
 import type { ListPace, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
-import { FencedEndpointModel, RecordStoreModel, ShardOracle, taskSpec } from '@cranberryyard/fakes'
+import { FencedEndpointModel, RecordStoreModel, SLOWEST_CLOCK_RATE, ShardOracle, taskSpec } from '@cranberryyard/fakes'
 import type { ModelTask } from '@cranberryyard/fakes'
 import type {
   DesiredState,
@@ -108,6 +108,10 @@
   backlogMs: number
   /** When the latest of these inputs is handled; later ones do not overtake it. */
   backlogUntil: number
+  /** The longest that any of these inputs waits. */
+  backlogMaxMs: number
+  /** Everything that callers had sent by `upTo` was handled by `endedAt`. */
+  callerReads: { readonly upTo: number, readonly endedAt: number }
   /** Latest time at which the process did not run or could not reach the store. */
   lastDisturbedAt: number
   /** Reply callbacks of submissions that wait for an answer, by call id. */
@@ -271,10 +275,18 @@
     this.time.after(downMs, () => this.boot(process))
   }
 
-  /** Makes an instance handle everything that arrives from outside late, by a constant time. */
+  /** Breaks the connections of an instance's callers, which it notices only when it reads them. */
+  breakCallers (name: InstanceId): void {
+    const process = this.process(name)
+    for (const callId of process.pendingCalls.keys()) this.postFromOutside(process, { type: 'callerLeft', callId })
+    this.failPendingCalls(process)
+  }
+
+  /** Makes an instance handle everything that arrives from outside late, by a constant time. Its timers run on time, before it reads. */
   slowDown (name: InstanceId, backlogMs: number, durationMs: number): void {
     const process = this.process(name)
     process.backlogMs = backlogMs
+    process.backlogMaxMs = backlogMs
     this.time.after(durationMs, () => {
       process.backlogMs = 0
     })
@@ -398,7 +410,7 @@
 
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
-    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, lastDisturbedAt: 0, pendingCalls: new Map() })
+    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, pendingCalls: new Map() })
   }
 
   private addEndpoints (domain: FailureDomain): void {
@@ -414,7 +426,7 @@
   }
 
   private addEndpoint (id: string, domain: FailureDomain, cpuMilli: number): FencedEndpointModel {
-    const endpoint = new FencedEndpointModel(id, cpuMilli, this.time.now, (run, how) => this.oracle.recordEnd(run, how))
+    const endpoint = new FencedEndpointModel(id, cpuMilli, this.time.now, (run, how) => this.oracle.recordEnd(run, how), this.endpoints.size % 2 === 1 ? SLOWEST_CLOCK_RATE : 1)
     endpoint.onCrash = () => this.endpointCrashed(endpoint)
     this.domainOf.set(id, domain)
     this.endpoints.set(id, endpoint)
@@ -539,7 +551,11 @@
       return
     }
     const now = ms(this.time.now)
-    const effects = process.core.handle(input, this.monotonic(process), now)
+    const hasBacklog = process.backlogMs > 0 || process.backlogUntil > now
+    if (input.type === 'tick' || input.type === 'submit') process.callerReads = { upTo: Math.max(process.callerReads.upTo, now - (hasBacklog ? process.backlogMaxMs : 0)), endedAt: now }
+    const monotonic = this.monotonic(process)
+    const callerReads = { upTo: ms(monotonic - now + process.callerReads.upTo), endedAt: ms(monotonic - now + process.callerReads.endedAt) }
+    const effects = process.core.handle(input, monotonic, now, callerReads)
     this.oracle.recordDesiredVersion(`${process.name}#${process.incarnation}`, process.core.desired.db.version(), now)
     this.executeEffects(process, effects)
   }
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -46,6 +46,25 @@
   })
 }
 
+/** A fault that shows when a task starts long after its front was last heard, as above. */
+export function startUnderAnyLease (): Undo {
+  return replaceMethod(sample.endpoints, 'endsWithLease', () => () => true)
+}
+
+/** A fault that shows when a front is slow, as above. */
+export function countFromSending (): Undo {
+  return replaceMethod(sample.intake, 'callersSeenAt', () => function (this: typeof sample.intake) {
+    return (this as unknown as { ctx: typeof sample.ctx }).ctx.now
+  })
+}
+
+/** A fault that shows when two owners of a shard go on side by side for a while, as above. */
+export function waitFromTakeover (): Undo {
+  return replaceMethod(sample, 'earlierRunsKnown', original => function (this: typeof sample, ...args) {
+    return original.apply(this, [{ ...args[0] as object, receivedAt: -Infinity }] as never[])
+  })
+}
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -78,15 +97,19 @@
     apply: () => replaceMethod(sample, 'earlierRunsKnown', () => () => true)
   },
   {
-    name: 'the jobs of a lost front go on',
+    name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
     load: { jobsPerSecond: 12, workFactor: 2.5 },
     apply: () => {
       const undoLost = replaceMethod(sample.execution, 'frontLost', () => () => {})
       const undoConfirmationExpired = replaceMethod(sample.execution, 'isConfirmationExpired', () => () => false)
+      const undoMustStop = replaceMethod(sample.execution, 'mustStop', () => () => false)
+      const undoStart = startUnderAnyLease()
       return () => {
         undoLost()
         undoConfirmationExpired()
+        undoMustStop()
+        undoStart()
       }
     }
   },
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -111,6 +111,21 @@
 }
 
 describe('EndpointsDecider, the ledger of endpoints', () => {
+  it('renews a short lease sooner, so that a slow owner does not let it run out between two holds', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const lease = { endsBy: ms(0) }
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease })
+    ledger.startOutcome(ID, run.orderId, { type: 'started', clock: 500 as EndpointClockMs })
+    const waits = [2000, 1000, 400, 80, 0].map((remainingMs) => {
+      lease.endsBy = ms(ctx.now + remainingMs)
+      ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(500, [{ task: TASK, run: 1, percent: 1 }]) })
+      return takeEffects(ctx, 'hold').at(-1)?.waitMs
+    })
+    expect(waits).to.deep.equal([250, 250, 100, 50, 250])
+  })
+
   it('lets no hold extend the lease of an endpoint beyond that of any job with a run there, stopping or not', () => {
     const { ctx, ledger } = setUp()
     ledger.adopt([REPORT])
@@ -139,6 +154,24 @@
     expect(ledger.usable(endpointOf(ledger))).to.equal(true)
   })
 
+  it('lets a run join the lease that is in force at an endpoint only if that ends before the lease of its job', () => {
+    const { ctx, ledger } = setUpWithRun()
+    answerHold(ctx, ledger, listing(500, [{ task: TASK, run: 1, percent: 10 }]))
+    const { leaseMs } = SHARD_DEFAULTS
+    const endsInTime = (endsInMs: number): boolean => ledger.endsWithLease(endpointOf(ledger), { endsBy: ms(ctx.now + endsInMs) })
+    expect([endsInTime(leaseMs - 1), endsInTime(leaseMs)]).to.deep.equal([false, true])
+    ctx.now = ms(ctx.now + leaseMs / 2)
+    expect([endsInTime(leaseMs / 2 - 1), endsInTime(leaseMs / 2)]).to.deep.equal([false, true])
+  })
+
+  it('expects a lease of the earlier owner at an endpoint, also if nothing runs there any more', () => {
+    const { ctx, ledger } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    expect(ledger.endsWithLease(endpointOf(ledger), { endsBy: ms(ctx.now + SHARD_DEFAULTS.leaseMs - 1) })).to.equal(false)
+    expect(ledger.endsWithLease(endpointOf(ledger), { endsBy: ms(ctx.now + SHARD_DEFAULTS.leaseMs) })).to.equal(true)
+  })
+
   it('gives up a run that never arrived although its stop is repeated more often than holds are answered', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
@@ -349,6 +382,23 @@
     expect(listener.losses).to.deep.equal(['restarted, 1 there'])
   })
 
+  it('takes no run for lost with a restarted endpoint that it has started, or ended, since it is back', () => {
+    for (const ended of [false, true]) {
+      const { ctx, ledger, listener } = setUpWithRun()
+      answerHold(ctx, ledger, ended ? listing(20, [], [{ sequence: 1, task: TASK, run: 1, how: 'done' }], 6) : listing(20, [{ task: TASK, run: 1, percent: 10 }], [], 6))
+      expect(listener.events).to.deep.equal(['started 1', ...ended ? ['done 1'] : []])
+      expect(listener.losses).to.deep.equal([])
+    }
+  })
+
+  it('does not count runs that a restarted endpoint has started since among those that were there when it crashed', () => {
+    const { ctx, ledger, listener } = setUpWithRun()
+    const other = ledger.start(endpointOf(ledger), 'other.0.0.0' as TaskName, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    ledger.startOutcome(ID, other.orderId, { type: 'started', clock: 10 as EndpointClockMs })
+    answerHold(ctx, ledger, listing(20, [{ task: other.task, run: 1, percent: 10 }], [], 6))
+    expect(listener.losses).to.deep.equal(['restarted, 1 there'])
+  })
+
   it('reports that an endpoint refused connections before the leases of its runs ended', () => {
     const { ctx, ledger, listener } = setUpWithRun()
     for (let i = 0; i < 40 && listener.losses.length === 0; i++) {
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -7,6 +7,7 @@
 import { SHARD_DEFAULTS } from '../shard/settings.js'
 import { ShardOutbox } from '../shard/types.js'
 import type { ShardContext, ShardEffect } from '../shard/types.js'
+import { runsEndBy } from './executionDb.js'
 import { ExecutionDecider } from './executionDecider.js'
 import type { FrontSession } from './types.js'
 
@@ -25,6 +26,14 @@
   return { job: { id: id as JobId, spec: '', features: [], steps: [step] }, queue, ageMs: ms(0), remainingMs: ms(10_000), attempt: 1, resumed: false, done: [], lastChance: true, ...overrides }
 }
 
+/** Whole milliseconds after a confirmation up to which runs go on without another one. */
+const STOP_AFTER_MS = Math.floor(runsEndBy(ms(0), SHARD_DEFAULTS) - SHARD_DEFAULTS.orderTimeoutMs)
+
+/** Returns when a confirmation was sent that lets runs go on until the given time. */
+function confirmedFor (endsBy: number): number {
+  return endsBy - runsEndBy(ms(0), SHARD_DEFAULTS)
+}
+
 function withObjective (of: DispatchOrder, latencyObjectiveMs: number): DispatchOrder {
   return { ...of, queue: { ...of.queue, latencyObjectiveMs: ms(latencyObjectiveMs) } }
 }
@@ -98,11 +107,16 @@
     this.ledger.holdOutcome(id, this.holds.get(id) ?? 0, { type: 'refused' })
     this.settle()
     this.advanceMs(SHARD_DEFAULTS.leaseMs * 1.1)
-    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id], this.ctx.now)
+    this.confirmJobs()
     this.ledger.tick()
     this.settle()
   }
 
+  /** Confirms all jobs, as their fronts do every `confirmMs`. */
+  confirmJobs (): void {
+    for (const job of this.execution.db.jobs.values()) this.execution.confirmJobs(job.front, DOMAIN, [job.id], this.ctx.now)
+  }
+
   /** Frees an endpoint of its runs, which end with success. */
   finishRuns (id: EndpointId): void {
     const runs = [...this.ledger.db.get(id)?.runs.values() ?? []]
@@ -243,23 +257,56 @@
     owner.execution.frontLost(FRONT.instance, undefined)
     owner.settle()
     expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.0'])
-    owner.advanceMs(SHARD_DEFAULTS.jobLeaseMs + 1)
+    owner.advanceMs(STOP_AFTER_MS)
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.stops.map(stop => stop.task)).not.to.include('b.0.0.0')
+    owner.advanceMs(1)
     owner.execution.tick()
     owner.settle()
     expect(owner.stops.map(stop => stop.task)).to.include('b.0.0.0')
   })
 
+  it('starts nothing that could run when its caller sends the job again, and stops runs before then, by the sum of the bounds', () => {
+    const { jobLeaseMs, startValidMs, orderTimeoutMs, clockDrift, resendMs } = SHARD_DEFAULTS
+    const onSlowestClockMs = (leaseMs: number): number => leaseMs / (1 - clockDrift)
+    expect(jobLeaseMs + onSlowestClockMs(startValidMs)).to.be.lessThan(resendMs)
+    expect(onSlowestClockMs(runsEndBy(ms(0), SHARD_DEFAULTS))).to.be.lessThan(resendMs)
+    expect(jobLeaseMs + startValidMs).to.be.at.most(runsEndBy(ms(0), SHARD_DEFAULTS))
+    expect(STOP_AFTER_MS + orderTimeoutMs).to.be.lessThan(resendMs)
+  })
+
   it('does not start a job whose order was on its way for longer than its front may wait', () => {
     const owner = new OwnerHarness(2)
+    owner.advanceMs(SHARD_DEFAULTS.leaseMs)
     const sentAt = ms(owner.ctx.now - SHARD_DEFAULTS.jobLeaseMs - 1)
     expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), sentAt)).to.equal(false)
     owner.settle()
     expect(owner.starts).to.deep.equal([])
-    expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900), ms(sentAt + 2))).to.equal(true)
+    expect(owner.execution.submit(FRONT, DOMAIN, order('a', 2, 900, { attempt: 2 }), ms(sentAt + 2))).to.equal(true)
     owner.settle()
     expect(owner.starts).to.have.length(2)
   })
 
+  it('does not start a task where the lease, which another run has extended, outlasts that of its job', () => {
+    const owner = new OwnerHarness(1, 2)
+    owner.advanceMs(SHARD_DEFAULTS.leaseMs)
+    owner.submit(order('a', 1, 5000))
+    owner.confirmStarts()
+    owner.answerHold('e-0' as EndpointId, [{ task: 'a.0.0.0' as TaskName, run: 1, percent: 1 }])
+    const heldAt = owner.ctx.now
+    const sentAt = ms(heldAt - 400)
+    owner.execution.submit(FRONT, DOMAIN, order('b', 1, 5000), sentAt)
+    owner.settle()
+    expect(owner.starts).to.deep.equal([])
+    // Of the lease of 1000 ms that the hold has extended, no more is left than of the job's.
+    owner.ctx.now = ms(heldAt + 1)
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['b' as JobId], ms(confirmedFor(heldAt + SHARD_DEFAULTS.leaseMs)))
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['b.0.0.0'])
+  })
+
   it('does not start a copy of a job that a later copy, declined or abandoned, or a cancel has overtaken', () => {
     const owner = new OwnerHarness(1)
     const refused = (id: string, attempt: number): boolean => !owner.execution.submit(FRONT, DOMAIN, order(id, 1, 5000, { attempt }), owner.ctx.now)
@@ -275,6 +322,26 @@
     expect(owner.execution.submit({ ...FRONT, incarnation: 2 }, DOMAIN, order('declined', 1, 5000, { attempt: 1 }), owner.ctx.now)).to.equal(true)
   })
 
+  it('starts no copy up to the last one that it has refused as too old, and names that one to a front that asks, unless it has taken one', () => {
+    const owner = new OwnerHarness(2)
+    owner.advanceMs(SHARD_DEFAULTS.leaseMs)
+    const { now } = owner.ctx
+    const tooOld = ms(now - SHARD_DEFAULTS.jobLeaseMs - 1)
+    const answerTo = (id: string): unknown => {
+      owner.execution.confirmJobs(FRONT, DOMAIN, [id as JobId], now)
+      return owner.sentToFronts.at(-1)
+    }
+    for (const attempt of [3, 4]) expect(owner.execution.submit(FRONT, DOMAIN, order('refused', 1, 100, { attempt }), tooOld)).to.equal(false)
+    expect(owner.execution.submit(FRONT, DOMAIN, order('refused', 1, 100, { attempt: 3 }), now)).to.equal(false)
+    expect(owner.execution.submit(FRONT, DOMAIN, order('refused', 1, 100, { attempt: 4 }), now)).to.equal(false)
+    expect(answerTo('refused')).to.deep.equal({ type: 'notOwner', jobId: 'refused', failureDomain: DOMAIN, attempt: 4 })
+    owner.submit(order('dropped', 1, 100, { attempt: 5 }))
+    owner.execution.frontLost(FRONT.instance, undefined)
+    expect(owner.execution.submit(FRONT, DOMAIN, order('dropped', 1, 100, { attempt: 6 }), tooOld)).to.equal(false)
+    expect(answerTo('dropped')).to.deep.equal({ type: 'notOwner', jobId: 'dropped', failureDomain: DOMAIN })
+    expect(owner.execution.submit(FRONT, DOMAIN, order('refused', 1, 100, { attempt: 7 }), now)).to.equal(true)
+  })
+
   it('does not let a late confirmation set back a later one', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 5000))
@@ -315,9 +382,8 @@
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 5000))
     owner.confirmStarts()
-    const { jobLeaseMs } = SHARD_DEFAULTS
     const sentAt = ms(owner.ctx.now + 100)
-    owner.advanceMs(jobLeaseMs)
+    owner.advanceMs(STOP_AFTER_MS)
     owner.execution.confirmJobs(FRONT, DOMAIN, ['a' as JobId], sentAt)
     owner.execution.tick()
     owner.advanceMs(99)
@@ -330,6 +396,21 @@
     expect(owner.stops).to.have.length(1)
   })
 
+  it('starts a task beside the run of another job only if the lease there does not outlast its front\'s latest confirmation', () => {
+    const owner = new OwnerHarness(1, 2)
+    owner.submit(order('a', 1, 900))
+    owner.confirmStarts()
+    owner.answerHold('e-0' as EndpointId, [{ task: 'a.0.0.0' as TaskName, run: 1, percent: 10 }])
+    const { now } = owner.ctx
+    owner.execution.submit(FRONT, DOMAIN, withObjective(order('b', 1, 100), 5000), ms(now - 400))
+    owner.settle()
+    expect(owner.starts).to.deep.equal([])
+    owner.execution.confirmJobs(FRONT, DOMAIN, ['b' as JobId], ms(now - 200))
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.starts.map(({ task }) => task)).to.deep.equal(['b.0.0.0'])
+  })
+
   it('starts no waiting task of a job whose confirmation has run out', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 100))
@@ -363,6 +444,7 @@
     expect(owner.stops.map(stop => stop.task)).to.deep.equal(['a.0.0.0'])
     owner.reportEnd('a.0.0.0', 'stopped')
     owner.advanceMs(100)
+    owner.confirmJobs()
     owner.reportEnd('b.0.0.0', 'done')
     expect(owner.starts.map(start => start.task)[0]).to.equal('a.0.0.0')
   })
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -43,8 +43,8 @@
   superseded (failureDomain: FailureDomain, token: FencingToken): void
   /** Something new is known about attempts at tasks of these jobs, each with the front that has sent it, if this owner has the job. */
   attemptsChanged (jobs: ReadonlyMap<JobId, FrontSession | undefined>): void
-  /** Returns false while runs of an earlier owner may exist that this owner has not yet seen. */
-  earlierRunsKnown (failureDomain: FailureDomain): boolean
+  /** Returns false while runs of an earlier owner may exist for the job that this owner has not yet seen. */
+  earlierRunsKnown (job: OwnedJob): boolean
 }
 
 /** Executes the jobs of the shards that this instance owns. */
@@ -75,7 +75,10 @@
       return true
     }
     if (known === undefined && this.db.isDropped(id, front, order.attempt)) return this.refuseOutdated(front, order, 'overtaken', sentAt)
-    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) return this.refuseOutdated(front, order, 'tooOld', sentAt)
+    if (this.ctx.now - sentAt > this.ctx.cfg.jobLeaseMs) {
+      if (known === undefined) this.db.keepDropped(id, front, order.attempt, !order.resumed, this.ctx.now)
+      return this.refuseOutdated(front, order, 'tooOld', sentAt)
+    }
     if (known === undefined) this.submitNew(front, failureDomain, order, sentAt)
     else this.join(known, front, order, sentAt)
     return true
@@ -97,7 +100,7 @@
   cancel (id: JobId, from: InstanceId, { incarnation, attempt }: { readonly incarnation?: number, readonly attempt?: number } = {}): void {
     const job = this.db.jobs.get(id)
     if (job !== undefined && job.front.instance === from && (attempt === undefined || attempt >= job.attempt)) this.abandon(job, 'callerLeft')
-    if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, this.ctx.now)
+    if (incarnation !== undefined && attempt !== undefined) this.db.keepDropped(id, { instance: from, incarnation }, attempt, false, this.ctx.now)
   }
 
   /**
@@ -140,7 +143,8 @@
         continue
       }
       const outcome = this.db.outcomeOf(id)
-      this.ports.sendToFront(front, outcome === undefined ? { type: 'notOwner', jobId: id, failureDomain } : { type: 'ended', jobId: id, outcome })
+      const attempt = this.db.refusedAttempt(id, front)
+      this.ports.sendToFront(front, outcome === undefined ? { type: 'notOwner', jobId: id, failureDomain, ...attempt === undefined ? {} : { attempt } } : { type: 'ended', jobId: id, outcome })
     }
   }
 
@@ -183,7 +187,7 @@
     if (!anyFits(this.admission.db.waiting, largest)) return
     let mayStartPartially = true
     for (const job of this.admission.inStartOrder(this.ctx.now)) {
-      if (this.isConfirmationExpired(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job.failureDomain))) continue
+      if (this.isConfirmationExpired(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job))) continue
       const complete = smallestCpuNeed(job) <= largest && this.startTasks(job, candidates, mayStartPartially || job.firstStartAt !== undefined)
       if (!complete && job.firstStartAt === undefined) mayStartPartially = false
       if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
@@ -365,7 +369,7 @@
 
   private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
     const { out, now } = this.ctx
-    this.db.keepDropped(job.id, job.front, job.attempt, now)
+    this.db.keepDropped(job.id, job.front, job.attempt, !job.mayHaveRun, now)
     out.count('shard.jobs.declined')
     out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.capacity())), waitingJobs: this.admission.db.waiting.size })
     this.ports.sendToFront(job.front, { type: 'declined', jobId: job.id, attempt: job.attempt, retryAfterMs })
@@ -433,7 +437,7 @@
    * @returns true when every task of the ready steps has started
    */
   private startTasks (job: OwnedJob, candidates: Candidate[], allowPartial: boolean): boolean {
-    const plan = planStarts(job, { placement: this.placement, candidates, mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: this.attempts.db.has(job.id) ? task => this.attempts.standingOf(task) : () => 'sound', allowPartial })
+    const plan = planStarts(job, { placement: this.placement, candidates: candidates.filter(({ endpoint }) => this.endpoints.endsWithLease(endpoint, job.runLease)), mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: this.attempts.db.has(job.id) ? task => this.attempts.standingOf(task) : () => 'sound', allowPartial })
     for (const start of plan.starts) this.startTask(job, start)
     if (plan.suspectWithoutEndpoint !== undefined && this.ctx.now <= job.usefulUntil) this.keepEndpointFree(job, plan.suspectWithoutEndpoint, candidates)
     if (plan.isComplete && !plan.hasBlockedSteps) this.admission.db.waiting.delete(job)
@@ -575,7 +579,7 @@
   }
 
   private forget (job: OwnedJob): void {
-    this.db.keepDropped(job.id, job.front, job.attempt, this.ctx.now)
+    this.db.keepDropped(job.id, job.front, job.attempt, false, this.ctx.now)
     this.db.jobs.delete(job.id)
     this.admission.db.waiting.delete(job)
   }
@@ -594,18 +598,23 @@
     }
   }
 
-  /** A front that stopped confirming a job may have given it up without reaching this owner; its caller resends the job to any front. */
+  /** A front that stopped confirming a job may have given it up without reaching this owner; its caller resends the job to any front. Nothing more starts then. */
   private isConfirmationExpired (job: OwnedJob): boolean {
     return this.ctx.now - job.confirmedAt > this.ctx.cfg.jobLeaseMs
   }
 
+  /** The runs go on as long as a stop can still end them before their lease does, which they share with the other runs at their endpoints. */
+  private mustStop (job: OwnedJob): boolean {
+    return this.ctx.now > job.runLease.endsBy - this.ctx.cfg.orderTimeoutMs
+  }
+
   private tickJob (job: OwnedJob): void {
     const { now } = this.ctx
     if (now > job.callerDeadline) {
       this.abandon(job, 'callerDeadline')
       return
     }
-    if (this.isConfirmationExpired(job)) this.abandon(job, 'unconfirmed')
+    if (this.mustStop(job)) this.abandon(job, 'unconfirmed')
   }
 
   /** Declines waiting jobs that can no longer be on time because other jobs overtook them or capacity was lost. */
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
-import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, FencingToken, InstanceId, JobId, MemberRecord, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from './settings.js'
 import { ShardInstance } from './shardInstance.js'
-import type { ShardInput } from './types.js'
+import type { ShardEffect, ShardInput } from './types.js'
 
 const ENDPOINT: EndpointReport = {
   id: 'e' as EndpointId,
@@ -42,6 +42,57 @@
   })
 })
 
+describe('an introduction', () => {
+  const FAR: EndpointReport = { ...ENDPOINT, id: 'f' as EndpointId, failureDomain: 'far' as FailureDomain }
+
+  it('has the endpoints of all failure domains, also from a sender that has not noticed yet that the store is down', () => {
+    const member = { instance: 'new' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'new', cpuMilli: 500 }
+    const introduced = [true, false].map((reachable) => {
+      const instance = new ShardInstance({ self: { ...member, instance: 'me' as InstanceId, address: 'me' }, cfg: SHARD_DEFAULTS })
+      const handle = (input: ShardInput): ShardMessage[] => instance.handle(input, ms(0), ms(0)).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+      handle({ type: 'records', members: [{ revision: 1, value: member }], shards: [] })
+      handle(listInput(ENDPOINT, FAR))
+      handle({ type: 'storeReachable', reachable })
+      const answer = handle({ type: 'peer', from: member.instance, message: { type: 'desiredRequest', introduce: true } }).find(message => message.type === 'introduction')
+      return answer?.endpoints.map(({ id }) => id)
+    })
+    expect(introduced).to.deep.equal([['e', 'f'], ['e', 'f']])
+  })
+
+  it('names the members of the own domain, which are asked next when it lacks the record of that domain', () => {
+    const member = (name: string, failureDomain: string): MemberRecord => ({ instance: name as InstanceId, incarnation: 1, failureDomain: failureDomain as FailureDomain, address: name, cpuMilli: 500 })
+    const instance = new ShardInstance({ self: member('me', 'd'), cfg: SHARD_DEFAULTS, seeds: ['seed'] })
+    const handle = (now: number, input: ShardInput): string[] => instance.handle(input, ms(now), ms(now)).flatMap(effect => effect.type === 'send' && effect.message.type === 'desiredRequest' ? [effect.address] : [])
+    const ticks = (from: number, to: number): string[] => Array.from({ length: (to - from) / 100 }, (_, n) => handle(from + n * 100, TICK)).flat()
+    expect(ticks(0, 700)).to.deep.equal(['seed'])
+    handle(700, { type: 'peer', from: 'seed' as InstanceId, message: { type: 'introduction', members: [member('me', 'd'), member('seed', 'far'), member('near', 'd'), member('other', 'far')], shards: [], endpoints: [ENDPOINT, FAR] } })
+    expect(ticks(700, 2000)[0]).to.equal('near')
+  })
+
+  it('comes without a copy of the desired state for a peer that has it, since the copy may be long', () => {
+    const copies = [2, 3].map((desiredVersion) => {
+      const instance = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+      const handle = (input: ShardInput): string[] => instance.handle(input, ms(0), ms(0)).flatMap(effect => effect.type === 'send' ? [effect.message.type] : [])
+      handle({ type: 'records', members: [], shards: [] })
+      handle({ type: 'desired', state: { version: 3, queues: [], services: [] } })
+      handle({ type: 'peer', from: 'peer' as InstanceId, message: { type: 'ping', incarnation: 1, address: 'peer', desiredVersion } })
+      expect(handle({ type: 'peer', from: 'peer' as InstanceId, message: { type: 'desiredRequest', introduce: true } })).to.include('introduction')
+      return handle(TICK).includes('desired')
+    })
+    expect(copies).to.deep.equal([true, false])
+  })
+
+  it('passes on the endpoints of another failure domain that one peer knew, also when others know none', () => {
+    const member = { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }
+    const instance = new ShardInstance({ self: member, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, message: ShardMessage): ShardMessage[] => instance.handle({ type: 'peer', from: 'peer' as InstanceId, message }, ms(now), ms(now)).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+    handle(0, { type: 'ping', incarnation: 1, address: 'peer', desiredVersion: 0 })
+    for (const [n, endpoints] of [[FAR], [], []].entries()) handle(n * SHARD_DEFAULTS.missingEndpointRetentionMs, { type: 'introduction', members: [member], shards: [], endpoints })
+    const answer = handle(10_000, { type: 'desiredRequest', introduce: true }).find(message => message.type === 'introduction')
+    expect(answer?.endpoints.map(({ id }) => id)).to.deep.equal(['f'])
+  })
+})
+
 describe('the age of an order', () => {
   const DOMAIN = 'd' as FailureDomain
   const FRONT = 'front' as InstanceId
@@ -79,6 +130,25 @@
     expect(submitTo({ time: ms(1), ownerClock: { incarnation: 0, at: ms(10_000) } })).to.deep.equal({ taken: false, clock: 10_000 })
   })
 
+  it('does not let a front take a job elsewhere that this owner has from another front', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput): ShardMessage[] => owner.handle(input, ms(now), ms(now)).flatMap(effect => effect.type === 'send' ? [effect.message] : [])
+    const submit = (from: string, at: number): ShardInput => ({ type: 'peer', from: from as InstanceId, message: { type: 'submit', incarnation: 7, address: from, failureDomain: DOMAIN, order: ORDER, time: ms(1), ownerClock: { incarnation: 1, at: ms(at) } } })
+    const refusals = (messages: readonly ShardMessage[]): unknown[] => messages.filter(message => message.type === 'notOwner')
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, TICK)
+    handle(2, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(1990, TICK)
+    expect(refusals(handle(2000, submit('other', 100)))).to.deep.equal([{ type: 'notOwner', jobId: 'a', failureDomain: DOMAIN, attempt: 1 }])
+    expect(refusals(handle(2001, submit('front', 2001)))).to.deep.equal([])
+    expect(refusals(handle(2002, submit('other', 100)))).to.deep.equal([{ type: 'notOwner', jobId: 'a', failureDomain: DOMAIN }])
+  })
+
+  it('is not proved by a reading ahead of the owner\'s clock, which stood still while its machine was suspended and its wall clock stepped back', () => {
+    const wall = (now: number): number => now < 10_000 ? now : now - 5000
+    expect(submitTo({ time: ms(1), ownerClock: { incarnation: 1, at: ms(13_000) } }, wall)).to.deep.equal({ taken: false, clock: 10_000 })
+  })
+
   it('is not asked of a front of an earlier version, which knows no readings', () => {
     expect(submitTo({}).taken).to.equal(true)
   })
@@ -93,6 +163,20 @@
     expect(handle(4, { type: 'peer', from: FRONT, message: { type: 'submit', incarnation: 8, address: 'front', failureDomain: DOMAIN, order: ORDER } })).not.to.include('notOwner')
   })
 
+  it('is that of the last look at the callers for a job of the owner\'s own callers', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput, upTo = now): ShardEffect[] => owner.handle(input, ms(now), ms(now), { upTo: ms(upTo), endedAt: ms(now) })
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, listInput(ENDPOINT))
+    handle(2, TICK)
+    const [hold] = handle(3, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } }).filter(effect => effect.type === 'hold')
+    handle(4, { type: 'holdOutcome', endpoint: ENDPOINT.id, orderId: hold?.orderId ?? 0, outcome: { type: 'listed', listing: { clock: 4 as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
+    handle(5, { type: 'desired', state: { version: 1, queues: [ORDER.queue], services: [] } })
+    handle(10, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: ORDER.job, deadlineMs: ms(9000) })
+    handle(390, TICK, 20)
+    expect([...owner.execution.db.jobs.values()].map(job => job.confirmedAt)).to.deep.equal([20])
+  })
+
   it('includes the time for which the owner was suspended, which its monotonic clock does not count', () => {
     const suspendedMs = 3000
     const wall = (now: number): number => now < 10_000 ? now : now + suspendedMs
@@ -101,6 +185,52 @@
   })
 })
 
+describe('a confirmation with a reading ahead of the owner\'s clock', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const FRONT = 'front' as InstanceId
+
+  it('confirms nothing, until the front has the present time', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput): unknown => owner.handle(input, ms(now), ms(now))
+    const peer = (message: ShardMessage): ShardInput => ({ type: 'peer', from: FRONT, message })
+    const confirmedAt = (): Ms | undefined => owner.execution.db.jobs.get('a' as JobId)?.confirmedAt
+    const check = (at: number): ShardInput => peer({ type: 'checkJobs', failureDomain: DOMAIN, jobIds: ['a' as JobId], ownerClock: { incarnation: 1, at: ms(at) } })
+    const job = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+    const queue = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, TICK)
+    handle(2, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(10, peer({ type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order: { job, queue, ageMs: ms(0), remainingMs: ms(5000), attempt: 1, resumed: true, done: [] }, time: ms(1), ownerClock: { incarnation: 1, at: ms(9) } }))
+    handle(200, check(3200))
+    expect(confirmedAt()).to.equal(9)
+    // Clocks of two machines differ a little in their rate.
+    handle(210, check(212))
+    expect(confirmedAt()).to.equal(210)
+  })
+})
+
+describe('what a front says of its jobs', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const OWNER = 'owner' as InstanceId
+  const JOB = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(5000), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+  const QUEUE = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+
+  it('counts from when it has read its callers\' connections, in confirmations and in copies sent on a new link', () => {
+    const front = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const handle = (now: number, input: ShardInput, upTo = now, endedAt = now): (readonly [string, Ms | undefined])[] => front.handle(input, ms(now), ms(now), { upTo: ms(upTo), endedAt: ms(endedAt) })
+      .flatMap(effect => effect.type === 'send' && (effect.message.type === 'submit' || effect.message.type === 'checkJobs') ? [[effect.message.type, effect.message.ownerClock?.at] as const] : [])
+    handle(0, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
+    handle(1, { type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken, time: ms(1001) } })
+    expect(handle(10, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: JOB, deadlineMs: ms(9000) })).to.deep.equal([['submit', 1010]])
+    expect(handle(390, TICK, 11)).to.deep.equal([['checkJobs', 1011]])
+    expect(handle(391, { type: 'linkDown', peer: OWNER }, 12)).to.deep.equal([['submit', 1012]])
+    // A reading that was read together with what had arrived before it, and one that was not.
+    handle(400, { type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken, time: ms(1300) } }, 12, 391)
+    expect(handle(401, { type: 'linkDown', peer: OWNER }, 12, 391)).to.deep.equal([['submit', 1300 + 12 - 400]])
+    expect(handle(410, { type: 'linkDown', peer: OWNER }, 12, 405)).to.deep.equal([['submit', 1300]])
+  })
+})
+
 describe('an owner that renews its token', () => {
   const DOMAIN = 'd' as FailureDomain
   const ENDPOINTS = ['e', 'f'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id }))
@@ -132,3 +262,35 @@
     expect(starts).to.have.length(1)
   })
 })
+
+describe('an owner that does not reach an endpoint', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const ENDPOINTS = ['e', 'f'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id }))
+
+  it('starts no task of a resumed job before the lease has ended that an earlier owner may have renewed there until the job arrived', () => {
+    const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    const starts: number[] = []
+    const holds = new Map<string, number>()
+    const handle = (now: number, input: ShardInput): void => {
+      for (const effect of owner.handle(input, ms(now), ms(now))) {
+        if (effect.type === 'hold') holds.set(effect.endpoint, effect.orderId)
+        if (effect.type === 'startTask') starts.push(now)
+      }
+    }
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, listInput(...ENDPOINTS))
+    handle(2, TICK)
+    handle(3, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
+    handle(4, { type: 'holdOutcome', endpoint: 'e' as EndpointId, orderId: holds.get('e') ?? 0, outcome: { type: 'listed', listing: { clock: 4 as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
+    for (let at = 300; at <= 9000; at += 300) handle(at, { type: 'endpoints', reports: ENDPOINTS, fresh: true })
+    const job = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(5000), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+    const queue = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+    handle(9001, { type: 'peer', from: 'front' as InstanceId, message: { type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order: { job, queue, ageMs: ms(0), remainingMs: ms(10_000), attempt: 1, resumed: true, done: [] } } })
+    for (let at = 9100; at < 12_000; at += 100) {
+      handle(at, { type: 'peer', from: 'front' as InstanceId, message: { type: 'checkJobs', failureDomain: DOMAIN, jobIds: [job.id] } })
+      handle(at, TICK)
+    }
+    expect(starts).to.have.length(1)
+    expect(starts[0]).to.be.within(9001 + SHARD_DEFAULTS.resendMs, 9001 + 1600)
+  })
+})
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -10,7 +10,7 @@
 import { EndpointList } from '../endpoints/endpointList.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import { ExecutionDecider } from '../execution/executionDecider.js'
-import type { FrontSession } from '../execution/types.js'
+import type { FrontSession, OwnedJob } from '../execution/types.js'
 import { IntroductionDecider } from '../introduction/introductionDecider.js'
 import type { Missing } from '../introduction/introductionDecider.js'
 import { IntakeDecider } from '../intake/intakeDecider.js'
@@ -19,11 +19,14 @@
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { ShardSettings } from './settings.js'
 import { ShardOutbox } from './types.js'
-import type { ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
+import type { CallerReads, ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
 
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
 
+/** How far a reading of this instance's clock may be ahead of it, since the clocks of machines differ in their rate. */
+const READING_AHEAD_MAX_MS = 20
+
 /** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
 const FIRST_LIST_WAIT_MS = 250
 
@@ -78,7 +81,7 @@
       sendToFront: (front, message) => this.sendToFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
       attemptsChanged: jobs => this.shareAttempts(jobs),
-      earlierRunsKnown: failureDomain => this.earlierRunsKnown(failureDomain)
+      earlierRunsKnown: job => this.earlierRunsKnown(job)
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, failureDomain => this.listAwaited(failureDomain), this.execution)
     this.execution.endpoints = this.endpoints
@@ -92,10 +95,12 @@
    * @param input - what happened
    * @param now - monotonic time
    * @param wall - wall-clock time
+   * @param callerReads - how far the shell has read what callers sent, by default all
    * @returns the effects that the shell has to perform, in order
    */
-  handle (input: ShardInput, now: Ms, wall: Ms): ShardEffect[] {
+  handle (input: ShardInput, now: Ms, wall: Ms, callerReads: CallerReads = { upTo: now, endedAt: now }): ShardEffect[] {
     this.ctx.now = now
+    this.intake.db.callerReads = callerReads
     this.detectPause(now, wall)
     this.dispatch(input)
     this.execution.startWaitingTasks()
@@ -177,27 +182,33 @@
     }
   }
 
-  /** Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard. */
+  /**
+   * Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard, and to tell others the
+   * same: once every instance has been restarted while the store is down, only what they told each other is left.
+   */
   private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
-    this.desired.stateRequested(from)
+    if (!introduce || this.desired.isBehind(from)) this.desired.stateRequested(from)
     const { members, records, recordsRead } = this.ownership.db
     if (!introduce || !recordsRead) return
-    const failureDomain = members.get(from)?.failureDomain
-    const endpoints = failureDomain === undefined ? [] : this.endpointList.inFailureDomain(failureDomain)
-    this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints })
+    this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints: this.endpointList.reports() })
   }
 
   /** Applies what a peer has read from the store; what this instance has read itself since it started takes precedence. */
   private receiveIntroduction ({ members, shards, endpoints }: Extract<ShardMessage, { type: 'introduction' }>): void {
     this.ownership.recordsLearned(members, shards)
-    if (this.knowsNoLocalEndpoint()) this.applyReports(endpoints, false)
+    const local = endpoints.filter(report => report.failureDomain === this.ctx.self.failureDomain)
+    if (local.length > 0 && this.knowsNoLocalEndpoint()) this.applyReports(local, false)
+    this.endpointList.learn(endpoints)
+    for (const { failureDomain, address } of members) {
+      if (failureDomain === this.ctx.self.failureDomain) this.introduction.peerHeard(address)
+    }
   }
 
   private missing (): Missing {
     return {
       desiredState: this.desired.db.state === undefined,
       owner: !this.hasLiveOwner(),
-      records: !this.ownership.db.recordsRead,
+      records: !this.ownership.db.recordsRead || (!this.storeReachable && !this.ownership.knowsOwnRecord()),
       endpoints: !this.storeReachable && this.knowsNoLocalEndpoint()
     }
   }
@@ -215,6 +226,7 @@
   private tick (): void {
     const fronts = this.execution.frontInstances()
     this.sessions.tick(this.pingTargets(), peer => fronts.has(peer.instance) || (peer.usesOwnedShard && this.expectsPingsFrom(peer.instance)))
+    if (!this.storeReachable) this.introduction.peerHeard(this.ownDomainOwnerAddress())
     this.introduction.tick()
     this.desired.tick()
     this.ownership.tick()
@@ -259,6 +271,12 @@
     return this.ownership.owns() && this.ownership.db.members.get(instance)?.failureDomain === this.ctx.self.failureDomain
   }
 
+  /** Returns the address of the own domain's owner, which knows the record that is in force; empty without a live one. */
+  private ownDomainOwnerAddress (): string {
+    const owner = this.sessions.ownerOf(this.ctx.self.failureDomain)
+    return owner === undefined ? '' : this.sessions.db.peers.get(owner)?.address ?? ''
+  }
+
   /** Returns whether the given instance owns the shard of this instance's own domain. */
   private ownsLocalDomain (instance: InstanceId): boolean {
     return this.sessions.db.shards.get(this.ctx.self.failureDomain)?.owner === instance
@@ -342,7 +360,10 @@
     if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
     this.sendLoad(front.instance)
-    this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain, attempt: message.order.attempt })
+    const { job, attempt } = message.order
+    // Without the number of the copy, the front keeps the job here, where another front's copy of it may run.
+    const holder = this.execution.db.jobs.get(job.id)?.front.instance ?? front.instance
+    this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...holder === front.instance ? { attempt } : {} })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
@@ -352,19 +373,19 @@
   }
 
   /**
-   * Returns whether this owner knows all runs that earlier owners started. They are known once every endpoint has answered
+   * Returns whether this owner knows all runs that earlier owners started for a job. They are known once every endpoint has answered
    * a hold under the present token, and have ended once their leases have expired. Until the list is complete and has been
    * read since the takeover, an earlier owner may have used endpoints that this one does not know and on which no token
-   * fences it.
+   * fences it. Nor does one at an endpoint that has not answered: an earlier owner renews the lease there until the front sends the job here.
    */
-  private earlierRunsKnown (failureDomain: FailureDomain): boolean {
+  private earlierRunsKnown ({ failureDomain, receivedAt }: OwnedJob): boolean {
     const { now, cfg } = this.ctx
     const owned = this.ownership.db.owned.get(failureDomain)
     const { knownInFullSince, freshAt } = this.endpointList
     if (owned === undefined || knownInFullSince === undefined) return false
     const leasesEndMs = cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs
     const allHaveAnswered = this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
-    if (now - Math.max(owned.since, knownInFullSince) > leasesEndMs) return allHaveAnswered || now - owned.tokenSince > leasesEndMs
+    if (now - Math.max(owned.since, knownInFullSince) > leasesEndMs) return allHaveAnswered || now - Math.max(owned.tokenSince, receivedAt) > leasesEndMs
     // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
     if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
     if (this.endpointList.changedAfter(failureDomain, owned.since - LIST_DOUBT_MS)) return false
@@ -373,13 +394,15 @@
 
   /**
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
-   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings.
+   * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
+   * time to come: this clock has stood still since, unnoticed, because the machine was suspended and its wall clock stepped back.
    */
   private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
     const { now, self, suspendedMs } = this.ctx
-    if (front === self.instance) return now
+    if (front === self.instance) return this.intake.callersSeenAt()
     if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
-    return ownerClock.incarnation === self.incarnation ? ms(Math.min(now, ownerClock.at - suspendedMs)) : ms(-Infinity)
+    const readAt = ms(ownerClock.at - suspendedMs)
+    return ownerClock.incarnation === self.incarnation && readAt <= now + READING_AHEAD_MAX_MS ? ms(Math.min(now, readAt)) : ms(-Infinity)
   }
 
   private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
