--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -22,7 +22,7 @@
   { seed: 50159, cause: 'an endpoint that had restarted carried out a start whose task was placed elsewhere too' },
   { seed: 91039, cause: 'a new owner started tasks anew before the last entries of its domain had come back', load: STRAIN_LOAD },
   { seed: 14, cause: 'a new owner took runs that it had found for lost at the first hold without an answer', load: { ...STRAIN_LOAD, workFactor: 2 } },
-  { seed: 99005, cause: 'an endpoint got a start for which it had no room; not traced', load: STRAIN_LOAD }
+  { seed: 99005, cause: 'an earlier owner started tasks at an endpoint that had restarted and forgotten the token', load: STRAIN_LOAD }
 ]
 /** A deliberate fault must show in one of this many scenarios. */
 const MUTATION_SEEDS_MAX = 60
