--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -63,15 +63,9 @@
    * Starts the store, the minions and the machines, and waits until every machine is ready.
    * @param shape - `zones` (zone to number of machines), `minionsPerZone`, `cpu`, `work`, `on`, `limits`
    */
-  async start ({ zones, minionsPerZone, cpu = 32_000, work, workMs, on, limits = { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 }, route = {} }) {
+  async start ({ zones, minionsPerZone, cpu = 32_000, work, workMs, on, limits = { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 } }) {
     if (!existsSync(join(ROOT, 'target/cranberryyard.cjs'))) throw new CannotRun('target/cranberryyard.cjs is missing: run the build of the deploy file')
-    await this.store.listen(`${this.subnet}.1`)
-    this.store.put('op/config', {
-      version: 3,
-      routes: [{ name: 'r', host: HOST, prefix: PREFIX, kind: 'non_idempotent', timeoutMs: 10_000, targetLatencyMs: 60, priority: 0, service: 'workers', maxAttempts: 4, stretch: 1.6, ...route }],
-      services: [{ name: 'workers', rejectsOverload: false }],
-      limits: {}
-    })
+    this.publishConfig(3, [PREFIX])
     for (const zone of Object.keys(zones)) {
       for (let i = 0; i < minionsPerZone; i++) {
         if (workMs === undefined) await this.addMinion(`i-${zone}-${i}`, { zone, cpu, work, on })
@@ -86,6 +80,8 @@
     const seedNodes = this.machines.slice(0, 3).map(({ ip }) => `${ip}:${this.ports.control}`)
     for (const machine of this.machines) {
       const { name, zone, ip } = machine
+      machine.storeIp = `${this.subnet}.${200 + this.machines.indexOf(machine)}`
+      const storeAddress = await this.store.listen(machine.storeIp)
       machine.settingsFile = join(this.folder, `${name}.json`)
       writeFileSync(machine.settingsFile, JSON.stringify({
         nodeName: name,
@@ -110,13 +106,24 @@
         faultTolerance: { machines: 1, zones: 1, regionCount: 0 },
         bounds: BOUNDS,
         orders: 'invoke',
-        platform: { address: this.store.address, form: 'kv', writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1_048_576, ttlMinMs: 1000 }
+        platform: { address: storeAddress, form: 'kv', writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1_048_576, ttlMinMs: 1000 }
       }))
       this.startProcess(machine)
     }
     await this.allReady()
   }
 
+  /** Writes a desired state with a route for each prefix. */
+  publishConfig (version, prefixes) {
+    this.note(`the operator writes version ${version} with the routes ${prefixes.join(' ')}`)
+    this.store.put('op/config', {
+      version,
+      routes: prefixes.map((prefix, i) => ({ name: `route-${i}`, host: HOST, prefix, kind: 'non_idempotent', timeoutMs: 10_000, targetLatencyMs: 60, priority: 0, service: 'workers', maxAttempts: 4, stretch: 1.6 })),
+      services: [{ name: 'workers', rejectsOverload: false }],
+      limits: {}
+    })
+  }
+
   async addMinion (id, options) {
     const minion = new Minion(id, options)
     await minion.listen(`${this.subnet}.${100 + this.minions.length}`, this.store)
@@ -227,19 +234,19 @@
   }
 
   /**
-   * Sends a request of a client on a channel of its own.
+   * Sends a request of a client on a channel of its own. The client waits for an answer until the deadline.
    * @returns status and body, or `status: 0` if the channel ended without an answer
    */
-  call (machine, method, id, body, deadlineMs = 10_000) {
+  call (machine, method, id, body, { deadlineMs = 10_000, prefix = PREFIX } = {}) {
     const text = body === undefined ? '' : JSON.stringify(body)
-    this.note(`client ${method} ${id} to ${machine.name}${body === undefined ? '' : ` ${text.slice(0, 200)}`}`)
+    this.note(`client ${method} ${prefix}${id} to ${machine.name}${body === undefined ? '' : ` ${text.slice(0, 200)}`}`)
     return new Promise((resolve) => {
       const finish = (status, answer) => {
-        this.note(`client ${method} ${id} at ${machine.name} got ${status === 0 ? `no answer (${answer})` : `${status} ${answer}`}`)
+        this.note(`client ${method} ${prefix}${id} at ${machine.name} got ${status === 0 ? `no answer (${answer})` : `${status} ${answer}`}`)
         resolve({ status, body: answer })
       }
       const headers = { host: HOST, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'deadline-ms': String(deadlineMs) }
-      const req = request({ host: machine.ip, port: this.ports.frontend, method, path: `${PREFIX}${id}`, headers, agent: false }, (res) => {
+      const req = request({ host: machine.ip, port: this.ports.frontend, method, path: `${prefix}${id}`, headers, agent: false }, (res) => {
         const chunks = []
         res.on('data', chunk => chunks.push(chunk))
         res.once('end', () => finish(res.statusCode, Buffer.concat(chunks).toString()))
--- a/review/lib/minion.js
+++ b/review/lib/minion.js
@@ -44,7 +44,7 @@
   /** Writes the entry. Only what changes it besides `sequence` matters, so the ping itself is left out. */
   publish () {
     const { zone, address, cpu, labels, state, born } = this
-    this.store.put(`servers/${this.id}`, { service: 'workers', address, zone, version: 'v1', slots: 8, state, coldRemainingMs: 0, sequence: 1, capacity: { cpu, memMb: 131_072, gpu: 0 }, labels, born })
+    this.store.put(`servers/${this.id}`, { service: this.service ?? 'workers', address, zone, version: 'v1', slots: 8, state, coldRemainingMs: 0, sequence: 1, capacity: { cpu, memMb: 131_072, gpu: 0 }, labels, born })
   }
 
   /** Changes the capacity and writes the entry. */
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -16,15 +16,18 @@
   history = []
   /** @type {'serves' | 'silent' | 'busy'} */
   mode = 'serves'
-  /** Client addresses that get no answer. */
+  /** Own addresses at which no call is answered. Each machine has an address of the store of its own. */
   cutOff = new Set()
+  servers = []
   watchers = new Set()
 
+  /** Serves one more address and returns it with its port. */
   async listen (ip) {
-    this.server = createServer((req, res) => void this.handle(req, res))
-    this.server.keepAliveTimeout = 60_000
-    await new Promise(resolve => this.server.listen(0, ip, resolve))
-    this.address = `${ip}:${this.server.address().port}`
+    const server = createServer((req, res) => void this.handle(req, res))
+    server.keepAliveTimeout = 60_000
+    await new Promise(resolve => server.listen(0, ip, resolve))
+    this.servers.push(server)
+    return `${ip}:${server.address().port}`
   }
 
   /** Writes as the operator or a minion does. */
@@ -47,8 +50,10 @@
   }
 
   close () {
-    this.server.closeAllConnections()
-    this.server.close()
+    for (const server of this.servers) {
+      server.closeAllConnections()
+      server.close()
+    }
   }
 
   set (key, value, revision) {
@@ -63,7 +68,7 @@
 
   async handle (req, res) {
     const body = await readBody(req)
-    if (this.mode === 'silent' || this.cutOff.has(req.socket.remoteAddress)) return
+    if (this.mode === 'silent' || this.cutOff.has(req.socket.localAddress)) return
     if (this.mode === 'busy') return sendJson(res, 503, {})
     const url = new URL(req.url, 'http://store')
     const query = url.searchParams
@@ -90,7 +95,7 @@
       if (events.length === 0 && !mayBeEmpty) return
       clearTimeout(timer)
       this.watchers.delete(wake)
-      if (this.mode === 'serves') sendJson(res, 200, { events, asOf: this.revision })
+      if (this.mode === 'serves' && !this.cutOff.has(res.socket?.localAddress)) sendJson(res, 200, { events, asOf: this.revision })
     }
     const wake = () => answer(false)
     const timer = setTimeout(() => answer(true), waitMs)
