--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -19,6 +19,8 @@
   /** Own addresses at which no call is answered. Each machine has an address of the store of its own. */
   cutOff = new Set()
   servers = []
+  /** Called with the own address and the prefix of each reading of a list that is answered. */
+  onRange = () => {}
   watchers = new Set()
 
   /** Serves one more address and returns it with its port. */
@@ -73,7 +75,7 @@
     const url = new URL(req.url, 'http://store')
     const query = url.searchParams
     if (url.pathname === '/-/kv-key') return this.readKey(res, query.get('key'))
-    if (url.pathname === '/-/kv-range') return this.range(res, query.get('prefix') ?? '', query.get('after') ?? undefined)
+    if (url.pathname === '/-/kv-range') return this.range(res, query.get('prefix') ?? '', query.get('after') ?? undefined, req.socket.localAddress)
     if (url.pathname === '/-/kv-watch') return this.watch(res, query.get('prefix') ?? '', Number(query.get('after')), Math.min(MAX_WAIT_MS, Number(query.get('waitMs'))))
     if (url.pathname === '/-/kv-txn') return this.txn(res, JSON.parse(body))
     sendJson(res, 404, {})
@@ -84,7 +86,8 @@
     sendJson(res, item === undefined ? 404 : 200, { ...item, asOf: this.revision })
   }
 
-  range (res, prefix, after) {
+  range (res, prefix, after, ownAddress) {
+    this.onRange(ownAddress, prefix)
     const keys = [...this.items.keys()].filter(key => key.startsWith(prefix) && (after === undefined || key > after)).sort()
     sendJson(res, 200, { items: keys.slice(0, PAGE_ITEMS).map(key => this.items.get(key)), hasMore: keys.length > PAGE_ITEMS, asOf: this.revision })
   }
