--- /dev/null
+++ b/packages/bench/src/shard/missingEntries.spec.ts
@@ -0,0 +1,46 @@
+import { expect } from 'chai'
+import type { InstanceId } from '@cranberryyard/protocol'
+import { ShardFleet } from './shardFleet.js'
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
+const OWNER = 'a-1' as InstanceId
+const SUCCESSOR = 'a-0' as InstanceId
+const FRONT = 'a-2' as InstanceId
+const BEYOND_TEST_MS = 60_000
+/** An endpoint that does not reach the store for 5.5 s, with the time until its next ping. */
+const ENTRY_MISSING_MS = 6000
+const JOB_PERIOD_MS = 150
+const LONG_TASK = { cpuMilli: 10_000, workMs: 1500, fails: false }
+
+/** How an owner is lost, or gives its shard up, while an entry of its endpoints is missing. */
+type LoseOwner = (fleet: ShardFleet) => void
+
+/** Removes an entry, restarts the first successor, and changes the owner once the successor has read the list twice without that entry. */
+function violationsOf (loseOwner: LoseOwner): string[] {
+  return SEEDS.flatMap((seed) => {
+    const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 4, seed })
+    fleet.run(8000)
+    for (let at = 0; at < 7000; at += JOB_PERIOD_MS) fleet.time.after(at, () => fleet.submit(FRONT, 2, LONG_TASK))
+    fleet.run(1000)
+    fleet.missEntry('e-a-0', ENTRY_MISSING_MS)
+    fleet.kill(SUCCESSOR, 300)
+    fleet.run(3400 + fleet.randomBelow(300))
+    loseOwner(fleet)
+    fleet.run(8000)
+    return fleet.oracle.violations.map(({ rule, at, detail }) => `seed ${seed}: ${rule} at ${Math.round(at)}: ${detail}`)
+  })
+}
+
+describe('a successor that restarted while the entry of an endpoint was missing', () => {
+  it('starts no task twice when it is handed the shard', () => {
+    expect(violationsOf(fleet => fleet.terminate(OWNER, 300))).to.deep.equal([])
+  })
+
+  it('starts no task twice when the owner is killed', () => {
+    expect(violationsOf(fleet => fleet.kill(OWNER, BEYOND_TEST_MS))).to.deep.equal([])
+  })
+
+  it('starts no task twice when the owner loses power', () => {
+    expect(violationsOf(fleet => fleet.losePower(OWNER, BEYOND_TEST_MS))).to.deep.equal([])
+  })
+})
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -360,6 +360,12 @@
     this.time.after(durationMs, () => pairs.forEach(pair => this.cutLinks.delete(pair)))
   }
 
+  /** Lapses the store entry of an endpoint that is cut off from the store and from nothing else. */
+  missEntry (id: string, durationMs: number): void {
+    this.lapsedEntries.add(id)
+    this.time.after(durationMs, () => this.lapsedEntries.delete(id))
+  }
+
   /** Lapses the store entries of all endpoints of a domain and restores each of them after 0.3 to 1.8 s. */
   lapseEntries (domain: string): void {
     for (const id of this.endpoints.keys()) {
--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -2,7 +2,7 @@
 import type { Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
+import { MISSING_ENTRIES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
 import type { ScenarioLoad } from './shardScenario.js'
 
@@ -11,6 +11,7 @@
 const SEED_COUNT = 20
 const HAZARD_SEED_COUNT = 12
 const STRAIN_SEED_COUNT = 10
+const MISSING_ENTRIES_SEED_COUNT = 10
 /** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
 const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
 /** Seeds that once violated an invariant, with the cause. */
@@ -67,6 +68,12 @@
     })
   }
 
+  for (let seed = 1; seed <= MISSING_ENTRIES_SEED_COUNT; seed++) {
+    it(`violates no invariant while endpoints are cut off from the store and instances restart in turn, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, MISSING_ENTRIES_LOAD).violations).to.deep.equal([])
+    })
+  }
+
   for (const { seed, cause, load } of REGRESSION_SEEDS) {
     it(`violates no invariant with seed ${seed}, which failed once: ${cause}`, () => {
       expect(runShardScenario(seed, FAULT_PHASE_MS, load ?? { jobsPerSecond: JOBS_PER_SECOND }).violations).to.deep.equal([])
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -65,6 +65,9 @@
   })
 }
 
+/** Load whose tasks still run when an owner is lost that goes on with them at endpoints without an entry. */
+export const MISSING_ENTRIES_LOAD: ScenarioLoad = { jobsPerSecond: 15, meanFaultIntervalMs: 4000, workFactor: 2, withMissingEntries: true }
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -96,6 +99,12 @@
     breaks: ['TWICE'],
     apply: () => replaceMethod(sample, 'earlierRunsKnown', () => () => true)
   },
+  {
+    name: 'a new owner takes the list that it has read for all endpoints of the earlier one',
+    breaks: ['TWICE'],
+    load: MISSING_ENTRIES_LOAD,
+    apply: () => replaceMethod(sample, 'earlierEndpointsHaveAnswered', () => () => true)
+  },
   {
     name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -5,6 +5,7 @@
 import type { FencedEndpointModel, ModelTask, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
+import { addMissingEntries } from './missingEntries.js'
 import { addStrains } from './strains.js'
 
 const DOMAINS = ['a', 'b', 'c'] as const
@@ -157,12 +158,16 @@
 export interface ScenarioLoad {
   /** Mean rate of submissions. */
   readonly jobsPerSecond: number
+  /** Mean time between two faults; 0.7 s by default. */
+  readonly meanFaultIntervalMs?: number
   /** Multiplies the run times of tasks; with 2 and more, tasks outlast the time after which callers resend. 1 by default. */
   readonly workFactor?: number
   /** Adds jobs with a task that crashes its endpoints, and endpoints that shrink and grow. */
   readonly withHazards?: boolean
   /** Adds messages that arrive late, slow instances and losses without a sign. */
   readonly withStrain?: boolean
+  /** Adds endpoints that are cut off from the store while the instances of their domain are restarted in turn. */
+  readonly withMissingEntries?: boolean
 }
 
 /**
@@ -171,7 +176,7 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, workFactor = 1, withHazards = false, withStrain = false }: ScenarioLoad): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
@@ -186,11 +191,12 @@
   const injectNextFault = (): void => {
     if (fleet.time.now > faultsUntil) return
     faults.push(`${Math.round(fleet.time.now)} ${pick(fleet, FAULTS)(fleet)}`)
-    fleet.time.after(fleet.randomBelow(MEAN_FAULT_INTERVAL_MS * 2), injectNextFault)
+    fleet.time.after(fleet.randomBelow(meanFaultIntervalMs * 2), injectNextFault)
   }
   injectNextFault()
   if (withHazards) addHazards(fleet, faultsUntil)
   if (withStrain) addStrains(fleet, faultsUntil)
+  if (withMissingEntries) addMissingEntries(fleet, faultsUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -67,6 +67,11 @@
     for (const report of reports) if (!known.has(report.failureDomain)) this.entries.set(report.id, { report, missingSince: undefined })
   }
 
+  /** Adds endpoints that the owner of their failure domain has handed over; the store's list may lack some of them. */
+  learnFromOwner (reports: readonly EndpointReport[]): void {
+    for (const report of reports) if (!this.entries.has(report.id)) this.entries.set(report.id, { report, missingSince: undefined })
+  }
+
   /**
    * Applies a list that was read from the store.
    * @param reports - the entries of the list
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -2,7 +2,7 @@
  * State of the endpoint ledger: the endpoints of owned shards with their runs, and the arithmetic on capacity and clocks.
  * It decides nothing; `EndpointsDecider` changes it, and placement reads the free capacity.
  */
-import type { EndpointClockMs, EndpointId, EndpointReport, FencingToken, Ms, Resources, TaskName } from '@cranberryyard/protocol'
+import type { EndpointClockMs, EndpointId, EndpointReport, FailureDomain, FencingToken, Ms, Resources, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { LedgerEndpoint, LedgerRun } from './types.js'
 
@@ -72,6 +72,8 @@
   private readonly endpoints = new Map<EndpointId, LedgerEndpoint>()
   /** The run of each task. A task should have one at a time; of several, the run added first stays here. */
   private readonly byTask = new Map<TaskName, LedgerRun>()
+  /** Counts the endpoints that were added or removed, so that what is derived from all of them can be kept meanwhile. */
+  changes = 0
 
   /** Returns the endpoint if it belongs to an owned shard. */
   get (id: EndpointId): LedgerEndpoint | undefined {
@@ -82,6 +84,11 @@
     return this.endpoints.values()
   }
 
+  /** Returns the endpoints of a failure domain. */
+  inFailureDomain (failureDomain: FailureDomain): LedgerEndpoint[] {
+    return [...this.endpoints.values()].filter(({ report }) => report.failureDomain === failureDomain)
+  }
+
   /** Adds an endpoint of which only the report is known. */
   add (report: EndpointReport, now: Ms): LedgerEndpoint {
     const endpoint: LedgerEndpoint = {
@@ -107,6 +114,7 @@
       freeCapacity: undefined
     }
     this.endpoints.set(report.id, endpoint)
+    this.changes++
     return endpoint
   }
 
@@ -116,6 +124,7 @@
     if (endpoint === undefined) return
     for (const run of endpoint.runs.values()) this.byTask.delete(run.task)
     this.endpoints.delete(id)
+    this.changes++
   }
 
   /** Adds a run, which occupies capacity from now on. */
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -71,6 +71,7 @@
       retryAfterMs: NO_OWNER_RETRY_MS,
       location: { type: 'unplaced', since: now },
       done: [],
+      earlierEndpoints: [],
       attempt: 0,
       copies: 0,
       resends: 0,
@@ -133,8 +134,8 @@
     this.resume(job, failureDomain, from)
   }
 
-  /** Called when a shard's owner leaves and reports which tasks are done of the jobs that its successor resumes. */
-  shardMoved (from: InstanceId, failureDomain: FailureDomain, progress: readonly JobProgress[]): void {
+  /** Called when a shard's owner leaves and reports which tasks are done of the jobs that its successor resumes, and the digest of its endpoints. */
+  shardMoved (from: InstanceId, failureDomain: FailureDomain, progress: readonly JobProgress[], endpointsDigest?: number): void {
     const shard = this.sessions.db.shards.get(failureDomain)
     if (shard?.owner === from) shard.disowned = true
     for (const { jobId, done } of progress) {
@@ -142,7 +143,7 @@
       if (job !== undefined) job.done = [...job.done, ...done]
     }
     for (const job of this.db.jobsAt(from)) {
-      if (job.location.type === 'atOwner' && job.location.failureDomain === failureDomain) this.detach(job, failureDomain)
+      if (job.location.type === 'atOwner' && job.location.failureDomain === failureDomain) this.detach(job, failureDomain, endpointsDigest)
     }
   }
 
@@ -237,6 +238,7 @@
   }
 
   private resume (job: FrontedJob, failureDomain: FailureDomain, owner: InstanceId): void {
+    this.noteEarlierOwner(job)
     this.send(job, failureDomain, owner, true)
   }
 
@@ -246,7 +248,7 @@
     job.checkedAt = now
     job.attempt = ++this.lastAttempt
     job.copies++
-    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt()), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
+    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt()), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...resumed && job.earlierEndpoints !== undefined ? { earlierEndpoints: job.earlierEndpoints } : {}, ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
     if (job.copies > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, copies: job.copies, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner) })
   }
@@ -270,7 +272,18 @@
     return true
   }
 
-  private detach (job: FrontedJob, failureDomain: FailureDomain): void {
+  /**
+   * Records the endpoints of the owner that has the job, before another one or a later incarnation of it gets the job.
+   * @param endpointsDigest - what the owner has reported with the loss of its shard, if it has
+   */
+  private noteEarlierOwner (job: FrontedJob, endpointsDigest?: number): void {
+    if (job.location.type !== 'atOwner') return
+    const digest = endpointsDigest ?? this.sessions.endpointsDigestOf(job.location.owner, job.location.failureDomain)
+    job.earlierEndpoints = digest === undefined || job.earlierEndpoints === undefined ? undefined : [...new Set([...job.earlierEndpoints, digest])]
+  }
+
+  private detach (job: FrontedJob, failureDomain: FailureDomain, endpointsDigest?: number): void {
+    this.noteEarlierOwner(job, endpointsDigest)
     const lastOwner = job.location.type === 'atOwner' ? job.location.owner : undefined
     job.location = { type: 'detached', failureDomain, lastOwner, since: this.ctx.now }
   }
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -29,6 +29,8 @@
   location: JobLocation
   /** Tasks that an earlier owner reported as done. */
   done: DispatchOrder['done']
+  /** The digests that the owners which may have started tasks reported of their endpoints; undefined if one of them has reported none. */
+  earlierEndpoints: readonly number[] | undefined
   /** Number of the latest copy sent, which rises over all jobs of this incarnation. */
   attempt: number
   /** Number of copies sent. */
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -18,6 +18,7 @@
   const changes: string[] = []
   const ownership = new OwnershipDecider(ctx, sessions, {
     ownershipGained: (_domain, token) => changes.push(`gained ${token}`),
+    endpointsOf: () => [],
     ownershipLost: (_domain, successor) => changes.push(`lost to ${successor ?? 'unknown'}`)
   })
   return { ctx, ownership, sessions, changes }
@@ -188,7 +189,7 @@
     ctx.out.takeEffects()
     ownership.leave()
     const sent = ctx.out.takeEffects().find(effect => effect.type === 'send')
-    expect(sent?.type === 'send' && sent.message).to.deep.equal({ type: 'handover', failureDomain: DOMAIN, revision: 40, rank: 1 })
+    expect(sent?.type === 'send' && sent.message).to.deep.equal({ type: 'handover', failureDomain: DOMAIN, revision: 40, rank: 1, endpoints: [] })
     expect(changes.at(-1)).to.equal('lost to other')
   })
 
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -162,7 +162,7 @@
       if (instance === this.ctx.self.instance || !this.sessions.isLive(instance) || this.sessions.isLeaving(instance) || !isSuitable(instance)) continue
       const rank = nextRank(record, instance, ownership.token)
       if (rank === undefined) continue
-      this.sessions.send(instance, { type: 'handover', failureDomain, revision: record.revision, rank })
+      this.sessions.send(instance, { type: 'handover', failureDomain, revision: record.revision, rank, endpoints: this.listener.endpointsOf(failureDomain) })
       this.stepDown(failureDomain, why, instance)
       return
     }
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -2,7 +2,7 @@
  * Types of the ownership decision, which determines whether this instance may send orders to the endpoints of a failure
  * domain. The state and the rules use them; listeners receive the outcome.
  */
-import type { FailureDomain, FencingToken, InstanceId, Ms } from '@cranberryyard/protocol'
+import type { EndpointReport, FailureDomain, FencingToken, InstanceId, Ms } from '@cranberryyard/protocol'
 
 /** A shard that this instance owns, with the fencing token it owns it under. */
 export interface Ownership {
@@ -26,6 +26,8 @@
 /** Receives the changes in which shards this instance owns. */
 export interface OwnershipListener {
   ownershipGained (failureDomain: FailureDomain, token: FencingToken): void
+  /** Returns the endpoints of an owned shard at which this instance may have runs. */
+  endpointsOf (failureDomain: FailureDomain): readonly EndpointReport[]
   /**
    * This instance no longer owns the shard.
    * @param successor - the instance that owns it now or is about to, if known
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -35,6 +35,7 @@
       firstUnansweredPingAt: undefined,
       lastPingAt: undefined,
       loadSentAt: undefined,
+      endpointsDigests: new Map(),
       connectionReplaced: false,
       usesOwnedShard: false,
       lost: false,
@@ -57,8 +58,9 @@
 
   /** Applies an instance's report of the shards it owns. A shard that it no longer lists is marked as disowned. */
   learnOwned (owner: InstanceId, owned: readonly OwnedShard[]): void {
-    for (const { failureDomain, token, load } of owned) {
+    for (const { failureDomain, token, load, endpointsDigest } of owned) {
       this.learnOwner({ failureDomain, owner, token })
+      if (endpointsDigest !== undefined) this.peer(owner, '').endpointsDigests.set(failureDomain, endpointsDigest)
       const shard = this.shards.get(failureDomain)
       if (shard?.owner === owner) Object.assign(shard, { load, disowned: false })
     }
@@ -72,9 +74,11 @@
    * itself takes precedence: under the same token, a shard that it has disowned stays disowned.
    */
   learnOthers (others: readonly OtherShard[], now: Ms): void {
-    for (const { failureDomain, owner, address, token, load, clock } of others) {
+    for (const { failureDomain, owner, address, token, load, clock, endpointsDigest } of others) {
       const peer = this.peer(owner, address)
       peer.reportedLiveAt = now
+      // What the owner says itself is later than what others pass on.
+      if (endpointsDigest !== undefined && (peer.lastReceivedAt === undefined || !peer.endpointsDigests.has(failureDomain))) peer.endpointsDigests.set(failureDomain, endpointsDigest)
       if (clock !== undefined && isBetterReading(peer, clock, now)) peer.clock = { reading: clock, readAt: now }
       this.learnOwner({ failureDomain, owner, token })
       const shard = this.shards.get(failureDomain)
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -55,6 +55,7 @@
     if (restarted) {
       this.markLost(peer, 'otherLife')
       peer.clock = undefined
+      peer.endpointsDigests.clear()
     }
     if (incarnation !== undefined) peer.incarnationHeardAt = now
     if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
@@ -159,6 +160,11 @@
     return peer?.clock !== undefined && peer.clock.reading.incarnation === peer.incarnation
   }
 
+  /** Returns the digest that an instance last reported of its endpoints as the owner of a shard; undefined if it has reported none. */
+  endpointsDigestOf (instance: InstanceId, failureDomain: FailureDomain): number | undefined {
+    return this.db.peers.get(instance)?.endpointsDigests.get(failureDomain)
+  }
+
   /** Returns the owner of a shard if it is live or this instance itself. */
   ownerOf (failureDomain: FailureDomain): InstanceId | undefined {
     const shard = this.db.shards.get(failureDomain)
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -23,6 +23,8 @@
   lastPingAt: Ms | undefined
   /** When this instance last sent the peer the load of its shards. */
   loadSentAt: Ms | undefined
+  /** The digest that the peer, as the owner of a shard, last reported of its endpoints. */
+  readonly endpointsDigests: Map<FailureDomain, number>
   /** The connection was replaced since the peer's latest message. */
   connectionReplaced: boolean
   /** The peer uses a shard that this instance owns. */
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { ClockReading, DispatchOrder, EndpointClockMs, EndpointId, EndpointReport, FailureDomain, FencingToken, InstanceId, JobId, MemberRecord, Ms, QueueName, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { EndpointSets } from '../endpoints/endpointSets.js'
 import { SHARD_DEFAULTS } from './settings.js'
 import { ShardInstance } from './shardInstance.js'
 import type { ShardEffect, ShardInput } from './types.js'
@@ -231,11 +232,13 @@
   })
 })
 
-describe('an owner that renews its token', () => {
+describe('an owner that gets a resumed job', () => {
   const DOMAIN = 'd' as FailureDomain
-  const ENDPOINTS = ['e', 'f'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id }))
+  const [E, F, G] = ['e', 'f', 'g'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id })) as [EndpointReport, EndpointReport, EndpointReport]
+  const digestOf = (...reports: EndpointReport[]): number => new EndpointSets().remember(reports.map(({ id }) => id))
 
-  it('starts no task of a resumed job before every endpoint has answered under it, since a successor may have started the task', () => {
+  /** An owner of two endpoints since 3 ms, whose token was renewed at 9 s, so that it has no answer from them yet. */
+  function ownerWithNewToken (): { readonly handle: (now: number, input: ShardInput) => void, readonly answer: (now: number, id: EndpointId) => void, readonly starts: readonly string[] } {
     const owner = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
     const holds = new Map<string, number>()
     const starts: string[] = []
@@ -245,24 +248,106 @@
         if (effect.type === 'startTask') starts.push(effect.endpoint)
       }
     }
-    const answer = (now: number, id: string): void => handle(now, { type: 'holdOutcome', endpoint: id as EndpointId, orderId: holds.get(id) ?? 0, outcome: { type: 'listed', listing: { clock: now as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
+    const answer = (now: number, id: EndpointId): void => handle(now, { type: 'holdOutcome', endpoint: id, orderId: holds.get(id) ?? 0, outcome: { type: 'listed', listing: { clock: now as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
     handle(0, { type: 'records', members: [], shards: [] })
-    handle(1, listInput(...ENDPOINTS))
+    handle(1, listInput(E, F))
     handle(2, TICK)
     handle(3, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } })
-    for (const { id } of ENDPOINTS) answer(4, id)
-    for (let at = 300; at < 9000; at += 300) handle(at, { type: 'endpoints', reports: ENDPOINTS, fresh: true })
+    for (const { id } of [E, F]) answer(4, id)
+    for (let at = 300; at < 9000; at += 300) handle(at, { type: 'endpoints', reports: [E, F], fresh: true })
     handle(9000, { type: 'records', members: [], shards: [{ revision: 2, value: { failureDomain: DOMAIN, owner: { ...owner.ctx.self }, successors: [] } }] })
+    return { handle, answer, starts }
+  }
+
+  function resumedJob (earlierEndpoints?: readonly number[]): ShardInput {
     const job = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
     const queue = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
-    handle(9001, { type: 'peer', from: 'front' as InstanceId, message: { type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order: { job, queue, ageMs: ms(0), remainingMs: ms(5000), attempt: 1, resumed: true, done: [] } } })
-    answer(9002, 'e')
+    const order = { job, queue, ageMs: ms(0), remainingMs: ms(5000), attempt: 1, resumed: true, done: [], ...earlierEndpoints === undefined ? {} : { earlierEndpoints } }
+    return { type: 'peer', from: 'front' as InstanceId, message: { type: 'submit', incarnation: 7, address: 'front', failureDomain: DOMAIN, order } }
+  }
+
+  it('starts no task of it before every endpoint has answered under a renewed token, since a successor may have started the task', () => {
+    const { handle, answer, starts } = ownerWithNewToken()
+    handle(9001, resumedJob([digestOf(E, F)]))
+    answer(9002, E.id)
+    expect(starts).to.deep.equal([])
+    answer(9003, F.id)
+    expect(starts).to.have.length(1)
+  })
+
+  // Guards against a second run beside one at an endpoint whose entry has been missing since this instance started.
+  it('waits for the leases of earlier runs when an earlier owner had an endpoint that it does not know, or has reported none', () => {
+    const leasesEndMs = SHARD_DEFAULTS.supersededMs + SHARD_DEFAULTS.leaseMs * (1 + SHARD_DEFAULTS.clockDrift) + SHARD_DEFAULTS.leaseSlackMs
+    for (const earlierEndpoints of [[digestOf(E, F, G)], [digestOf(E, F), digestOf(G)], undefined]) {
+      const { handle, answer, starts } = ownerWithNewToken()
+      handle(9001, resumedJob(earlierEndpoints))
+      for (const { id } of [E, F]) answer(9002, id)
+      for (let at = 9100; at < 9001 + leasesEndMs; at += 100) {
+        handle(at, { type: 'peer', from: 'front' as InstanceId, message: { type: 'checkJobs', failureDomain: DOMAIN, jobIds: ['a' as JobId] } })
+        handle(at, TICK)
+      }
+      expect(starts).to.deep.equal([])
+      handle(9010 + leasesEndMs, TICK)
+      expect(starts).to.have.length(1)
+    }
+  })
+
+  it('takes over the endpoints of an owner that hands its shard over, also those that its own list lacks', () => {
+    const { handle, answer, starts } = ownerWithNewToken()
+    handle(9100, { type: 'peer', from: 'other' as InstanceId, message: { type: 'handover', failureDomain: DOMAIN, revision: 3, rank: 1, endpoints: [E, F, G] } })
+    handle(9101, { type: 'endpoints', reports: [E, F], fresh: true })
+    handle(9102, resumedJob([digestOf(E, F, G)]))
+    for (const { id } of [E, F]) answer(9103, id)
     expect(starts).to.deep.equal([])
-    answer(9003, 'f')
+    answer(9104, G.id)
     expect(starts).to.have.length(1)
   })
 })
 
+describe('a front whose job changes its owner', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const QUEUE = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+  const JOB = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(5000), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+
+  /** Lets owners follow each other, each of which reports the given digest, if any, and then gives its shard up. @returns what the last copy of the job says of earlier owners */
+  function earlierEndpoints (digests: readonly (number | undefined)[], lose: (name: InstanceId) => ShardMessage): readonly number[] | undefined {
+    const front = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    let last: readonly number[] | undefined
+    const handle = (now: number, input: ShardInput): void => {
+      for (const effect of front.handle(input, ms(now), ms(now))) if (effect.type === 'send' && effect.message.type === 'submit') last = effect.message.order.earlierEndpoints
+    }
+    handle(0, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
+    for (const [n, digest] of [...digests, undefined].entries()) {
+      const from = `owner-${n}` as InstanceId
+      const token = (64 * (n + 1)) as FencingToken
+      const load = { waitMs: ms(0), busyShare: 0 }
+      handle(10 * n + 1, { type: 'peer', from, message: { type: 'announce', incarnation: 3, address: from, failureDomain: DOMAIN, token } })
+      if (n === 0) handle(2, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: JOB, deadlineMs: ms(9000) })
+      handle(10 * n + 3, { type: 'peer', from, message: { type: 'pong', incarnation: 3, owned: [{ failureDomain: DOMAIN, token, load, ...digest === undefined ? {} : { endpointsDigest: digest } }], others: [], desiredVersion: 1 } })
+      if (n < digests.length) handle(10 * n + 4, { type: 'peer', from, message: lose(from) })
+    }
+    return last
+  }
+
+  const moved = (to: InstanceId): ShardMessage => ({ type: 'moved', failureDomain: DOMAIN, to, progress: [] })
+
+  it('tells the next one what all earlier ones have reported of their endpoints', () => {
+    expect(earlierEndpoints([5, 6, 5], moved)).to.deep.equal([5, 6])
+  })
+
+  it('tells the next one nothing when one of them has reported nothing, as earlier versions do', () => {
+    expect(earlierEndpoints([5, undefined, 6], moved)).to.equal(undefined)
+  })
+
+  it('prefers what an owner reports with the loss of its shard', () => {
+    expect(earlierEndpoints([5], to => ({ type: 'moved', failureDomain: DOMAIN, to, progress: [], endpointsDigest: 9 }))).to.deep.equal([9])
+  })
+
+  it('uses what an owner reported before it restarted', () => {
+    expect(earlierEndpoints([5], () => ({ type: 'pong', incarnation: 4, owned: [{ failureDomain: DOMAIN, token: 64 as FencingToken, load: { waitMs: ms(0), busyShare: 0 }, endpointsDigest: 9 }], others: [], desiredVersion: 1 }))).to.include(5)
+  })
+})
+
 describe('an owner that does not reach an endpoint', () => {
   const DOMAIN = 'd' as FailureDomain
   const ENDPOINTS = ['e', 'f'].map(id => ({ ...ENDPOINT, id: id as EndpointId, address: id }))
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -3,11 +3,12 @@
  * together and routes each input to them. It returns effects instead of performing I/O, and it has no timers and no clock
  * of its own, so the daemon and the tests can drive it alike.
  */
-import type { ClockReading, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
+import type { ClockReading, DispatchOrder, EndpointId, EndpointReport, FailureDomain, InstanceId, JobId, Ms, OtherShard, OwnedShard, ShardMessage, TaskAttempts } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { DesiredDecider } from '../desired/desiredDecider.js'
 import { EndpointList } from '../endpoints/endpointList.js'
+import { EndpointSets } from '../endpoints/endpointSets.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import { ExecutionDecider } from '../execution/executionDecider.js'
 import type { FrontSession, OwnedJob } from '../execution/types.js'
@@ -54,6 +55,8 @@
   readonly intake: IntakeDecider
   readonly introduction: IntroductionDecider
   private readonly endpointList: EndpointList
+  private readonly endpointSets = new EndpointSets()
+  private ownDigest: { readonly failureDomain: FailureDomain, readonly changes: number, readonly digest: number } | undefined
   private lastInputAt: Ms | undefined
   private lastInputWallTime: Ms | undefined
   private ready = false
@@ -73,6 +76,7 @@
     this.desired = new DesiredDecider(ctx, (to, message) => this.sessions.send(to, message), () => this.storeReachable)
     this.ownership = new OwnershipDecider(ctx, this.sessions, {
       ownershipGained: failureDomain => this.ownershipGained(failureDomain),
+      endpointsOf: failureDomain => this.endpoints.db.inFailureDomain(failureDomain).map(({ report }) => report),
       ownershipLost: (failureDomain, successor) => this.ownershipLost(failureDomain, successor)
     })
     this.placement = new PlacementDecider(ctx)
@@ -174,8 +178,8 @@
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
       case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
       case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain, message.attempt)
-      case 'moved': return this.intake.shardMoved(from, message.failureDomain, message.progress)
-      case 'handover': return this.ownership.handoverReceived(message.failureDomain, message.revision, message.rank)
+      case 'moved': return this.intake.shardMoved(from, message.failureDomain, message.progress, message.endpointsDigest)
+      case 'handover': return this.receiveHandover(message)
       case 'desiredRequest': return this.receiveDesiredRequest(from, message.introduce === true)
       case 'introduction': return this.receiveIntroduction(message)
       case 'desired': return this.desired.adopt(message.state, from)
@@ -315,7 +319,7 @@
     const { self, now } = this.ctx
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadSentAt = now
-    const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load() }))
+    const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load(), endpointsDigest: this.endpointsDigest(failureDomain) }))
     this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), time: this.sessions.timeForPeers(), ...attempts === undefined ? {} : { attempts } })
   }
 
@@ -332,7 +336,8 @@
       const isLive = this.ownership.owns() ? !peer.lost && peer.lastReceivedAt !== undefined : this.sessions.isLive(owner)
       if (!isLive) continue
       const clock = this.sessions.clockOf(owner)
-      others.push({ failureDomain, owner, address: peer.address, token, load, ...clock === undefined ? {} : { clock } })
+      const endpointsDigest = this.sessions.endpointsDigestOf(owner, failureDomain)
+      others.push({ failureDomain, owner, address: peer.address, token, load, ...clock === undefined ? {} : { clock }, ...endpointsDigest === undefined ? {} : { endpointsDigest } })
     }
     return others
   }
@@ -344,6 +349,22 @@
     this.sendLoad(from)
   }
 
+  /** Takes over a shard with the endpoints of its owner, among which there may be some that this instance's list lacks. */
+  private receiveHandover ({ failureDomain, revision, rank, endpoints = [] }: Extract<ShardMessage, { type: 'handover' }>): void {
+    this.endpointList.learnFromOwner(endpoints)
+    this.endpointSets.remember(endpoints.map(({ id }) => id))
+    this.ownership.handoverReceived(failureDomain, revision, rank)
+  }
+
+  /** Returns the digest of the endpoints of an owned shard at which this instance may have runs. */
+  private endpointsDigest (failureDomain: FailureDomain): number {
+    const { db } = this.endpoints
+    if (this.ownDigest?.failureDomain !== failureDomain || this.ownDigest.changes !== db.changes) {
+      this.ownDigest = { failureDomain, changes: db.changes, digest: this.endpointSets.remember(db.inFailureDomain(failureDomain).map(({ id }) => id)) }
+    }
+    return this.ownDigest.digest
+  }
+
   private load (): OwnedShard['load'] {
     const capacity = this.execution.capacity()
     const busyShare = capacity.totalCpuMilli === 0 ? 1 : 1 - capacity.freeCpuMilli / capacity.totalCpuMilli
@@ -373,18 +394,18 @@
   }
 
   /**
-   * Returns whether this owner knows all runs that earlier owners started for a job. They are known once every endpoint has answered
-   * a hold under the present token, and have ended once their leases have expired. Until the list is complete and has been
+   * Returns whether this owner knows all runs that earlier owners started for a job. They are known once every endpoint of this owner and of the
+   * earlier ones has answered a hold under the present token, and have ended once their leases have expired. Until the list is complete and has been
    * read since the takeover, an earlier owner may have used endpoints that this one does not know and on which no token
    * fences it. Nor does one at an endpoint that has not answered: an earlier owner renews the lease there until the front sends the job here.
    */
-  private earlierRunsKnown ({ failureDomain, receivedAt }: OwnedJob): boolean {
+  private earlierRunsKnown ({ failureDomain, receivedAt, order }: OwnedJob): boolean {
     const { now, cfg } = this.ctx
     const owned = this.ownership.db.owned.get(failureDomain)
     const { knownInFullSince, freshAt } = this.endpointList
     if (owned === undefined || knownInFullSince === undefined) return false
     const leasesEndMs = cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs
-    const allHaveAnswered = this.endpointList.inFailureDomain(failureDomain).every(report => this.endpoints.db.get(report.id)?.answeredUnderToken === true)
+    const allHaveAnswered = this.endpointList.inFailureDomain(failureDomain).every(({ id }) => this.hasAnswered(id)) && this.earlierEndpointsHaveAnswered(order)
     if (now - Math.max(owned.since, knownInFullSince) > leasesEndMs) return allHaveAnswered || now - Math.max(owned.tokenSince, receivedAt) > leasesEndMs
     // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
     if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
@@ -392,6 +413,21 @@
     return allHaveAnswered
   }
 
+  private hasAnswered (id: EndpointId): boolean {
+    return this.endpoints.db.get(id)?.answeredUnderToken === true
+  }
+
+  /**
+   * Returns whether the endpoints of all earlier owners of a job are known here and have answered. The list alone does not show this: an owner goes on
+   * with the runs at an endpoint whose entry is missing, and an instance that started meanwhile has never seen that entry.
+   */
+  private earlierEndpointsHaveAnswered ({ earlierEndpoints }: DispatchOrder): boolean {
+    return earlierEndpoints?.every((digest) => {
+      const ids = this.endpointSets.get(digest)
+      return ids !== undefined && [...ids].every(id => this.hasAnswered(id))
+    }) === true
+  }
+
   /**
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
    * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
@@ -435,18 +471,27 @@
   private ownershipLost (failureDomain: FailureDomain, successor: InstanceId | undefined): void {
     const shard = this.sessions.db.shards.get(failureDomain)
     if (shard?.owner === this.ctx.self.instance) shard.disowned = true
+    const endpointsDigest = this.endpointsDigest(failureDomain)
     const progressByFront = this.execution.releaseShard(failureDomain)
     this.endpoints.release(failureDomain)
     for (const [front, progress] of progressByFront) {
-      this.deliver(front.instance, { type: 'moved', failureDomain, to: successor ?? this.ctx.self.instance, progress })
+      this.deliver(front.instance, { type: 'moved', failureDomain, to: successor ?? this.ctx.self.instance, progress, endpointsDigest })
     }
   }
 
   private applyReports (reports: readonly EndpointReport[], fresh: boolean): void {
     this.endpointList.applyList(reports, fresh)
+    this.rememberEndpoints(reports)
     this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)), fresh)
   }
 
+  /** Keeps the endpoints of the own failure domain as sets to compare with those of its owner, which may have removed missing entries earlier or later. */
+  private rememberEndpoints (listed: readonly EndpointReport[]): void {
+    const { failureDomain } = this.ctx.self
+    this.endpointSets.remember(listed.filter(report => report.failureDomain === failureDomain).map(({ id }) => id))
+    this.endpointSets.remember(this.endpointList.inFailureDomain(failureDomain).map(({ id }) => id))
+  }
+
   private endpointRemoved (id: EndpointId): void {
     this.endpoints.markUnlisted(id)
     this.placement.db.forget(id)
--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -11,6 +11,7 @@
 const MEMBER = { instance: 'a', incarnation: 1, failureDomain: 'd', address: 'a:1', cpuMilli: 500 }
 const OWNED = { failureDomain: 'd', token: 64, load: { waitMs: 0, busyShare: 0.5 } }
 
+const ENDPOINT = { id: 'e', service: 's', address: 'e:1', failureDomain: 'd', draining: false, capacity: { cpuMilli: 1000, memoryMb: 1, accelerators: 0 }, labels: ['r'], bornAt: 5 }
 const ATTEMPTS = [{ task: '1.0.0.0', attempts: [{ run: 'e@5#1', fault: 'crashed' }] }]
 
 /** One valid message of each type. */
@@ -27,7 +28,7 @@
   { type: 'moved', failureDomain: 'd', to: 'x', progress: [{ jobId: '1', done: ['0.1'] }] },
   { type: 'handover', failureDomain: 'd', revision: 3, rank: 1 },
   { type: 'desiredRequest' },
-  { type: 'introduction', members: [MEMBER], shards: [{ revision: 3, value: { failureDomain: 'd', owner: MEMBER, successors: ['b'] } }], endpoints: [{ id: 'e', service: 's', address: 'e:1', failureDomain: 'd', draining: false, capacity: { cpuMilli: 1000, memoryMb: 1, accelerators: 0 }, labels: ['r'], bornAt: 5 }] },
+  { type: 'introduction', members: [MEMBER], shards: [{ revision: 3, value: { failureDomain: 'd', owner: MEMBER, successors: ['b'] } }], endpoints: [ENDPOINT] },
   { type: 'desired', state: { version: 4, queues: [QUEUE], services: [{ name: 's', guardsCapacity: false }] } }
 ]
 
@@ -40,7 +41,11 @@
   { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: ORDER, ownerClock: { incarnation: 1, at: 1 }, time: 1 },
   { type: 'cancelJob', jobId: '1', incarnation: 1, attempt: 1 },
   { type: 'notOwner', jobId: '1', failureDomain: 'd', attempt: 1 },
-  { type: 'checkJobs', failureDomain: 'd', jobIds: ['1'], ownerClock: { incarnation: 1, at: 1 } }
+  { type: 'checkJobs', failureDomain: 'd', jobIds: ['1'], ownerClock: { incarnation: 1, at: 1 } },
+  { type: 'pong', incarnation: 1, owned: [{ ...OWNED, endpointsDigest: 7 }], others: [{ ...OWNED, owner: 'x', address: 'x', endpointsDigest: 7 }], desiredVersion: 1 },
+  { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: { ...ORDER, resumed: true, earlierEndpoints: [7] } },
+  { type: 'moved', failureDomain: 'd', to: 'x', progress: [], endpointsDigest: 7 },
+  { type: 'handover', failureDomain: 'd', revision: 3, rank: 1, endpoints: [ENDPOINT] }
 ]
 
 /** Lists the paths to every value inside a message. */
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -32,14 +32,15 @@
 const load = object({ waitMs: nonNegative, busyShare: finiteNumber })
 const clock = optional(object({ incarnation: nonNegativeInteger, at: finiteNumber }))
 const time = optional(finiteNumber)
-const ownedFields = { failureDomain: text, token: finiteNumber, load }
+const digest = nonNegativeInteger
+const ownedFields = { failureDomain: text, token: finiteNumber, load, endpointsDigest: optional(digest) }
 const resources = object({ cpuMilli: nonNegative, memoryMb: nonNegative, accelerators: nonNegative })
 const taskCount: Check = value => nonNegativeInteger(value) && (value as number) <= MAX_TASKS_PER_STEP
 const step = object({ count: taskCount, needs: resources, estimateMs: nonNegative, after: listOf(nonNegativeInteger), requiredLabel: text, preferredRack: text, maxPerEndpoint: nonNegativeInteger })
 const job = object({ id: text, spec: text, steps: listOf(step), features: listOf(text) })
 const queue = object({ name: text, host: text, prefix: text, service: text, priority: finiteNumber, maxAttempts: nonNegativeInteger, stretch: nonNegative, latencyObjectiveMs: nonNegative, needsAdvice: flag })
 const attempts = optional(listOf(object({ task: text, attempts: listOf(object({ run: text, fault: oneOf('failed', 'crashed', 'crashedAlone', 'silent', 'outOfReach') })) })))
-const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag), attempts })
+const order = object({ job, queue, ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag), attempts, earlierEndpoints: optional(listOf(digest)) })
 const state = object({ version: nonNegativeInteger, queues: listOf(queue), services: listOf(object({ name: text, guardsCapacity: flag })) })
 const member = object({ instance: text, incarnation: nonNegativeInteger, failureDomain: text, address: text, cpuMilli: nonNegative })
 const endpoint = object({ id: text, service: text, address: text, failureDomain: text, draining: flag, capacity: resources, labels: listOf(text), bornAt: finiteNumber })
@@ -55,8 +56,8 @@
   ended: { jobId: text, outcome: oneOf('completed', 'failed') },
   declined: { jobId: text, attempt: nonNegativeInteger, retryAfterMs: nonNegative },
   notOwner: { jobId: text, failureDomain: text, attempt: optional(nonNegativeInteger) },
-  moved: { failureDomain: text, to: text, progress: listOf(progress) },
-  handover: { failureDomain: text, revision: nonNegativeInteger, rank: nonNegativeInteger },
+  moved: { failureDomain: text, to: text, progress: listOf(progress), endpointsDigest: optional(digest) },
+  handover: { failureDomain: text, revision: nonNegativeInteger, rank: nonNegativeInteger, endpoints: optional(listOf(endpoint)) },
   desiredRequest: { introduce: optional(flag) },
   introduction: { members: listOf(member), shards: listOf(object({ revision: nonNegativeInteger, value: object({ failureDomain: text, owner: member, successors: listOf(text) }) })), endpoints: listOf(endpoint) },
   desired: { state }
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -134,6 +134,11 @@
   readonly attempt: number
   /** True when runs started by an earlier owner may still exist. */
   readonly resumed: boolean
+  /**
+   * For a resumed job, the digests that its earlier owners have reported of their endpoints. Absent if one of them has reported none, and in orders of
+   * earlier versions.
+   */
+  readonly earlierEndpoints?: readonly number[]
   /** Tasks known to be done, each as `step.index`. */
   readonly done: readonly string[]
   /** The job was declined by every other shard that has an owner. Absent in orders of earlier versions. */
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -28,6 +28,8 @@
   readonly failureDomain: FailureDomain
   readonly token: FencingToken
   readonly load: ShardLoad
+  /** Digest of the ids of the endpoints at which the owner may have runs; absent in earlier versions. */
+  readonly endpointsDigest?: number
 }
 
 /** An owner's report on a shard of another owner from which it receives messages directly. */
@@ -81,10 +83,13 @@
    * run; absent in earlier versions.
    */
   | { readonly type: 'notOwner', readonly jobId: JobId, readonly failureDomain: FailureDomain, readonly attempt?: number }
-  /** The sender has given up the shard. `to` is the successor that continues the jobs, or the sender itself if it knows none. */
-  | { readonly type: 'moved', readonly failureDomain: FailureDomain, readonly to: InstanceId, readonly progress: readonly JobProgress[] }
-  /** The owner asks its successor to take over the shard immediately. */
-  | { readonly type: 'handover', readonly failureDomain: FailureDomain, readonly revision: number, readonly rank: number }
+  /**
+   * The sender has given up the shard. `to` is the successor that continues the jobs, or the sender itself if it knows none. `endpointsDigest` is that of
+   * the endpoints at which it may have runs; absent in earlier versions.
+   */
+  | { readonly type: 'moved', readonly failureDomain: FailureDomain, readonly to: InstanceId, readonly progress: readonly JobProgress[], readonly endpointsDigest?: number }
+  /** The owner asks its successor to take over the shard immediately. `endpoints` are those at which it may have runs; absent in earlier versions. */
+  | { readonly type: 'handover', readonly failureDomain: FailureDomain, readonly revision: number, readonly rank: number, readonly endpoints?: readonly EndpointReport[] }
   /** `introduce`: the sender has just started and could not read the store; it wants an `introduction` too. Absent in earlier versions. */
   | { readonly type: 'desiredRequest', readonly introduce?: boolean }
   /** What a new instance needs to take part while the store does not answer: the records, and the endpoints of its failure domain. */
