--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -6,7 +6,8 @@
 import type { ListPace, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
-import { FencedEndpointModel, RecordStoreModel, SLOWEST_CLOCK_RATE, ShardOracle, taskSpec } from '@cranberryyard/fakes'
+import { decodeEnvelope, encodeEnvelope } from '@cranberryyard/dispatcher/shard'
+import { FencedEndpointModel, RecordStoreModel, SLOWEST_CLOCK_RATE, ShardOracle, taskSpec, withByteOrderMark } from '@cranberryyard/fakes'
 import type { ModelTask } from '@cranberryyard/fakes'
 import type {
   DesiredState,
@@ -64,6 +65,8 @@
   readonly endpointsPerDomain: number
   readonly seed: number
   readonly cfg?: Partial<ShardSettings>
+  /** Whether jobs are encoded and decoded on their way between instances, as on real connections. */
+  readonly encodesJobs?: boolean
   /** Queues of the desired state; by default one. */
   readonly queues?: readonly QueueTerms[]
   /** The endpoints of each domain, in place of `endpointsPerDomain` endpoints of random size. */
@@ -211,9 +214,9 @@
    * Submits a job to an instance. If the reply is neither an outcome nor a refusal, or the instance is killed before it
    * replies, the caller submits the same job again to a random instance, up to four times in all.
    */
-  submit (at: InstanceId, tasks: number, spec: ModelTask): CallerJob {
+  submit (at: InstanceId, tasks: number, spec: ModelTask, hasByteOrderMark = false): CallerJob {
     const job: CallerJob = { id: this.nextJobId(), tasks, sentAt: this.time.now, reply: undefined, latencyMs: undefined }
-    const submission = { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${job.id}`, job: makeJob(job, spec), deadlineMs: DEFAULT_DEADLINE_MS, retries: 0 }
+    const submission = { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${job.id}`, job: makeJob(job, spec, hasByteOrderMark), deadlineMs: DEFAULT_DEADLINE_MS, retries: 0 }
     return this.track(job, at, submission)
   }
 
@@ -622,7 +625,8 @@
     return this.cutLinks.has(`${from}>${to}`)
   }
 
-  private deliver (process: Process, to: InstanceId, message: ShardMessage): void {
+  private deliver (process: Process, to: InstanceId, sent: ShardMessage): void {
+    const message = this.options.encodesJobs === true && sent.type === 'submit' ? decodeEnvelope(encodeEnvelope({ from: process.name, message: sent }))?.message as ShardMessage : sent
     const target = this.process(to.replace(SEED_PREFIX, '') as InstanceId)
     this.onMessage(process.name, to, message)
     const pair = `${process.name}>${target.name}`
@@ -694,6 +698,7 @@
   private startTask (process: Process, effect: EffectOf<'startTask'>): void {
     type Outcome = Extract<ShardInput, { type: 'taskStartOutcome' }>['outcome']
     const spec = taskSpec(effect.spec, effect.task)
+    this.oracle.recordSpec(effect.task, effect.spec, this.time.now)
     this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
       const previousRun = endpoint.runs.get(effect.task)
       const reply = endpoint.start(this.time.now, { token: effect.token, task: effect.task, run: effect.run, spec, untilMs: effect.notAfter })
@@ -722,7 +727,7 @@
   private sendSubmission (job: CallerJob, at: InstanceId, submission: Submission, attempt: number, retries: number): void {
     const process = this.process(at)
     const callId = `${at}-${++this.callCounter}`
-    this.oracle.recordSubmission(job.id, job.tasks)
+    this.oracle.recordSubmission(job.id, job.tasks, submission.job.spec)
     const onReply = (reply: ReplyKind, retryAfterMs = 0): void => {
       this.oracle.recordReply(job.id, reply, this.time.now)
       const comesBack = (reply === 'other' && attempt < ATTEMPTS_MAX) || (reply === 'refused' && retries > 0)
@@ -766,7 +771,8 @@
   }
 }
 
-function makeJob (job: CallerJob, spec: ModelTask): JobRequest {
+function makeJob (job: CallerJob, spec: ModelTask, hasByteOrderMark = false): JobRequest {
+  const text = JSON.stringify(spec)
   const needs = { cpuMilli: spec.cpuMilli, memoryMb: 64, accelerators: 0 }
-  return { id: job.id, spec: JSON.stringify(spec), features: [], steps: [{ count: job.tasks, needs, estimateMs: ms(spec.workMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+  return { id: job.id, spec: hasByteOrderMark ? withByteOrderMark(text) : text, features: [], steps: [{ count: job.tasks, needs, estimateMs: ms(spec.workMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
 }
--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -2,7 +2,7 @@
 import type { Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { MISSING_ENTRIES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
+import { ENCODED_LOAD, MISSING_ENTRIES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
 import type { ScenarioLoad } from './shardScenario.js'
 
@@ -12,6 +12,7 @@
 const HAZARD_SEED_COUNT = 12
 const STRAIN_SEED_COUNT = 10
 const MISSING_ENTRIES_SEED_COUNT = 10
+const ENCODED_SEEDS = [1, 2, 3] as const
 /** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
 const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
 /** Seeds that once violated an invariant, with the cause. */
@@ -74,6 +75,12 @@
     })
   }
 
+  for (const seed of ENCODED_SEEDS) {
+    it(`violates no invariant while jobs are encoded on their way between instances, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, ENCODED_LOAD).violations).to.deep.equal([])
+    })
+  }
+
   for (const { seed, cause, load } of REGRESSION_SEEDS) {
     it(`violates no invariant with seed ${seed}, which failed once: ${cause}`, () => {
       expect(runShardScenario(seed, FAULT_PHASE_MS, load ?? { jobsPerSecond: JOBS_PER_SECOND }).violations).to.deep.equal([])
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -3,6 +3,7 @@
  * that all instances share and returns how to undo it.
  */
 import type { InstanceId } from '@cranberryyard/protocol'
+import { ExactText } from '@cranberryyard/dispatcher/shard'
 import type { Rule } from '@cranberryyard/fakes'
 import { replaceMethod, sampleInstance as sample } from './patches.js'
 import type { Method, Undo } from './patches.js'
@@ -68,6 +69,9 @@
 /** Load whose tasks still run when an owner is lost that goes on with them at endpoints without an entry. */
 export const MISSING_ENTRIES_LOAD: ScenarioLoad = { jobsPerSecond: 15, meanFaultIntervalMs: 4000, workFactor: 2, withMissingEntries: true }
 
+/** Load of which some specs arrive changed unless they are protected. */
+export const ENCODED_LOAD: ScenarioLoad = { jobsPerSecond: 30, withEncodedJobs: true }
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -105,6 +109,12 @@
     load: MISSING_ENTRIES_LOAD,
     apply: () => replaceMethod(sample, 'earlierEndpointsHaveAnswered', () => () => true)
   },
+  {
+    name: 'text travels between instances as the codec delivers it',
+    breaks: ['UNASKED'],
+    load: ENCODED_LOAD,
+    apply: () => replaceMethod(new ExactText(), 'collect', () => () => [])
+  },
   {
     name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -16,6 +16,9 @@
 const SOUND_TASK: ModelTask = { cpuMilli: 12_000, workMs: 80, fails: false }
 const DEADLY_TASK: ModelTask = { ...SOUND_TASK, crashAfterMs: 3 }
 
+/** With encoded jobs, one in so many has a spec that begins with a byte order mark. */
+const JOBS_PER_MARKED_SPEC = 8
+
 /** Result of a scenario, as `npm run fuzz:shard` prints it. */
 export interface ScenarioResult {
   readonly seed: number
@@ -168,6 +171,8 @@
   readonly withStrain?: boolean
   /** Adds endpoints that are cut off from the store while the instances of their domain are restarted in turn. */
   readonly withMissingEntries?: boolean
+  /** Encodes jobs on their way between instances, some of them with text that codecs change. */
+  readonly withEncodedJobs?: boolean
 }
 
 /**
@@ -176,14 +181,14 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false }: ScenarioLoad): ScenarioResult {
-  const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed })
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false }: ScenarioLoad): ScenarioResult {
+  const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
   const submitUntil = fleet.time.now + faultyMs + FAULT_FREE_MS
   const submitNext = (): void => {
     if (fleet.time.now > submitUntil) return
-    submitJob(fleet, workFactor)
+    submitJob(fleet, workFactor, withEncodedJobs && fleet.jobs.length % JOBS_PER_MARKED_SPEC === 0)
     fleet.time.after(fleet.randomBelow(2000 / jobsPerSecond), submitNext)
   }
   submitNext()
@@ -229,10 +234,10 @@
   }
 }
 
-function submitJob (fleet: ShardFleet, workFactor: number): void {
+function submitJob (fleet: ShardFleet, workFactor: number, hasByteOrderMark: boolean): void {
   const kind = pick(fleet, [{ tasks: 8, workMs: 60 }, { tasks: 4, workMs: 900 }, { tasks: 2, workMs: 200 }, { tasks: 2, workMs: 200 }, { tasks: 2, workMs: 200 }] as const)
   const spec = { cpuMilli: 8000 + fleet.randomBelow(12_000), workMs: Math.round(kind.workMs * workFactor * (0.6 + fleet.randomBelow(80) / 100)), fails: fleet.randomBelow(500) === 0 }
-  fleet.submit(pickInstance(fleet), kind.tasks, spec)
+  fleet.submit(pickInstance(fleet), kind.tasks, spec, hasByteOrderMark)
 }
 
 function setMisbehaviour (endpoint: FencedEndpointModel, kind: 'slow' | 'hangs' | 'fails' | 'refuses', on: boolean): void {
--- a/packages/dispatcher/src/peers/peerCodec.ts
+++ b/packages/dispatcher/src/peers/peerCodec.ts
@@ -6,6 +6,8 @@
  */
 import { Encoder, decode } from '@msgpack/msgpack'
 import type { InstanceId, MemberEntry, PeerMessage, ShardMessage } from '@cranberryyard/protocol'
+import { ExactText } from './exactText.js'
+import type { TextPatch } from './exactText.js'
 
 /** Any message that one instance sends to another. */
 export type AnyPeerMessage = PeerMessage | ShardMessage
@@ -31,12 +33,16 @@
 ] as const satisfies readonly (keyof MemberEntry)[]
 
 type WireEntry = readonly unknown[]
-type WireMessage = [from: InstanceId, message: AnyPeerMessage] | [from: InstanceId, fleetVersion: number, entries: readonly WireEntry[]]
+type WireMessage =
+  | [from: InstanceId, message: AnyPeerMessage]
+  | [from: InstanceId, message: AnyPeerMessage, unused: null, patches: readonly TextPatch[]]
+  | [from: InstanceId, fleetVersion: number, entries: readonly WireEntry[]]
 
-/** Only gossip messages are arrays of this length; all others have the sender and the message. */
+/** Only gossip messages are arrays of this length; all others have the sender, the message and, if some of its text needs them, patches as a fourth value. */
 const GOSSIP_TUPLE_LENGTH = 3
 /** Shared by all messages, so that its buffer is reused. */
 const encoder = new Encoder({ ignoreUndefined: true })
+const exactText = new ExactText()
 
 /**
  * Encodes an envelope for the wire.
@@ -45,9 +51,7 @@
  */
 export function encodeEnvelope (envelope: Envelope): Buffer {
   const { from, message } = envelope
-  const wire: WireMessage = message.type === 'gossip'
-    ? [from, message.fleetVersion, message.entries.map(entryToWire)]
-    : [from, message]
+  const wire = toWire(from, message)
   const { buffer, byteOffset, byteLength } = encoder.encode(wire)
   return Buffer.from(buffer, byteOffset, byteLength)
 }
@@ -77,12 +81,20 @@
   const from = wire[0] as InstanceId
   if (wire.length !== GOSSIP_TUPLE_LENGTH) {
     const message = wire[1] as AnyPeerMessage | undefined
-    return typeof message?.type === 'string' ? { from, message } : undefined
+    if (typeof message?.type !== 'string') return undefined
+    exactText.restore(message, wire[3])
+    return { from, message }
   }
   const [, fleetVersion, entries] = wire as [InstanceId, number, readonly WireEntry[]]
   return { from, message: { type: 'gossip', fleetVersion, entries: entries.map(entryFromWire) } }
 }
 
+function toWire (from: InstanceId, message: AnyPeerMessage): WireMessage {
+  if (message.type === 'gossip') return [from, message.fleetVersion, message.entries.map(entryToWire)]
+  const patches = exactText.collect(message)
+  return patches.length === 0 ? [from, message] : [from, message, null, patches]
+}
+
 function entryToWire (entry: MemberEntry): WireEntry {
   return ENTRY_FIELDS.map(field => entry[field])
 }
--- a/packages/dispatcher/src/shard/index.ts
+++ b/packages/dispatcher/src/shard/index.ts
@@ -5,6 +5,8 @@
 export { ShardDaemon } from './shardDaemon.js'
 export type { ShardDaemonOptions } from './shardDaemon.js'
 export { isShardMessage } from './messageCheck.js'
+export { decodeEnvelope, encodeEnvelope } from '../peers/peerCodec.js'
+export { ExactText } from '../peers/exactText.js'
 export { isPort, parseAddress } from './address.js'
 export type { SocketAddress } from './address.js'
 export type * from './wires.js'
--- a/packages/dispatcher/src/shard/linkTask.spec.ts
+++ b/packages/dispatcher/src/shard/linkTask.spec.ts
@@ -53,6 +53,17 @@
     expect(b.ofType('peer').map(event => [event.from, event.message])).to.deep.equal(Array.from({ length: 500 }, (_, n) => [A, message(n)]))
   })
 
+  // Guards against tasks that start with another spec than the caller sent.
+  it('deliver text unchanged: long and short, with a byte order mark, and with unpaired surrogates', async () => {
+    const [a, b] = [await new TestPeer(A).listen(), await new TestPeer(B).listen()]
+    const texts = ['', 'x', '\uFEFF', '\ud800', 'a\udc00b', '\uFEFF\uFEFF', '\ud83d\ude00', 'é'].flatMap(text => [text, `${text}${'y'.repeat(60)}`, `${text}${'z'.repeat(300)}`, `${'z'.repeat(300)}${text}`])
+    for (const text of texts) a.task.send({ to: B, address: b.address, message: { ...message(0), jobId: text as JobId } as ShardMessage })
+    await b.waitUntil(() => b.events.length >= texts.length)
+    a.task.close()
+    b.task.close()
+    expect(b.ofType('peer').map(event => 'jobId' in event.message ? event.message.jobId : '')).to.deep.equal(texts)
+  })
+
   it('report messages as not sent when nothing listens at the address of the peer', async () => {
     const closedPeer = await new TestPeer(B).listen()
     closedPeer.task.close()
--- a/packages/fakes/src/fencedEndpointModel.ts
+++ b/packages/fakes/src/fencedEndpointModel.ts
@@ -21,13 +21,21 @@
   readonly crashAfterMs?: number
 }
 
-/** @returns the task's behaviour: a spec is the JSON of one `ModelTask` for all tasks of a job, or of a list with one for each */
+/** @returns the task's behaviour: a spec is the JSON of one `ModelTask` for all tasks of a job, or of a list with one for each, with or without a byte order mark */
 export function taskSpec (spec: string, task: string): ModelTask {
-  const parsed = JSON.parse(spec) as ModelTask | readonly ModelTask[]
+  const parsed = JSON.parse(spec.replace(/^\uFEFF/, '')) as ModelTask | readonly ModelTask[]
   if (!Array.isArray(parsed)) return parsed as ModelTask
   return parsed[Number(task.slice(task.lastIndexOf('.') + 1))] as ModelTask
 }
 
+/** Length of a marked spec, beyond which text takes other paths through codecs than short text. */
+const MARKED_SPEC_LENGTH = 300
+
+/** @returns the same spec as a program writes it that begins its text with a byte order mark */
+export function withByteOrderMark (spec: string): string {
+  return `\uFEFF${spec}`.padEnd(MARKED_SPEC_LENGTH)
+}
+
 /** A run of a task at the endpoint; `run` is its number, which rises with each new attempt. */
 export interface ModelRun {
   readonly task: string
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -15,9 +15,10 @@
  * - LOST: a job was reported as failed although no run of it had failed and no task of it had met two crashes
  * - DRAIN: a task started on an endpoint that had been draining for too long
  * - BUDGET: a task that crashes its endpoints was started too often after it had crashed some of them
+ * - UNASKED: a task started with another spec than its caller sent
  * - CONFIG: an instance went back to an older version of the desired state
  */
-export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'CONFIG'
+export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'CONFIG'
 
 /** A violation of an invariant. */
 export interface Violation {
@@ -29,6 +30,8 @@
 /** What the oracle has seen of a job, over all its submissions. */
 interface JobObservation {
   readonly tasks: number
+  /** The spec that the caller sent; undefined if it is not checked. */
+  readonly spec: string | undefined
   refusals: number
   otherReplies: number
   openSubmissions: number
@@ -69,8 +72,8 @@
   private readonly desiredVersions = new Map<string, number>()
 
   /** Records that a caller sent a job, for the first time or again. */
-  recordSubmission (id: string, tasks: number): void {
-    const job = this.jobs.get(id) ?? { tasks, refusals: 0, otherReplies: 0, openSubmissions: 0, started: false, doneTasks: new Set() }
+  recordSubmission (id: string, tasks: number, spec?: string): void {
+    const job = this.jobs.get(id) ?? { tasks, spec, refusals: 0, otherReplies: 0, openSubmissions: 0, started: false, doneTasks: new Set() }
     job.openSubmissions++
     this.jobs.set(id, job)
   }
@@ -108,6 +111,12 @@
     if (starterHadSteadyContact && drainingSince !== undefined && at - drainingSince > DRAIN_GRACE_MS) this.reportViolation('DRAIN', at, `${task} on ${endpoint.id}, draining for ${Math.round(at - drainingSince)} ms`)
   }
 
+  /** Records the spec with which an endpoint is told to start a task. */
+  recordSpec (task: string, spec: string, at: number): void {
+    const job = this.jobs.get(task.slice(0, task.indexOf('.')))
+    if (job?.spec !== undefined && job.spec !== spec) this.reportViolation('UNASKED', at, `${task} starts with a spec of ${spec.length} characters, sent were ${job.spec.length}`)
+  }
+
   /** Records the end of a run. */
   recordEnd (run: ModelRun, how: ModelEnd['how']): void {
     if (how === 'failed') this.failuresByTask.set(run.task, this.failuresOf(run.task) + 1)
