--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -3,7 +3,7 @@
  * of the endpoints and the store, and every link can have faults. All random choices come from one seed, so a run can be
  * repeated exactly.
  */
-import type { ListPace, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
+import type { ListPace, RefusalCause, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
 import { decodeEnvelope, encodeEnvelope } from '@cranberryyard/dispatcher/shard'
@@ -58,6 +58,9 @@
 const RETRANSMIT_SPREAD_MS = 300
 export const DEFAULT_QUEUE: QueueTerms = { name: 'q' as QueueName, host: 'queue.example', prefix: '/q/', service: SERVICE, priority: 0, maxAttempts: 4, stretch: 1.6, latencyObjectiveMs: ms(60), needsAdvice: false }
 
+/** Number of queues beside the one that all versions have. */
+const ADDED_QUEUES_MAX = 2
+
 /** Size and seed of a fleet, and settings that differ from the defaults. */
 export interface FleetOptions {
   readonly domains: readonly string[]
@@ -118,7 +121,7 @@
   /** Latest time at which the process did not run or could not reach the store. */
   lastDisturbedAt: number
   /** Reply callbacks of submissions that wait for an answer, by call id. */
-  pendingCalls: Map<string, (reply: ReplyKind, retryAfterMs?: number) => void>
+  pendingCalls: Map<string, (reply: ReplyKind, retryAfterMs?: number, cause?: RefusalCause) => void>
 }
 
 /** A message that a held link keeps, with the connection on which it was sent. */
@@ -138,6 +141,13 @@
   staleEndpoints: readonly EndpointReport[] | undefined
 }
 
+/** What is particular about a job. */
+export interface JobVariant {
+  readonly hasByteOrderMark?: boolean
+  /** The version of the desired state that has added the job's queue; without it, the queue that all versions have. */
+  readonly queueVersion?: number
+}
+
 /** A job as its caller sees it. */
 export interface CallerJob {
   readonly id: JobId
@@ -185,6 +195,10 @@
   private readonly random: Random
   private desired: DesiredState
   private readonly queues: readonly QueueTerms[]
+  /** The queues that versions of the desired state have added, with the version that removed each. */
+  private readonly addedQueues = new Map<number, { removedIn: number | undefined }>()
+  /** The added queue of a job, and when its caller first sent it. */
+  private readonly queueOfJob = new Map<string, { readonly addedIn: number, readonly sentAt: number }>()
   private jobCounter = 0
   private callCounter = 0
 
@@ -214,9 +228,10 @@
    * Submits a job to an instance. If the reply is neither an outcome nor a refusal, or the instance is killed before it
    * replies, the caller submits the same job again to a random instance, up to four times in all.
    */
-  submit (at: InstanceId, tasks: number, spec: ModelTask, hasByteOrderMark = false): CallerJob {
+  submit (at: InstanceId, tasks: number, spec: ModelTask, { hasByteOrderMark = false, queueVersion }: JobVariant = {}): CallerJob {
     const job: CallerJob = { id: this.nextJobId(), tasks, sentAt: this.time.now, reply: undefined, latencyMs: undefined }
-    const submission = { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${job.id}`, job: makeJob(job, spec, hasByteOrderMark), deadlineMs: DEFAULT_DEADLINE_MS, retries: 0 }
+    if (queueVersion !== undefined) this.queueOfJob.set(job.id, { addedIn: queueVersion, sentAt: this.time.now })
+    const submission = { host: DEFAULT_QUEUE.host, path: `${queueVersion === undefined ? DEFAULT_QUEUE.prefix : addedPrefix(queueVersion)}${job.id}`, job: makeJob(job, spec, hasByteOrderMark), deadlineMs: DEFAULT_DEADLINE_MS, retries: 0 }
     return this.track(job, at, submission)
   }
 
@@ -417,6 +432,19 @@
     this.desired = this.makeDesiredState(this.desired.version + 1 + this.randomBelow(3))
   }
 
+  /**
+   * Publishes a version of the desired state that adds a queue, and removes the one before the last.
+   * @returns the version
+   */
+  addQueue (): number {
+    const version = this.desired.version + 1
+    const [oldest] = [...this.addedQueues].filter(([, { removedIn }]) => removedIn === undefined).slice(0, -ADDED_QUEUES_MAX + 1)
+    if (oldest !== undefined) oldest[1].removedIn = version
+    this.addedQueues.set(version, { removedIn: undefined })
+    this.desired = this.makeDesiredState(version)
+    return version
+  }
+
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
     this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, pendingCalls: new Map() })
@@ -451,7 +479,8 @@
   }
 
   private makeDesiredState (version: number): DesiredState {
-    return { version, queues: this.queues, services: [{ name: SERVICE, guardsCapacity: false }] }
+    const added = [...this.addedQueues].filter(([, { removedIn }]) => removedIn === undefined).map(([addedIn]) => ({ ...DEFAULT_QUEUE, name: `q${addedIn}` as QueueName, prefix: addedPrefix(addedIn) }))
+    return { version, queues: [...this.queues, ...added], services: [{ name: SERVICE, guardsCapacity: false }] }
   }
 
   private makeCore (name: InstanceId, domain: FailureDomain, incarnation: number): ShardInstance {
@@ -702,11 +731,23 @@
     this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
       const previousRun = endpoint.runs.get(effect.task)
       const reply = endpoint.start(this.time.now, { token: effect.token, task: effect.task, run: effect.run, spec, untilMs: effect.notAfter })
+      if (reply === 'started') this.recordQueueUse(process, effect.task)
       if (reply === 'started' && endpoint.runs.get(effect.task) !== previousRun) this.oracle.recordStart(endpoint, effect.task, this.time.now, this.hadSteadyContact(process))
       answer(reply === 'started' ? { type: 'started', clock: endpoint.clock(this.time.now) as EndpointClockMs } : { type: reply })
     }, outcome => ({ type: 'taskStartOutcome', endpoint: effect.endpoint, orderId: effect.orderId, outcome }))
   }
 
+  /** Tells the oracle what a start shows of the version by which the instance acts. */
+  private recordQueueUse (process: Process, task: string): void {
+    const id = task.slice(0, task.indexOf('.'))
+    const queue = this.queueOfJob.get(id)
+    if (queue === undefined) return
+    const incarnation = `${process.name}#${process.incarnation}`
+    const removedIn = this.addedQueues.get(queue.addedIn)?.removedIn
+    if (removedIn !== undefined && !this.oracle.jobs.get(id)?.started) this.oracle.recordRemovedQueueUsed(incarnation, removedIn, queue.sentAt, this.time.now)
+    this.oracle.recordQueueUsed(incarnation, queue.addedIn, this.time.now)
+  }
+
   private stopTask (process: Process, effect: EffectOf<'stopTask'>): void {
     type Outcome = Extract<ShardInput, { type: 'taskStopOutcome' }>['outcome']
     this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, Math.max(this.lateOrderShare, this.lateStopShare), (endpoint, answer) => {
@@ -728,7 +769,10 @@
     const process = this.process(at)
     const callId = `${at}-${++this.callCounter}`
     this.oracle.recordSubmission(job.id, job.tasks, submission.job.spec)
-    const onReply = (reply: ReplyKind, retryAfterMs = 0): void => {
+    const submittedAt = this.time.now
+    const onReply = (reply: ReplyKind, retryAfterMs = 0, cause?: RefusalCause): void => {
+      const queue = this.queueOfJob.get(job.id)
+      if (cause === 'noQueue' && queue !== undefined && this.addedQueues.get(queue.addedIn)?.removedIn === undefined) this.oracle.recordQueueDenied(`${at}#${process.incarnation}`, queue.addedIn, submittedAt, this.time.now)
       this.oracle.recordReply(job.id, reply, this.time.now)
       const comesBack = (reply === 'other' && attempt < ATTEMPTS_MAX) || (reply === 'refused' && retries > 0)
       if (comesBack) {
@@ -752,7 +796,7 @@
     process.pendingCalls.delete(effect.callId)
     const { reply } = effect
     this.time.after(CALLER_DELAY_MS, () => {
-      if (reply.type === 'refused') onReply?.('refused', reply.retryAfterMs)
+      if (reply.type === 'refused') onReply?.('refused', reply.retryAfterMs, reply.cause)
       else onReply?.(reply.type === 'ended' ? reply.outcome : 'other')
     })
   }
@@ -771,6 +815,10 @@
   }
 }
 
+function addedPrefix (version: number): string {
+  return `/added-${version}/`
+}
+
 function makeJob (job: CallerJob, spec: ModelTask, hasByteOrderMark = false): JobRequest {
   const text = JSON.stringify(spec)
   const needs = { cpuMilli: spec.cpuMilli, memoryMb: 64, accelerators: 0 }
--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -2,7 +2,7 @@
 import type { Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { ENCODED_LOAD, MISSING_ENTRIES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
+import { ENCODED_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
 import type { ScenarioLoad } from './shardScenario.js'
 
@@ -13,6 +13,7 @@
 const STRAIN_SEED_COUNT = 10
 const MISSING_ENTRIES_SEED_COUNT = 10
 const ENCODED_SEEDS = [1, 2, 3] as const
+const QUEUE_CHANGES_SEEDS = [1, 2, 3, 4, 5, 6] as const
 /** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
 const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
 /** Seeds that once violated an invariant, with the cause. */
@@ -75,6 +76,12 @@
     })
   }
 
+  for (const seed of QUEUE_CHANGES_SEEDS) {
+    it(`violates no invariant while queues are added and removed and owners are cut off from the store, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, QUEUE_CHANGES_LOAD).violations).to.deep.equal([])
+    })
+  }
+
   for (const seed of ENCODED_SEEDS) {
     it(`violates no invariant while jobs are encoded on their way between instances, with seed ${seed}`, () => {
       expect(runShardScenario(seed, FAULT_PHASE_MS, ENCODED_LOAD).violations).to.deep.equal([])
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -66,6 +66,24 @@
   })
 }
 
+/** A fault that shows when an owner hears of a version from nobody but the fronts that send it jobs, as above. */
+export function ignoreVersionsOfJobs (): Undo {
+  return replaceMethod(sample.desired, 'jobReceived', () => () => {})
+}
+
+/** A fault that shows when a front has an older version than its owner, as above. */
+export function keepVersionsOfFronts (): Undo {
+  return replaceMethod(sample, 'underVersionInForce', () => (...args) => args[0])
+}
+
+/** A fault that shows together with the one above, or while a version takes long to arrive. */
+export function startUnderNewerVersions (): Undo {
+  return replaceMethod(sample, 'isVersionInForce', () => () => true)
+}
+
+/** Load with an owner that is cut off from the store and other domains while versions add and remove queues. */
+export const QUEUE_CHANGES_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withQueueChanges: true }
+
 /** Load whose tasks still run when an owner is lost that goes on with them at endpoints without an entry. */
 export const MISSING_ENTRIES_LOAD: ScenarioLoad = { jobsPerSecond: 15, meanFaultIntervalMs: 4000, workFactor: 2, withMissingEntries: true }
 
@@ -115,6 +133,21 @@
     load: ENCODED_LOAD,
     apply: () => replaceMethod(new ExactText(), 'collect', () => () => [])
   },
+  {
+    name: 'an owner starts tasks by versions that it does not ask for',
+    breaks: ['CONFIG'],
+    load: QUEUE_CHANGES_LOAD,
+    apply: () => {
+      const undo = [ignoreVersionsOfJobs(), startUnderNewerVersions()]
+      return () => undo.forEach(step => step())
+    }
+  },
+  {
+    name: 'an owner runs jobs of a front with an older version by that version',
+    breaks: ['CONFIG'],
+    load: QUEUE_CHANGES_LOAD,
+    apply: keepVersionsOfFronts
+  },
   {
     name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -5,6 +5,7 @@
 import type { FencedEndpointModel, ModelTask, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
+import { addQueueChanges } from './queueChanges.js'
 import { addMissingEntries } from './missingEntries.js'
 import { addStrains } from './strains.js'
 
@@ -173,6 +174,8 @@
   readonly withMissingEntries?: boolean
   /** Encodes jobs on their way between instances, some of them with text that codecs change. */
   readonly withEncodedJobs?: boolean
+  /** Adds versions that add and remove queues while an owner is cut off from the store. */
+  readonly withQueueChanges?: boolean
 }
 
 /**
@@ -181,7 +184,7 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false }: ScenarioLoad): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
@@ -202,6 +205,7 @@
   if (withHazards) addHazards(fleet, faultsUntil)
   if (withStrain) addStrains(fleet, faultsUntil)
   if (withMissingEntries) addMissingEntries(fleet, faultsUntil)
+  if (withQueueChanges) addQueueChanges(fleet, faultsUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
@@ -237,7 +241,7 @@
 function submitJob (fleet: ShardFleet, workFactor: number, hasByteOrderMark: boolean): void {
   const kind = pick(fleet, [{ tasks: 8, workMs: 60 }, { tasks: 4, workMs: 900 }, { tasks: 2, workMs: 200 }, { tasks: 2, workMs: 200 }, { tasks: 2, workMs: 200 }] as const)
   const spec = { cpuMilli: 8000 + fleet.randomBelow(12_000), workMs: Math.round(kind.workMs * workFactor * (0.6 + fleet.randomBelow(80) / 100)), fails: fleet.randomBelow(500) === 0 }
-  fleet.submit(pickInstance(fleet), kind.tasks, spec, hasByteOrderMark)
+  fleet.submit(pickInstance(fleet), kind.tasks, spec, { hasByteOrderMark })
 }
 
 function setMisbehaviour (endpoint: FencedEndpointModel, kind: 'slow' | 'hangs' | 'fails' | 'refuses', on: boolean): void {
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -14,6 +14,8 @@
  * is asked only when the update is late.
  */
 const REQUEST_DELAY_MS = 500
+/** The same while jobs wait for the version; an instance that the store does not serve notices this only later. */
+const REQUEST_DELAY_FOR_JOBS_MS = 150
 /** Minimum time between two requests to peers: a copy of half a megabyte must be able to arrive at a few Mbit/s. */
 const MIN_REQUEST_INTERVAL_MS = 1500
 
@@ -25,6 +27,8 @@
   /** The version that each peer named last. */
   private readonly peerVersions = new Map<InstanceId, number>()
   private behindSince: Ms | undefined
+  /** A peer whose jobs wait here for a newer version, with that version. */
+  private awaited: { readonly from: InstanceId, readonly version: number } | undefined
   private lastRequestAt = -Infinity
 
   constructor (private readonly ctx: ShardContext, private readonly send: SendToPeer, private readonly storeReachable: () => boolean) {}
@@ -35,17 +39,29 @@
     if (state.version <= before) return
     this.db.adopt(state)
     this.behindSince = undefined
+    if (this.awaited !== undefined && this.awaited.version <= state.version) this.awaited = undefined
     this.lastRequestAt = -Infinity
     this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length })
   }
 
   /** A peer mentioned its version. It is asked for a copy if the version is newer and the store does not deliver it in time. */
   peerVersionReceived (from: InstanceId, version: number): void {
+    this.peerVersions.set(from, version)
+    if (version > this.db.version()) this.requestIfOverdue(from, REQUEST_DELAY_MS)
+  }
+
+  /** A peer sent a job whose queue comes from the given version. If that is newer than the one in force, the job waits for it. */
+  jobReceived (from: InstanceId, version: number): void {
     this.peerVersions.set(from, version)
     if (version <= this.db.version()) return
+    this.awaited = { from, version }
+    this.requestIfOverdue(from, REQUEST_DELAY_FOR_JOBS_MS)
+  }
+
+  private requestIfOverdue (from: InstanceId, delayMs: number): void {
     const { now } = this.ctx
     this.behindSince ??= now
-    const isOverdue = !this.storeReachable() || now - this.behindSince >= REQUEST_DELAY_MS
+    const isOverdue = !this.storeReachable() || now - this.behindSince >= delayMs
     if (!isOverdue || now - this.lastRequestAt < MIN_REQUEST_INTERVAL_MS) return
     this.lastRequestAt = now
     this.send(from, { type: 'desiredRequest' })
@@ -61,8 +77,9 @@
     this.requesters.add(from)
   }
 
-  /** Sends the desired state to the peer that has waited longest. */
+  /** Requests a version for which jobs wait, and sends the desired state to the peer that has waited longest. */
   tick (): void {
+    if (this.awaited !== undefined) this.requestIfOverdue(this.awaited.from, REQUEST_DELAY_FOR_JOBS_MS)
     const [next] = this.requesters
     if (next === undefined || this.db.state === undefined) return
     this.requesters.delete(next)
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -63,6 +63,7 @@
       id: request.id,
       job: request,
       queue,
+      desiredVersion: this.desired.db.version(),
       receivedAt: now,
       callerDeadline: ms(now + deadlineMs),
       usefulUntil: ms(now + objectiveOf(queue, criticalPathOf(request.steps, estimateMs => estimateMs)) * cfg.usefulFactor),
@@ -248,7 +249,7 @@
     job.checkedAt = now
     job.attempt = ++this.lastAttempt
     job.copies++
-    const order = { job: job.job, queue: job.queue, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt()), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...resumed && job.earlierEndpoints !== undefined ? { earlierEndpoints: job.earlierEndpoints } : {}, ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
+    const order = { job: job.job, queue: job.queue, desiredVersion: job.desiredVersion, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt()), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...resumed && job.earlierEndpoints !== undefined ? { earlierEndpoints: job.earlierEndpoints } : {}, ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
     if (job.copies > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, copies: job.copies, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
     this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner) })
   }
--- a/packages/core/src/intake/types.ts
+++ b/packages/core/src/intake/types.ts
@@ -17,6 +17,8 @@
   readonly id: JobId
   readonly job: JobRequest
   readonly queue: QueueTerms
+  /** Version of the desired state that `queue` comes from. */
+  readonly desiredVersion: number
   readonly receivedAt: Ms
   readonly callerDeadline: Ms
   /** Time after which an answer is of no use to the caller. */
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -34,6 +34,9 @@
 /** A list to which endpoints were added, or from which they were removed, within this time before a takeover or since may lack some that run tasks of the earlier owner. */
 const LIST_DOUBT_MS = 5000
 
+/** Retry delay for a job whose queue was removed; its front has the newer version by then. */
+const REMOVED_QUEUE_RETRY_MS = ms(1000)
+
 /** Identity and settings of an instance. */
 export interface ShardInstanceOptions {
   readonly self: ShardSelf
@@ -85,6 +88,7 @@
       sendToFront: (front, message) => this.sendToFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
       attemptsChanged: jobs => this.shareAttempts(jobs),
+      isVersionInForce: job => this.isVersionInForce(job),
       earlierRunsKnown: job => this.earlierRunsKnown(job)
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, failureDomain => this.listAwaited(failureDomain), this.execution)
@@ -377,8 +381,11 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
+    if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion)
+    const order = this.underVersionInForce(message.order)
+    if (order === undefined) return this.declineWithoutQueue(front, message.order)
     const sentAt = this.sentAt(front.instance, message.ownerClock)
-    if (this.execution.submit(front, message.failureDomain, message.order, sentAt)) return
+    if (this.execution.submit(front, message.failureDomain, order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
     this.sendLoad(front.instance)
     const { job, attempt } = message.order
@@ -387,6 +394,35 @@
     this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...holder === front.instance ? { attempt } : {} })
   }
 
+  /**
+   * Returns whether this instance has the version from which a job has its queue. A task that it started before would show the effect of a version by which
+   * it does not treat its own callers.
+   */
+  private isVersionInForce ({ order }: OwnedJob): boolean {
+    return (order.desiredVersion ?? 0) <= this.desired.db.version()
+  }
+
+  /**
+   * Returns a job's order with the queue that the version in force here gives it, if its front has an older version. A job that an earlier owner
+   * may have started keeps its queue.
+   * @returns undefined if there is no such queue any more
+   */
+  private underVersionInForce (order: DispatchOrder): DispatchOrder | undefined {
+    const { job, queue, desiredVersion, resumed } = order
+    if (resumed || desiredVersion === undefined || desiredVersion >= this.desired.db.version() || this.execution.db.jobs.has(job.id)) return order
+    const current = this.desired.db.queueFor(queue.host, `${queue.prefix}${job.id}`)
+    return current === undefined ? undefined : { ...order, queue: current }
+  }
+
+  /** Declines a job whose queue was removed; its front learns of the newer version from the same connection, and then answers for itself. */
+  private declineWithoutQueue (front: FrontSession, { job, queue, attempt, desiredVersion }: DispatchOrder): void {
+    const { now, out } = this.ctx
+    out.log('job.withoutQueue', { job: job.id, front: front.instance, queue: queue.name, desiredVersion, versionInForce: this.desired.db.version() })
+    this.execution.db.keepDropped(job.id, front, attempt, true, now)
+    this.sendLoad(front.instance)
+    this.deliver(front.instance, { type: 'declined', jobId: job.id, attempt, retryAfterMs: REMOVED_QUEUE_RETRY_MS })
+  }
+
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
   private listAwaited (failureDomain: FailureDomain): boolean {
     const owned = this.ownership.db.owned.get(failureDomain)
--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -43,7 +43,7 @@
   { type: 'notOwner', jobId: '1', failureDomain: 'd', attempt: 1 },
   { type: 'checkJobs', failureDomain: 'd', jobIds: ['1'], ownerClock: { incarnation: 1, at: 1 } },
   { type: 'pong', incarnation: 1, owned: [{ ...OWNED, endpointsDigest: 7 }], others: [{ ...OWNED, owner: 'x', address: 'x', endpointsDigest: 7 }], desiredVersion: 1 },
-  { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: { ...ORDER, resumed: true, earlierEndpoints: [7] } },
+  { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: { ...ORDER, desiredVersion: 2, resumed: true, earlierEndpoints: [7] } },
   { type: 'moved', failureDomain: 'd', to: 'x', progress: [], endpointsDigest: 7 },
   { type: 'handover', failureDomain: 'd', revision: 3, rank: 1, endpoints: [ENDPOINT] }
 ]
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -16,7 +16,7 @@
  * - DRAIN: a task started on an endpoint that had been draining for too long
  * - BUDGET: a task that crashes its endpoints was started too often after it had crashed some of them
  * - UNASKED: a task started with another spec than its caller sent
- * - CONFIG: an instance went back to an older version of the desired state
+ * - CONFIG: an instance went back to an older version of the desired state, or handled a job as only an older one allows
  */
 export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'CONFIG'
 
@@ -39,6 +39,9 @@
   readonly doneTasks: Set<string>
 }
 
+/** Time after an instance has shown the effect of a version during which it may still handle jobs by an older one. */
+const ROLLBACK_GRACE_MS = 250
+
 /** Time after the report that an endpoint drains during which tasks may still start on it. */
 const DRAIN_GRACE_MS = 2000
 
@@ -70,6 +73,8 @@
   private readonly failuresByTask = new Map<string, number>()
   private readonly crashesByTask = new Map<string, CrashObservation>()
   private readonly desiredVersions = new Map<string, number>()
+  /** When each incarnation of an instance first showed the effect of a version, by version. */
+  private readonly shownVersions = new Map<string, Map<number, number>>()
 
   /** Records that a caller sent a job, for the first time or again. */
   recordSubmission (id: string, tasks: number, spec?: string): void {
@@ -168,6 +173,28 @@
     this.desiredVersions.set(incarnation, version)
   }
 
+  /** Records that an instance started a task of a queue that a version of the desired state has added. */
+  recordQueueUsed (incarnation: string, addedIn: number, at: number): void {
+    const shown = this.shownVersions.get(incarnation) ?? new Map<number, number>()
+    if (!shown.has(addedIn)) shown.set(addedIn, at)
+    this.shownVersions.set(incarnation, shown)
+  }
+
+  /** Records that an instance answered that there is no such queue, although a version has added it and none has removed it since. */
+  recordQueueDenied (incarnation: string, addedIn: number, sentAt: number, at: number): void {
+    if (this.hasShown(incarnation, addedIn, sentAt)) this.reportViolation('CONFIG', at, `${incarnation} knows no queue of version ${addedIn}, by which it has started tasks`)
+  }
+
+  /** Records that an instance started the first task of a job of a queue that a version has removed. */
+  recordRemovedQueueUsed (incarnation: string, removedIn: number, sentAt: number, at: number): void {
+    if (this.hasShown(incarnation, removedIn, sentAt)) this.reportViolation('CONFIG', at, `${incarnation} started a job of a queue that version ${removedIn} has removed, by which it has started tasks`)
+  }
+
+  /** @returns whether the instance had shown the effect of the version, or of a later one, for long enough when a job was sent */
+  private hasShown (incarnation: string, version: number, sentAt: number): boolean {
+    return [...this.shownVersions.get(incarnation) ?? []].some(([shown, at]) => shown >= version && sentAt - at > ROLLBACK_GRACE_MS)
+  }
+
   /** @returns the largest capacity that may still count; the time bound holds only for an instance that could have known better */
   private capacityOf (endpoint: FencedEndpointModel, at: number, starterHadSteadyContact: boolean): number {
     const countsFrom = starterHadSteadyContact ? at - SHRUNK_CAPACITY_GRACE_MS : -Infinity
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -123,6 +123,8 @@
 export interface DispatchOrder {
   readonly job: JobRequest
   readonly queue: QueueTerms
+  /** Version of the desired state that `queue` comes from. Absent in orders of earlier versions of this program. */
+  readonly desiredVersion?: number
   /** Time since the front received the job. */
   readonly ageMs: Ms
   /** Time until the caller stops waiting. */
