--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -16,6 +16,8 @@
 const QUEUE_CHANGES_SEEDS = [1, 2, 3, 4, 5, 6] as const
 /** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
 const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
+/** What `npm run fuzz:shard` plays. */
+const EVERYTHING_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, withHazards: true, withStrain: true, withMissingEntries: true, withEncodedJobs: true, withQueueChanges: true }
 /** Seeds that once violated an invariant, with the cause. */
 const REGRESSION_SEEDS: readonly { readonly seed: number, readonly cause: string, readonly load?: ScenarioLoad }[] = [
   { seed: 9314, cause: 'an instance took over that had read the endpoint list only once, while entries were missing' },
@@ -25,6 +27,7 @@
   { seed: 50159, cause: 'an endpoint that had restarted carried out a start whose task was placed elsewhere too' },
   { seed: 91039, cause: 'a new owner started tasks anew before the last entries of its domain had come back', load: STRAIN_LOAD },
   { seed: 14, cause: 'a new owner took runs that it had found for lost at the first hold without an answer', load: { ...STRAIN_LOAD, workFactor: 2 } },
+  { seed: 120019, cause: 'an owner went on with a resumed job of a queue that its version had removed before the job was sent', load: { ...EVERYTHING_LOAD, workFactor: 2 } },
   { seed: 99005, cause: 'an earlier owner started tasks at an endpoint that had restarted and forgotten the token', load: STRAIN_LOAD }
 ]
 /** A deliberate fault must show in one of this many scenarios. */
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -211,7 +211,7 @@
     apply: () => {
       const undoAdopt = replaceMethod(sample.desired, 'adopt', () => function (this: typeof sample.desired, ...args) {
         const [state] = args as unknown as Parameters<typeof sample.desired.adopt>
-        this.db.adopt(state)
+        this.db.adopt(state, (this as unknown as { ctx: typeof sample.ctx }).ctx.now)
       })
       const undoPeerVersionReceived = replaceMethod(sample.desired, 'peerVersionReceived', () => function (this: typeof sample.desired, ...args) {
         const [from, version] = args as unknown as Parameters<typeof sample.desired.peerVersionReceived>
--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -70,9 +70,10 @@
   it('are found by host and longest prefix, in the latest version only', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const { db } = new DesiredDecider(ctx, () => {}, () => true)
-    db.adopt(stateOf(1, [queue('h', '/a/'), queue('h', '/a/b/'), queue('i', '/a/')]))
+    db.adopt(stateOf(1, [queue('h', '/a/'), queue('h', '/a/b/'), queue('i', '/a/')]), ms(0))
     expect([db.queueFor('h', '/a/b/1')?.prefix, db.queueFor('h', '/a/1')?.prefix, db.queueFor('i', '/a/b/1')?.prefix, db.queueFor('j', '/a/1')]).to.deep.equal(['/a/b/', '/a/', '/a/', undefined])
-    db.adopt(stateOf(2, [queue('h', '/c/')]))
+    db.adopt(stateOf(2, [queue('h', '/c/')]), ms(5))
+    expect([db.newerSince(0), db.newerSince(1), db.newerSince(2)]).to.deep.equal([0, 5, undefined])
     expect([db.queueFor('h', '/a/1'), db.queueFor('h', '/c/1')?.prefix]).to.deep.equal([undefined, '/c/'])
   })
 })
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -37,7 +37,7 @@
   adopt (state: DesiredState, source: string): void {
     const before = this.db.version()
     if (state.version <= before) return
-    this.db.adopt(state)
+    this.db.adopt(state, this.ctx.now)
     this.behindSince = undefined
     if (this.awaited !== undefined && this.awaited.version <= state.version) this.awaited = undefined
     this.lastRequestAt = -Infinity
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -135,6 +135,12 @@
     this.resume(job, failureDomain, from)
   }
 
+  /** Called when an owner will not go on with a job, because its queue was removed before the job came here. Some of it may have run. */
+  queueRemoved (id: JobId, from: InstanceId): void {
+    const job = this.db.jobs.get(id)
+    if (job?.location.type === 'atOwner' && job.location.owner === from) this.giveUp(job)
+  }
+
   /** Called when a shard's owner leaves and reports which tasks are done of the jobs that its successor resumes, and the digest of its endpoints. */
   shardMoved (from: InstanceId, failureDomain: FailureDomain, progress: readonly JobProgress[], endpointsDigest?: number): void {
     const shard = this.sessions.db.shards.get(failureDomain)
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -181,7 +181,7 @@
       case 'cancelJob': return this.execution.cancel(message.jobId, from, message)
       case 'ended': return this.intake.ended(message.jobId, message.outcome)
       case 'declined': return this.intake.declined(message.jobId, from, message.attempt, message.retryAfterMs)
-      case 'notOwner': return this.intake.jobUnknownAtOwner(message.jobId, from, message.failureDomain, message.attempt)
+      case 'notOwner': return this.receiveNotOwner(from, message)
       case 'moved': return this.intake.shardMoved(from, message.failureDomain, message.progress, message.endpointsDigest)
       case 'handover': return this.receiveHandover(message)
       case 'desiredRequest': return this.receiveDesiredRequest(from, message.introduce === true)
@@ -353,6 +353,11 @@
     this.sendLoad(from)
   }
 
+  private receiveNotOwner (from: InstanceId, { jobId, failureDomain, attempt, queueRemoved }: Extract<ShardMessage, { type: 'notOwner' }>): void {
+    if (queueRemoved === true) this.intake.queueRemoved(jobId, from)
+    else this.intake.jobUnknownAtOwner(jobId, from, failureDomain, attempt)
+  }
+
   /** Takes over a shard with the endpoints of its owner, among which there may be some that this instance's list lacks. */
   private receiveHandover ({ failureDomain, revision, rank, endpoints = [] }: Extract<ShardMessage, { type: 'handover' }>): void {
     this.endpointList.learnFromOwner(endpoints)
@@ -383,7 +388,7 @@
     }
     if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion)
     const order = this.underVersionInForce(message.order)
-    if (order === undefined) return this.declineWithoutQueue(front, message.order)
+    if (order === undefined) return this.rejectWithoutQueue(front, message.failureDomain, message.order)
     const sentAt = this.sentAt(front.instance, message.ownerClock)
     if (this.execution.submit(front, message.failureDomain, order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
@@ -403,24 +408,30 @@
   }
 
   /**
-   * Returns a job's order with the queue that the version in force here gives it, if its front has an older version. A job that an earlier owner
-   * may have started keeps its queue.
+   * Returns a job's order with the queue that the version in force here gives it, if its front has an older version. A job that its front received
+   * before this instance had a newer one keeps its queue.
    * @returns undefined if there is no such queue any more
    */
   private underVersionInForce (order: DispatchOrder): DispatchOrder | undefined {
-    const { job, queue, desiredVersion, resumed } = order
-    if (resumed || desiredVersion === undefined || desiredVersion >= this.desired.db.version() || this.execution.db.jobs.has(job.id)) return order
+    const { job, queue, desiredVersion, ageMs } = order
+    const newerSince = desiredVersion === undefined ? undefined : this.desired.db.newerSince(desiredVersion)
+    if (newerSince === undefined || this.ctx.now - ageMs <= newerSince || this.execution.db.jobs.has(job.id)) return order
     const current = this.desired.db.queueFor(queue.host, `${queue.prefix}${job.id}`)
     return current === undefined ? undefined : { ...order, queue: current }
   }
 
-  /** Declines a job whose queue was removed; its front learns of the newer version from the same connection, and then answers for itself. */
-  private declineWithoutQueue (front: FrontSession, { job, queue, attempt, desiredVersion }: DispatchOrder): void {
+  /**
+   * Turns away a job whose queue was removed. If nothing of it has run, it is declined; its front learns of the newer version from the same connection, and then
+   * answers for itself. Otherwise the front gives it up.
+   */
+  private rejectWithoutQueue (front: FrontSession, failureDomain: FailureDomain, { job, queue, attempt, desiredVersion, resumed }: DispatchOrder): void {
     const { now, out } = this.ctx
-    out.log('job.withoutQueue', { job: job.id, front: front.instance, queue: queue.name, desiredVersion, versionInForce: this.desired.db.version() })
-    this.execution.db.keepDropped(job.id, front, attempt, true, now)
+    out.log('job.withoutQueue', { job: job.id, front: front.instance, queue: queue.name, desiredVersion, versionInForce: this.desired.db.version(), resumed })
+    this.execution.db.keepDropped(job.id, front, attempt, !resumed, now)
     this.sendLoad(front.instance)
-    this.deliver(front.instance, { type: 'declined', jobId: job.id, attempt, retryAfterMs: REMOVED_QUEUE_RETRY_MS })
+    this.deliver(front.instance, resumed
+      ? { type: 'notOwner', jobId: job.id, failureDomain, queueRemoved: true }
+      : { type: 'declined', jobId: job.id, attempt, retryAfterMs: REMOVED_QUEUE_RETRY_MS })
   }
 
   /** Returns whether this instance has just become the owner and its first reading of the list is still under way. */
--- a/packages/dispatcher/src/shard/messageCheck.spec.ts
+++ b/packages/dispatcher/src/shard/messageCheck.spec.ts
@@ -41,6 +41,7 @@
   { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: ORDER, ownerClock: { incarnation: 1, at: 1 }, time: 1 },
   { type: 'cancelJob', jobId: '1', incarnation: 1, attempt: 1 },
   { type: 'notOwner', jobId: '1', failureDomain: 'd', attempt: 1 },
+  { type: 'notOwner', jobId: '1', failureDomain: 'd', queueRemoved: true },
   { type: 'checkJobs', failureDomain: 'd', jobIds: ['1'], ownerClock: { incarnation: 1, at: 1 } },
   { type: 'pong', incarnation: 1, owned: [{ ...OWNED, endpointsDigest: 7 }], others: [{ ...OWNED, owner: 'x', address: 'x', endpointsDigest: 7 }], desiredVersion: 1 },
   { type: 'submit', incarnation: 1, address: 'a', failureDomain: 'd', order: { ...ORDER, desiredVersion: 2, resumed: true, earlierEndpoints: [7] } },
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -55,7 +55,7 @@
   cancelJob: { jobId: text, incarnation: optional(nonNegativeInteger), attempt: optional(nonNegativeInteger) },
   ended: { jobId: text, outcome: oneOf('completed', 'failed') },
   declined: { jobId: text, attempt: nonNegativeInteger, retryAfterMs: nonNegative },
-  notOwner: { jobId: text, failureDomain: text, attempt: optional(nonNegativeInteger) },
+  notOwner: { jobId: text, failureDomain: text, attempt: optional(nonNegativeInteger), queueRemoved: optional(flag) },
   moved: { failureDomain: text, to: text, progress: listOf(progress), endpointsDigest: optional(digest) },
   handover: { failureDomain: text, revision: nonNegativeInteger, rank: nonNegativeInteger, endpoints: optional(listOf(endpoint)) },
   desiredRequest: { introduce: optional(flag) },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -80,9 +80,10 @@
   | { readonly type: 'declined', readonly jobId: JobId, readonly attempt: number, readonly retryAfterMs: Ms }
   /**
    * The sender of this message does not own the shard or does not know the job. With `attempt`, it has not taken this copy, of which nothing runs or will
-   * run; absent in earlier versions.
+   * run; absent in earlier versions. `queueRemoved`: a version of the desired state has removed the job's queue, so no owner will run the job; absent in
+   * earlier versions.
    */
-  | { readonly type: 'notOwner', readonly jobId: JobId, readonly failureDomain: FailureDomain, readonly attempt?: number }
+  | { readonly type: 'notOwner', readonly jobId: JobId, readonly failureDomain: FailureDomain, readonly attempt?: number, readonly queueRemoved?: boolean }
   /**
    * The sender has given up the shard. `to` is the successor that continues the jobs, or the sender itself if it knows none. `endpointsDigest` is that of
    * the endpoints at which it may have runs; absent in earlier versions.
