--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -28,6 +28,7 @@
   { seed: 91039, cause: 'a new owner started tasks anew before the last entries of its domain had come back', load: STRAIN_LOAD },
   { seed: 14, cause: 'a new owner took runs that it had found for lost at the first hold without an answer', load: { ...STRAIN_LOAD, workFactor: 2 } },
   { seed: 120019, cause: 'an owner went on with a resumed job of a queue that its version had removed before the job was sent', load: { ...EVERYTHING_LOAD, workFactor: 2 } },
+  { seed: 123052, cause: 'an owner went on with the capacity that an endpoint had before its entry was missing', load: { ...EVERYTHING_LOAD, jobsPerSecond: 15, workFactor: 4 } },
   { seed: 99005, cause: 'an earlier owner started tasks at an endpoint that had restarted and forgotten the token', load: STRAIN_LOAD }
 ]
 /** A deliberate fault must show in one of this many scenarios. */
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -387,7 +387,7 @@
 
   private accept (job: OwnedJob): void {
     this.db.jobs.set(job.id, job)
-    if (job.order.resumed) this.ctx.out.log('job.resumed', { job: job.id, front: job.front.instance, tasksDone: job.order.done.length, tasksWithFaults: job.order.attempts?.length ?? 0, ageMs: Math.round(job.order.ageMs) })
+    if (job.order.resumed) this.ctx.out.log('job.resumed', { job: job.id, front: job.front.instance, tasksDone: job.order.done.length, tasksWithFaults: job.order.attempts?.length ?? 0, ageMs: Math.round(job.order.ageMs), earlierRunsKnown: this.ports.earlierRunsKnown(job), earlierEndpoints: job.order.earlierEndpoints?.join() ?? 'notReported' })
     for (const step of job.steps) {
       for (const task of step.tasks) {
         const run = this.endpoints.db.runOf(task.name)
