--- a/packages/bench/src/shard/queueChanges.spec.ts
+++ b/packages/bench/src/shard/queueChanges.spec.ts
@@ -53,6 +53,20 @@
   })
 })
 
+describe('an owner that has not heard of a version which changes nothing for a queue', () => {
+  it('starts jobs of that queue at once', () => {
+    for (const seed of SEEDS) {
+      const fleet = fleetOf(seed)
+      fleet.storeFaults.unservedInstances.add(OWNER)
+      fleet.changeDesiredState()
+      fleet.run(60)
+      fleet.submit(FRONT, 1, { cpuMilli: 4000, workMs: 40, fails: false })
+      fleet.run(500)
+      expect(fleet.jobs[0]?.latencyMs).to.be.lessThan(100)
+    }
+  })
+})
+
 describe('an owner with a newer version than a front that the store does not serve', () => {
   /** @returns the violations, and the replies to jobs */
   function play (): { readonly violations: string, readonly replies: ReadonlySet<string | undefined> } {
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -78,7 +78,7 @@
 
 /** A fault that shows together with the one above, or while a version takes long to arrive. */
 export function startUnderNewerVersions (): Undo {
-  return replaceMethod(sample, 'isVersionInForce', () => () => true)
+  return replaceMethod(sample, 'isQueueInForce', () => () => true)
 }
 
 /** Load with an owner that is cut off from the store and other domains while versions add and remove queues. */
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -50,10 +50,13 @@
     if (version > this.db.version()) this.requestIfOverdue(from, REQUEST_DELAY_MS)
   }
 
-  /** A peer sent a job whose queue comes from the given version. If that is newer than the one in force, the job waits for it. */
-  jobReceived (from: InstanceId, version: number): void {
+  /**
+   * A peer sent a job whose queue comes from the given version.
+   * @param waits - whether the job waits for that version
+   */
+  jobReceived (from: InstanceId, version: number, waits: boolean): void {
+    if (!waits) return this.peerVersionReceived(from, version)
     this.peerVersions.set(from, version)
-    if (version <= this.db.version()) return
     this.awaited = { from, version }
     this.requestIfOverdue(from, REQUEST_DELAY_FOR_JOBS_MS)
   }
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -55,7 +55,7 @@
       sendToFront: (_front, message) => this.sentToFronts.push(message),
       superseded: () => {},
       attemptsChanged: () => {},
-      isVersionInForce: () => true,
+      isQueueInForce: () => true,
       earlierRunsKnown: () => true
     })
     this.ledger = new EndpointsDecider(this.ctx, () => 1 as FencingToken, () => false, this.execution)
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -43,8 +43,8 @@
   superseded (failureDomain: FailureDomain, token: FencingToken): void
   /** Something new is known about attempts at tasks of these jobs, each with the front that has sent it, if this owner has the job. */
   attemptsChanged (jobs: ReadonlyMap<JobId, FrontSession | undefined>): void
-  /** Returns false while the desired state in force here is older than the version from which the job has its queue. */
-  isVersionInForce (job: OwnedJob): boolean
+  /** Returns false while the job has its queue from a newer version of the desired state, and the one in force here does not have that queue. */
+  isQueueInForce (job: OwnedJob): boolean
   /** Returns false while runs of an earlier owner may exist for the job that this owner has not yet seen. */
   earlierRunsKnown (job: OwnedJob): boolean
 }
@@ -189,7 +189,7 @@
     if (!anyFits(this.admission.db.waiting, largest)) return
     let mayStartPartially = true
     for (const job of this.admission.inStartOrder(this.ctx.now)) {
-      if (this.isConfirmationExpired(job) || !this.ports.isVersionInForce(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job))) continue
+      if (this.isConfirmationExpired(job) || !this.ports.isQueueInForce(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job))) continue
       const complete = smallestCpuNeed(job) <= largest && this.startTasks(job, candidates, mayStartPartially || job.firstStartAt !== undefined)
       if (!complete && job.firstStartAt === undefined) mayStartPartially = false
       if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -88,7 +88,7 @@
       sendToFront: (front, message) => this.sendToFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
       attemptsChanged: jobs => this.shareAttempts(jobs),
-      isVersionInForce: job => this.isVersionInForce(job),
+      isQueueInForce: job => this.isQueueInForce(job.order),
       earlierRunsKnown: job => this.earlierRunsKnown(job)
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, failureDomain => this.listAwaited(failureDomain), this.execution)
@@ -386,7 +386,7 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
-    if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion)
+    if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion, !this.isQueueInForce(message.order))
     const order = this.underVersionInForce(message.order)
     if (order === undefined) return this.rejectWithoutQueue(front, message.failureDomain, message.order)
     const sentAt = this.sentAt(front.instance, message.ownerClock)
@@ -400,11 +400,13 @@
   }
 
   /**
-   * Returns whether this instance has the version from which a job has its queue. A task that it started before would show the effect of a version by which
-   * it does not treat its own callers.
+   * Returns whether this instance knows the queue of a job as its front does. A task that it started otherwise would show the effect of a version by which
+   * it does not treat its own callers. It need not have that version if its own one has the same queue, so that a version that arrives late delays few jobs.
    */
-  private isVersionInForce ({ order }: OwnedJob): boolean {
-    return (order.desiredVersion ?? 0) <= this.desired.db.version()
+  private isQueueInForce ({ job, queue, desiredVersion }: DispatchOrder): boolean {
+    if ((desiredVersion ?? 0) <= this.desired.db.version()) return true
+    const own = this.desired.db.queueFor(queue.host, `${queue.prefix}${job.id}`)
+    return own !== undefined && own.prefix === queue.prefix && own.service === queue.service
   }
 
   /**
--- a/packages/dispatcher/src/peers/exactText.ts
+++ b/packages/dispatcher/src/peers/exactText.ts
@@ -11,7 +11,6 @@
 export type TextPatch = readonly [path: Path, literal: string]
 
 const BYTE_ORDER_MARK = '\uFEFF'
-const UNPAIRED_SURROGATE = /\p{Surrogate}/u
 const NON_ASCII = /[^\x20-\x7e]/g
 /** Nesting of the deepest message, a list of attempts at a job's tasks, with room for later versions. */
 const MAX_DEPTH = 16
@@ -21,7 +20,8 @@
   /** Returns the strings in a message that would arrive changed. */
   collect (message: object): TextPatch[] {
     const patches: TextPatch[] = []
-    collectFrom(message, [], patches)
+    // Nearly all messages have no such string, and this is called for each of them.
+    if (needsPatch(message, 0)) collectFrom(message, [], patches)
     return patches
   }
 
@@ -32,9 +32,21 @@
   }
 }
 
+function isChanged (text: string): boolean {
+  return text.startsWith(BYTE_ORDER_MARK) || !text.isWellFormed()
+}
+
+function needsPatch (value: unknown, depth: number): boolean {
+  if (typeof value === 'string') return isChanged(value)
+  if (typeof value !== 'object' || value === null || depth >= MAX_DEPTH) return false
+  const object = value as Record<string, unknown>
+  for (const key in object) if (needsPatch(object[key], depth + 1)) return true
+  return false
+}
+
 function collectFrom (value: unknown, path: Path, patches: TextPatch[]): void {
   if (typeof value === 'string') {
-    if (value.startsWith(BYTE_ORDER_MARK) || UNPAIRED_SURROGATE.test(value)) patches.push([path, literalOf(value)])
+    if (isChanged(value)) patches.push([path, literalOf(value)])
     return
   }
   if (typeof value !== 'object' || value === null || path.length >= MAX_DEPTH) return
