--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -51,6 +51,33 @@
   })
 })
 
+describe('a newer version for which the jobs of a peer wait', () => {
+  const OTHER = 'other' as InstanceId
+
+  /** Lets jobs of a peer wait for a version from the start, which another peer mentions too. @returns the requests, as peer and time */
+  function requests (forMs: number, storeReachable: boolean): string[] {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const sent: string[] = []
+    const desired = new DesiredDecider(ctx, to => sent.push(`${to} ${ctx.now}`), () => storeReachable)
+    desired.jobReceived(PEER, 2, true)
+    for (let at = 0; at < forMs; at += 50) {
+      ctx.now = ms(at)
+      desired.tick()
+      if (at > 0 && at % MENTION_PERIOD_MS === 0) desired.peerVersionReceived(OTHER, 2)
+    }
+    return sent
+  }
+
+  it('is requested from it at once without the store, and soon when the store does not deliver it', () => {
+    expect(requests(1000, false)).to.deep.equal(['peer 0'])
+    expect(requests(1000, true)).to.deep.equal(['peer 150'])
+  })
+
+  it('is requested from others when the peer does not answer', () => {
+    expect(requests(3000, false)).to.deep.equal(['peer 0', 'other 1500'])
+  })
+})
+
 describe('peers that request the desired state', () => {
   it('receive it one per tick, each once', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -27,8 +27,8 @@
   /** The version that each peer named last. */
   private readonly peerVersions = new Map<InstanceId, number>()
   private behindSince: Ms | undefined
-  /** A peer whose jobs wait here for a newer version, with that version. */
-  private awaited: { readonly from: InstanceId, readonly version: number } | undefined
+  /** A peer whose jobs wait here for a newer version, until it has been asked; it may be lost by then, so later requests go to whoever mentions the version. */
+  private toAskForJobs: InstanceId | undefined
   private lastRequestAt = -Infinity
 
   constructor (private readonly ctx: ShardContext, private readonly send: SendToPeer, private readonly storeReachable: () => boolean) {}
@@ -39,7 +39,7 @@
     if (state.version <= before) return
     this.db.adopt(state, this.ctx.now)
     this.behindSince = undefined
-    if (this.awaited !== undefined && this.awaited.version <= state.version) this.awaited = undefined
+    this.toAskForJobs = undefined
     this.lastRequestAt = -Infinity
     this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length })
   }
@@ -57,7 +57,7 @@
   jobReceived (from: InstanceId, version: number, waits: boolean): void {
     if (!waits) return this.peerVersionReceived(from, version)
     this.peerVersions.set(from, version)
-    this.awaited = { from, version }
+    this.toAskForJobs = from
     this.requestIfOverdue(from, REQUEST_DELAY_FOR_JOBS_MS)
   }
 
@@ -67,6 +67,7 @@
     const isOverdue = !this.storeReachable() || now - this.behindSince >= delayMs
     if (!isOverdue || now - this.lastRequestAt < MIN_REQUEST_INTERVAL_MS) return
     this.lastRequestAt = now
+    this.toAskForJobs = undefined
     this.send(from, { type: 'desiredRequest' })
   }
 
@@ -82,7 +83,7 @@
 
   /** Requests a version for which jobs wait, and sends the desired state to the peer that has waited longest. */
   tick (): void {
-    if (this.awaited !== undefined) this.requestIfOverdue(this.awaited.from, REQUEST_DELAY_FOR_JOBS_MS)
+    if (this.toAskForJobs !== undefined) this.requestIfOverdue(this.toAskForJobs, REQUEST_DELAY_FOR_JOBS_MS)
     const [next] = this.requesters
     if (next === undefined || this.db.state === undefined) return
     this.requesters.delete(next)
