Logs tell when an instance hears of a version, what it requests, and how reads of it ended

New: desired.heard, desired.requested, store.desiredRead, store.readFailed; behindMs in desired.inForce, newestVersion in job.refused. No decision changes.

--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -78,6 +78,22 @@
   })
 })
 
+describe('the log about a newer version', () => {
+  it('tells when a peer first named it, what was requested, and how long this instance was behind', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const desired = new DesiredDecider(ctx, () => {}, () => true)
+    desired.adopt(stateOf(1), 'store')
+    for (const at of [100, 300, 900]) {
+      ctx.now = ms(at)
+      desired.peerVersionReceived(PEER, 2)
+    }
+    desired.adopt(stateOf(2), 'store')
+    const lines = ctx.out.takeEffects().flatMap(effect => effect.type === 'log' ? [`${effect.event} ${String(effect.fields.version)} ${String(effect.fields.behindMs)}`] : [])
+    expect(lines.filter(line => line.startsWith('desired.heard'))).to.deep.equal(['desired.heard 2 undefined'])
+    expect(lines.at(-1)).to.equal('desired.inForce 2 800')
+  })
+})
+
 describe('peers that request the desired state', () => {
   it('receive it one per tick, each once', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -27,6 +27,8 @@
   /** The version that each peer named last. */
   private readonly peerVersions = new Map<InstanceId, number>()
   private behindSince: Ms | undefined
+  /** The newest version that a peer has named. */
+  private newestHeard = 0
   /** A peer whose jobs wait here for a newer version, until it has been asked; it may be lost by then, so later requests go to whoever mentions the version. */
   private toAskForJobs: InstanceId | undefined
   private lastRequestAt = -Infinity
@@ -37,16 +39,17 @@
   adopt (state: DesiredState, source: string): void {
     const before = this.db.version()
     if (state.version <= before) return
+    const behindMs = this.behindSince === undefined ? undefined : Math.round(this.ctx.now - this.behindSince)
     this.db.adopt(state, this.ctx.now)
     this.behindSince = undefined
     this.toAskForJobs = undefined
     this.lastRequestAt = -Infinity
-    this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length })
+    this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length, behindMs })
   }
 
   /** A peer mentioned its version. It is asked for a copy if the version is newer and the store does not deliver it in time. */
   peerVersionReceived (from: InstanceId, version: number): void {
-    this.peerVersions.set(from, version)
+    this.noteVersion(from, version)
     if (version > this.db.version()) this.requestIfOverdue(from, REQUEST_DELAY_MS)
   }
 
@@ -56,11 +59,18 @@
    */
   jobReceived (from: InstanceId, version: number, waits: boolean): void {
     if (!waits) return this.peerVersionReceived(from, version)
-    this.peerVersions.set(from, version)
+    this.noteVersion(from, version)
     this.toAskForJobs = from
     this.requestIfOverdue(from, REQUEST_DELAY_FOR_JOBS_MS)
   }
 
+  private noteVersion (from: InstanceId, version: number): void {
+    this.peerVersions.set(from, version)
+    if (version <= Math.max(this.newestHeard, this.db.version())) return
+    this.newestHeard = version
+    this.ctx.out.log('desired.heard', { version, versionInForce: this.db.version(), peer: from })
+  }
+
   private requestIfOverdue (from: InstanceId, delayMs: number): void {
     const { now } = this.ctx
     this.behindSince ??= now
@@ -68,9 +78,15 @@
     if (!isOverdue || now - this.lastRequestAt < MIN_REQUEST_INTERVAL_MS) return
     this.lastRequestAt = now
     this.toAskForJobs = undefined
+    this.ctx.out.log('desired.requested', { version: this.newestHeard, versionInForce: this.db.version(), peer: from, behindMs: Math.round(now - this.behindSince), storeReachable: this.storeReachable() })
     this.send(from, { type: 'desiredRequest' })
   }
 
+  /** Returns the newest version that is known to exist; a higher one than that in force is still on its way here. */
+  newestKnown (): number {
+    return Math.max(this.newestHeard, this.db.version())
+  }
+
   /** Returns whether a peer is not known to have the version that is in force here. */
   isBehind (peer: InstanceId): boolean {
     return (this.peerVersions.get(peer) ?? 0) < this.db.version()
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -365,7 +365,7 @@
   private refuseCall (callId: string, id: JobId, cause: RefusalCause, retryAfterMs: Ms): void {
     const { out } = this.ctx
     out.count('shard.jobs.refused')
-    out.log('job.refused', { job: id, cause, desiredVersion: this.desired.db.version() })
+    out.log('job.refused', { job: id, cause, desiredVersion: this.desired.db.version(), newestVersion: this.desired.newestKnown() })
     out.push({ type: 'reply', callId, reply: { type: 'refused', cause, retryAfterMs } })
   }
 }
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -18,7 +18,7 @@
 export type CallResult =
   | { readonly type: 'reply', readonly reply: HttpReply }
   | { readonly type: 'refused' }
-  | { readonly type: 'silent' }
+  | { readonly type: 'silent', /** Bytes of the answer's body that had arrived. */ readonly receivedBytes: number }
 
 /** Logs why a call failed in another way than by a refused connection or a timeout. */
 export type LogFailedCall = (address: string, reason: string) => void
@@ -81,7 +81,8 @@
   fail (err: unknown): void {
     const refused = isConnectionRefused(err)
     if (!refused && !this.finished) this.logFailure(err instanceof Error ? err.message : String(err))
-    this.finish({ type: refused ? 'refused' : 'silent' })
+    if (refused) this.finish({ type: 'refused' })
+    else this.finishSilent()
   }
 
   private recordProgress (): void {
@@ -99,10 +100,14 @@
 
   private timeOut (): void {
     if (this.finished) return
-    this.finish({ type: 'silent' })
+    this.finishSilent()
     this.abort()
   }
 
+  private finishSilent (): void {
+    this.finish({ type: 'silent', receivedBytes: this.chunks.reduce((sum, { length }) => sum + length, 0) })
+  }
+
   private abort (): void {
     this.controller?.abort(new Error('the call timed out'))
   }
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -71,10 +71,12 @@
     this.links = new LinkTask(self.instance, post, (peer, why) => this.log.write('warn', 'link.broken', { peer, why }))
     const failedCall: LogFailedCall = (address, reason) => this.log.writeRepeated('call.failed', `${address} ${reason}`, { address, reason })
     this.orders = new OrderTask(wires.endpoints, post, failedCall)
-    this.store = new StoreTask(wires.store, post, random, {
+    this.store = new StoreTask(wires.store, post, random, clock, {
       unreadable: (list, entries) => this.log.write('warn', 'store.unreadable', { list, entries }),
       unreadableEntry: (list, { key, reason }) => this.unreadableEntry(list, key, reason),
-      failedCall
+      failedCall,
+      failedRead: (list, { why, isWatch, tookMs, receivedBytes }) => this.log.write('warn', 'store.readFailed', { list, why, isWatch, tookMs, receivedBytes }),
+      desiredRead: (version, { isWatch, tookMs, receivedBytes }) => this.log.write('info', 'store.desiredRead', { version, isWatch, tookMs, receivedBytes })
     })
     this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path), this.reads)
     this.metrics = new MetricsServer(this.core.ctx.out.counters)
--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { EndpointReport } from '@cranberryyard/protocol'
+import { systemClock } from '@cranberryyard/protocol'
 import { listenHttp, sendJson } from '@cranberryyard/fakes'
 import type { ShardInput } from '@cranberryyard/core/shard'
 import { StoreTask } from './storeTask.js'
@@ -40,13 +41,15 @@
     const task = new StoreTask(stubStoreWire(`127.0.0.1:${server.port}`), (input) => {
       inputs.push(input.type)
       if (inputs.includes('endpoints') && inputs.includes('records') && logged.length === 2) resolveReported()
-    }, () => 0, {
+    }, () => 0, systemClock, {
       unreadable: (list, entries) => {
         logged.push(`${list} ${entries}`)
         if (inputs.includes('endpoints') && inputs.includes('records') && logged.length === 2) resolveReported()
       },
       unreadableEntry: (list, { key, reason }) => named.add(`${list} ${key}: ${reason}`),
-      failedCall: () => {}
+      failedCall: () => {},
+      failedRead: () => {},
+      desiredRead: () => {}
     })
     task.start()
     await allReported
@@ -56,6 +59,33 @@
     expect([...named]).to.have.members(['desiredState op: torn', 'endpoints one: torn', 'endpoints two: odd'])
   })
 
+  it('logs reads that gave nothing usable, with the reason, and the arrival of a version', async () => {
+    let served = 0
+    const server = await listenHttp(0, (_req, res) => sendJson(res, served++ < 6 ? 503 : 200, { text: 'x' }))
+    const failed = new Set<string>()
+    let resolveRead: (version: number) => void = () => {}
+    const read = new Promise<number>((resolve) => {
+      resolveRead = resolve
+    })
+    const wire: StoreWire = {
+      ...stubStoreWire(`127.0.0.1:${server.port}`),
+      parseDesired: ({ status }) => status === 503 ? { type: 'unavailable' } : { type: 'state', state: { version: 7, queues: [], services: [] }, asOf: 1, unreadable: undefined },
+      parseEndpoints: () => ({ type: 'unavailable' })
+    }
+    const task = new StoreTask(wire, () => {}, () => 0, systemClock, {
+      unreadable: () => {},
+      unreadableEntry: () => {},
+      failedCall: () => {},
+      failedRead: (list, { why, isWatch }) => failed.add(`${list} ${why} ${isWatch}`),
+      desiredRead: version => resolveRead(version)
+    })
+    task.start()
+    expect(await read).to.equal(7)
+    await task.close()
+    await server.close()
+    expect([...failed]).to.include.members(['desiredState status 503 false', 'endpoints status 503 false'])
+  })
+
   it('reads the list of endpoints at once, without allowing a stale read, when this instance becomes an owner', async () => {
     const server = await listenHttp(0, (req, res) => {
       if (req.url !== '/watch') sendJson(res, 200, {})
@@ -77,7 +107,7 @@
       if (input.type !== 'endpoints') return
       reportedFresh.push(input.fresh)
       resolveNextList()
-    }, () => 0, { unreadable: () => {}, unreadableEntry: () => {}, failedCall: () => {} })
+    }, () => 0, systemClock, { unreadable: () => {}, unreadableEntry: () => {}, failedCall: () => {}, failedRead: () => {}, desiredRead: () => {} })
     task.setPace('far')
     const first = nextList()
     task.start()
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -5,10 +5,10 @@
  */
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS } from '@cranberryyard/core/shard'
 import type { ListPace, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
-import type { EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
+import type { Clock, EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { HttpCaller } from './httpCaller.js'
-import type { LogFailedCall } from './httpCaller.js'
+import type { CallResult, LogFailedCall } from './httpCaller.js'
 import type { DesiredReadResult, HttpCall, HttpReply, Page, RecordEntry, StoreFailure, StoreWire, UnreadableEntry } from './wires.js'
 
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
@@ -40,6 +40,23 @@
   /** Called for each of these entries at each reading; bounds the number of lines. */
   readonly unreadableEntry: (list: StoreList, entry: UnreadableEntry) => void
   readonly failedCall: LogFailedCall
+  /** Called when a read gave nothing usable. */
+  readonly failedRead: (list: StoreList, read: FailedRead) => void
+  /** Called when a version of the desired state has arrived. */
+  readonly desiredRead: (version: number, read: TimedRead) => void
+}
+
+/** How long a read took. */
+export interface TimedRead {
+  readonly isWatch: boolean
+  readonly tookMs: number
+  /** Bytes of the answer's body that arrived. */
+  readonly receivedBytes: number
+}
+
+/** A read that gave nothing usable. `refused`: nothing listened; `silent`: the answer was not complete in time; `status ...`: what the store answered. */
+export interface FailedRead extends TimedRead {
+  readonly why: string
 }
 
 /** Reads, watches and writes the platform's store. */
@@ -55,7 +72,7 @@
   /** True until a read of the records that may not be stale has succeeded. */
   private requireFreshRecords = true
 
-  constructor (private readonly wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly log: StoreLog) {
+  constructor (private readonly wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog) {
     this.caller = new HttpCaller(MAX_STORE_CONNECTIONS, log.failedCall)
   }
 
@@ -109,8 +126,8 @@
     let failures = 0
     while (!this.closed) {
       const update = revision === undefined
-        ? await this.read(this.wire.readDesired(), READ_IDLE_TIMEOUT_MS, reply => this.wire.parseDesired(reply))
-        : await this.read(this.wire.watchDesired(revision, WATCH_WAIT_MS), ms(WATCH_WAIT_MS + WATCH_SLACK_MS), reply => this.wire.parseDesiredWatch(reply))
+        ? await this.readDesired(this.wire.readDesired(), READ_IDLE_TIMEOUT_MS, reply => this.wire.parseDesired(reply))
+        : await this.readDesired(this.wire.watchDesired(revision, WATCH_WAIT_MS), ms(WATCH_WAIT_MS + WATCH_SLACK_MS), reply => this.wire.parseDesiredWatch(reply), true)
       if (update.type === 'unavailable' || update.type === 'unknown') {
         await this.sleep(this.backoffMs(failures++))
         continue
@@ -120,6 +137,12 @@
     }
   }
 
+  private async readDesired (call: HttpCall, idleTimeoutMs: Ms, parse: (reply: HttpReply) => DesiredReadResult | StoreFailure, isWatch = false): Promise<DesiredReadResult | StoreFailure> {
+    const { parsed, ...timed } = await this.timedRead('desiredState', call, idleTimeoutMs, parse, isWatch)
+    if (parsed.type === 'state' && parsed.state !== undefined) this.log.desiredRead(parsed.state.version, timed)
+    return parsed
+  }
+
   /** @returns the revision from which to continue the watch, or undefined if the state must be read in full again */
   private handleDesired (update: DesiredReadResult): number | undefined {
     if (update.type === 'forgotten') return undefined
@@ -156,7 +179,7 @@
     let unreadable: readonly UnreadableEntry[] = []
     let after: string | undefined
     do {
-      const page = await this.read(makeCall(after), READ_IDLE_TIMEOUT_MS, parse)
+      const { parsed: page } = await this.timedRead(list, makeCall(after), READ_IDLE_TIMEOUT_MS, parse)
       if (page.type !== 'page') return undefined
       entries = [...entries, ...page.entries]
       unreadable = [...unreadable, ...page.unreadable]
@@ -166,11 +189,15 @@
     return entries
   }
 
-  private async read<T extends { readonly type: string }> (call: HttpCall, idleTimeoutMs: Ms, parse: (reply: HttpReply) => T | StoreFailure): Promise<T | StoreFailure> {
+  private async timedRead<T extends { readonly type: string }> (list: StoreList, call: HttpCall, idleTimeoutMs: Ms, parse: (reply: HttpReply) => T | StoreFailure, isWatch = false): Promise<TimedRead & { readonly parsed: T | StoreFailure }> {
+    const startedAt = this.clock.now()
     const result = await this.caller.call(this.wire.address, call, { idleTimeoutMs, totalTimeoutMs: READ_TOTAL_TIMEOUT_MS })
     const parsed: T | StoreFailure = result.type === 'reply' ? parse(result.reply) : { type: result.type === 'refused' ? 'unavailable' : 'unknown' }
-    this.recordOutcome(parsed.type !== 'unavailable' && parsed.type !== 'unknown')
-    return parsed
+    const ok = parsed.type !== 'unavailable' && parsed.type !== 'unknown'
+    this.recordOutcome(ok)
+    const timed = { isWatch, tookMs: Math.round(this.clock.now() - startedAt), receivedBytes: receivedBytes(result) }
+    if (!ok && !this.closed) this.log.failedRead(list, { ...timed, why: result.type === 'reply' ? `status ${result.reply.status}` : result.type })
+    return { ...timed, parsed }
   }
 
   private async write (call: HttpCall): Promise<ReturnType<StoreWire['parseWrite']>> {
@@ -217,3 +244,11 @@
     return new Promise(resolve => setTimeout(resolve, durationMs).unref())
   }
 }
+
+function receivedBytes (result: CallResult): number {
+  switch (result.type) {
+    case 'reply': return Buffer.byteLength(result.reply.body)
+    case 'silent': return result.receivedBytes
+    case 'refused': return 0
+  }
+}
