--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -81,6 +81,11 @@
   return replaceMethod(sample, 'isQueueInForce', () => () => true)
 }
 
+/** A fault that leaves an instance behind for as long as the store does not serve it. */
+export function requestNoVersions (): Undo {
+  return replaceMethod(sample.desired, 'requestIfOverdue', () => () => {})
+}
+
 /** Load with an owner that is cut off from the store and other domains while versions add and remove queues. */
 export const QUEUE_CHANGES_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withQueueChanges: true }
 
--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { DesiredState, FailureDomain, InstanceId, QueueName, QueueTerms, ServiceName } from '@cranberryyard/protocol'
+import type { DesiredState, FailureDomain, InstanceId, QueueName, QueueTerms, ServiceName, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { SHARD_DEFAULTS } from '../shard/settings.js'
 import { ShardOutbox } from '../shard/types.js'
@@ -78,6 +78,59 @@
   })
 })
 
+describe('a newer version that a peer shares a version with', () => {
+  const self = { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }
+
+  class Side {
+    readonly ctx: ShardContext = { self, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    readonly sent: ShardMessage[] = []
+    readonly desired = new DesiredDecider(this.ctx, (_to, message) => this.sent.push(message), () => true)
+  }
+
+  it('is requested as a change while the store is not late yet, from the tick', () => {
+    const { ctx, sent, desired } = new Side()
+    desired.adopt(stateOf(1), 'store')
+    desired.peerVersionReceived(PEER, 2)
+    for (let at = 0; at <= 400; at += 25) {
+      ctx.now = ms(at)
+      desired.tick()
+    }
+    expect(sent).to.deep.equal([{ type: 'desiredRequest', known: [1], changeOnly: true }, { type: 'desiredRequest', known: [1], changeOnly: true }])
+  })
+
+  it('arrives as a change and comes into force', () => {
+    const [peer, me] = [new Side(), new Side()]
+    for (const { desired } of [peer, me]) desired.adopt(stateOf(1, [queue('h', '/a/')]), 'store')
+    peer.desired.adopt(stateOf(3, [queue('h', '/a/'), queue('h', '/b/')]), 'store')
+    peer.desired.stateRequested(PEER, me.desired.versionsKept(), true)
+    const [answer] = peer.sent
+    if (answer?.type !== 'desiredChange') throw new Error('the peer has not sent a change')
+    expect(answer.change.queues.map(({ prefix }) => prefix)).to.deep.equal(['/b/'])
+    me.desired.changeReceived(answer.change, PEER)
+    expect([me.desired.db.version(), me.desired.db.queueFor('h', '/b/1')?.prefix]).to.deep.equal([3, '/b/'])
+  })
+
+  it('is requested whole when the change does not fit', () => {
+    const { sent, desired } = new Side()
+    desired.adopt(stateOf(1, [queue('h', '/a/')]), 'store')
+    desired.changeReceived({ from: 1, version: 2, queues: [], removed: [], services: [], digest: 5 }, PEER)
+    expect([desired.db.version(), sent]).to.deep.equal([1, [{ type: 'desiredRequest', known: [1] }]])
+  })
+
+  it('is not answered to a request for a change without a common version, and sent whole as a change to any other request that names versions', () => {
+    const { sent, desired } = new Side()
+    desired.adopt(stateOf(5, [queue('h', '/a/')]), 'store')
+    desired.stateRequested(PEER, [3], true)
+    desired.tick()
+    expect(sent).to.deep.equal([])
+    desired.stateRequested(PEER, [3])
+    desired.stateRequested('old' as InstanceId)
+    desired.tick()
+    desired.tick()
+    expect(sent.map(message => message.type === 'desiredChange' ? `change from ${message.change.from}` : message.type)).to.deep.equal(['change from 0', 'desired'])
+  })
+})
+
 describe('the log about a newer version', () => {
   it('tells when a peer first named it, what was requested, and how long this instance was behind', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -1,37 +1,47 @@
 /**
- * Decides which version of the desired state is in force and when to request one from a peer. New versions normally come
- * from the store. A peer is asked for its copy when the store is unreachable or late with a version that the peer mentions.
+ * Decides which version of the desired state is in force and what to request of peers. New versions normally come from the store. Peers name the
+ * versions that they have; a newer one is requested of them as its difference from a version that both hold, since the store sends every version
+ * whole, which takes long on a slow or busy link. A whole copy is requested when the store is unreachable or late.
  */
-import type { DesiredState, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
+import type { DesiredChange, DesiredState, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { DesiredDb } from './desiredDb.js'
+import { DesiredHistory } from './desiredHistory.js'
+import type { Requester } from './types.js'
 
 /** Sends a message to a peer. */
 export type SendToPeer = (to: InstanceId, message: ShardMessage) => void
 
-/**
- * Time for the store to deliver a version that a peer has mentioned. Its update is usually on the way already, so a peer
- * is asked only when the update is late.
- */
-const REQUEST_DELAY_MS = 500
+/** Time for the store to deliver a version that a peer has mentioned; its update is usually on the way already. */
+const CHANGE_REQUEST_DELAY_MS = 100
+/** Minimum time between two requests for a change; a round trip on a busy link. */
+const CHANGE_REQUEST_INTERVAL_MS = 300
+/** The delay before a whole copy is requested, which is as large as the store's. */
+const COPY_REQUEST_DELAY_MS = 500
 /** The same while jobs wait for the version; an instance that the store does not serve notices this only later. */
-const REQUEST_DELAY_FOR_JOBS_MS = 150
-/** Minimum time between two requests to peers: a copy of half a megabyte must be able to arrive at a few Mbit/s. */
-const MIN_REQUEST_INTERVAL_MS = 1500
+const COPY_REQUEST_DELAY_FOR_JOBS_MS = 150
+/** Minimum time between two requests for a whole copy: half a megabyte must be able to arrive at a few Mbit/s. */
+const COPY_REQUEST_INTERVAL_MS = 1500
+/** A change of more queues than this is sent like a whole copy, to one peer at a time. */
+const SMALL_CHANGE_QUEUES = 100
 
-/** Puts versions of the desired state in force and exchanges copies with peers. */
+/** Puts versions of the desired state in force and exchanges them with peers. */
 export class DesiredDecider {
   readonly db = new DesiredDb()
+  private readonly history = new DesiredHistory()
   /** Peers that wait for a copy. One is served per tick, because a state with many queues saturates a connection. */
-  private readonly requesters = new Set<InstanceId>()
+  private readonly requesters = new Map<InstanceId, Requester>()
   /** The version that each peer named last. */
   private readonly peerVersions = new Map<InstanceId, number>()
   private behindSince: Ms | undefined
   /** The newest version that a peer has named. */
   private newestHeard = 0
+  /** The peer that named a version newer than the one in force last. */
+  private newerAt: InstanceId | undefined
   /** A peer whose jobs wait here for a newer version, until it has been asked; it may be lost by then, so later requests go to whoever mentions the version. */
   private toAskForJobs: InstanceId | undefined
-  private lastRequestAt = -Infinity
+  private copyRequestedAt = -Infinity
+  private changeRequestedAt = -Infinity
 
   constructor (private readonly ctx: ShardContext, private readonly send: SendToPeer, private readonly storeReachable: () => boolean) {}
 
@@ -40,17 +50,28 @@
     const before = this.db.version()
     if (state.version <= before) return
     const behindMs = this.behindSince === undefined ? undefined : Math.round(this.ctx.now - this.behindSince)
-    this.db.adopt(state, this.ctx.now)
+    this.db.adopt(this.history.keep(state), this.ctx.now)
     this.behindSince = undefined
+    this.newerAt = undefined
     this.toAskForJobs = undefined
-    this.lastRequestAt = -Infinity
+    this.copyRequestedAt = -Infinity
+    this.changeRequestedAt = -Infinity
     this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length, behindMs })
   }
 
-  /** A peer mentioned its version. It is asked for a copy if the version is newer and the store does not deliver it in time. */
+  /** Puts the version in force to which a difference leads. If it does not fit here, a whole copy is requested instead. */
+  changeReceived (change: DesiredChange, from: InstanceId): void {
+    if (change.version <= this.db.version()) return
+    const state = this.history.apply(change)
+    if (state !== undefined) return this.adopt(state, from)
+    this.ctx.out.log('desired.changeUnusable', { version: change.version, changeFrom: change.from, versionInForce: this.db.version(), peer: from }, 'warn')
+    if (change.from !== 0) this.requestCopy(from)
+  }
+
+  /** A peer mentioned its version. It is asked for it if the version is newer and the store does not deliver it in time. */
   peerVersionReceived (from: InstanceId, version: number): void {
     this.noteVersion(from, version)
-    if (version > this.db.version()) this.requestIfOverdue(from, REQUEST_DELAY_MS)
+    if (version > this.db.version()) this.requestIfOverdue(from, COPY_REQUEST_DELAY_MS)
   }
 
   /**
@@ -61,25 +82,47 @@
     if (!waits) return this.peerVersionReceived(from, version)
     this.noteVersion(from, version)
     this.toAskForJobs = from
-    this.requestIfOverdue(from, REQUEST_DELAY_FOR_JOBS_MS)
+    this.requestIfOverdue(from, COPY_REQUEST_DELAY_FOR_JOBS_MS)
   }
 
   private noteVersion (from: InstanceId, version: number): void {
     this.peerVersions.set(from, version)
-    if (version <= Math.max(this.newestHeard, this.db.version())) return
+    if (version > this.db.version()) this.newerAt = from
+    if (version <= this.newestKnown()) return
     this.newestHeard = version
     this.ctx.out.log('desired.heard', { version, versionInForce: this.db.version(), peer: from })
   }
 
-  private requestIfOverdue (from: InstanceId, delayMs: number): void {
+  private requestIfOverdue (from: InstanceId, copyDelayMs: number): void {
     const { now } = this.ctx
     this.behindSince ??= now
-    const isOverdue = !this.storeReachable() || now - this.behindSince >= delayMs
-    if (!isOverdue || now - this.lastRequestAt < MIN_REQUEST_INTERVAL_MS) return
-    this.lastRequestAt = now
+    const behindMs = now - this.behindSince
+    const storeIsLate = !this.storeReachable() || behindMs >= copyDelayMs
+    if (storeIsLate && now - this.copyRequestedAt >= COPY_REQUEST_INTERVAL_MS) this.requestCopy(from)
+    else if (behindMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(from)
+  }
+
+  private requestCopy (from: InstanceId): void {
+    this.copyRequestedAt = this.ctx.now
+    this.changeRequestedAt = this.ctx.now
     this.toAskForJobs = undefined
-    this.ctx.out.log('desired.requested', { version: this.newestHeard, versionInForce: this.db.version(), peer: from, behindMs: Math.round(now - this.behindSince), storeReachable: this.storeReachable() })
-    this.send(from, { type: 'desiredRequest' })
+    this.request(from, false)
+  }
+
+  private requestChange (from: InstanceId): void {
+    this.changeRequestedAt = this.ctx.now
+    if (this.db.state !== undefined) this.request(from, true)
+  }
+
+  private request (from: InstanceId, changeOnly: boolean): void {
+    const { out, now } = this.ctx
+    out.log('desired.requested', { version: this.newestHeard, versionInForce: this.db.version(), peer: from, changeOnly, behindMs: Math.round(now - (this.behindSince ?? now)), storeReachable: this.storeReachable() })
+    this.send(from, { type: 'desiredRequest', known: this.versionsKept(), ...changeOnly ? { changeOnly } : {} })
+  }
+
+  /** Returns the versions to which a peer may send a difference. */
+  versionsKept (): number[] {
+    return this.history.versions()
   }
 
   /** Returns the newest version that is known to exist; a higher one than that in force is still on its way here. */
@@ -92,17 +135,26 @@
     return (this.peerVersions.get(peer) ?? 0) < this.db.version()
   }
 
-  /** A peer requests the desired state; `tick` answers it. */
-  stateRequested (from: InstanceId): void {
-    this.requesters.add(from)
+  /** A peer requests the desired state. It gets a small change at once, and anything larger from `tick`. */
+  stateRequested (peer: InstanceId, known?: readonly number[], changeOnly = false): void {
+    const change = known === undefined ? undefined : this.history.changeSince(known)
+    if (change === undefined && changeOnly) return
+    if (change !== undefined && change.queues.length + change.removed.length <= SMALL_CHANGE_QUEUES) this.send(peer, { type: 'desiredChange', change })
+    else this.requesters.set(peer, { peer, known })
   }
 
-  /** Requests a version for which jobs wait, and sends the desired state to the peer that has waited longest. */
+  /** Requests a version that is overdue, and sends the desired state to the peer that has waited longest. */
   tick (): void {
-    if (this.toAskForJobs !== undefined) this.requestIfOverdue(this.toAskForJobs, REQUEST_DELAY_FOR_JOBS_MS)
-    const [next] = this.requesters
+    if (this.toAskForJobs !== undefined) this.requestIfOverdue(this.toAskForJobs, COPY_REQUEST_DELAY_FOR_JOBS_MS)
+    else if (this.newerAt !== undefined) this.requestIfOverdue(this.newerAt, COPY_REQUEST_DELAY_MS)
+    const [next] = this.requesters.values()
     if (next === undefined || this.db.state === undefined) return
-    this.requesters.delete(next)
-    this.send(next, { type: 'desired', state: this.db.state })
+    this.requesters.delete(next.peer)
+    this.sendTo(next, this.db.state)
+  }
+
+  private sendTo ({ peer, known }: Requester, state: DesiredState): void {
+    const change = known === undefined ? undefined : this.history.changeSince(known) ?? this.history.wholeState()
+    this.send(peer, change === undefined ? { type: 'desired', state } : { type: 'desiredChange', change })
   }
 }
--- a/packages/core/src/introduction/introductionDecider.ts
+++ b/packages/core/src/introduction/introductionDecider.ts
@@ -27,6 +27,14 @@
 /** Returns what is missing at present. */
 export type GetMissing = () => Missing
 
+/** The versions of the desired state that this instance has. */
+export interface DesiredVersions {
+  /** Returns the version in force, or 0 before the first. */
+  readonly inForce: () => number
+  /** Returns the versions to which a peer may send a difference. */
+  readonly kept: () => readonly number[]
+}
+
 /** Asks peers for what a new instance lacks. */
 export class IntroductionDecider {
   /** Addresses to ask, in turn. */
@@ -39,7 +47,7 @@
   private readonly requestedOf = new Set<string>()
 
   /** @param seeds - addresses of instances that may be stale, down or this instance's own */
-  constructor (private readonly ctx: ShardContext, seeds: readonly string[], private readonly missing: GetMissing, private readonly desiredVersion: () => number) {
+  constructor (private readonly ctx: ShardContext, seeds: readonly string[], private readonly missing: GetMissing, private readonly desired: DesiredVersions) {
     this.addresses = seeds.filter(address => address !== ctx.self.address)
   }
 
@@ -64,13 +72,13 @@
     const address = this.addresses[this.nextIndex] as string
     this.nextIndex = (this.nextIndex + 1) % this.addresses.length
     this.askedAt = now
-    this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion() })
+    this.send(address, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desired.inForce() })
     const { desiredState, records, endpoints } = this.missing()
     if ((!desiredState && !records && !endpoints) || now - this.stateRequestedAt < STATE_REQUEST_INTERVAL_MS || this.requestedOf.has(address)) return
     this.stateRequestedAt = now
     this.requestedOf.add(address)
     if (this.requestedOf.size >= this.addresses.length) this.requestedOf.clear()
-    this.send(address, { type: 'desiredRequest', introduce: records || endpoints })
+    this.send(address, { type: 'desiredRequest', introduce: records || endpoints, known: this.desired.kept() })
   }
 
   private send (address: string, message: ShardMessage): void {
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -95,7 +95,7 @@
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, (to, message) => this.deliver(to, message))
-    this.introduction = new IntroductionDecider(ctx, seeds, () => this.missing(), () => this.desired.db.version())
+    this.introduction = new IntroductionDecider(ctx, seeds, () => this.missing(), { inForce: () => this.desired.db.version(), kept: () => this.desired.versionsKept() })
   }
 
   /**
@@ -184,9 +184,10 @@
       case 'notOwner': return this.receiveNotOwner(from, message)
       case 'moved': return this.intake.shardMoved(from, message.failureDomain, message.progress, message.endpointsDigest)
       case 'handover': return this.receiveHandover(message)
-      case 'desiredRequest': return this.receiveDesiredRequest(from, message.introduce === true)
+      case 'desiredRequest': return this.receiveDesiredRequest(from, message)
       case 'introduction': return this.receiveIntroduction(message)
       case 'desired': return this.desired.adopt(message.state, from)
+      case 'desiredChange': return this.desired.changeReceived(message.change, from)
     }
   }
 
@@ -194,8 +195,8 @@
    * Answers a peer that lacks the desired state, and tells a new one that could not read the store what it needs to own a shard, and to tell others the
    * same: once every instance has been restarted while the store is down, only what they told each other is left.
    */
-  private receiveDesiredRequest (from: InstanceId, introduce: boolean): void {
-    if (!introduce || this.desired.isBehind(from)) this.desired.stateRequested(from)
+  private receiveDesiredRequest (from: InstanceId, { introduce = false, known, changeOnly }: Extract<ShardMessage, { type: 'desiredRequest' }>): void {
+    if (!introduce || this.desired.isBehind(from)) this.desired.stateRequested(from, known, changeOnly)
     const { members, records, recordsRead } = this.ownership.db
     if (!introduce || !recordsRead) return
     this.sessions.send(from, { type: 'introduction', members: [...members.values()], shards: [...records.values()], endpoints: this.endpointList.reports() })
--- a/packages/dispatcher/src/peers/peerCodec.ts
+++ b/packages/dispatcher/src/peers/peerCodec.ts
@@ -7,6 +7,7 @@
 import { Encoder, decode } from '@msgpack/msgpack'
 import type { InstanceId, MemberEntry, PeerMessage, ShardMessage } from '@cranberryyard/protocol'
 import { ExactText } from './exactText.js'
+import { packQueues, unpackQueues } from './packedQueues.js'
 import type { TextPatch } from './exactText.js'
 
 /** Any message that one instance sends to another. */
@@ -72,7 +73,7 @@
 
 /**
  * Reads an envelope from a value that MessagePack has decoded already. Checks only the outer form: the message may have
- * any fields. Throws when the entries of a gossip message are not arrays.
+ * any fields. Throws when the entries of a gossip message are not arrays, or packed queues cannot be unpacked.
  * @param wire - the decoded value
  * @returns sender and message, or undefined when the value is not an envelope
  */
@@ -83,7 +84,7 @@
     const message = wire[1] as AnyPeerMessage | undefined
     if (typeof message?.type !== 'string') return undefined
     exactText.restore(message, wire[3])
-    return { from, message }
+    return { from, message: message.type === 'desiredChange' ? unpackQueues(message) : message }
   }
   const [, fleetVersion, entries] = wire as [InstanceId, number, readonly WireEntry[]]
   return { from, message: { type: 'gossip', fleetVersion, entries: entries.map(entryFromWire) } }
@@ -91,8 +92,9 @@
 
 function toWire (from: InstanceId, message: AnyPeerMessage): WireMessage {
   if (message.type === 'gossip') return [from, message.fleetVersion, message.entries.map(entryToWire)]
-  const patches = exactText.collect(message)
-  return patches.length === 0 ? [from, message] : [from, message, null, patches]
+  const sent = message.type === 'desiredChange' ? packQueues(message) : message
+  const patches = exactText.collect(sent)
+  return patches.length === 0 ? [from, sent] : [from, sent, null, patches]
 }
 
 function entryToWire (entry: MemberEntry): WireEntry {
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -41,7 +41,9 @@
 const queue = object({ name: text, host: text, prefix: text, service: text, priority: finiteNumber, maxAttempts: nonNegativeInteger, stretch: nonNegative, latencyObjectiveMs: nonNegative, needsAdvice: flag })
 const attempts = optional(listOf(object({ task: text, attempts: listOf(object({ run: text, fault: oneOf('failed', 'crashed', 'crashedAlone', 'silent', 'outOfReach') })) })))
 const order = object({ job, queue, desiredVersion: optional(nonNegativeInteger), ageMs: finiteNumber, remainingMs: finiteNumber, attempt: nonNegativeInteger, resumed: flag, done: listOf(text), lastChance: optional(flag), attempts, earlierEndpoints: optional(listOf(digest)) })
-const state = object({ version: nonNegativeInteger, queues: listOf(queue), services: listOf(object({ name: text, guardsCapacity: flag })) })
+const services = listOf(object({ name: text, guardsCapacity: flag }))
+const state = object({ version: nonNegativeInteger, queues: listOf(queue), services })
+const change = object({ from: nonNegativeInteger, version: nonNegativeInteger, queues: listOf(queue), removed: listOf(object({ name: text, host: text, prefix: text })), services, digest: nonNegativeInteger })
 const member = object({ instance: text, incarnation: nonNegativeInteger, failureDomain: text, address: text, cpuMilli: nonNegative })
 const endpoint = object({ id: text, service: text, address: text, failureDomain: text, draining: flag, capacity: resources, labels: listOf(text), bornAt: finiteNumber })
 const progress = object({ jobId: text, done: listOf(text) })
@@ -58,9 +60,10 @@
   notOwner: { jobId: text, failureDomain: text, attempt: optional(nonNegativeInteger), queueRemoved: optional(flag) },
   moved: { failureDomain: text, to: text, progress: listOf(progress), endpointsDigest: optional(digest) },
   handover: { failureDomain: text, revision: nonNegativeInteger, rank: nonNegativeInteger, endpoints: optional(listOf(endpoint)) },
-  desiredRequest: { introduce: optional(flag) },
+  desiredRequest: { introduce: optional(flag), known: optional(listOf(nonNegativeInteger)), changeOnly: optional(flag) },
   introduction: { members: listOf(member), shards: listOf(object({ revision: nonNegativeInteger, value: object({ failureDomain: text, owner: member, successors: listOf(text) }) })), endpoints: listOf(endpoint) },
-  desired: { state }
+  desired: { state },
+  desiredChange: { change }
 }
 
 const CHECK_BY_TYPE = new Map<string, Check>(Object.entries(CHECKS).map(([type, checks]) => [type, object(checks)]))
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -16,7 +16,7 @@
  * - DRAIN: a task started on an endpoint that had been draining for too long
  * - BUDGET: a task that crashes its endpoints was started too often after it had crashed some of them
  * - UNASKED: a task started with another spec than its caller sent
- * - CONFIG: an instance went back to an older version of the desired state, or handled a job as only an older one allows
+ * - CONFIG: an instance went back to an older version of the desired state, or handled a job as only an older one allows, after it had shown a newer one or had had time to get it
  */
 export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'CONFIG'
 
@@ -185,6 +185,14 @@
     if (this.hasShown(incarnation, addedIn, sentAt)) this.reportViolation('CONFIG', at, `${incarnation} knows no queue of version ${addedIn}, by which it has started tasks`)
   }
 
+  /**
+   * Records that a job was handled as only a version before the given one allows, although all instances that it was sent to had had time to get that version.
+   * @param ageMs - how long the version had been published when the job was sent
+   */
+  recordLateVersion (instance: string, version: number, ageMs: number, at: number): void {
+    this.reportViolation('CONFIG', at, `${instance} handled a job without version ${version}, which had been published ${Math.round(ageMs)} ms before the job was sent`)
+  }
+
   /** Records that an instance started the first task of a job of a queue that a version has removed. */
   recordRemovedQueueUsed (incarnation: string, removedIn: number, sentAt: number, at: number): void {
     if (this.hasShown(incarnation, removedIn, sentAt)) this.reportViolation('CONFIG', at, `${incarnation} started a job of a queue that version ${removedIn} has removed, by which it has started tasks`)
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -60,6 +60,25 @@
   readonly services: readonly ServiceTerms[]
 }
 
+/** Names a queue within one version of the desired state. */
+export type QueueKey = Pick<QueueTerms, 'name' | 'host' | 'prefix'>
+
+/** The difference between two versions of the desired state. */
+export interface DesiredChange {
+  /** Version from which the difference starts; 0 for the empty state. */
+  readonly from: number
+  /** Version to which it leads. */
+  readonly version: number
+  /** Queues that are new or have other terms. */
+  readonly queues: readonly QueueTerms[]
+  /** Queues that are gone. */
+  readonly removed: readonly QueueKey[]
+  /** All services of the version to which it leads. */
+  readonly services: readonly ServiceTerms[]
+  /** Digest of all queues of that version. */
+  readonly digest: number
+}
+
 /** What an endpoint reports about itself. */
 export interface EndpointReport {
   readonly id: EndpointId
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -2,7 +2,7 @@
  * Messages between owners of shards (the endpoints of a failure domain) and fronts, the instances that accept jobs from
  * callers and forward them to owners. Member names are sent as they are.
  */
-import type { DesiredState, DispatchOrder, EndpointReport, FencingToken, JobId, MemberRecord, Revised, ShardRecord, TaskAttempts } from './dispatch.js'
+import type { DesiredChange, DesiredState, DispatchOrder, EndpointReport, FencingToken, JobId, MemberRecord, Revised, ShardRecord, TaskAttempts } from './dispatch.js'
 import type { FailureDomain, InstanceId } from './ids.js'
 import type { Ms } from './clock.js'
 
@@ -91,8 +91,14 @@
   | { readonly type: 'moved', readonly failureDomain: FailureDomain, readonly to: InstanceId, readonly progress: readonly JobProgress[], readonly endpointsDigest?: number }
   /** The owner asks its successor to take over the shard immediately. `endpoints` are those at which it may have runs; absent in earlier versions. */
   | { readonly type: 'handover', readonly failureDomain: FailureDomain, readonly revision: number, readonly rank: number, readonly endpoints?: readonly EndpointReport[] }
-  /** `introduce`: the sender has just started and could not read the store; it wants an `introduction` too. Absent in earlier versions. */
-  | { readonly type: 'desiredRequest', readonly introduce?: boolean }
+  /**
+   * Requests the desired state. `introduce`: the sender has just started and could not read the store; it wants an `introduction` too. `known`: versions that
+   * the sender holds, so it takes a `desiredChange` in place of a `desired`. `changeOnly`: it wants no answer if the receiver holds none of these. All three
+   * are absent in earlier versions.
+   */
+  | { readonly type: 'desiredRequest', readonly introduce?: boolean, readonly known?: readonly number[], readonly changeOnly?: boolean }
   /** What a new instance needs to take part while the store does not answer: the records, and the endpoints of its failure domain. */
   | { readonly type: 'introduction', readonly members: readonly MemberRecord[], readonly shards: readonly Revised<ShardRecord>[], readonly endpoints: readonly EndpointReport[] }
   | { readonly type: 'desired', readonly state: DesiredState }
+  /** Answer to a request with `known`. */
+  | { readonly type: 'desiredChange', readonly change: DesiredChange }
