A version is requested in turn of all peers that have it

Cause: requests went to the peer that had named the version last, again and again, also while it was out of reach. Change: a peer that was asked comes again only after all others that have the version.

--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -98,6 +98,19 @@
     expect(sent).to.deep.equal([{ type: 'desiredRequest', known: [1], changeOnly: true }, { type: 'desiredRequest', known: [1], changeOnly: true }])
   })
 
+  it('is requested of the peers that have it in turn, as one of them may be out of reach', () => {
+    const { ctx, desired } = new Side()
+    const asked: string[] = []
+    const turns = new DesiredDecider(ctx, to => asked.push(to), () => true)
+    for (const decider of [desired, turns]) decider.adopt(stateOf(1), 'store')
+    for (const peer of ['a', 'b', 'c'] as InstanceId[]) turns.peerVersionReceived(peer, peer === 'b' ? 1 : 2)
+    for (let at = 0; at < 1400; at += 25) {
+      ctx.now = ms(at)
+      turns.tick()
+    }
+    expect(asked).to.deep.equal(['c', 'a', 'c', 'a', 'c'])
+  })
+
   it('arrives as a change and comes into force', () => {
     const [peer, me] = [new Side(), new Side()]
     for (const { desired } of [peer, me]) desired.adopt(stateOf(1, [queue('h', '/a/')]), 'store')
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -40,6 +40,8 @@
   private newerAt: InstanceId | undefined
   /** A peer whose jobs wait here for a newer version, until it has been asked; it may be lost by then, so later requests go to whoever mentions the version. */
   private toAskForJobs: InstanceId | undefined
+  /** Peers of which the newer version was requested since all that have it were. */
+  private readonly asked = new Set<InstanceId>()
   private copyRequestedAt = -Infinity
   private changeRequestedAt = -Infinity
 
@@ -54,6 +56,7 @@
     this.behindSince = undefined
     this.newerAt = undefined
     this.toAskForJobs = undefined
+    this.asked.clear()
     this.copyRequestedAt = -Infinity
     this.changeRequestedAt = -Infinity
     this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length, behindMs })
@@ -98,8 +101,16 @@
     this.behindSince ??= now
     const behindMs = now - this.behindSince
     const storeIsLate = !this.storeReachable() || behindMs >= copyDelayMs
-    if (storeIsLate && now - this.copyRequestedAt >= COPY_REQUEST_INTERVAL_MS) this.requestCopy(from)
-    else if (behindMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(from)
+    if (storeIsLate && now - this.copyRequestedAt >= COPY_REQUEST_INTERVAL_MS) this.requestCopy(this.holderAfter(from))
+    else if (behindMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(this.holderAfter(from))
+  }
+
+  /** Returns the peer to ask: the one given, or another one that has a newer version, if it has been asked already; it may be out of reach. */
+  private holderAfter (from: InstanceId): InstanceId {
+    if (!this.asked.has(from)) return from
+    const others = [...this.peerVersions].filter(([peer, version]) => version > this.db.version() && !this.asked.has(peer))
+    if (others.length === 0) this.asked.clear()
+    return others[0]?.[0] ?? from
   }
 
   private requestCopy (from: InstanceId): void {
@@ -117,6 +128,7 @@
   private request (from: InstanceId, changeOnly: boolean): void {
     const { out, now } = this.ctx
     out.log('desired.requested', { version: this.newestHeard, versionInForce: this.db.version(), peer: from, changeOnly, behindMs: Math.round(now - (this.behindSince ?? now)), storeReachable: this.storeReachable() })
+    this.asked.add(from)
     this.send(from, { type: 'desiredRequest', known: this.versionsKept(), ...changeOnly ? { changeOnly } : {} })
   }
 
