An instance that knows of a newer version does not answer that there is no queue

What callers saw: 404 for a queue that had been added, from an instance that had heard of the version which adds it. Change: the answer is 503 with Retry-After while a newer version is known to exist, and for requests about jobs also before the first version (until now 404). What the instance does not know it does not deny; the caller's next attempt reaches another instance or finds the version. New logs: cause outdatedState in job.refused, job.requestRefused for requests about a job.

--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -21,7 +21,7 @@
   return { id: id as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(estimateMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
 }
 
-function setUp (): { ctx: ShardContext, intake: IntakeDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
+function setUp (): { ctx: ShardContext, intake: IntakeDecider, desired: DesiredDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
   const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   const sessions = new SessionsDecider(ctx, () => 3, { peerLost: () => {}, peerRecovered: () => {} })
   const desired = new DesiredDecider(ctx, () => {}, () => true)
@@ -31,7 +31,7 @@
   const sent: ShardMessage[] = []
   const intake = new IntakeDecider(ctx, desired, sessions, new AttemptsDecider(ctx), (_to, message) => sent.push(message))
   const replies = (): CallerReply[] => ctx.out.takeEffects().flatMap(effect => effect.type === 'reply' ? [effect.reply] : [])
-  return { ctx, intake, sessions, sent, replies }
+  return { ctx, intake, desired, sessions, sent, replies }
 }
 
 const types = (messages: readonly ShardMessage[]): string[] => messages.map(message => message.type)
@@ -53,6 +53,22 @@
     expect(replies().map(reply => reply.type === 'refused' && reply.cause)).to.deep.equal(['noQueue', 'unsupported'])
   })
 
+  it('does not say that there is no queue while a newer version, which may have added it, is on its way', () => {
+    const { intake, desired, replies } = setUp()
+    desired.peerVersionReceived('peer' as InstanceId, STATE.version + 2)
+    intake.submit('c1', 'h', '/other/a', job('a'), ms(1500))
+    expect(replies().map(reply => reply.type === 'refused' && reply.cause)).to.deep.equal(['outdatedState'])
+    expect([intake.refusalFor('h', '/other/a')?.cause, intake.refusalFor('h', '/q/a')]).to.deep.equal(['outdatedState', undefined])
+    desired.adopt({ ...STATE, version: STATE.version + 2 }, 'store')
+    expect(intake.refusalFor('h', '/other/a')?.cause).to.equal('noQueue')
+  })
+
+  it('does not say that there is no queue before it has a desired state', () => {
+    const { ctx, sessions } = setUp()
+    const intake = new IntakeDecider(ctx, new DesiredDecider(ctx, () => {}, () => true), sessions, new AttemptsDecider(ctx), () => {})
+    expect(intake.refusalFor('h', '/q/a')?.cause).to.equal('noDesiredState')
+  })
+
   it('ignores a decline of an earlier copy: the later one may have started', () => {
     const { intake, sent, replies } = setUp()
     intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -4,7 +4,7 @@
  * separate from execution, which takes place at the shard's owner: a job thus survives the loss of its owner, and can go to
  * another failure domain while its own has no free capacity.
  */
-import type { ClockReading, FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, ShardMessage } from '@cranberryyard/protocol'
+import type { ClockReading, FailureDomain, InstanceId, JobId, JobOutcome, JobProgress, JobRequest, Ms, QueueTerms, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import type { DesiredDecider } from '../desired/desiredDecider.js'
@@ -54,9 +54,8 @@
       this.db.addCall(known, callId)
       return
     }
-    if (this.desired.db.state === undefined) return this.refuseCall(callId, request.id, 'noDesiredState', NO_OWNER_RETRY_MS)
-    const queue = this.desired.db.queueFor(host, path)
-    if (queue === undefined) return this.refuseCall(callId, request.id, 'noQueue', NO_OWNER_RETRY_MS)
+    const queue = this.findQueue(host, path)
+    if (typeof queue === 'string') return this.refuseCall(callId, request.id, queue, NO_OWNER_RETRY_MS)
     if (request.features.length > 0 || queue.needsAdvice) return this.refuseCall(callId, request.id, 'unsupported', UNSUPPORTED_RETRY_MS)
     if (!this.endsBeforeLeaving(request)) return this.refuseCall(callId, request.id, 'leaving', LEAVING_RETRY_MS)
     const job: FrontedJob = {
@@ -83,6 +82,20 @@
     this.place(job)
   }
 
+  /** Returns why a request about a job, such as one for its state, is refused; undefined if its queue is known. */
+  refusalFor (host: string, path: string): Extract<CallerReply, { type: 'refused' }> | undefined {
+    const cause = this.findQueue(host, path)
+    if (typeof cause !== 'string') return undefined
+    this.ctx.out.log('job.requestRefused', { path, cause, desiredVersion: this.desired.db.version(), newestVersion: this.desired.newestKnown() })
+    return { type: 'refused', cause, retryAfterMs: NO_OWNER_RETRY_MS }
+  }
+
+  /** Returns the queue of a path, or why there is none. That no version has it can only be said by the newest one that is known to exist. */
+  private findQueue (host: string, path: string): QueueTerms | RefusalCause {
+    if (this.desired.db.state === undefined) return 'noDesiredState'
+    return this.desired.db.queueFor(host, path) ?? (this.desired.newestKnown() > this.desired.db.version() ? 'outdatedState' : 'noQueue')
+  }
+
   /** Called when a caller's connection ended before its reply; cancels the job once no call waits for it. */
   callerLeft (callId: string): void {
     const job = this.db.jobOfCall(callId)
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -20,7 +20,7 @@
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { ShardSettings } from './settings.js'
 import { ShardOutbox } from './types.js'
-import type { CallerReads, ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
+import type { CallerReads, CallerReply, ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
 
 /** Minimum time between two registrations; the list of members that shows the last one may be a few seconds old. */
 const MIN_REGISTRATION_INTERVAL_MS = 5000
@@ -130,9 +130,9 @@
     return !this.ownership.owns() && this.intake.db.jobs.size === 0
   }
 
-  /** Returns whether the desired state has a queue for the path. */
-  hasQueue (host: string, path: string): boolean {
-    return this.desired.db.queueFor(host, path) !== undefined
+  /** Returns the answer to a request about a job whose queue this instance does not know; undefined if it knows the queue. */
+  refusalFor (host: string, path: string): Extract<CallerReply, { type: 'refused' }> | undefined {
+    return this.intake.refusalFor(host, path)
   }
 
   private dispatch (input: ShardInput): void {
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -58,8 +58,8 @@
   readonly endedAt: Ms
 }
 
-/** Why a job was refused. No part of it has run or will run. */
-export type RefusalCause = 'noDesiredState' | 'noQueue' | 'unsupported' | 'noOwner' | 'overloaded' | 'cannotFit' | 'leaving'
+/** Why a job was refused. No part of it has run or will run. `outdatedState`: there is no such queue here, but a newer version, which may have it, is still on its way. */
+export type RefusalCause = 'noDesiredState' | 'outdatedState' | 'noQueue' | 'unsupported' | 'noOwner' | 'overloaded' | 'cannotFit' | 'leaving'
 
 /** Answer to a caller. */
 export type CallerReply =
--- a/packages/dispatcher/src/shard/jobServerTask.spec.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.spec.ts
@@ -20,7 +20,6 @@
   answer: () => ({ status: 200, headers: {}, body: '{}' }),
   answerMalformed: () => ({ status: 400, headers: {}, body: '{}' }),
   answerTooLarge: () => ({ status: 413, headers: {}, body: '{}' }),
-  answerNoQueue: () => ({ status: 404, headers: {}, body: '{}' }),
   answerUnknownJob: () => ({ status: 410, headers: {}, body: '{}' }),
   answerWaitingCount: () => ({ status: 200, headers: {}, body: '{}' })
 }
@@ -29,7 +28,7 @@
 async function inputsWithTick (leave: (caller: Socket) => void): Promise<string[]> {
   const inputs: string[] = []
   const reads = new SocketReads(systemClock)
-  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => true, reads)
+  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => undefined, reads)
   const caller = connect(await listen(task.callers, '127.0.0.1', 0), '127.0.0.1')
   caller.on('error', () => {})
   caller.write(REQUEST)
@@ -50,7 +49,7 @@
 /** Sends a request on a connection that the server reads only after the caller has done something more. @returns the types of the inputs */
 async function inputsOf (andThen: (caller: Socket) => void): Promise<string[]> {
   const inputs: string[] = []
-  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => true, new SocketReads(systemClock))
+  const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => undefined, new SocketReads(systemClock))
   const holding = createServer({ pauseOnConnect: true })
   const caller = connect(await listen(holding, '127.0.0.1', 0), '127.0.0.1')
   caller.on('error', () => {})
@@ -77,6 +76,16 @@
     expect(await inputsWithTick(caller => caller.resetAndDestroy())).to.deep.equal(['submit', 'callerLeft', 'tick'])
   })
 
+  it('answers a request about a job with the refusal of its queue, if there is one', async () => {
+    const wire: CallerWire = { ...WIRE, read: (_method, path) => ({ type: 'state', path }), answer: reply => ({ status: reply.type === 'refused' ? 503 : 200, headers: {}, body: '{}' }) }
+    const task = new JobServerTask(wire, () => {}, (_host, path) => path === '/new/1' ? { type: 'refused', cause: 'outdatedState', retryAfterMs: ms(1000) } : undefined, new SocketReads(systemClock))
+    const port = await listen(task.callers, '127.0.0.1', 0)
+    const statuses = await Promise.all(['/new/1', '/q/1'].map(async path => (await fetch(`http://127.0.0.1:${port}${path}`)).status))
+    task.callers.close()
+    task.callers.closeAllConnections()
+    expect(statuses).to.deep.equal([503, 410])
+  })
+
   it('submits no job of a caller that had left before its request was read', async () => {
     expect(await inputsOf(caller => caller.destroySoon())).to.deep.equal([])
     expect(await inputsOf(caller => setTimeout(() => caller.resetAndDestroy(), SETTLED_MS / 4))).to.deep.equal([])
--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -3,7 +3,7 @@
  * callers that disconnect before their answer. Sockets and body limits stay here, so that the decision logic in `core`
  * knows a call only by its id.
  */
-import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
+import type { CallerReply, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import { ms } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { makePlainServer } from '../utils/plainServer.js'
@@ -17,8 +17,8 @@
 /** Largest request body; a few times the size of a job with the longest text. */
 const MAX_BODY_BYTES = 1_048_576
 
-/** Whether a path at a host belongs to a queue. */
-export type HasQueue = (host: string, path: string) => boolean
+/** Returns the answer to a request for a path of a queue that is not known; undefined if it is known. */
+export type GetRefusal = (host: string, path: string) => CallerReply | undefined
 
 /** Serves callers and readiness probes. */
 export class JobServerTask {
@@ -29,7 +29,7 @@
   private ready = false
   private leaving = false
 
-  constructor (private readonly wire: CallerWire, private readonly post: (input: ShardInput) => void, private readonly hasQueue: HasQueue, private readonly reads: SocketReads) {
+  constructor (private readonly wire: CallerWire, private readonly post: (input: ShardInput) => void, private readonly refusalFor: GetRefusal, private readonly reads: SocketReads) {
     this.callers = makePlainServer(SENDER_TIMEOUT_MS, (req, res) => this.receive(req, res))
     this.readiness = makePlainServer(SENDER_TIMEOUT_MS, (req, res) => {
       req.resume()
@@ -79,8 +79,13 @@
     const request = this.wire.read(req.method ?? 'GET', req.url ?? '/', req.headers, body)
     if (request.type === 'malformed') this.send(res, this.wire.answerMalformed(request.message))
     else if (request.type === 'submit') this.submit(res, host, request)
-    else if (!this.hasQueue(host, request.path)) this.send(res, this.wire.answerNoQueue())
-    else this.send(res, request.type === 'waitingCount' ? this.wire.answerWaitingCount(0) : this.wire.answerUnknownJob())
+    else this.answerAboutJob(res, request.type, this.refusalFor(host, request.path))
+  }
+
+  /** Answers a request about a job; no job is known once it has ended, and none waits unseen. */
+  private answerAboutJob (res: ServerResponse, type: 'state' | 'cancel' | 'waitingCount', refusal: CallerReply | undefined): void {
+    if (refusal !== undefined) this.send(res, this.wire.answer(refusal))
+    else this.send(res, type === 'waitingCount' ? this.wire.answerWaitingCount(0) : this.wire.answerUnknownJob())
   }
 
   /**
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -78,7 +78,7 @@
       failedRead: (list, { why, isWatch, tookMs, receivedBytes }) => this.log.write('warn', 'store.readFailed', { list, why, isWatch, tookMs, receivedBytes }),
       desiredRead: (version, { isWatch, tookMs, receivedBytes }) => this.log.write('info', 'store.desiredRead', { version, isWatch, tookMs, receivedBytes })
     })
-    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.hasQueue(host, path), this.reads)
+    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.refusalFor(host, path), this.reads)
     this.metrics = new MetricsServer(this.core.ctx.out.counters)
   }
 
--- a/packages/dispatcher/src/shard/wires.ts
+++ b/packages/dispatcher/src/shard/wires.ts
@@ -111,7 +111,6 @@
   answer (reply: CallerReply): CallerAnswer
   answerMalformed (message: string): CallerAnswer
   answerTooLarge (): CallerAnswer
-  answerNoQueue (): CallerAnswer
   answerUnknownJob (): CallerAnswer
   answerWaitingCount (count: number): CallerAnswer
 }
