Fuzzing: versions of a large state over narrow links, and a bound on the time to force

fuzz:shard read the desired state from a store that delivers every version within 50 ms, and only asked whether an instance goes back. So no run could show a version that is late. New: links that take their time for every byte, a load with versions of 1,001 queues, and a check that an instance in contact with the store and its domain handles no job by a version replaced more than 2 s before.

--- a/packages/bench/src/shard/narrowLinks.spec.ts
+++ b/packages/bench/src/shard/narrowLinks.spec.ts
@@ -1,19 +1,14 @@
 import { expect } from 'chai'
-import type { InstanceId, QueueName, QueueTerms } from '@cranberryyard/protocol'
-import { DEFAULT_QUEUE, ShardFleet } from './shardFleet.js'
+import type { InstanceId } from '@cranberryyard/protocol'
+import { largeStateOptions } from './largeStates.js'
+import { ShardFleet } from './shardFleet.js'
 
 const TASK = { cpuMilli: 4000, workMs: 40, fails: false }
-const BYTES_PER_MS = 60
 const INSTANCES = ['a-0', 'a-1', 'a-2', 'b-0', 'b-1', 'b-2'] as InstanceId[]
 
-/** Queues that no job uses; they make the whole state large. */
-function unusedQueues (count: number): QueueTerms[] {
-  return Array.from({ length: count }, (_, i) => ({ ...DEFAULT_QUEUE, name: `unused-${i}` as QueueName, prefix: `/unused-${i}/` }))
-}
-
 /** A fleet with a state of 1,000 queues, which takes 3 s over the links of two of its instances, one of which has the strongest processor of its domain. */
 function fleetWithNarrowLinks (seed: number): ShardFleet {
-  const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 4, seed, queues: [DEFAULT_QUEUE, ...unusedQueues(1000)], narrowLinks: { instances: ['a-2', 'b-1'], bytesPerMs: BYTES_PER_MS } })
+  const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 4, seed, ...largeStateOptions(['a-2', 'b-1']) })
   fleet.run(12_000)
   return fleet
 }
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -560,7 +560,9 @@
     process.readingVersion = state.version
     const { incarnation } = process
     this.time.after(this.transferMs(link, () => JSON.stringify(state).length * BASE64_FACTOR), () => {
-      if (process.incarnation === incarnation && this.canReachStore(process)) this.post(process, { type: 'desired', state })
+      if (process.incarnation !== incarnation) return
+      if (this.canReachStore(process)) this.post(process, { type: 'desired', state })
+      else process.readingVersion = 0
     })
   }
 
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -86,6 +86,13 @@
   return replaceMethod(sample.desired, 'requestIfOverdue', () => () => {})
 }
 
+/** A fault that shows at an instance which waits for a version, as above. */
+export function denyQueuesOnTheirWay (): Undo {
+  return replaceMethod(sample.desired, 'newestKnown', () => function (this: typeof sample.desired) {
+    return this.db.version()
+  })
+}
+
 /** Load with an owner that is cut off from the store and other domains while versions add and remove queues. */
 export const QUEUE_CHANGES_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withQueueChanges: true }
 
@@ -95,6 +102,9 @@
 /** Load of which some specs arrive changed unless they are protected. */
 export const ENCODED_LOAD: ScenarioLoad = { jobsPerSecond: 30, withEncodedJobs: true }
 
+/** Load with versions that take longer than they may over the links of some instances. */
+export const LARGE_STATES_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withLargeStates: true }
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -153,6 +163,23 @@
     load: QUEUE_CHANGES_LOAD,
     apply: keepVersionsOfFronts
   },
+  {
+    name: 'instances send each other whole versions',
+    breaks: ['CONFIG'],
+    load: LARGE_STATES_LOAD,
+    apply: () => replaceMethod(sample.desired, 'stateRequested', original => function (this: typeof sample.desired, ...args) {
+      return original.apply(this, args.slice(0, 1))
+    })
+  },
+  {
+    name: 'an instance that waits for a version denies the queues that it adds',
+    breaks: ['CONFIG'],
+    load: LARGE_STATES_LOAD,
+    apply: () => {
+      const undo = [requestNoVersions(), denyQueuesOnTheirWay()]
+      return () => undo.forEach(step => step())
+    }
+  },
   {
     name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -6,6 +6,7 @@
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
 import { addQueueChanges } from './queueChanges.js'
+import { addLargeStateChanges, largeStateOptions } from './largeStates.js'
 import { addMissingEntries } from './missingEntries.js'
 import { addStrains } from './strains.js'
 
@@ -176,6 +177,8 @@
   readonly withEncodedJobs?: boolean
   /** Adds versions that add and remove queues while an owner is cut off from the store. */
   readonly withQueueChanges?: boolean
+  /** Adds versions of a large desired state on a fleet with narrow links. */
+  readonly withLargeStates?: boolean
 }
 
 /**
@@ -184,8 +187,8 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false }: ScenarioLoad): ScenarioResult {
-  const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs })
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false }: ScenarioLoad): ScenarioResult {
+  const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs, ...withLargeStates ? largeStateOptions(DOMAINS.map(domain => `${domain}-2`)) : {} })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
   const submitUntil = fleet.time.now + faultyMs + FAULT_FREE_MS
@@ -206,6 +209,7 @@
   if (withStrain) addStrains(fleet, faultsUntil)
   if (withMissingEntries) addMissingEntries(fleet, faultsUntil)
   if (withQueueChanges) addQueueChanges(fleet, faultsUntil)
+  if (withLargeStates) addLargeStateChanges(fleet, submitUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
