A watch that failed is followed by short ones until the store answers

An instance counts as in contact 3 s after an outage; its peers have the version sooner only if their calls were at another point. Cause: an open watch was taken for a sign that news would arrive. Change: after a failure the watch waits 50 ms, and is given up after 0.8 s, then 1.6 s.

--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -86,6 +86,34 @@
     expect([...failed]).to.include.members(['desiredState status 503 false', 'endpoints status 503 false'])
   })
 
+  it('has a version soon after a store that was silent answers again, also when a call is on its way then', async () => {
+    const callsOnTheWay = 4
+    let watches = 0
+    let backAt = Infinity
+    const server = await listenHttp(0, (req, res) => {
+      if (req.url !== '/watch') return sendJson(res, 200, {})
+      // The store answers again right after it has let the last of these calls pass unanswered.
+      if (++watches === callsOnTheWay) backAt = performance.now()
+      if (watches > callsOnTheWay) sendJson(res, 200, {})
+    })
+    const wire: StoreWire = {
+      ...stubStoreWire(`127.0.0.1:${server.port}`),
+      parseDesired: () => ({ type: 'state', state: undefined, asOf: 1, unreadable: undefined }),
+      parseDesiredWatch: () => ({ type: 'state', state: { version: 2, queues: [], services: [] }, asOf: 2, unreadable: undefined })
+    }
+    const heardAt = await new Promise<number>((resolve) => {
+      const task = new StoreTask(wire, (input) => {
+        if (input.type !== 'desired') return
+        void task.close()
+        resolve(performance.now())
+      }, () => 1, systemClock, { unreadable: () => {}, unreadableEntry: () => {}, failedCall: () => {}, failedRead: () => {}, desiredRead: () => {} })
+      task.start()
+    })
+    await server.close()
+    // An instance counts as in contact with the store 3 s after the end of an outage (bound of the platform).
+    expect(heardAt - backAt).to.be.lessThan(3000)
+  }).timeout(30_000)
+
   it('reads the list of endpoints at once, without allowing a stale read, when this instance becomes an owner', async () => {
     const server = await listenHttp(0, (req, res) => {
       if (req.url !== '/watch') sendJson(res, 200, {})
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -17,6 +17,10 @@
 const WATCH_WAIT_MS = ms(2000)
 /** Time that a watch may take beyond its wait before it counts as failed. */
 const WATCH_SLACK_MS = 400
+/** The same after a watch that failed: a short one shows soon whether the store answers again. */
+const PROBE_WAIT_MS = ms(50)
+/** Longest time without data during such a watch. */
+const PROBE_TIMEOUT_MAX_MS = 1600
 /** Longest time without data during a read; a slow store answers within a few hundred milliseconds. */
 const READ_IDLE_TIMEOUT_MS = ms(800)
 /** Longest time until a read is complete: 1 MB, the largest value or page, takes 8 s at 1 Mbit/s. */
@@ -127,7 +131,7 @@
     while (!this.closed) {
       const update = revision === undefined
         ? await this.readDesired(this.wire.readDesired(), READ_IDLE_TIMEOUT_MS, reply => this.wire.parseDesired(reply))
-        : await this.readDesired(this.wire.watchDesired(revision, WATCH_WAIT_MS), ms(WATCH_WAIT_MS + WATCH_SLACK_MS), reply => this.wire.parseDesiredWatch(reply), true)
+        : await this.watchFrom(revision, failures)
       if (update.type === 'unavailable' || update.type === 'unknown') {
         await this.sleep(this.backoffMs(failures++))
         continue
@@ -137,6 +141,16 @@
     }
   }
 
+  /**
+   * Waits for a change since a revision. After a failure it waits only briefly and gives up sooner, since a store that was silent answers no open watch when
+   * it is back; the second failure leaves more time, for a busy link.
+   */
+  private watchFrom (revision: number, failures: number): Promise<DesiredReadResult | StoreFailure> {
+    const watchTimeoutMs = WATCH_WAIT_MS + WATCH_SLACK_MS
+    const [waitMs, timeoutMs] = failures === 0 ? [WATCH_WAIT_MS, watchTimeoutMs] : [PROBE_WAIT_MS, Math.min(PROBE_TIMEOUT_MAX_MS, READ_IDLE_TIMEOUT_MS * failures)]
+    return this.readDesired(this.wire.watchDesired(revision, waitMs), ms(timeoutMs), reply => this.wire.parseDesiredWatch(reply), true)
+  }
+
   private async readDesired (call: HttpCall, idleTimeoutMs: Ms, parse: (reply: HttpReply) => DesiredReadResult | StoreFailure, isWatch = false): Promise<DesiredReadResult | StoreFailure> {
     const { parsed, ...timed } = await this.timedRead('desiredState', call, idleTimeoutMs, parse, isWatch)
     if (parsed.type === 'state' && parsed.state !== undefined) this.log.desiredRead(parsed.state.version, timed)
