An instance stops acting by a version that was replaced long ago, while it hears from peers that have the newer one

What callers saw: a job run for a queue that a version had removed more than configApplyMs before. Cause: nothing bounded the age of the version by which an instance acts. An instance that knew that it was behind went on without limit. Change: pings and pongs carry how long their sender has known its version to exist. An instance whose version was replaced more than half of configApplyMs ago answers 503 with Retry-After, until it has the version or has heard of it from nobody for 3 s: cut off, it serves by what it has. Earlier versions send no age; theirs counts from its mention.

--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -144,6 +144,30 @@
   })
 })
 
+describe('the age of a version', () => {
+  it('counts from when the first instance heard of it, whoever passes it on', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
+    const desired = new DesiredDecider(ctx, () => {}, () => true)
+    desired.adopt(stateOf(1), 'store')
+    ctx.now = ms(5000)
+    desired.peerVersionReceived(PEER, 2, ms(300))
+    desired.peerVersionReceived('other' as InstanceId, 2, ms(900))
+    ctx.now = ms(6000)
+    desired.adopt(stateOf(2), PEER)
+    expect([desired.inForce(), desired.isOverdue()]).to.deep.equal([{ desiredVersion: 2, desiredAgeMs: 1900 }, false])
+  })
+
+  it('of a version between the one in force and the newest leaves the instance behind', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
+    const desired = new DesiredDecider(ctx, () => {}, () => true)
+    desired.adopt(stateOf(1), 'store')
+    desired.peerVersionReceived(PEER, 3, ms(400))
+    desired.adopt(stateOf(2), 'store')
+    ctx.now = ms(1700)
+    expect(desired.isOverdue()).to.equal(true)
+  })
+})
+
 describe('the log about a newer version', () => {
   it('tells when a peer first named it, what was requested, and how long this instance was behind', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -4,6 +4,7 @@
  * whole, which takes long on a slow or busy link. A whole copy is requested when the store is unreachable or late.
  */
 import type { DesiredChange, DesiredState, InstanceId, Ms, ShardMessage } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 import { DesiredDb } from './desiredDb.js'
 import { DesiredHistory } from './desiredHistory.js'
@@ -22,6 +23,10 @@
 const COPY_REQUEST_DELAY_FOR_JOBS_MS = 150
 /** Minimum time between two requests for a whole copy: half a megabyte must be able to arrive at a few Mbit/s. */
 const COPY_REQUEST_INTERVAL_MS = 1500
+/** Part of the time in which a version has to be in force after which an instance without it stops to act; the rest is for the version's way to the first peer. */
+const OVERDUE_SHARE = 0.5
+/** How long after the last mention of a newer version an instance still counts as in contact with those that have it. Without contact it serves by what it has. */
+const MENTION_VALID_MS = 3000
 /** A change of more queues than this is sent like a whole copy, to one peer at a time. */
 const SMALL_CHANGE_QUEUES = 100
 
@@ -34,8 +39,14 @@
   /** The version that each peer named last. */
   private readonly peerVersions = new Map<InstanceId, number>()
   private behindSince: Ms | undefined
-  /** The newest version that a peer has named. */
-  private newestHeard = 0
+  /** The newest version that a peer has named, and since when it has existed at least. */
+  private newestHeard = { version: 0, since: ms(0) }
+  /** Since when there has been a newer version than the one in force, as far as peers have told. */
+  private replacedSince: Ms | undefined
+  /** When a peer named a newer version last. */
+  private newerHeardAt = -Infinity
+  /** Since when the version in force has existed, as far as is known here. */
+  private inForceSince: Ms = ms(0)
   /** The peer that named a version newer than the one in force last. */
   private newerAt: InstanceId | undefined
   /** A peer whose jobs wait here for a newer version, until it has been asked; it may be lost by then, so later requests go to whoever mentions the version. */
@@ -49,10 +60,13 @@
 
   /** Puts a version in force if it is higher than the current one. */
   adopt (state: DesiredState, source: string): void {
+    const { now } = this.ctx
     const before = this.db.version()
     if (state.version <= before) return
-    const behindMs = this.behindSince === undefined ? undefined : Math.round(this.ctx.now - this.behindSince)
-    this.db.adopt(this.history.keep(state), this.ctx.now)
+    this.inForceSince = state.version === this.newestHeard.version ? this.newestHeard.since : now
+    this.replacedSince = state.version < this.newestHeard.version ? this.newestHeard.since : undefined
+    const behindMs = this.behindSince === undefined ? undefined : Math.round(now - this.behindSince)
+    this.db.adopt(this.history.keep(state), now)
     this.behindSince = undefined
     this.newerAt = undefined
     this.toAskForJobs = undefined
@@ -71,9 +85,12 @@
     if (change.from !== 0) this.requestCopy(from)
   }
 
-  /** A peer mentioned its version. It is asked for it if the version is newer and the store does not deliver it in time. */
-  peerVersionReceived (from: InstanceId, version: number): void {
-    this.noteVersion(from, version)
+  /**
+   * A peer mentioned its version. It is asked for it if the version is newer and the store does not deliver it in time.
+   * @param ageMs - how long the peer has known of the version
+   */
+  peerVersionReceived (from: InstanceId, version: number, ageMs = ms(0)): void {
+    this.noteVersion(from, version, ageMs)
     if (version > this.db.version()) this.requestIfOverdue(from, COPY_REQUEST_DELAY_MS)
   }
 
@@ -83,16 +100,21 @@
    */
   jobReceived (from: InstanceId, version: number, waits: boolean): void {
     if (!waits) return this.peerVersionReceived(from, version)
-    this.noteVersion(from, version)
+    this.noteVersion(from, version, ms(0))
     this.toAskForJobs = from
     this.requestIfOverdue(from, COPY_REQUEST_DELAY_FOR_JOBS_MS)
   }
 
-  private noteVersion (from: InstanceId, version: number): void {
+  private noteVersion (from: InstanceId, version: number, ageMs: Ms): void {
     this.peerVersions.set(from, version)
-    if (version > this.db.version()) this.newerAt = from
+    if (version <= this.db.version()) return
+    const since = ms(this.ctx.now - ageMs)
+    this.newerAt = from
+    this.newerHeardAt = this.ctx.now
+    this.replacedSince = ms(Math.min(this.replacedSince ?? Infinity, since))
+    if (version === this.newestHeard.version) this.newestHeard.since = ms(Math.min(this.newestHeard.since, since))
     if (version <= this.newestKnown()) return
-    this.newestHeard = version
+    this.newestHeard = { version, since }
     this.ctx.out.log('desired.heard', { version, versionInForce: this.db.version(), peer: from })
   }
 
@@ -127,7 +149,7 @@
 
   private request (from: InstanceId, changeOnly: boolean): void {
     const { out, now } = this.ctx
-    out.log('desired.requested', { version: this.newestHeard, versionInForce: this.db.version(), peer: from, changeOnly, behindMs: Math.round(now - (this.behindSince ?? now)), storeReachable: this.storeReachable() })
+    out.log('desired.requested', { version: this.newestHeard.version, versionInForce: this.db.version(), peer: from, changeOnly, behindMs: Math.round(now - (this.behindSince ?? now)), storeReachable: this.storeReachable() })
     this.asked.add(from)
     this.send(from, { type: 'desiredRequest', known: this.versionsKept(), ...changeOnly ? { changeOnly } : {} })
   }
@@ -139,7 +161,18 @@
 
   /** Returns the newest version that is known to exist; a higher one than that in force is still on its way here. */
   newestKnown (): number {
-    return Math.max(this.newestHeard, this.db.version())
+    return Math.max(this.newestHeard.version, this.db.version())
+  }
+
+  /** Returns the version in force, and for how long it has been known to exist. */
+  inForce (): { readonly desiredVersion: number, readonly desiredAgeMs: Ms } {
+    return { desiredVersion: this.db.version(), desiredAgeMs: ms(Math.max(0, this.ctx.now - this.inForceSince)) }
+  }
+
+  /** Returns whether the version in force was replaced so long ago that this instance must not act by it any more. */
+  isOverdue (): boolean {
+    const { now, cfg } = this.ctx
+    return this.replacedSince !== undefined && now - this.replacedSince > cfg.configApplyMs * OVERDUE_SHARE && now - this.newerHeardAt < MENTION_VALID_MS
   }
 
   /** Returns whether a peer is not known to have the version that is in force here. */
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -23,7 +23,7 @@
 
 function setUp (): { ctx: ShardContext, intake: IntakeDecider, desired: DesiredDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
   const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
-  const sessions = new SessionsDecider(ctx, () => 3, { peerLost: () => {}, peerRecovered: () => {} })
+  const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 3 }), { peerLost: () => {}, peerRecovered: () => {} })
   const desired = new DesiredDecider(ctx, () => {}, () => true)
   desired.adopt(STATE, 'test')
   sessions.messageReceived(OWNER, 1, 'owner')
@@ -63,6 +63,24 @@
     expect(intake.refusalFor('h', '/other/a')?.cause).to.equal('noQueue')
   })
 
+  it('accepts no job by a version that was replaced long ago, as long as it is in contact with peers that have the newer one', () => {
+    const { ctx, intake, desired, replies } = setUp()
+    const submitAt = (at: number, id: string): string => {
+      ctx.now = ms(at)
+      intake.submit(id, 'h', '/q/a', job(id), ms(1500))
+      const [reply] = replies()
+      return reply === undefined ? 'accepted' : reply.type === 'refused' ? reply.cause : reply.type
+    }
+    ctx.now = ms(10_000)
+    desired.peerVersionReceived('peer' as InstanceId, STATE.version + 2, ms(700))
+    expect([submitAt(10_200, 'a'), submitAt(10_400, 'b')]).to.deep.equal(['accepted', 'outdatedState'])
+    expect(submitAt(13_100, 'c'), 'cut off from the peers that have it').to.equal('accepted')
+    desired.peerVersionReceived('peer' as InstanceId, STATE.version + 2, ms(3800))
+    expect(submitAt(13_200, 'd')).to.equal('outdatedState')
+    desired.adopt({ ...STATE, version: STATE.version + 2 }, 'store')
+    expect(submitAt(13_300, 'e')).to.equal('accepted')
+  })
+
   it('does not say that there is no queue before it has a desired state', () => {
     const { ctx, sessions } = setUp()
     const intake = new IntakeDecider(ctx, new DesiredDecider(ctx, () => {}, () => true), sessions, new AttemptsDecider(ctx), () => {})
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -90,9 +90,13 @@
     return { type: 'refused', cause, retryAfterMs: NO_OWNER_RETRY_MS }
   }
 
-  /** Returns the queue of a path, or why there is none. That no version has it can only be said by the newest one that is known to exist. */
+  /**
+   * Returns the queue of a path, or why there is none. That no version has it can only be said by the newest one that is known to exist, and a version
+   * that was replaced long ago says nothing any more.
+   */
   private findQueue (host: string, path: string): QueueTerms | RefusalCause {
     if (this.desired.db.state === undefined) return 'noDesiredState'
+    if (this.desired.isOverdue()) return 'outdatedState'
     return this.desired.db.queueFor(host, path) ?? (this.desired.newestKnown() > this.desired.db.version() ? 'outdatedState' : 'noQueue')
   }
 
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -14,7 +14,7 @@
 
 function setUp (): { ctx: ShardContext, ownership: OwnershipDecider, sessions: SessionsDecider, changes: string[] } {
   const ctx: ShardContext = { self: { ...member('me') }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
-  const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
+  const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost: () => {}, peerRecovered: () => {} })
   const changes: string[] = []
   const ownership = new OwnershipDecider(ctx, sessions, {
     ownershipGained: (_domain, token) => changes.push(`gained ${token}`),
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -23,7 +23,7 @@
   const peerLost = (): void => {
     lostAt = ctx.now
   }
-  const sessions = new SessionsDecider(ctx, () => 1, { peerLost, peerRecovered: () => {} })
+  const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost, peerRecovered: () => {} })
   sessions.messageReceived(OWNER, 1, 'owner')
   const targets = new Map<InstanceId, Ms>([[OWNER, pingMs]])
   for (let at = 0; at < forMs; at += TICK_MS) {
@@ -50,7 +50,7 @@
   it('ignores a process that another one has followed, so that its last messages do not make the live one count as lost', () => {
     const lost: string[] = []
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
-    const sessions = new SessionsDecider(ctx, () => 1, { peerLost: (_peer, why) => lost.push(why), peerRecovered: () => {} })
+    const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost: (_peer, why) => lost.push(why), peerRecovered: () => {} })
     const receive = (incarnation: number): boolean => sessions.messageReceived(OWNER, incarnation, 'owner', ms(incarnation))
     expect([4, 5, 4, 3, 5].map(receive), 'one that was heard before, and one that was not').to.deep.equal([true, true, false, false, true])
     expect(lost).to.deep.equal(['otherLife'])
@@ -62,7 +62,7 @@
 
   it('forgets the reading of a process that has restarted, and takes a reported one of it for no sign of what the new one sends', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
-    const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
+    const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost: () => {}, peerRecovered: () => {} })
     sessions.messageReceived(OWNER, 1, 'owner', ms(5000))
     expect(sessions.sendsReadings(OWNER)).to.equal(true)
     sessions.messageReceived(OWNER, 2, 'owner')
@@ -73,7 +73,7 @@
 
   it('prefers its own reading of a peer\'s clock to a reported one that is behind it', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
-    const sessions = new SessionsDecider(ctx, () => 1, { peerLost: () => {}, peerRecovered: () => {} })
+    const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost: () => {}, peerRecovered: () => {} })
     const report = (at: number, incarnation = 1): number | undefined => {
       sessions.db.learnOthers([{ failureDomain: 'f' as FailureDomain, owner: OWNER, address: 'owner', token: 1 as FencingToken, load: { waitMs: ms(0), busyShare: 0 }, clock: { incarnation, at: ms(at) } }], ctx.now)
       return sessions.clockOf(OWNER)?.at
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -20,8 +20,8 @@
 /** How long an owner of another domain counts as live after a report by the own domain's owner; a few of its ping periods. */
 const REPORTED_LIVE_VALID_MS = 800
 
-/** Returns the version of the desired state that is in force at this instance. */
-export type GetDesiredVersion = () => number
+/** Returns the version of the desired state that is in force at this instance, and for how long it has been known to exist. */
+export type GetDesiredVersion = () => { readonly desiredVersion: number, readonly desiredAgeMs?: Ms }
 
 /** Sends messages to peers, pings them, and tracks whether they are live. */
 export class SessionsDecider {
@@ -183,7 +183,7 @@
     const { now, self } = this.ctx
     peer.lastPingAt = now
     peer.firstUnansweredPingAt ??= now
-    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, desiredVersion: this.desiredVersion(), time: this.timeForPeers(), ...this.leaving ? { leaving: true } : {} })
+    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, ...this.desiredVersion(), time: this.timeForPeers(), ...this.leaving ? { leaving: true } : {} })
   }
 
   private checkSilence (peer: PeerSession): void {
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -66,6 +66,8 @@
   readonly leaveAcceptMs: Ms
   /** Multiple of the latency objective up to which a late answer is still useful (bound of the platform). */
   readonly usefulFactor: number
+  /** Time within which a version of the desired state has to be in force everywhere (bound of the platform). */
+  readonly configApplyMs: Ms
   /** How long endpoints that are missing from the store's list are kept; the span restarts when the store is reachable again. */
   readonly missingEndpointRetentionMs: Ms
 }
@@ -98,6 +100,7 @@
   leaveMs: ms(5200),
   leaveAcceptMs: ms(1800),
   usefulFactor: 3,
+  configApplyMs: ms(2000),
   missingEndpointRetentionMs: ms(2500)
 }
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -72,7 +72,7 @@
   constructor ({ self, cfg, seeds = [] }: ShardInstanceOptions) {
     this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const { ctx } = this
-    this.sessions = new SessionsDecider(ctx, () => this.desired.db.version(), {
+    this.sessions = new SessionsDecider(ctx, () => this.desired.inForce(), {
       peerLost: instance => this.peerLost(instance),
       peerRecovered: instance => this.peerRecovered(instance)
     })
@@ -166,7 +166,7 @@
       case 'ping': return this.receivePing(from, message)
       case 'pong':
         this.sessions.db.learnOwned(from, message.owned)
-        this.desired.peerVersionReceived(from, message.desiredVersion)
+        this.desired.peerVersionReceived(from, message.desiredVersion, message.desiredAgeMs)
         if (this.ownsLocalDomain(from) || this.introduction.isPending()) this.sessions.db.learnOthers(message.others, this.ctx.now)
         for (const id of this.attempts.learn(message.attempts ?? [])) this.execution.attemptsLearned(id)
         for (const { failureDomain } of [...message.owned, ...message.others]) this.intake.ownerKnown(failureDomain)
@@ -325,7 +325,7 @@
     const peer = this.sessions.db.peers.get(to)
     if (peer !== undefined) peer.loadSentAt = now
     const owned: OwnedShard[] = [...this.ownership.db.owned.values()].map(({ failureDomain, token }) => ({ failureDomain, token, load: this.load(), endpointsDigest: this.endpointsDigest(failureDomain) }))
-    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), desiredVersion: this.desired.db.version(), time: this.sessions.timeForPeers(), ...attempts === undefined ? {} : { attempts } })
+    this.sessions.send(to, { type: 'pong', incarnation: self.incarnation, owned, others: this.otherShards(), ...this.desired.inForce(), time: this.sessions.timeForPeers(), ...attempts === undefined ? {} : { attempts } })
   }
 
   /**
@@ -347,10 +347,10 @@
     return others
   }
 
-  private receivePing (from: InstanceId, { incarnation, desiredVersion, leaving }: Extract<ShardMessage, { type: 'ping' }>): void {
+  private receivePing (from: InstanceId, { incarnation, desiredVersion, desiredAgeMs, leaving }: Extract<ShardMessage, { type: 'ping' }>): void {
     this.sessions.pingReceived(from, leaving === true)
     this.execution.frontLost(from, incarnation)
-    this.desired.peerVersionReceived(from, desiredVersion)
+    this.desired.peerVersionReceived(from, desiredVersion, desiredAgeMs)
     this.sendLoad(from)
   }
 
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -58,7 +58,10 @@
   readonly endedAt: Ms
 }
 
-/** Why a job was refused. No part of it has run or will run. `outdatedState`: there is no such queue here, but a newer version, which may have it, is still on its way. */
+/**
+ * Why a job was refused. No part of it has run or will run. `outdatedState`: a newer version is still on its way, and there is
+ * no such queue here, or the version here was replaced too long ago.
+ */
 export type RefusalCause = 'noDesiredState' | 'outdatedState' | 'noQueue' | 'unsupported' | 'noOwner' | 'overloaded' | 'cannotFit' | 'leaving'
 
 /** Answer to a caller. */
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -32,6 +32,7 @@
 const load = object({ waitMs: nonNegative, busyShare: finiteNumber })
 const clock = optional(object({ incarnation: nonNegativeInteger, at: finiteNumber }))
 const time = optional(finiteNumber)
+const versionInForce = { desiredVersion: nonNegativeInteger, desiredAgeMs: optional(nonNegative) }
 const digest = nonNegativeInteger
 const ownedFields = { failureDomain: text, token: finiteNumber, load, endpointsDigest: optional(digest) }
 const resources = object({ cpuMilli: nonNegative, memoryMb: nonNegative, accelerators: nonNegative })
@@ -49,8 +50,8 @@
 const progress = object({ jobId: text, done: listOf(text) })
 
 const CHECKS: { readonly [T in ShardMessage['type']]: Checks<MessageOf<T>> } = {
-  ping: { incarnation: nonNegativeInteger, address: text, desiredVersion: nonNegativeInteger, leaving: optional(flag), time },
-  pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text, clock })), desiredVersion: nonNegativeInteger, attempts, time },
+  ping: { incarnation: nonNegativeInteger, address: text, ...versionInForce, leaving: optional(flag), time },
+  pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text, clock })), ...versionInForce, attempts, time },
   announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber, time },
   submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order, ownerClock: clock, time },
   checkJobs: { failureDomain: text, jobIds: listOf(text), ownerClock: clock },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -49,6 +49,13 @@
 /** How a job ended at its owner. */
 export type JobOutcome = 'completed' | 'failed'
 
+/** The version of the desired state that the sender of a ping or pong has. */
+interface VersionInForce {
+  readonly desiredVersion: number
+  /** How long the sender has known that the version exists; absent in earlier versions of this program. */
+  readonly desiredAgeMs?: Ms
+}
+
 /**
  * Any message between fronts and owners. `time` is the sender's monotonic clock, and `ownerClock` the front's latest reading of the receiver's; both
  * are absent in earlier versions.
@@ -58,12 +65,12 @@
    * From a front to an owner from which it has not received anything for a while. `leaving`: the front ends soon, so it is no
    * successor; absent in earlier versions.
    */
-  | { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly desiredVersion: number, readonly leaving?: boolean, readonly time?: Ms }
+  | VersionInForce & { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly leaving?: boolean, readonly time?: Ms }
   /**
    * Answer to a ping; an owner also sends it along with its other messages to a front. `attempts`: runs that went wrong, sent when something
    * new is known of them; absent in earlier versions.
    */
-  | { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly desiredVersion: number, readonly attempts?: readonly TaskAttempts[], readonly time?: Ms }
+  | VersionInForce & { readonly type: 'pong', readonly incarnation: number, readonly owned: readonly OwnedShard[], readonly others: readonly OtherShard[], readonly attempts?: readonly TaskAttempts[], readonly time?: Ms }
   /** Announces a new owner. */
   | { readonly type: 'announce', readonly incarnation: number, readonly address: string, readonly failureDomain: FailureDomain, readonly token: FencingToken, readonly time?: Ms }
   /** Forwards a job to the owner of a failure domain's endpoints. */
