--- a/packages/fakes/src/faultProxy.spec.ts
+++ b/packages/fakes/src/faultProxy.spec.ts
@@ -44,6 +44,17 @@
     return socket
   }
 
+  it('delivers over a narrow link in parts, at its speed', async () => {
+    proxy.bytesPerMs = 20
+    const startedAt = performance.now()
+    const socket = connect(port, '127.0.0.1')
+    socket.end('x'.repeat(6000))
+    while (!received.some(text => text.startsWith('end of'))) await sleep(5)
+    expect(performance.now() - startedAt).to.be.greaterThan(6000 / 20 - 1)
+    expect(received.length).to.be.greaterThan(3)
+    expect(received.at(-1)).to.equal(`end of ${'x'.repeat(6000)}`)
+  })
+
   it('delivers what a hold has kept in order, and the end last, also if the sender has closed the connection', async () => {
     const socket = await open('a')
     proxy.hold()
--- a/packages/fakes/src/faultProxy.ts
+++ b/packages/fakes/src/faultProxy.ts
@@ -41,12 +41,16 @@
 
 /** Number of bytes at the start of a connection that tell where it comes from. */
 const OPENING_BYTES = 16
+/** Size of the parts that a narrow link delivers, as of packets. */
+const NARROW_PART_BYTES = 1460
 /** Longest time between the releases of two held connections. */
 const RELEASE_GAP_MAX_MS = 300
 
 /** A proxy for one link, on a loopback port. */
 export class FaultProxy {
   readonly faults: LinkFaults = { delayMs: 0, delayFrom: '', cutForward: false, cutBackward: false }
+  /** What each connection carries in one direction; a narrow link delivers in small parts. */
+  bytesPerMs = Infinity
   /** Number of bytes forwarded in both directions together. */
   bytes = 0
   private readonly connections = new Set<ProxiedConnection>()
@@ -173,10 +177,18 @@
     const { delayMs, delayFrom } = this.faults
     const queue = connection.queues[direction]
     const ownDueAt = performance.now() + (connection.opening.includes(delayFrom) ? delayMs : 0)
-    queue.push({ bytes, dueAt: Math.max(ownDueAt, queue.at(-1)?.dueAt ?? 0) })
+    for (const part of this.partsOf(bytes)) {
+      const transferMs = (part?.length ?? 0) / this.bytesPerMs
+      queue.push({ bytes: part, dueAt: Math.max(ownDueAt, queue.at(-1)?.dueAt ?? 0) + transferMs })
+    }
     this.deliver(connection, direction)
   }
 
+  private partsOf (bytes: Buffer | undefined): (Buffer | undefined)[] {
+    if (bytes === undefined || this.bytesPerMs === Infinity) return [bytes]
+    return Array.from({ length: Math.ceil(bytes.length / NARROW_PART_BYTES) }, (_, i) => bytes.subarray(i * NARROW_PART_BYTES, (i + 1) * NARROW_PART_BYTES))
+  }
+
   private deliver (connection: ProxiedConnection, direction: Direction): void {
     const { queues, timers, client } = connection
     clearTimeout(timers[direction])
