What peers tell of newer versions has a module of its own; changes are requested only of peers that send them

A peer that runs an earlier version of the program ignores that only a change is wanted and answers with a whole copy, every 0.3 s during a rolling upgrade. Peers that give the age of their version are known to send changes.

--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -90,7 +90,7 @@
   it('is requested as a change while the store is not late yet, from the tick', () => {
     const { ctx, sent, desired } = new Side()
     desired.adopt(stateOf(1), 'store')
-    desired.peerVersionReceived(PEER, 2)
+    desired.peerVersionReceived(PEER, 2, ms(0))
     for (let at = 0; at <= 400; at += 25) {
       ctx.now = ms(at)
       desired.tick()
@@ -98,12 +98,24 @@
     expect(sent).to.deep.equal([{ type: 'desiredRequest', known: [1], changeOnly: true }, { type: 'desiredRequest', known: [1], changeOnly: true }])
   })
 
+  it('is not requested as a change of a peer that runs an earlier version of the program, which would answer with a whole copy', () => {
+    const { ctx, sent, desired } = new Side()
+    desired.adopt(stateOf(1), 'store')
+    desired.peerVersionReceived(PEER, 2, ms(0))
+    desired.peerVersionReceived(PEER, 2)
+    for (let at = 0; at <= 600; at += 25) {
+      ctx.now = ms(at)
+      desired.tick()
+    }
+    expect(sent).to.deep.equal([{ type: 'desiredRequest', known: [1] }])
+  })
+
   it('is requested of the peers that have it in turn, as one of them may be out of reach', () => {
     const { ctx, desired } = new Side()
     const asked: string[] = []
     const turns = new DesiredDecider(ctx, to => asked.push(to), () => true)
     for (const decider of [desired, turns]) decider.adopt(stateOf(1), 'store')
-    for (const peer of ['a', 'b', 'c'] as InstanceId[]) turns.peerVersionReceived(peer, peer === 'b' ? 1 : 2)
+    for (const peer of ['a', 'b', 'c'] as InstanceId[]) turns.peerVersionReceived(peer, peer === 'b' ? 1 : 2, ms(0))
     for (let at = 0; at < 1400; at += 25) {
       ctx.now = ms(at)
       turns.tick()
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -8,6 +8,7 @@
 import type { ShardContext } from '../shard/types.js'
 import { DesiredDb } from './desiredDb.js'
 import { DesiredHistory } from './desiredHistory.js'
+import { NewerVersions } from './newerVersions.js'
 import type { Requester } from './types.js'
 
 /** Sends a message to a peer. */
@@ -25,8 +26,6 @@
 const COPY_REQUEST_INTERVAL_MS = 1500
 /** Part of the time in which a version has to be in force after which an instance without it stops to act; the rest is for the version's way to the first peer. */
 const OVERDUE_SHARE = 0.5
-/** How long after the last mention of a newer version an instance still counts as in contact with those that have it. Without contact it serves by what it has. */
-const MENTION_VALID_MS = 3000
 /** A change of more queues than this is sent like a whole copy, to one peer at a time. */
 const SMALL_CHANGE_QUEUES = 100
 
@@ -36,23 +35,12 @@
   private readonly history = new DesiredHistory()
   /** Peers that wait for a copy. One is served per tick, because a state with many queues saturates a connection. */
   private readonly requesters = new Map<InstanceId, Requester>()
-  /** The version that each peer named last. */
-  private readonly peerVersions = new Map<InstanceId, number>()
+  private readonly newer = new NewerVersions()
   private behindSince: Ms | undefined
-  /** The newest version that a peer has named, and since when it has existed at least. */
-  private newestHeard = { version: 0, since: ms(0) }
-  /** Since when there has been a newer version than the one in force, as far as peers have told. */
-  private replacedSince: Ms | undefined
-  /** When a peer named a newer version last. */
-  private newerHeardAt = -Infinity
   /** Since when the version in force has existed, as far as is known here. */
   private inForceSince: Ms = ms(0)
-  /** The peer that named a version newer than the one in force last. */
-  private newerAt: InstanceId | undefined
   /** A peer whose jobs wait here for a newer version, until it has been asked; it may be lost by then, so later requests go to whoever mentions the version. */
   private toAskForJobs: InstanceId | undefined
-  /** Peers of which the newer version was requested since all that have it were. */
-  private readonly asked = new Set<InstanceId>()
   private copyRequestedAt = -Infinity
   private changeRequestedAt = -Infinity
 
@@ -63,14 +51,11 @@
     const { now } = this.ctx
     const before = this.db.version()
     if (state.version <= before) return
-    this.inForceSince = state.version === this.newestHeard.version ? this.newestHeard.since : now
-    this.replacedSince = state.version < this.newestHeard.version ? this.newestHeard.since : undefined
+    this.inForceSince = this.newer.cameIntoForce(state.version, now)
     const behindMs = this.behindSince === undefined ? undefined : Math.round(now - this.behindSince)
     this.db.adopt(this.history.keep(state), now)
     this.behindSince = undefined
-    this.newerAt = undefined
     this.toAskForJobs = undefined
-    this.asked.clear()
     this.copyRequestedAt = -Infinity
     this.changeRequestedAt = -Infinity
     this.ctx.out.log('desired.inForce', { version: state.version, before, source, queues: state.queues.length, behindMs })
@@ -87,10 +72,11 @@
 
   /**
    * A peer mentioned its version. It is asked for it if the version is newer and the store does not deliver it in time.
-   * @param ageMs - how long the peer has known of the version
+   * @param ageMs - how long the peer has known of the version; undefined if it runs an earlier version of this program
    */
-  peerVersionReceived (from: InstanceId, version: number, ageMs = ms(0)): void {
-    this.noteVersion(from, version, ageMs)
+  peerVersionReceived (from: InstanceId, version: number, ageMs?: Ms): void {
+    this.newer.setSendsChanges(from, ageMs !== undefined)
+    this.noteVersion(from, version, ageMs ?? ms(0))
     if (version > this.db.version()) this.requestIfOverdue(from, COPY_REQUEST_DELAY_MS)
   }
 
@@ -99,23 +85,14 @@
    * @param waits - whether the job waits for that version
    */
   jobReceived (from: InstanceId, version: number, waits: boolean): void {
-    if (!waits) return this.peerVersionReceived(from, version)
     this.noteVersion(from, version, ms(0))
-    this.toAskForJobs = from
-    this.requestIfOverdue(from, COPY_REQUEST_DELAY_FOR_JOBS_MS)
+    if (waits) this.toAskForJobs = from
+    if (version > this.db.version()) this.requestIfOverdue(from, waits ? COPY_REQUEST_DELAY_FOR_JOBS_MS : COPY_REQUEST_DELAY_MS)
   }
 
   private noteVersion (from: InstanceId, version: number, ageMs: Ms): void {
-    this.peerVersions.set(from, version)
-    if (version <= this.db.version()) return
-    const since = ms(this.ctx.now - ageMs)
-    this.newerAt = from
-    this.newerHeardAt = this.ctx.now
-    this.replacedSince = ms(Math.min(this.replacedSince ?? Infinity, since))
-    if (version === this.newestHeard.version) this.newestHeard.since = ms(Math.min(this.newestHeard.since, since))
-    if (version <= this.newestKnown()) return
-    this.newestHeard = { version, since }
-    this.ctx.out.log('desired.heard', { version, versionInForce: this.db.version(), peer: from })
+    const { now, out } = this.ctx
+    if (this.newer.named(from, version, ageMs, now)) out.log('desired.heard', { version, versionInForce: this.db.version(), peer: from })
   }
 
   private requestIfOverdue (from: InstanceId, copyDelayMs: number): void {
@@ -123,35 +100,28 @@
     this.behindSince ??= now
     const behindMs = now - this.behindSince
     const storeIsLate = !this.storeReachable() || behindMs >= copyDelayMs
-    if (storeIsLate && now - this.copyRequestedAt >= COPY_REQUEST_INTERVAL_MS) this.requestCopy(this.holderAfter(from))
-    else if (behindMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(this.holderAfter(from))
-  }
-
-  /** Returns the peer to ask: the one given, or another one that has a newer version, if it has been asked already; it may be out of reach. */
-  private holderAfter (from: InstanceId): InstanceId {
-    if (!this.asked.has(from)) return from
-    const others = [...this.peerVersions].filter(([peer, version]) => version > this.db.version() && !this.asked.has(peer))
-    if (others.length === 0) this.asked.clear()
-    return others[0]?.[0] ?? from
+    if (storeIsLate && now - this.copyRequestedAt >= COPY_REQUEST_INTERVAL_MS) this.requestCopy(from)
+    else if (behindMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(from)
   }
 
   private requestCopy (from: InstanceId): void {
     this.copyRequestedAt = this.ctx.now
     this.changeRequestedAt = this.ctx.now
     this.toAskForJobs = undefined
-    this.request(from, false)
+    this.request(this.newer.peerToAsk(from, false), false)
   }
 
   private requestChange (from: InstanceId): void {
     this.changeRequestedAt = this.ctx.now
-    if (this.db.state !== undefined) this.request(from, true)
+    // Without a version to start from, only a whole copy is of use.
+    if (this.db.state !== undefined) this.request(this.newer.peerToAsk(from, true), true)
   }
 
-  private request (from: InstanceId, changeOnly: boolean): void {
+  private request (peer: InstanceId | undefined, changeOnly: boolean): void {
+    if (peer === undefined) return
     const { out, now } = this.ctx
-    out.log('desired.requested', { version: this.newestHeard.version, versionInForce: this.db.version(), peer: from, changeOnly, behindMs: Math.round(now - (this.behindSince ?? now)), storeReachable: this.storeReachable() })
-    this.asked.add(from)
-    this.send(from, { type: 'desiredRequest', known: this.versionsKept(), ...changeOnly ? { changeOnly } : {} })
+    out.log('desired.requested', { version: this.newer.newest.version, versionInForce: this.db.version(), peer, changeOnly, behindMs: Math.round(now - (this.behindSince ?? now)), storeReachable: this.storeReachable() })
+    this.send(peer, { type: 'desiredRequest', known: this.versionsKept(), ...changeOnly ? { changeOnly } : {} })
   }
 
   /** Returns the versions to which a peer may send a difference. */
@@ -161,7 +131,7 @@
 
   /** Returns the newest version that is known to exist; a higher one than that in force is still on its way here. */
   newestKnown (): number {
-    return Math.max(this.newestHeard.version, this.db.version())
+    return Math.max(this.newer.newest.version, this.db.version())
   }
 
   /** Returns the version in force, and for how long it has been known to exist. */
@@ -169,15 +139,18 @@
     return { desiredVersion: this.db.version(), desiredAgeMs: ms(Math.max(0, this.ctx.now - this.inForceSince)) }
   }
 
-  /** Returns whether the version in force was replaced so long ago that this instance must not act by it any more. */
+  /**
+   * Returns whether the version in force was replaced so long ago that this instance must not act by it any more. Without contact to peers that have a
+   * newer one, it serves by what it has.
+   */
   isOverdue (): boolean {
     const { now, cfg } = this.ctx
-    return this.replacedSince !== undefined && now - this.replacedSince > cfg.configApplyMs * OVERDUE_SHARE && now - this.newerHeardAt < MENTION_VALID_MS
+    return this.newer.replacedFor(cfg.configApplyMs * OVERDUE_SHARE, now)
   }
 
   /** Returns whether a peer is not known to have the version that is in force here. */
   isBehind (peer: InstanceId): boolean {
-    return (this.peerVersions.get(peer) ?? 0) < this.db.version()
+    return this.newer.versionOf(peer) < this.db.version()
   }
 
   /** A peer requests the desired state. It gets a small change at once, and anything larger from `tick`. */
@@ -191,7 +164,7 @@
   /** Requests a version that is overdue, and sends the desired state to the peer that has waited longest. */
   tick (): void {
     if (this.toAskForJobs !== undefined) this.requestIfOverdue(this.toAskForJobs, COPY_REQUEST_DELAY_FOR_JOBS_MS)
-    else if (this.newerAt !== undefined) this.requestIfOverdue(this.newerAt, COPY_REQUEST_DELAY_MS)
+    else if (this.newer.lastNamedBy !== undefined) this.requestIfOverdue(this.newer.lastNamedBy, COPY_REQUEST_DELAY_MS)
     const [next] = this.requesters.values()
     if (next === undefined || this.db.state === undefined) return
     this.requesters.delete(next.peer)
