A version that a peer has known for long is requested at its first mention

After a cut, the first mention of a newer version came with an age of seconds, so the instance refused jobs at once and yet waited 0.1 s more for the store before it asked. The time that the store has had counts from when the peer knew of the version.

--- a/packages/core/src/desired/desiredDecider.spec.ts
+++ b/packages/core/src/desired/desiredDecider.spec.ts
@@ -98,6 +98,15 @@
     expect(sent).to.deep.equal([{ type: 'desiredRequest', known: [1], changeOnly: true }, { type: 'desiredRequest', known: [1], changeOnly: true }])
   })
 
+  it('is requested at once when the peer has known it for long', () => {
+    const { sent, desired } = new Side()
+    desired.adopt(stateOf(1), 'store')
+    desired.peerVersionReceived(PEER, 2, ms(200))
+    expect(sent).to.deep.equal([{ type: 'desiredRequest', known: [1], changeOnly: true }])
+    desired.peerVersionReceived('other' as InstanceId, 3, ms(5000))
+    expect(sent.slice(1)).to.deep.equal([{ type: 'desiredRequest', known: [1] }])
+  })
+
   it('is not requested as a change of a peer that runs an earlier version of the program, which would answer with a whole copy', () => {
     const { ctx, sent, desired } = new Side()
     desired.adopt(stateOf(1), 'store')
--- a/packages/core/src/desired/desiredDecider.ts
+++ b/packages/core/src/desired/desiredDecider.ts
@@ -98,10 +98,11 @@
   private requestIfOverdue (from: InstanceId, copyDelayMs: number): void {
     const { now } = this.ctx
     this.behindSince ??= now
-    const behindMs = now - this.behindSince
-    const storeIsLate = !this.storeReachable() || behindMs >= copyDelayMs
+    // After a time without contact, the first mention of a version may come long after the store had it.
+    const lateMs = now - Math.min(this.behindSince, this.newer.replacedSince ?? now)
+    const storeIsLate = !this.storeReachable() || lateMs >= copyDelayMs
     if (storeIsLate && now - this.copyRequestedAt >= COPY_REQUEST_INTERVAL_MS) this.requestCopy(from)
-    else if (behindMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(from)
+    else if (lateMs >= CHANGE_REQUEST_DELAY_MS && now - this.changeRequestedAt >= CHANGE_REQUEST_INTERVAL_MS) this.requestChange(from)
   }
 
   private requestCopy (from: InstanceId): void {
--- a/packages/core/src/desired/newerVersions.ts
+++ b/packages/core/src/desired/newerVersions.ts
@@ -21,8 +21,8 @@
   /** Peers that were asked since all that have a newer version were. */
   private readonly asked = new Set<InstanceId>()
   private inForce = 0
-  /** Since when the version in force has been replaced. */
-  private replacedSince: Ms | undefined
+  /** Since when the version in force has been replaced, as far as peers have told; undefined if it has not. */
+  replacedSince: Ms | undefined
   private namedAt = -Infinity
 
   /**
