The fuzzing fleet counts draining from when the store shows it

Traced: e-a-3 is cut off from the store from 9927 to 13602 and drains from 11482 on; its owner a-0, handed the shard at 12847, starts tasks there at 13532. Its entry is missing all the while, so nobody could know. It counts from the first time that the store shows it now, and a test holds that it still judges from then on.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -417,7 +417,13 @@
   /** Lapses the store entry of an endpoint that is cut off from the store and from nothing else. */
   missEntry (id: string, durationMs: number): void {
     this.lapsedEntries.add(id)
-    this.time.after(durationMs, () => this.lapsedEntries.delete(id))
+    this.time.after(durationMs, () => this.restoreEntry(id))
+  }
+
+  /** Lets the store show the entry of an endpoint again, with what has changed meanwhile. */
+  private restoreEntry (id: string): void {
+    this.lapsedEntries.delete(id)
+    if (this.drainingEndpoints.has(id)) this.oracle.recordDraining(id, this.time.now)
   }
 
   /** Lapses the store entries of all endpoints of a domain and restores each of them after 0.3 to 1.8 s. */
@@ -425,7 +431,7 @@
     for (const id of this.endpoints.keys()) {
       if (this.domainOf.get(id) !== domain) continue
       this.lapsedEntries.add(id)
-      this.time.after(300 + this.randomBelow(1500), () => this.lapsedEntries.delete(id))
+      this.time.after(300 + this.randomBelow(1500), () => this.restoreEntry(id))
     }
   }
 
@@ -454,10 +460,10 @@
     endpoint.cpuMilli = cpuMilli
   }
 
-  /** Marks an endpoint as draining and removes it with its runs after `leaveAfterMs`. */
+  /** Marks an endpoint as draining and removes it with its runs after `leaveAfterMs`. Nobody can know of it while its entry is missing. */
   drain (id: string, leaveAfterMs: number): void {
     this.drainingEndpoints.add(id)
-    this.oracle.recordDraining(id, this.time.now)
+    if (!this.lapsedEntries.has(id)) this.oracle.recordDraining(id, this.time.now)
     this.time.after(leaveAfterMs, () => {
       this.departedEndpoints.add(id)
       this.endpoints.get(id)?.runs.clear()
--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { Rule, Violation } from '@cranberryyard/fakes'
+import type { FencedEndpointModel, Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
 import { ENCODED_LOAD, LARGE_STATES_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
@@ -131,6 +131,23 @@
     expect(DRAIN_SEEDS.flatMap(takeOverWithoutEntries)).to.deep.equal([])
   })
 
+  it('judges starts at a draining endpoint from when the store shows that it drains', () => {
+    const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 2, endpointsPerDomain: 2, seed: 1 })
+    const drainViolationsOfStart = (): number => {
+      fleet.oracle.recordStart(fleet.endpoints.get('e-a-0') as FencedEndpointModel, 'job.0.0.0', fleet.time.now, true)
+      return fleet.oracle.violations.filter(({ rule }) => rule === 'DRAIN').length
+    }
+    fleet.run(5000)
+    fleet.missEntry('e-a-0', 3000)
+    fleet.drain('e-a-0', 20_000)
+    fleet.run(2500)
+    expect(drainViolationsOfStart(), 'its entry is missing').to.equal(0)
+    fleet.run(500 + 1900)
+    expect(drainViolationsOfStart(), 'its entry has been back for less than the time in which owners must notice').to.equal(0)
+    fleet.run(200)
+    expect(drainViolationsOfStart()).to.equal(1)
+  })
+
   it('detects a violation when a new owner uses entries from before the takeover that the list lacks', () => {
     const undo = useOutdatedEntries()
     try {
