--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -132,12 +132,16 @@
   })
 
   it('judges starts at a draining endpoint from when the store shows that it drains', () => {
-    const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 2, endpointsPerDomain: 2, seed: 1 })
+    const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 2, endpointsPerDomain: 1, seed: 1 })
+    const endpoint = fleet.endpoints.get('e-a-0') as FencedEndpointModel
+    /** Reports the run that the endpoint has as if it had just been started. */
     const drainViolationsOfStart = (): number => {
-      fleet.oracle.recordStart(fleet.endpoints.get('e-a-0') as FencedEndpointModel, 'job.0.0.0', fleet.time.now, true)
+      fleet.oracle.recordStart(endpoint, [...endpoint.runs.keys()].join(), fleet.time.now, true)
       return fleet.oracle.violations.filter(({ rule }) => rule === 'DRAIN').length
     }
     fleet.run(5000)
+    fleet.submit('a-0' as InstanceId, 1, { cpuMilli: 4000, workMs: 20_000, fails: false })
+    fleet.run(100)
     fleet.missEntry('e-a-0', 3000)
     fleet.drain('e-a-0', 20_000)
     fleet.run(2500)
