--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -357,7 +357,7 @@
 
   /** Delays all messages on directed links, given as `from>to`, for good; each call replaces the delay before. */
   delayLinks (pairs: readonly string[], delayMs: number): void {
-    // The delay of a link ends with a call that sets it to 0, which notes the end of the fault.
+    // How long a delay lasts is not known here, only that it is no longer than this.
     this.noteLinkFaults(pairs, delayMs > 0 ? LINK_DELAY_MAX_MS : 0)
     for (const pair of pairs) this.linkQueueMs.set(pair, delayMs)
   }
