A domain whose instances take each other for its owner gets one again under load (RECOVER)

What callers saw: all jobs at the instances of one domain without an outcome, for as long as there was traffic. Its claim takes effect, and a-0 reads it and steps down at 49.708. a-1 reads it too and ignores it, since it names a-1 itself, and takes a-0 for the owner. Both send their jobs to each other, 300 copies a second each, and get 'notOwner'. As messages arrive all the time, neither pings the other, whose answer would tell that it owns nothing. At 31:24, when callers stop, a ping goes out and a-1 claims. Class: as of the incident, a view that nothing renews. Messages of any kind counted as a sign that it is good. Change: a peer that answers notOwner is pinged at once, every 0.2 s at most; an instance that reads a record that names it acquires the shard, unless it is leaving or knows a later token.

--- a/packages/bench/src/shard/takeover.spec.ts
+++ b/packages/bench/src/shard/takeover.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { InstanceId } from '@cranberryyard/protocol'
+import type { FailureDomain, FencingToken, InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
 
 /** Longest time from the loss of an owner until its shard completes jobs again, for an owner that is killed and for one that freezes. */
@@ -172,3 +172,24 @@
     expect(violations).to.deep.equal([])
   })
 })
+
+describe('a failure domain whose instances take each other for the owner', () => {
+  it('has an owner again, also while messages pass between them all the time', () => {
+    const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 2, endpointsPerDomain: 3, seed: 1 })
+    fleet.run(8000)
+    const [first, second] = ['a-0', 'a-1'].map(name => fleet.processes.get(name as InstanceId)?.core)
+    if (first === undefined || second === undefined) throw new Error('the fleet lacks an instance')
+    for (let at = 0; at < 6000; at += JOB_PERIOD_MS) {
+      for (const name of ['a-0', 'a-1'] as InstanceId[]) fleet.time.after(at, () => fleet.submit(name, 1, { cpuMilli: 4000, workMs: WORK_MS, fails: false }))
+    }
+    fleet.run(200)
+    const token = (Math.max(...[first, second].map(core => core.sessions.db.shards.values().next().value?.token ?? 0)) + 1) as FencingToken
+    for (const [core, other] of [[first, 'a-1'], [second, 'a-0']] as const) {
+      core.ownership.ownerAnnounced('a' as FailureDomain, other as InstanceId, token)
+      core.sessions.db.learnOwner({ failureDomain: 'a' as FailureDomain, owner: other as InstanceId, token })
+    }
+    expect(fleet.owners()).to.deep.equal([])
+    fleet.run(4000)
+    expect(fleet.owners().length).to.equal(1)
+  })
+})
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -54,6 +54,20 @@
     expect(claims(ctx).map(claim => claim.expectedRevision)).to.deep.equal([40])
   })
 
+  it('owns a shard by its own record when its claim took effect after it had stepped down, unless a later owner is known', () => {
+    for (const [laterToken, gained] of [[tokenOf(40, 2), true], [tokenOf(41, 1), false]] as const) {
+      const { ctx, ownership, sessions, changes } = setUp()
+      ownership.recordsRead(members('me', 'other'), [record(40, 'other', 'me')])
+      sessions.connectionFailed('other' as InstanceId)
+      ownership.tick()
+      ownership.claimOutcome(claims(ctx)[0]?.claimId ?? 0, { type: 'unknown' })
+      sessions.db.learnOwner({ failureDomain: DOMAIN, owner: 'other' as InstanceId, token: laterToken })
+      ownership.ownerAnnounced(DOMAIN, 'other' as InstanceId, laterToken)
+      ownership.recordsRead(members('me', 'other'), [record(41, 'me', 'other')])
+      expect(changes).to.deep.equal([`gained ${tokenOf(40, 1)}`, 'lost to other', ...gained ? [`gained ${tokenOf(41, 0)}`] : []])
+    }
+  })
+
   it('delays the claim of a later successor by its rank', () => {
     const { ctx, ownership, sessions } = setUp()
     ownership.recordsRead(members('me', 'owner', 'first'), [record(40, 'owner', 'first', 'me')])
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -182,7 +182,7 @@
     const ownership = this.db.owned.get(failureDomain)
     const isSelf = owner.instance === self.instance && owner.incarnation === self.incarnation
     if (isSelf) {
-      if (ownership !== undefined && record.revision > ownership.revision) this.recordWritten(failureDomain, record.revision)
+      if (ownership === undefined ? this.mayOwnBy(record) : record.revision > ownership.revision) this.recordWritten(failureDomain, record.revision)
       return
     }
     this.sessions.db.peer(owner.instance, owner.address)
@@ -190,6 +190,15 @@
     if (ownership !== undefined && tokenOf(record.revision, 0) > ownership.token) this.stepDown(failureDomain, 'recordReplaced', owner.instance)
   }
 
+  /**
+   * Returns whether this instance, which does not own the shard, owns it by a record that names it. A claim may take effect after its answer was lost and
+   * this instance has stepped down; whoever took the shard over meanwhile gives it up when it reads the record.
+   */
+  private mayOwnBy ({ revision, value }: Revised<ShardRecord>): boolean {
+    const known = this.sessions.db.shards.get(value.failureDomain)
+    return !this.leaving && (known === undefined || known.token < tokenOf(revision, 0))
+  }
+
   private claimIfVacant (ownDomain: FailureDomain): void {
     const { now, cfg } = this.ctx
     if (!this.db.recordsRead) return
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -102,6 +102,13 @@
     if (peer !== undefined && peer.address !== '') this.ping(peer)
   }
 
+  /** A peer answered that it does not own a shard or does not know a job. Its answer to a ping tells which shards it owns. */
+  ownershipDenied (instance: InstanceId): void {
+    const { now, cfg } = this.ctx
+    const peer = this.db.peers.get(instance)
+    if (peer !== undefined && now - (peer.lastPingAt ?? -Infinity) >= cfg.pingMs) this.ping(peer)
+  }
+
   /**
    * Pings silent owners that this instance uses, and checks the silence of these and of all other monitored peers.
    * @param targets - owners to ping, with the silence after which each is pinged
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -355,6 +355,8 @@
   }
 
   private receiveNotOwner (from: InstanceId, { jobId, failureDomain, attempt, queueRemoved }: Extract<ShardMessage, { type: 'notOwner' }>): void {
+    // Messages that arrive all the time keep this instance from pinging a peer that it takes for the owner.
+    this.sessions.ownershipDenied(from)
     if (queueRemoved === true) this.intake.queueRemoved(jobId, from)
     else this.intake.jobUnknownAtOwner(jobId, from, failureDomain, attempt)
   }
