The mutation of fronts with older versions is shown with a front that stays behind

Cause: since a version is requested at its first mention, a front that the store does not serve has it within the 250 ms that the rule allows, so the mutated owner has no older version to go by. As in queueChanges.spec.ts, the mutation is shown with fronts that request no version from peers, and a new test holds that these alone break nothing with the seeds of the load.

--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -2,7 +2,7 @@
 import type { FencedEndpointModel, Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { ENCODED_LOAD, LARGE_STATES_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, SHARD_MUTATIONS, useOutdatedEntries } from './shardMutations.js'
+import { ENCODED_LOAD, LARGE_STATES_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, SHARD_MUTATIONS, requestNoVersions, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
 import type { ScenarioLoad } from './shardScenario.js'
 
@@ -87,6 +87,15 @@
     })
   }
 
+  it('violates no invariant while queues are added and removed and instances request no version from peers', () => {
+    const undo = requestNoVersions()
+    try {
+      expect(QUEUE_CHANGES_SEEDS.flatMap(seed => runShardScenario(seed, FAULT_PHASE_MS, QUEUE_CHANGES_LOAD).violations)).to.deep.equal([])
+    } finally {
+      undo()
+    }
+  })
+
   for (const seed of LARGE_STATES_SEEDS) {
     it(`violates no invariant while versions of a large state are published and some links are narrow, with seed ${seed}`, () => {
       expect(runShardScenario(seed, FAULT_PHASE_MS, LARGE_STATES_LOAD).violations).to.deep.equal([])
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -158,10 +158,13 @@
     }
   },
   {
-    name: 'an owner runs jobs of a front with an older version by that version',
+    name: 'an owner runs jobs of a front that stays behind by its older version',
     breaks: ['CONFIG'],
     load: QUEUE_CHANGES_LOAD,
-    apply: keepVersionsOfFronts
+    apply: () => {
+      const undo = [requestNoVersions(), keepVersionsOfFronts()]
+      return () => undo.forEach(step => step())
+    }
   },
   {
     name: 'instances send each other whole versions',
