--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -39,6 +39,8 @@
 /** Instance 1 of each domain has more processor time than the others, so owners hand their shard over to it. */
 const STRONG_CPU_MILLI = 1350
 const WEAK_CPU_MILLI = 324
+/** Number of the first instance that is added to a fleet; as text it comes before those of some of the first instances. */
+const FIRST_ADDED_NUMBER = 10
 /** Time that an instance must have run and reached the store without interruption before checks with a time bound apply to it. */
 const STEADY_CONTACT_MS = 3000
 export const SERVICE = 'workers' as ServiceName
@@ -133,6 +135,12 @@
   linksDisturbedUntil: number
   /** The version that the process reads from the store at present, over a narrow link. */
   readingVersion: number
+  /** The machine has been taken away for good. */
+  removed: boolean
+  /** Fencing token of the own shard as reported to the oracle; undefined while the process does not own it. */
+  reportedToken: number | undefined
+  /** Copy of the own shard's record as reported to the oracle. */
+  reportedRecord: Revised<ShardRecord> | undefined
   /** Reply callbacks of submissions that wait for an answer, by call id. */
   pendingCalls: Map<string, (reply: ReplyKind, retryAfterMs?: number, cause?: RefusalCause) => void>
 }
@@ -232,6 +240,7 @@
   private readonly connectionFreeAt = new Map<string, number>()
   private jobCounter = 0
   private callCounter = 0
+  private addedInstances = 0
 
   constructor (private readonly options: FleetOptions) {
     this.random = seededRandom(options.seed)
@@ -312,6 +321,29 @@
     this.time.after(downMs, () => this.boot(process))
   }
 
+  /** Starts an instance on a machine that is added to a failure domain. */
+  addInstance (domain: string): InstanceId {
+    const name = `${domain}-${FIRST_ADDED_NUMBER + this.addedInstances++}` as InstanceId
+    this.addProcess(name, domain as FailureDomain)
+    this.boot(this.process(name))
+    return name
+  }
+
+  /** Asks a process to leave, and takes its machine away for good 1.5 s later. */
+  removeInstance (name: InstanceId): void {
+    const process = this.process(name)
+    this.post(process, { type: 'leave' })
+    this.time.after(1500, () => {
+      process.removed = true
+      this.losePower(name, 0)
+    })
+  }
+
+  /** @returns the processes whose machines have not been taken away */
+  present (): Process[] {
+    return [...this.processes.values()].filter(process => !process.removed)
+  }
+
   /**
    * Cuts the power of an instance. Its callers' connections break, but its peers get no sign of it. It restarts after `downMs` with a
    * new incarnation.
@@ -490,7 +522,7 @@
 
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
-    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, linksDisturbedUntil: 0, readingVersion: 0, pendingCalls: new Map() })
+    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, linksDisturbedUntil: 0, readingVersion: 0, removed: false, reportedToken: undefined, reportedRecord: undefined, pendingCalls: new Map() })
   }
 
   private addEndpoints (domain: FailureDomain): void {
@@ -538,7 +570,9 @@
   }
 
   private boot (process: Process): void {
+    if (process.removed) return
     process.incarnation++
+    process.reportedToken = undefined
     process.up = true
     process.frozen = false
     process.silent = false
@@ -612,7 +646,7 @@
 
   /** @returns true when all instances of the process's domain, which tell each other of versions, had contact with the store and their peers */
   private isInformed ({ domain }: Process): boolean {
-    return [...this.processes.values()].every(process => process.domain !== domain || (process.up && this.hadSteadyContact(process) && this.time.now - process.linksDisturbedUntil > STEADY_CONTACT_MS))
+    return this.present().every(process => process.domain !== domain || (process.up && this.hadSteadyContact(process) && this.time.now - process.linksDisturbedUntil > STEADY_CONTACT_MS))
   }
 
   /** Notes faults of links, given as `from>to`, until a time. */
@@ -680,9 +714,22 @@
     const callerReads = { upTo: ms(monotonic - now + process.callerReads.upTo), endedAt: ms(monotonic - now + process.callerReads.endedAt) }
     const effects = process.core.handle(input, monotonic, now, callerReads)
     this.oracle.recordDesiredVersion(`${process.name}#${process.incarnation}`, process.core.desired.db.version(), now)
+    this.reportOwnership(process)
     this.executeEffects(process, effects)
   }
 
+  /** Reports to the oracle what has changed in the ownership of the process's own shard. */
+  private reportOwnership (process: Process): void {
+    const { owned, records } = process.core.ownership.db
+    const { domain, name } = process
+    const record = records.get(domain)
+    if (record !== undefined && record !== process.reportedRecord) this.oracle.recordCopy(domain, record.revision, ranksOf(record.value), name, this.time.now)
+    const token = owned.get(domain)?.token
+    if (token !== undefined && token !== process.reportedToken) this.oracle.recordOwner(domain, token, name, this.time.now)
+    process.reportedRecord = record
+    process.reportedToken = token
+  }
+
   private executeEffects (process: Process, effects: readonly ShardEffect[]): void {
     for (const effect of effects) this.executeEffect(process, effect)
   }
@@ -846,6 +893,7 @@
     const lost = this.randomBelow(1000) < this.storeFaults.lostReplyShare * 1000
     this.time.after(lost ? this.randomBelow(3000) : 2, () => {
       const revision = this.store.write(`shard/${effect.record.failureDomain}`, JSON.stringify(effect.record), effect.expectedRevision)
+      if (revision !== undefined) this.oracle.recordWritten(effect.record.failureDomain, revision, ranksOf(effect.record))
       if (lost) return
       this.postLater(process, 2, () => ({ type: 'claimOutcome', claimId: effect.claimId, result: revision === undefined ? { type: 'conflict' } : { type: 'written', revision } }))
     })
@@ -865,7 +913,7 @@
       this.oracle.recordReply(job.id, reply, this.time.now)
       const comesBack = (reply === 'other' && attempt < ATTEMPTS_MAX) || (reply === 'refused' && retries > 0)
       if (comesBack) {
-        const names = [...this.processes.keys()]
+        const names = this.present().map(other => other.name)
         const delayMs = reply === 'other' ? CALLER_RESEND_DELAY_MS : retryAfterMs
         this.time.after(delayMs, () => this.sendSubmission(job, names[this.randomBelow(names.length)] ?? at, submission, attempt + 1, reply === 'refused' ? retries - 1 : retries))
         return
@@ -912,6 +960,11 @@
   }
 }
 
+/** @returns the instances that a record names, in the order of their tokens */
+function ranksOf ({ owner, successors }: ShardRecord): string {
+  return [owner.instance, ...successors].join()
+}
+
 function addedPrefix (version: number): string {
   return `/added-${version}/`
 }
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -2,7 +2,7 @@
  * Deliberate faults of the shard decisions, each of which the fuzzing oracle must catch. A mutation changes methods
  * that all instances share and returns how to undo it.
  */
-import type { InstanceId } from '@cranberryyard/protocol'
+import type { InstanceId, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ExactText } from '@cranberryyard/dispatcher/shard'
 import type { Rule } from '@cranberryyard/fakes'
 import { replaceMethod, sampleInstance as sample } from './patches.js'
@@ -93,6 +93,15 @@
   })
 }
 
+/** A fault that shows when members register between the writing of a record and the reading of it by its owner. */
+export function forgetWrittenSuccessors (): Undo {
+  return replaceMethod(sample.ownership, 'ownRecordWritten', original => function (this: typeof sample.ownership, ...args) {
+    const [{ revision, value }] = args as unknown as [Revised<ShardRecord>]
+    const successors = this.db.membersOf(value.failureDomain, value.owner.instance).map(({ instance }) => instance)
+    return original.apply(this, [{ revision, value: { ...value, successors } }] as never[])
+  })
+}
+
 /** Load with an owner that is cut off from the store and other domains while versions add and remove queues. */
 export const QUEUE_CHANGES_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withQueueChanges: true }
 
@@ -105,6 +114,9 @@
 /** Load with versions that take longer than they may over the links of some instances. */
 export const LARGE_STATES_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withLargeStates: true }
 
+/** Load with owners that are replaced while the store loses answers. */
+export const REPLACEMENTS_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withReplacements: true }
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -240,6 +252,12 @@
       return original.apply(this, [withFirstCapacity, fresh] as never[])
     })
   },
+  {
+    name: 'an owner takes the members that it knows for the successors that were written',
+    breaks: ['ONE'],
+    load: REPLACEMENTS_LOAD,
+    apply: forgetWrittenSuccessors
+  },
   {
     name: 'the desired state follows whoever speaks last',
     breaks: ['CONFIG'],
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -8,6 +8,7 @@
 import { addQueueChanges } from './queueChanges.js'
 import { addLargeStateChanges, largeStateOptions } from './largeStates.js'
 import { addMissingEntries } from './missingEntries.js'
+import { addReplacements } from './replacements.js'
 import { addStrains } from './strains.js'
 
 const DOMAINS = ['a', 'b', 'c'] as const
@@ -120,7 +121,7 @@
   },
   (fleet) => {
     const domain = pick(fleet, DOMAINS)
-    const names = [...fleet.processes.values()].filter(process => process.domain === domain).map(process => process.name)
+    const names = fleet.present().filter(process => process.domain === domain).map(process => process.name)
     const restarted = pick(fleet, names)
     const cutOff = pick(fleet, names)
     fleet.kill(restarted, 100)
@@ -179,6 +180,8 @@
   readonly withQueueChanges?: boolean
   /** Adds versions of a large desired state on a fleet with narrow links. */
   readonly withLargeStates?: boolean
+  /** Adds machines that are replaced while the store loses answers, followed by an outage. */
+  readonly withReplacements?: boolean
 }
 
 /**
@@ -187,7 +190,7 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false }: ScenarioLoad): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false, withReplacements = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs, ...withLargeStates ? largeStateOptions(DOMAINS.map(domain => `${domain}-2`)) : {} })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
@@ -210,6 +213,7 @@
   if (withMissingEntries) addMissingEntries(fleet, faultsUntil)
   if (withQueueChanges) addQueueChanges(fleet, faultsUntil)
   if (withLargeStates) addLargeStateChanges(fleet, submitUntil)
+  if (withReplacements) addReplacements(fleet, faultsUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
@@ -269,7 +273,7 @@
 }
 
 function pickInstance (fleet: ShardFleet): InstanceId {
-  return pick(fleet, [...fleet.processes.keys()])
+  return pick(fleet, fleet.present().map(process => process.name))
 }
 
 function pickEndpoint (fleet: ShardFleet): FencedEndpointModel {
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -68,6 +68,33 @@
     }
   })
 
+  // Two instances owned a shard with the same fencing token: one knew the successors that were written, the other those it would have written by then.
+  it('keeps and shares the successors that were written, though a member registers before the answer or the reading of the own record', () => {
+    const written = ['last']
+    const outcomes: Readonly<Record<string, (ownership: OwnershipDecider, claimId: number) => void>> = {
+      answered: (ownership, claimId) => ownership.claimOutcome(claimId, { type: 'written', revision: 41 }),
+      'answer lost': (ownership, claimId) => {
+        ownership.claimOutcome(claimId, { type: 'unknown' })
+        ownership.recordsRead(members('me', 'last', 'added'), [record(41, 'me', ...written)])
+      }
+    }
+    for (const [how, settle] of Object.entries(outcomes)) {
+      const { ctx, ownership } = setUp()
+      ownership.recordsRead(members('me', 'last'), [])
+      ownership.tick()
+      const [claim] = claims(ctx)
+      expect(claim?.record.successors, how).to.deep.equal(written)
+      ownership.recordsRead(members('me', 'last', 'added'), [])
+      settle(ownership, claim?.claimId ?? 0)
+      expect(ownership.db.records.get(DOMAIN), how).to.deep.equal(record(41, 'me', ...written))
+      const shared = ctx.out.takeEffects().flatMap(effect => effect.type === 'send' && effect.message.type === 'introduction' ? effect.message.shards : [])
+      expect(shared.map(({ value }) => value.successors.join()), how).to.deep.equal(['last', 'last'])
+      ctx.now = ms(ctx.now + 3000)
+      ownership.tick()
+      expect(claims(ctx).map(({ record: { successors } }) => successors), how).to.deep.equal([['added', 'last']])
+    }
+  })
+
   it('delays the claim of a later successor by its rank', () => {
     const { ctx, ownership, sessions } = setUp()
     ownership.recordsRead(members('me', 'owner', 'first'), [record(40, 'owner', 'first', 'me')])
--- a/packages/core/src/ownership/ownershipDecider.ts
+++ b/packages/core/src/ownership/ownershipDecider.ts
@@ -90,10 +90,11 @@
   claimOutcome (claimId: number, result: ClaimResult): void {
     if (this.db.claim?.claimId !== claimId) return
     const ownDomain = this.ctx.self.failureDomain
+    const { record } = this.db.claim
     this.db.claim = undefined
     this.ctx.out.log('shard.claimAnswered', { shard: ownDomain, result: result.type, revision: result.type === 'written' ? result.revision : undefined })
     switch (result.type) {
-      case 'written': return this.recordWritten(ownDomain, result.revision)
+      case 'written': return this.ownRecordWritten({ revision: result.revision, value: record })
       case 'conflict':
         this.ctx.out.push({ type: 'refreshRecords' })
         return
@@ -182,7 +183,7 @@
     const ownership = this.db.owned.get(failureDomain)
     const isSelf = owner.instance === self.instance && owner.incarnation === self.incarnation
     if (isSelf) {
-      if (ownership === undefined ? this.mayOwnBy(record) : record.revision > ownership.revision) this.recordWritten(failureDomain, record.revision)
+      if (ownership === undefined ? this.mayOwnBy(record) : record.revision > ownership.revision) this.ownRecordWritten(record)
       return
     }
     this.sessions.db.peer(owner.instance, owner.address)
@@ -240,7 +241,7 @@
       owner: { ...self },
       successors: this.db.membersOf(ownDomain, self.instance).map(member => member.instance)
     }
-    this.db.claim = { claimId: ++this.claimCounter, sentAt: now }
+    this.db.claim = { claimId: ++this.claimCounter, sentAt: now, record }
     this.lastClaimAt = now
     out.count('shard.owner.claims')
     out.log('shard.claim', { shard: ownDomain, expectedRevision: known?.revision ?? 0, ownerBefore: known?.value.owner.instance, vacantMs: Math.round(now - (this.vacantSince ?? now)), rank: this.rankOf(ownDomain) })
@@ -272,11 +273,15 @@
     if (rank !== undefined) this.acquire(ownDomain, record.revision, rank, 'storeDown')
   }
 
-  private recordWritten (failureDomain: FailureDomain, revision: number): void {
-    const { self } = this.ctx
-    const successors = this.db.membersOf(failureDomain, self.instance).map(member => member.instance)
-    this.db.records.set(failureDomain, { revision, value: { failureDomain, owner: { ...self }, successors } })
-    this.acquire(failureDomain, revision, 0, 'store')
+  /**
+   * Owns the shard by a record that the store holds.
+   * @param record - exactly what was written under the revision: instances derive the tokens of successors from their positions in it, and members may
+   * have registered since
+   */
+  private ownRecordWritten (record: Revised<ShardRecord>): void {
+    const { failureDomain } = record.value
+    this.db.records.set(failureDomain, record)
+    this.acquire(failureDomain, record.revision, 0, 'store')
     this.shareRecord(failureDomain)
   }
 
@@ -304,7 +309,7 @@
     } else {
       this.db.owned.set(failureDomain, { failureDomain, token, rank, revision, since: now, tokenSince: now })
       out.count('shard.owner.takeovers')
-      out.log('shard.owned', { shard: failureDomain, token, how, rank, revision, vacantMs: Math.round(now - (this.vacantSince ?? now)) })
+      out.log('shard.owned', { shard: failureDomain, token, how, rank, revision, ranks: this.ranksOf(failureDomain), vacantMs: Math.round(now - (this.vacantSince ?? now)) })
       if (this.vacantSince !== undefined) out.push({ type: 'observe', histogram: 'takeoverMs', label: how, valueMs: now - this.vacantSince })
       this.vacantSince = undefined
       this.listener.ownershipGained(failureDomain, token)
@@ -312,6 +317,12 @@
     this.announce(failureDomain)
   }
 
+  /** Lists the instances of this instance's copy of the record by rank, to compare copies in the logs. */
+  private ranksOf (failureDomain: FailureDomain): string | undefined {
+    const record = this.db.records.get(failureDomain)?.value
+    return record === undefined ? undefined : [record.owner.instance, ...record.successors].join()
+  }
+
   private announce (failureDomain: FailureDomain): void {
     const { self } = this.ctx
     const ownership = this.db.owned.get(failureDomain)
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -2,7 +2,7 @@
  * Types of the ownership decision, which determines whether this instance may send orders to the endpoints of a failure
  * domain. The state and the rules use them; listeners receive the outcome.
  */
-import type { EndpointReport, FailureDomain, FencingToken, InstanceId, Ms } from '@cranberryyard/protocol'
+import type { EndpointReport, FailureDomain, FencingToken, InstanceId, Ms, ShardRecord } from '@cranberryyard/protocol'
 
 /** A shard that this instance owns, with the fencing token it owns it under. */
 export interface Ownership {
@@ -21,6 +21,7 @@
 export interface PendingClaim {
   readonly claimId: number
   readonly sentAt: Ms
+  readonly record: ShardRecord
 }
 
 /** Receives the changes in which shards this instance owns. */
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -16,9 +16,10 @@
  * - DRAIN: a task started on an endpoint that had been draining for too long
  * - BUDGET: a task that crashes its endpoints was started too often after it had crashed some of them
  * - UNASKED: a task started with another spec than its caller sent
+ * - ONE: two instances owned a shard under the same fencing token, or may do so, since they derive tokens from different copies of a record
  * - CONFIG: an instance went back to an older version of the desired state, or handled a job as only an older one allows, after it had shown a newer one or had had time to get it
  */
-export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'CONFIG'
+export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'ONE' | 'CONFIG'
 
 /** A violation of an invariant. */
 export interface Violation {
@@ -73,6 +74,10 @@
   private readonly failuresByTask = new Map<string, number>()
   private readonly crashesByTask = new Map<string, CrashObservation>()
   private readonly desiredVersions = new Map<string, number>()
+  /** The instance that owned a shard under a token, by both. */
+  private readonly tokenHolders = new Map<string, string>()
+  /** The instances named by each record that was written, by shard and revision. */
+  private readonly writtenRanks = new Map<string, string>()
   /** When each incarnation of an instance first showed the effect of a version, by version. */
   private readonly shownVersions = new Map<string, Map<number, number>>()
 
@@ -166,6 +171,25 @@
     if (!this.drainingSince.has(id)) this.drainingSince.set(id, at)
   }
 
+  /** Records that an instance owns a shard under a fencing token. It may have owned the shard under the same token before a restart, which ended its orders. */
+  recordOwner (shard: string, token: number, instance: string, at: number): void {
+    const key = `${shard} ${token}`
+    const holder = this.tokenHolders.get(key)
+    if (holder === undefined) this.tokenHolders.set(key, instance)
+    else if (holder !== instance) this.reportViolation('ONE', at, `${instance} owns shard ${shard} under token ${token}, as ${holder} did`)
+  }
+
+  /** Records what the store holds as a shard's record under a revision. */
+  recordWritten (shard: string, revision: number, ranks: string): void {
+    this.writtenRanks.set(`${shard} ${revision}`, ranks)
+  }
+
+  /** Records the copy of a shard's record that an instance goes by; `ranks` lists the instances in the order of their tokens. */
+  recordCopy (shard: string, revision: number, ranks: string, instance: string, at: number): void {
+    const written = this.writtenRanks.get(`${shard} ${revision}`)
+    if (written !== ranks) this.reportViolation('ONE', at, `${instance} takes ${ranks} for revision ${revision} of shard ${shard}, written was ${written}`)
+  }
+
   /** Records the version of the desired state that an incarnation of an instance uses. */
   recordDesiredVersion (incarnation: string, version: number, at: number): void {
     const previous = this.desiredVersions.get(incarnation) ?? 0
