--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -861,6 +861,7 @@
     const spec = taskSpec(effect.spec, effect.task)
     this.oracle.recordSpec(effect.task, effect.spec, this.time.now)
     this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
+      if (!this.reaches(endpoint, effect.bornAt)) return answer({ type: 'otherLife' })
       const previousRun = endpoint.runs.get(effect.task)
       const reply = endpoint.start(this.time.now, { token: effect.token, task: effect.task, run: effect.run, spec, untilMs: effect.notAfter })
       if (reply === 'started') this.recordQueueUse(process, effect.task)
@@ -869,6 +870,11 @@
     }, outcome => ({ type: 'taskStartOutcome', endpoint: effect.endpoint, orderId: effect.orderId, outcome }))
   }
 
+  /** @returns whether a start that is meant for an incarnation of an endpoint is sent to the present one; a restart breaks the connections to the one before */
+  private reaches (endpoint: FencedEndpointModel, bornAt: number): boolean {
+    return endpoint.bornAt === bornAt
+  }
+
   /** Tells the oracle what a start shows of the version by which the instance acts. */
   private recordQueueUse (process: Process, task: string): void {
     const id = task.slice(0, task.indexOf('.'))
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -7,6 +7,7 @@
 import type { Rule } from '@cranberryyard/fakes'
 import { replaceMethod, sampleInstance as sample } from './patches.js'
 import type { Method, Undo } from './patches.js'
+import { ShardFleet } from './shardFleet.js'
 import type { ScenarioLoad } from './shardScenario.js'
 
 /** A fault and the rules of which at least one must be violated. */
@@ -117,6 +118,14 @@
 /** Load with owners that are replaced while the store loses answers. */
 export const REPLACEMENTS_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withReplacements: true }
 
+/** Load with owners that are cut off from the other instances while endpoints restart. */
+export const STALE_OWNERS_LOAD: ScenarioLoad = { jobsPerSecond: 3, meanFaultIntervalMs: 6000, withStaleOwners: true }
+
+/** A fault of the connections to endpoints, which the fleet stands in for. */
+export function startAtAnyIncarnation (): Undo {
+  return replaceMethod(Object.create(ShardFleet.prototype) as ShardFleet, 'reaches', () => () => true)
+}
+
 /** All mutations. */
 export const SHARD_MUTATIONS: readonly ShardMutation[] = [
   {
@@ -198,7 +207,7 @@
   {
     name: 'the jobs of a lost front go on, under whatever lease there is',
     breaks: ['TWICE'],
-    load: { jobsPerSecond: 12, workFactor: 2.5 },
+    load: { jobsPerSecond: 12, workFactor: 2.5, meanFaultIntervalMs: 350 },
     apply: () => {
       const undoLost = replaceMethod(sample.execution, 'frontLost', () => () => {})
       const undoConfirmationExpired = replaceMethod(sample.execution, 'isConfirmationExpired', () => () => false)
@@ -258,6 +267,12 @@
     load: REPLACEMENTS_LOAD,
     apply: forgetWrittenSuccessors
   },
+  {
+    name: 'a start is carried out by whichever incarnation of its endpoint it reaches',
+    breaks: ['LIMIT'],
+    load: STALE_OWNERS_LOAD,
+    apply: startAtAnyIncarnation
+  },
   {
     name: 'the desired state follows whoever speaks last',
     breaks: ['CONFIG'],
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -58,6 +58,7 @@
     sends: 0,
     refusedSends: 0,
     silentSends: 0,
+    awaitsRetry: false,
     lastSentAt: now,
     startSentAt: now,
     percent: 0,
--- a/packages/core/src/endpoints/endpointsDecider.spec.ts
+++ b/packages/core/src/endpoints/endpointsDecider.spec.ts
@@ -213,10 +213,67 @@
     answerHold(ctx, ledger, listing(20, [], [], 6))
     ctx.now = ms(ctx.now + 100)
     ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    expect(takeEffects(ctx, 'startTask'), 'the hold that was answered waited, so the new incarnation may not have seen its token').to.deep.equal([])
+    ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(120, [], [], 6) })
     expect(takeEffects(ctx, 'startTask').map(({ notAfter }) => notAfter)).to.deep.equal([120 + SHARD_DEFAULTS.startValidMs])
     expect(run.notAfter).to.be.greaterThan(10_000)
   })
 
+  // An endpoint that had restarted took starts of two owners: the later one went by the answer of the incarnation before.
+  it('sends a start to no other incarnation than the one that has answered, and lets a later one answer first', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    expect(takeEffects(ctx, 'startTask').map(({ bornAt }) => bornAt)).to.deep.equal([5])
+    ledger.startOutcome(ID, run.orderId, { type: 'otherLife' })
+    expect(listener.events).to.deep.equal(['rejected 1 otherLife'])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+    const earlierOwners: readonly ListedRun[] = [{ task: 'other.0.0.0' as TaskName, run: 1, percent: 0 }]
+    answerHold(ctx, ledger, listing(20, earlierOwners, [], 6))
+    ledger.update([{ ...REPORT, bornAt: 6 }], true)
+    expect(freeCapacityOf(endpointOf(ledger)).cpuMilli, 'while a run of unknown needs is there').to.equal(0)
+    answerHold(ctx, ledger, listing(50, [], [{ sequence: 1, task: 'other.0.0.0' as TaskName, run: 1, how: 'done' }], 6))
+    expect(ledger.usable(endpointOf(ledger))).to.equal(true)
+  })
+
+  it('gives up a start at once that could not be sent, and places nothing there until the endpoint answers', () => {
+    const { ctx, ledger, listener } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    ledger.startOutcome(ID, run.orderId, { type: 'unsent' })
+    expect(listener.events).to.deep.equal(['rejected 1 unsent'])
+    expect(listener.refusals, 'no sign of a crash').to.deep.equal([])
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+    answerHold(ctx, ledger, listing(520))
+    expect(ledger.usable(endpointOf(ledger))).to.equal(true)
+  })
+
+  // The endpoint answered a hold of the later owner that had reached the incarnation before, and took starts of the earlier owner.
+  it('places nothing at an endpoint that has restarted while a hold waited there before it answers another one', () => {
+    const { ctx, ledger } = setUpWithRun()
+    ledger.update([{ ...REPORT, bornAt: 6 }], true)
+    answerHold(ctx, ledger, listing(20, [], [], 6))
+    expect(ledger.usable(endpointOf(ledger))).to.equal(false)
+    answerHold(ctx, ledger, listing(21, [], [], 6))
+    expect(ledger.usable(endpointOf(ledger))).to.equal(true)
+  })
+
+  it('sends no start again under a new token before the endpoint has answered under it', () => {
+    const { ctx, ledger, tokens } = setUp()
+    ledger.adopt([REPORT])
+    answerHold(ctx, ledger, listing(500))
+    const run = ledger.start(endpointOf(ledger), TASK, 1, { spec: 'text', needs: NEEDS, expectedMs: 100, exclusive: false, lease: LEASE })
+    tokens.value = 9
+    ledger.requireFreshAnswers()
+    ctx.out.takeEffects()
+    ledger.startOutcome(ID, run.orderId, { type: 'silent' })
+    expect(takeEffects(ctx, 'startTask')).to.deep.equal([])
+    ledger.holdOutcome(ID, endpointOf(ledger).hold?.orderId ?? 0, { type: 'listed', listing: listing(500) })
+    expect(takeEffects(ctx, 'startTask').map(({ token }) => token)).to.deep.equal([9])
+  })
+
   it('does not take runs that it finds for lost before the leases of their earlier owner must have ended', () => {
     const { ctx, ledger, listener } = setUp()
     ledger.adopt([REPORT])
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps the ledger of owned endpoints in step with the endpoints themselves. Before anything starts at an endpoint, the
- * endpoint must answer a hold under the present fencing token. Holds then renew leases while runs are in progress and
+ * endpoint must answer a hold under the present fencing token. A start names the incarnation that has answered: a later one has
+ * forgotten the token, so an earlier owner may have started tasks there. Holds then renew leases while runs are in progress and
  * report their ends. Orders without an answer are repeated, and their capacity stays reserved while they may take effect.
  * Which job runs where is decided elsewhere; this module alone knows what may be running.
  */
@@ -203,9 +204,12 @@
       case 'fenced':
         this.tokenRefused(endpoint, run.token)
         return this.startRejected(endpoint, run, 'fenced')
-      case 'refused': return this.startRefused(endpoint, run)
-      case 'silent':
       case 'otherLife':
+        this.startRejected(endpoint, run, 'otherLife')
+        return this.requireFreshAnswer(endpoint)
+      case 'refused':
+      case 'unsent': return this.startNotSent(endpoint, run, outcome.type)
+      case 'silent':
       case 'unreadable':
         this.ctx.out.count('shard.tasks.startSilent')
         run.silentSends++
@@ -263,7 +267,7 @@
     if (extendTo !== undefined) this.recordLeaseEnd(endpoint, extendTo)
     const waitMs = watchesRuns && endpoint.unansweredHolds === 0 ? this.holdWaitFor(endpoint, extendTo) : ms(0)
     const orderId = ++this.orderCounter
-    endpoint.hold = { orderId, token, sentAt: now, endTimeKnown: now - endpoint.answeredAt <= END_TIME_GAP_MAX_MS || endpoint.runs.size === 1 }
+    endpoint.hold = { orderId, token, sentAt: now, waits: waitMs > 0, endTimeKnown: now - endpoint.answeredAt <= END_TIME_GAP_MAX_MS || endpoint.runs.size === 1 }
     this.ctx.out.count('shard.holds.sent')
     this.ctx.out.push({
       type: 'hold',
@@ -294,7 +298,7 @@
   }
 
   private scheduleNextHold (endpoint: LedgerEndpoint): void {
-    if (endpoint.runs.size > 0) this.sendHold(endpoint)
+    if (endpoint.runs.size > 0 || !endpoint.answeredUnderToken) this.sendHold(endpoint)
     else endpoint.nextHoldAt = ms(this.ctx.now + this.ctx.cfg.idleHoldPeriodMs)
   }
 
@@ -323,7 +327,8 @@
 
   private applyListing (endpoint: LedgerEndpoint, listing: EndpointListing, hold: PendingHold): void {
     const { now, out, cfg } = this.ctx
-    if (endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt) this.endpointRestarted(endpoint, listing)
+    const restarted = endpoint.bornAt !== undefined && endpoint.bornAt !== listing.bornAt
+    if (restarted) this.endpointRestarted(endpoint, listing)
     else if (endpoint.runsAtRefusal !== undefined || endpoint.runsLostInSilence.length > 0) this.listener.endpointBack(endpoint, [...endpoint.runsAtRefusal ?? [], ...endpoint.runsLostInSilence])
     if (endpoint.unansweredHolds >= UNANSWERED_HOLDS_MAX) out.log('endpoint.answers', { endpoint: endpoint.id, silentMs: Math.round(now - endpoint.answeredAt) })
     this.listener.endpointAnswered(endpoint, listing.bornAt)
@@ -339,7 +344,9 @@
     this.applyEnds(endpoint, listing, hold.endTimeKnown)
     this.applyRunning(endpoint, listing.running)
     this.resolveMissingRuns(endpoint, listing, hold.sentAt)
-    endpoint.answeredUnderToken = true
+    // An endpoint that has restarted while this hold waited there has not seen its token, so it has to answer another one.
+    endpoint.answeredUnderToken = !(restarted && hold.waits)
+    for (const run of endpoint.runs.values()) if (run.state === 'ordered' && run.awaitsRetry) this.retryStart(endpoint, run)
     this.listener.capacityChanged()
   }
 
@@ -435,7 +442,8 @@
   private sendStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
     const { now, cfg, out } = this.ctx
     const token = this.tokenOf(endpoint.report.failureDomain)
-    if (token === undefined) return
+    const { bornAt } = endpoint
+    if (token === undefined || bornAt === undefined) return
     const validMs = Math.floor(Math.min(cfg.startValidMs, leaseBoundOf(endpoint) - now))
     if (validMs <= 0) return
     const notAfter = endpointClock(endpoint, now) + validMs as EndpointClockMs
@@ -447,6 +455,7 @@
     out.push({
       type: 'startTask',
       endpoint: endpoint.id,
+      bornAt,
       address: endpoint.report.address,
       orderId: run.orderId,
       token,
@@ -499,21 +508,24 @@
     this.listener.capacityChanged()
   }
 
-  /** A start that was refused each time it was sent never arrived. Until a hold is answered, nothing else is placed there. */
-  private startRefused (endpoint: LedgerEndpoint, run: LedgerRun): void {
+  /** A start that could not be sent, or was refused, each time never arrived. Until a hold is answered, nothing else is placed there. */
+  private startNotSent (endpoint: LedgerEndpoint, run: LedgerRun, why: 'refused' | 'unsent'): void {
     run.refusedSends++
     endpoint.unansweredHolds = Math.max(1, endpoint.unansweredHolds)
-    if (run.refusedSends === run.sends) {
+    const neverArrived = run.refusedSends === run.sends
+    if (neverArrived) {
       this.ctx.out.count('shard.tasks.startRejected')
       this.db.removeRun(endpoint, run)
     }
-    this.endpointRefused(endpoint)
-    if (run.refusedSends === run.sends) this.listener.runRejected(run, 'refused')
+    if (why === 'refused') this.endpointRefused(endpoint)
+    if (neverArrived) this.listener.runRejected(run, why)
     else this.retryStart(endpoint, run)
   }
 
+  /** Sends a start again, once no other owner can have started tasks at the endpoint since it last answered. */
   private retryStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
-    if (run.sends < START_SENDS_MAX && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStart(endpoint, run)
+    run.awaitsRetry = !endpoint.answeredUnderToken
+    if (!run.awaitsRetry && run.sends < START_SENDS_MAX && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStart(endpoint, run)
   }
 
   /** Ignores the refusal of a token that this instance has itself replaced since; the shard may still be its own. */
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -61,10 +61,12 @@
   exclusive: boolean
   /** How often the latest order, a start or a stop, was sent. */
   sends: number
-  /** How often the start was refused by the network or the address, so that it did not arrive. */
+  /** How often the start could not be sent, or was refused by the network, so that it did not arrive. */
   refusedSends: number
   /** How often the start was sent without an answer, so that it may have arrived. */
   silentSends: number
+  /** The start had no outcome at a time at which it could not be sent again. */
+  awaitsRetry: boolean
   lastSentAt: Ms
   /** When the start was last sent. */
   startSentAt: Ms
@@ -79,6 +81,8 @@
   readonly orderId: number
   readonly token: FencingToken
   readonly sentAt: Ms
+  /** The endpoint answers it when a run ends, and not at once. */
+  readonly waits: boolean
   /** The endpoint was observed without a gap up to this hold, which waits for an end; the end's time is therefore known. */
   readonly endTimeKnown: boolean
 }
@@ -139,7 +143,7 @@
 }
 
 /** Why a run has not started and never will. */
-export type RejectionReason = 'refused' | 'oldRun' | 'late' | 'noRoom' | 'invalid' | 'unhealthy' | 'fenced' | 'neverArrived'
+export type RejectionReason = 'refused' | 'unsent' | 'otherLife' | 'oldRun' | 'late' | 'noRoom' | 'invalid' | 'unhealthy' | 'fenced' | 'neverArrived'
 
 /** Receives the changes of runs. */
 export interface RunListener {
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -22,7 +22,7 @@
   'shard.tasks.lost': 'Runs that were lost, nearly all with their endpoint.',
   'shard.tasks.adopted': 'Runs of an earlier owner that went on under this one.',
   'shard.tasks.unclaimed': 'Runs of an earlier owner that nobody claimed and that were stopped.',
-  'shard.holds.sent': 'Holds and looks sent to endpoints.',
+  'shard.holds.sent': 'Holds and looks sent to endpoints, without those that ask on a new connection which incarnation answers.',
   'shard.holds.silent': 'Holds and looks without an answer in time.',
   'shard.endpoints.crashed': 'Endpoints that refused connections while tasks ran there.',
   'shard.endpoints.reborn': 'Endpoints that started again under the same id.',
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -86,7 +86,8 @@
   | { readonly type: 'send', readonly to: InstanceId, readonly address: string, readonly message: ShardMessage }
   | { readonly type: 'resetLink', readonly peer: InstanceId }
   | { readonly type: 'hold', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly extendTo: EndpointClockMs | undefined, readonly acknowledged: number, readonly waitMs: Ms, readonly timeoutMs: Ms }
-  | { readonly type: 'startTask', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly task: TaskName, readonly run: number, readonly spec: string, readonly notAfter: EndpointClockMs, readonly timeoutMs: Ms }
+  /** `bornAt`: the incarnation of the endpoint, which is the only one that may carry out the order. */
+  | { readonly type: 'startTask', readonly endpoint: EndpointId, readonly bornAt: number, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly task: TaskName, readonly run: number, readonly spec: string, readonly notAfter: EndpointClockMs, readonly timeoutMs: Ms }
   | { readonly type: 'stopTask', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly task: TaskName, readonly run: number, readonly timeoutMs: Ms }
   | { readonly type: 'writeMember', readonly record: MemberRecord }
   | { readonly type: 'claimShard', readonly claimId: number, readonly expectedRevision: number, readonly record: ShardRecord }
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -18,7 +18,13 @@
 export type CallResult =
   | { readonly type: 'reply', readonly reply: HttpReply }
   | { readonly type: 'refused' }
-  | { readonly type: 'silent', /** Bytes of the answer's body that had arrived. */ readonly receivedBytes: number }
+  | {
+    readonly type: 'silent'
+    /** Bytes of the answer's body that had arrived. */
+    readonly receivedBytes: number
+    /** False if the call was given up before any of it was sent. */
+    readonly sent: boolean
+  }
 
 /** Logs why a call failed in another way than by a refused connection or a timeout. */
 export type LogFailedCall = (address: string, reason: string) => void
@@ -26,7 +32,9 @@
 /** Time after which an idle connection is closed. */
 const KEEP_ALIVE_MS = 10_000
 /** Longest time to connect; allows a few round trips. */
-const CONNECT_TIMEOUT_MS = 400
+export const CONNECT_TIMEOUT_MS = 400
+/** Timeouts of connections; a call has its own. */
+export const CONNECTION_OPTIONS = { keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: 0, bodyTimeout: 0 } as const
 
 /** Timeouts of a call. There are two, so that a large answer over a slow link is not given up while data still arrives. */
 export interface CallTimeouts {
@@ -39,6 +47,7 @@
 /** A call in flight: collects the answer and reports exactly once, at the latest when it times out. */
 class PendingCall implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined
+  private sent = false
   private status = 0
   private readonly chunks: Buffer[] = []
   private finished = false
@@ -56,6 +65,7 @@
     this.controller = controller
     // The call timed out while it waited for a connection, so it must not be sent any more.
     if (this.finished) this.abort()
+    else this.sent = true
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
@@ -105,7 +115,7 @@
   }
 
   private finishSilent (): void {
-    this.finish({ type: 'silent', receivedBytes: this.chunks.reduce((sum, { length }) => sum + length, 0) })
+    this.finish({ type: 'silent', receivedBytes: this.chunks.reduce((sum, { length }) => sum + length, 0), sent: this.sent })
   }
 
   private abort (): void {
@@ -121,6 +131,36 @@
   }
 }
 
+/**
+ * Makes a call. Network failures and calls that cannot be sent are outcomes and do not reject the promise.
+ * @param connect - returns what dispatches the call; may throw if the address cannot be used
+ * @param call - the request
+ * @param timeouts - both timeouts, or one number for the longest time until the answer is complete
+ * @param logFailure - called with the reason if the call fails in another way than by a refused connection or a timeout
+ */
+export function sendCall (connect: () => Dispatcher, call: HttpCall, timeouts: CallTimeouts | Ms, logFailure: (reason: string) => void): Promise<CallResult> {
+  return new Promise((resolve) => {
+    const pending = new PendingCall(typeof timeouts === 'number' ? { idleTimeoutMs: timeouts, totalTimeoutMs: timeouts } : timeouts, resolve, logFailure)
+    try {
+      checkHeaders(call)
+      connect().dispatch({
+        method: call.method,
+        path: call.path,
+        headers: { 'content-type': 'application/json', ...call.headers },
+        body: call.body ?? null
+      }, pending)
+    } catch (err) {
+      pending.fail(err)
+    }
+  })
+}
+
+/** Returns the origin of an address, or throws if it is not an IP address with a port. */
+export function originOf (address: string): string {
+  if (parseAddress(address) === undefined) throw new Error('the address is not an IP address with a port')
+  return `http://${address}`
+}
+
 /** Makes calls to any number of addresses, with a connection pool for each. */
 export class HttpCaller {
   private readonly pools = new Map<string, Pool>()
@@ -129,26 +169,11 @@
   constructor (private readonly connections: number, private readonly logFailure: LogFailedCall) {}
 
   /**
-   * Makes a call. Network failures and addresses that cannot be used are outcomes and do not reject the promise.
+   * Makes a call over any connection.
    * @param address - IP address and port; may be any text
-   * @param call - the request
-   * @param timeouts - both timeouts, or one number for the longest time until the answer is complete
    */
   call (address: string, call: HttpCall, timeouts: CallTimeouts | Ms): Promise<CallResult> {
-    return new Promise((resolve) => {
-      const pending = new PendingCall(typeof timeouts === 'number' ? { idleTimeoutMs: timeouts, totalTimeoutMs: timeouts } : timeouts, resolve, reason => this.logFailure(address, reason))
-      try {
-        checkHeaders(call)
-        this.pool(address).dispatch({
-          method: call.method,
-          path: call.path,
-          headers: { 'content-type': 'application/json', ...call.headers },
-          body: call.body ?? null
-        }, pending)
-      } catch (err) {
-        pending.fail(err)
-      }
-    })
+    return sendCall(() => this.pool(address), call, timeouts, reason => this.logFailure(address, reason))
   }
 
   /** Closes all connections; calls in flight end as `silent`. */
@@ -161,14 +186,7 @@
   private pool (address: string): Pool {
     const existing = this.pools.get(address)
     if (existing !== undefined) return existing
-    if (parseAddress(address) === undefined) throw new Error('the address is not an IP address with a port')
-    const pool = new Pool(`http://${address}`, {
-      connections: this.connections,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      headersTimeout: 0,
-      bodyTimeout: 0
-    })
+    const pool = new Pool(originOf(address), { ...CONNECTION_OPTIONS, connections: this.connections, connect: { timeout: CONNECT_TIMEOUT_MS } })
     this.pools.set(address, pool)
     return pool
   }
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -206,6 +206,8 @@
   | 'refused'
   /** The request timed out; the order may still take effect. */
   | 'silent'
+  /** No usable connection came about in time, so the order was not sent and has no effect. */
+  | 'unsent'
   /** The endpoint reported that it is unhealthy and has not carried out the order. */
   | 'unhealthy'
   /** The answer could not be parsed. */
