A peer that receives nothing has its connection replaced, before it takes the sender for lost

What callers saw: when connections between instances went silent for good, a third to a fifth of the requests failed for four seconds. Cause: each direction of a link has its own connection, and an instance replaced its own only when it received nothing itself. An owner that got the pings of a front went on answering on a dead connection, and the front took it for lost and claimed the domain. Change: a ping says that its sender has replaced its connection and still receives nothing; the receiver replaces its own, at most once a second.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -218,6 +218,8 @@
   private readonly linkQueueMs = new Map<string, number>()
   /** Number of the present connection of each directed link. */
   private readonly connections = new Map<string, number>()
+  /** Number of the latest connection of a directed link that loses everything for good. */
+  private readonly silentConnections = new Map<string, number>()
   /** Whether crashed endpoints give no sign, as machines without power do, in place of refused and broken connections. */
   crashesAreSilent = false
   /** Share of orders to endpoints that take effect 2 to 12 s late and get no answer. */
@@ -467,6 +469,12 @@
     }
   }
 
+  /** Makes the present connections of directed links, given as `from>to`, lose everything for good; new ones work. */
+  silenceConnections (pairs: readonly string[]): void {
+    this.noteLinkFaults(pairs, 0)
+    for (const pair of pairs) this.silentConnections.set(pair, this.connections.get(pair) ?? 0)
+  }
+
   /** Reports to two instances that their connection has been lost; both can send again at once. */
   replaceConnections (a: InstanceId, b: InstanceId): void {
     this.noteLinkFaults([`${a}>${b}`], 0)
@@ -791,7 +799,7 @@
     const target = this.process(to.replace(SEED_PREFIX, '') as InstanceId)
     this.onMessage(process.name, to, message)
     const pair = `${process.name}>${target.name}`
-    if (this.isCut(process.name, target.name)) return
+    if (this.isCut(process.name, target.name) || this.silentConnections.get(pair) === (this.connections.get(pair) ?? 0)) return
     const delayMs = this.linkDelayMs(process.name, target.name) + (this.linkQueueMs.get(pair) ?? 0) + this.transferMs(pair, () => encodeEnvelope({ from: process.name, message }).length)
     const arrive = (): void => {
       if (target.up) this.postFromOutside(target, { type: 'peer', from: process.name, message })
--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -2,7 +2,7 @@
 import type { FencedEndpointModel, Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
-import { ENCODED_LOAD, LARGE_STATES_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, REPLACEMENTS_LOAD, SHARD_MUTATIONS, STALE_OWNERS_LOAD, requestNoVersions, useOutdatedEntries } from './shardMutations.js'
+import { ENCODED_LOAD, LARGE_STATES_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, REPLACEMENTS_LOAD, SHARD_MUTATIONS, SILENT_CONNECTIONS_LOAD, STALE_OWNERS_LOAD, requestNoVersions, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
 import type { ScenarioLoad } from './shardScenario.js'
 
@@ -17,6 +17,7 @@
 const LARGE_STATES_SEEDS = [1, 2, 3, 4, 5, 6] as const
 const REPLACEMENTS_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8] as const
 const STALE_OWNERS_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8] as const
+const SILENT_CONNECTIONS_SEEDS = [1, 2, 3, 4, 5, 6] as const
 /** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
 const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
 /** What `npm run fuzz:shard -- --no-states` plays. */
@@ -116,6 +117,12 @@
     })
   }
 
+  for (const seed of SILENT_CONNECTIONS_SEEDS) {
+    it(`violates no invariant while connections between instances go silent, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, SILENT_CONNECTIONS_LOAD).violations).to.deep.equal([])
+    })
+  }
+
   for (const seed of ENCODED_SEEDS) {
     it(`violates no invariant while jobs are encoded on their way between instances, with seed ${seed}`, () => {
       expect(runShardScenario(seed, FAULT_PHASE_MS, ENCODED_LOAD).violations).to.deep.equal([])
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -121,6 +121,9 @@
 /** Load with owners that are cut off from the other instances while endpoints restart. */
 export const STALE_OWNERS_LOAD: ScenarioLoad = { jobsPerSecond: 3, meanFaultIntervalMs: 6000, withStaleOwners: true }
 
+/** Load with connections between instances that go silent for good. */
+export const SILENT_CONNECTIONS_LOAD: ScenarioLoad = { jobsPerSecond: 10, meanFaultIntervalMs: 4000, withSilentConnections: true }
+
 /** A fault of the connections to endpoints, which the fleet stands in for. */
 export function startAtAnyIncarnation (): Undo {
   return replaceMethod(Object.create(ShardFleet.prototype) as ShardFleet, 'reaches', () => () => true)
--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -9,6 +9,7 @@
 import { addLargeStateChanges, largeStateOptions } from './largeStates.js'
 import { addMissingEntries } from './missingEntries.js'
 import { addReplacements } from './replacements.js'
+import { addSilentConnections } from './silentConnections.js'
 import { addStaleOwners } from './staleOwners.js'
 import { addStrains } from './strains.js'
 
@@ -183,6 +184,8 @@
   readonly withLargeStates?: boolean
   /** Adds machines that are replaced while the store loses answers, followed by an outage. */
   readonly withReplacements?: boolean
+  /** Adds connections between instances that go silent for good. */
+  readonly withSilentConnections?: boolean
   /** Adds owners that are cut off from the other instances while endpoints restart. */
   readonly withStaleOwners?: boolean
 }
@@ -193,7 +196,7 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false, withReplacements = false, withStaleOwners = false }: ScenarioLoad): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false, withReplacements = false, withStaleOwners = false, withSilentConnections = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs, ...withLargeStates ? largeStateOptions(DOMAINS.map(domain => `${domain}-2`)) : {} })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
@@ -217,6 +220,7 @@
   if (withQueueChanges) addQueueChanges(fleet, faultsUntil)
   if (withLargeStates) addLargeStateChanges(fleet, submitUntil)
   if (withReplacements) addReplacements(fleet, faultsUntil)
+  if (withSilentConnections) addSilentConnections(fleet, faultsUntil)
   if (withStaleOwners) addStaleOwners(fleet, faultsUntil)
   fleet.run(faultyMs + FAULT_FREE_MS)
   fleet.run(FAULT_FREE_MS)
--- a/packages/bench/src/shardFuzz.ts
+++ b/packages/bench/src/shardFuzz.ts
@@ -19,6 +19,7 @@
   .option('queues', { type: 'boolean', default: true, describe: 'Adds versions that add and remove queues while an owner is cut off from the store' })
   .option('states', { type: 'boolean', default: true, describe: 'Adds versions of a large desired state on a fleet with narrow links' })
   .option('replacements', { type: 'boolean', default: true, describe: 'Adds machines that are replaced while the store loses answers, followed by an outage' })
+  .option('silent', { type: 'boolean', default: true, describe: 'Adds connections between instances that go silent for good' })
   .option('stale', { type: 'boolean', default: true, describe: 'Adds owners that are cut off from the other instances while endpoints restart' })
   .option('work', { type: 'number', default: 1, describe: 'Factor on the run times of tasks' })
   .strict()
@@ -26,7 +27,7 @@
 
 let failedRuns = 0
 for (let seed = args.seed; seed < args.seed + args.runs; seed++) {
-  const result = runShardScenario(seed, args.faulty, { jobsPerSecond: args.rate, withHazards: args.hazards, withStrain: args.strain, withMissingEntries: args.entries, withEncodedJobs: args.encoded, withQueueChanges: args.queues, withLargeStates: args.states, withReplacements: args.replacements, withStaleOwners: args.stale, workFactor: args.work })
+  const result = runShardScenario(seed, args.faulty, { jobsPerSecond: args.rate, withHazards: args.hazards, withStrain: args.strain, withMissingEntries: args.entries, withEncodedJobs: args.encoded, withQueueChanges: args.queues, withLargeStates: args.states, withReplacements: args.replacements, withStaleOwners: args.stale, withSilentConnections: args.silent, workFactor: args.work })
   if (result.violations.length > 0) failedRuns++
   console.log(JSON.stringify({ ...result, violations: result.violations.slice(0, 5), violationCount: result.violations.length, faults: result.violations.length > 0 ? result.faults : result.faults.length }))
 }
--- a/packages/core/src/ownership/ownershipDecider.spec.ts
+++ b/packages/core/src/ownership/ownershipDecider.spec.ts
@@ -242,7 +242,7 @@
     ownership.claimOutcome(claim?.claimId ?? 0, { type: 'written', revision: 40 })
     const successors = claim?.record.successors ?? []
     for (const instance of successors) sessions.messageReceived(instance, 1, instance)
-    for (const instance of successors) sessions.pingReceived(instance, instance === successors[0])
+    for (const instance of successors) sessions.pingReceived(instance, instance === successors[0], false)
     expect(sessions.isLeaving(successors[0] as InstanceId)).to.equal(true)
     ownership.leave()
     expect(changes.at(-1)).to.equal(`lost to ${successors[1]}`)
--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -37,6 +37,7 @@
       loadSentAt: undefined,
       endpointsDigests: new Map(),
       connectionReplaced: false,
+      connectionReplacedForPeerAt: undefined,
       usesOwnedShard: false,
       lost: false,
       leaving: false
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -47,6 +47,34 @@
     expect(lostAt).to.be.within(peerTimeoutMs, peerTimeoutMs + TICK_MS)
   })
 
+  // An owner that went on receiving pings kept a connection on which its answers were lost, and was taken for lost.
+  it('replaces its connection to a peer that receives nothing on it, but not at each of its pings', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost: () => {}, peerRecovered: () => {} })
+    const resetsAt: number[] = []
+    for (; ctx.now < 2500; ctx.now = ms(ctx.now + 200)) {
+      sessions.messageReceived(OWNER, 1, 'owner')
+      sessions.pingReceived(OWNER, false, ctx.now >= 400)
+      if (ctx.out.takeEffects().some(({ type }) => type === 'resetLink')) resetsAt.push(ctx.now)
+    }
+    expect(resetsAt).to.deep.equal([400, 1400, 2400])
+  })
+
+  it('says in its pings that it has replaced its connection and has received nothing since', () => {
+    const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+    const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), { peerLost: () => {}, peerRecovered: () => {} })
+    sessions.messageReceived(OWNER, 1, 'owner')
+    const flagged: boolean[] = []
+    for (; ctx.now <= 500; ctx.now = ms(ctx.now + TICK_MS)) {
+      if (ctx.now === 475) sessions.messageReceived(OWNER, 1, 'owner')
+      sessions.tick(new Map([[OWNER, pingMs]]), () => false)
+      for (const effect of ctx.out.takeEffects()) if (effect.type === 'send' && effect.message.type === 'ping') flagged.push(effect.message.connectionReplaced === true)
+    }
+    sessions.connectionBroken(OWNER)
+    for (const effect of ctx.out.takeEffects()) if (effect.type === 'send' && effect.message.type === 'ping') flagged.push(effect.message.connectionReplaced === true)
+    expect(flagged, 'before, after the replacement, and once it has received something').to.deep.equal([false, false, true, false])
+  })
+
   it('ignores a process that another one has followed, so that its last messages do not make the live one count as lost', () => {
     const lost: string[] = []
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -14,6 +14,9 @@
 /** Period of pings to a lost owner; they detect that it is back. */
 const LOST_PEER_PING_PERIOD_MS = 400
 
+/** Minimum time between two replacements of a connection for a peer that receives nothing; allows to connect and to be heard. */
+const MIN_REPLACEMENT_INTERVAL_MS = 1000
+
 /** Silence of an incarnation after which a message of a lower one is taken for a restart with a clock that was set back. */
 const FORMER_INCARNATION_SILENCE_MS = 1000
 
@@ -71,10 +74,15 @@
     return true
   }
 
-  /** A ping arrived: the peer uses a shard that this instance owns, so its silence matters from now on. */
-  pingReceived (from: InstanceId, leaving: boolean): void {
+  /**
+   * A ping arrived: the peer uses a shard that this instance owns, so its silence matters from now on.
+   * @param receivesNothing - the peer has received nothing from this instance for a while, though its own connection works
+   */
+  pingReceived (from: InstanceId, leaving: boolean, receivesNothing: boolean): void {
     const peer = this.db.peers.get(from)
-    if (peer !== undefined) Object.assign(peer, { usesOwnedShard: true, leaving })
+    if (peer === undefined) return
+    Object.assign(peer, { usesOwnedShard: true, leaving })
+    if (receivesNothing) this.replaceConnectionForPeer(peer)
   }
 
   /** Tells the owner of this instance's failure domain that this process ends soon, and from now on every peer that it pings. */
@@ -190,7 +198,19 @@
     const { now, self } = this.ctx
     peer.lastPingAt = now
     peer.firstUnansweredPingAt ??= now
-    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, ...this.desiredVersion(), time: this.timeForPeers(), ...this.leaving ? { leaving: true } : {} })
+    this.send(peer.instance, { type: 'ping', incarnation: self.incarnation, address: self.address, ...this.desiredVersion(), time: this.timeForPeers(), ...this.leaving ? { leaving: true } : {}, ...peer.connectionReplaced ? { connectionReplaced: true } : {} })
+  }
+
+  /**
+   * Replaces the connection on which messages to a peer may be lost. Each direction has its own, and as long as the peer's messages arrive, nothing else
+   * shows that this instance's connection to it has gone silent.
+   */
+  private replaceConnectionForPeer (peer: PeerSession): void {
+    const { now, out } = this.ctx
+    if (now - (peer.connectionReplacedForPeerAt ?? -Infinity) < MIN_REPLACEMENT_INTERVAL_MS) return
+    peer.connectionReplacedForPeerAt = now
+    out.log('peer.connectionReplaced', { peer: peer.instance })
+    out.push({ type: 'resetLink', peer: peer.instance })
   }
 
   private checkSilence (peer: PeerSession): void {
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -27,6 +27,8 @@
   readonly endpointsDigests: Map<FailureDomain, number>
   /** The connection was replaced since the peer's latest message. */
   connectionReplaced: boolean
+  /** When the connection was last replaced since the peer had received nothing on it. */
+  connectionReplacedForPeerAt: Ms | undefined
   /** The peer uses a shard that this instance owns. */
   usesOwnedShard: boolean
   lost: boolean
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -347,8 +347,8 @@
     return others
   }
 
-  private receivePing (from: InstanceId, { incarnation, desiredVersion, desiredAgeMs, leaving }: Extract<ShardMessage, { type: 'ping' }>): void {
-    this.sessions.pingReceived(from, leaving === true)
+  private receivePing (from: InstanceId, { incarnation, desiredVersion, desiredAgeMs, leaving, connectionReplaced }: Extract<ShardMessage, { type: 'ping' }>): void {
+    this.sessions.pingReceived(from, leaving === true, connectionReplaced === true)
     this.execution.frontLost(from, incarnation)
     this.desired.peerVersionReceived(from, desiredVersion, desiredAgeMs)
     this.sendLoad(from)
--- a/packages/dispatcher/src/shard/messageCheck.ts
+++ b/packages/dispatcher/src/shard/messageCheck.ts
@@ -50,7 +50,7 @@
 const progress = object({ jobId: text, done: listOf(text) })
 
 const CHECKS: { readonly [T in ShardMessage['type']]: Checks<MessageOf<T>> } = {
-  ping: { incarnation: nonNegativeInteger, address: text, ...versionInForce, leaving: optional(flag), time },
+  ping: { incarnation: nonNegativeInteger, address: text, ...versionInForce, leaving: optional(flag), connectionReplaced: optional(flag), time },
   pong: { incarnation: nonNegativeInteger, owned: listOf(object(ownedFields)), others: listOf(object({ ...ownedFields, owner: text, address: text, clock })), ...versionInForce, attempts, time },
   announce: { incarnation: nonNegativeInteger, address: text, failureDomain: text, token: finiteNumber, time },
   submit: { incarnation: nonNegativeInteger, address: text, failureDomain: text, order, ownerClock: clock, time },
--- a/packages/protocol/src/shardMessages.ts
+++ b/packages/protocol/src/shardMessages.ts
@@ -63,9 +63,10 @@
 export type ShardMessage =
   /**
    * From a front to an owner from which it has not received anything for a while. `leaving`: the front ends soon, so it is no
-   * successor; absent in earlier versions.
+   * successor. `connectionReplaced`: the sender has replaced its own connection to the receiver for that reason and has still received nothing, so the
+   * one from the receiver may have gone silent. Both are absent in earlier versions.
    */
-  | VersionInForce & { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly leaving?: boolean, readonly time?: Ms }
+  | VersionInForce & { readonly type: 'ping', readonly incarnation: number, readonly address: string, readonly leaving?: boolean, readonly connectionReplaced?: boolean, readonly time?: Ms }
   /**
    * Answer to a ping; an owner also sends it along with its other messages to a front. `attempts`: runs that went wrong, sent when something
    * new is known of them; absent in earlier versions.
