--- a/packages/dispatcher/src/shard/endpointConnections.ts
+++ b/packages/dispatcher/src/shard/endpointConnections.ts
@@ -118,7 +118,8 @@
   private open (): EndpointConnection {
     const connection = new EndpointConnection(this.address, this.logFailure, () => {
       this.connections.splice(this.connections.indexOf(connection), 1)
-      this.serveWaiters()
+      // Later, since a connection may be closed while one is being chosen for a waiter.
+      queueMicrotask(() => this.serveWaiters())
     })
     this.connections.push(connection)
     return connection
--- a/packages/dispatcher/src/shard/orderTask.ts
+++ b/packages/dispatcher/src/shard/orderTask.ts
@@ -1,6 +1,6 @@
 /**
- * Sends orders (hold, start and stop) to endpoints and posts the outcome of each. It never retries: the decision
- * logic in `core` decides whether an order without an answer is repeated, since it may have taken effect.
+ * Sends orders (hold, start and stop) to endpoints and posts the outcome of each. An order that has been sent is not repeated
+ * here: the decision logic in `core` decides whether one without an answer is, since it may have taken effect.
  */
 import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { HoldOutcome, Ms, TaskStartOutcome, TaskStopOutcome } from '@cranberryyard/protocol'
@@ -15,6 +15,9 @@
 /** Connections to one endpoint: one for the hold, which the endpoint answers only after a wait, the rest for concurrent orders. */
 const CONNECTIONS_PER_ENDPOINT = 6
 
+/** Connections that are tried for an order while nothing has been sent. */
+const ATTEMPTS_MAX = 2
+
 /** Owns the HTTP connections to endpoints. */
 export class OrderTask {
   private readonly connections: EndpointConnections
@@ -44,13 +47,13 @@
   /** Makes an exchange over a connection, and over another one if the first had ended before anything was sent on it. */
   private async withConnection<T extends { readonly type: string }> ({ address, timeoutMs }: Recipient, choose: ChooseConnection, use: (connection: EndpointConnection) => Promise<T>): Promise<T | typeof UNSENT> {
     try {
-      for (;;) {
+      for (let attempt = 1; ; attempt++) {
         const connection = await this.connections.acquire(address, choose, timeoutMs)
         if (connection === undefined) return UNSENT
         const wasAnswered = connection.answered
         const outcome = await use(connection)
         this.connections.release(address, connection)
-        if (outcome.type !== 'unsent' || !wasAnswered) return outcome
+        if (outcome.type !== 'unsent' || !wasAnswered || attempt === ATTEMPTS_MAX) return outcome
       }
     } catch (err) {
       // The address cannot be used, so the endpoint is out of reach.
