A connection is renewed for a peer that receives nothing, without giving up what is on its way there

Cause: the change for silent connections reset the connection, which also hits one that is only slow: what was on its way was given up, and the peer took the end of the connection for a broken link and sent its jobs again. Change: later messages go over a new connection, the present one stays open until it has been idle for 5 s, and the end of a connection counts only if it is the latest from its peer. At most every 3 s for one peer.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -749,6 +749,7 @@
       case 'resetLink':
         this.renewConnection(process.name, effect.peer)
         return this.postLater(process, 0, () => ({ type: 'linkDown', peer: effect.peer }))
+      case 'renewLink': return this.renewConnection(process.name, effect.peer)
       case 'hold': return this.hold(process, effect)
       case 'startTask': return this.startTask(process, effect)
       case 'stopTask': return this.stopTask(process, effect)
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -14,8 +14,8 @@
 /** Period of pings to a lost owner; they detect that it is back. */
 const LOST_PEER_PING_PERIOD_MS = 400
 
-/** Minimum time between two replacements of a connection for a peer that receives nothing; allows to connect and to be heard. */
-const MIN_REPLACEMENT_INTERVAL_MS = 1000
+/** Minimum time between two replacements of a connection for a peer that receives nothing; messages on a slow link take less. */
+const MIN_REPLACEMENT_INTERVAL_MS = 3000
 
 /** Silence of an incarnation after which a message of a lower one is taken for a restart with a clock that was set back. */
 const FORMER_INCARNATION_SILENCE_MS = 1000
@@ -203,14 +203,14 @@
 
   /**
    * Replaces the connection on which messages to a peer may be lost. Each direction has its own, and as long as the peer's messages arrive, nothing else
-   * shows that this instance's connection to it has gone silent.
+   * shows that this instance's connection to it has gone silent. The connection may also be slow, so what is on its way there is not given up.
    */
   private replaceConnectionForPeer (peer: PeerSession): void {
     const { now, out } = this.ctx
     if (now - (peer.connectionReplacedForPeerAt ?? -Infinity) < MIN_REPLACEMENT_INTERVAL_MS) return
     peer.connectionReplacedForPeerAt = now
     out.log('peer.connectionReplaced', { peer: peer.instance })
-    out.push({ type: 'resetLink', peer: peer.instance })
+    out.push({ type: 'renewLink', peer: peer.instance })
   }
 
   private checkSilence (peer: PeerSession): void {
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -85,6 +85,8 @@
   | { readonly type: 'reply', readonly callId: string, readonly reply: CallerReply }
   | { readonly type: 'send', readonly to: InstanceId, readonly address: string, readonly message: ShardMessage }
   | { readonly type: 'resetLink', readonly peer: InstanceId }
+  /** Send later messages to the peer on a new connection; those on the present one may still arrive. */
+  | { readonly type: 'renewLink', readonly peer: InstanceId }
   | { readonly type: 'hold', readonly endpoint: EndpointId, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly extendTo: EndpointClockMs | undefined, readonly acknowledged: number, readonly waitMs: Ms, readonly timeoutMs: Ms }
   /** `bornAt`: the incarnation of the endpoint, which is the only one that may carry out the order. */
   | { readonly type: 'startTask', readonly endpoint: EndpointId, readonly bornAt: number, readonly address: string, readonly orderId: number, readonly token: FencingToken, readonly task: TaskName, readonly run: number, readonly spec: string, readonly notAfter: EndpointClockMs, readonly timeoutMs: Ms }
--- a/packages/dispatcher/src/shard/linkTask.spec.ts
+++ b/packages/dispatcher/src/shard/linkTask.spec.ts
@@ -53,6 +53,23 @@
     expect(b.ofType('peer').map(event => [event.from, event.message])).to.deep.equal(Array.from({ length: 500 }, (_, n) => [A, message(n)]))
   })
 
+  // A peer that received nothing for a while took a renewed connection for a broken one and sent its jobs again.
+  it('deliver what was sent before and after a connection is renewed, whose end is no sign of a broken link', async () => {
+    const [a, b] = [await new TestPeer(A).listen(), await new TestPeer(B).listen()]
+    a.task.send({ to: B, address: b.address, message: message(0) })
+    await b.waitUntil(() => b.events.length === 1)
+    a.task.send({ to: B, address: b.address, message: message(1) })
+    a.task.renew(B)
+    a.task.send({ to: B, address: b.address, message: message(2) })
+    await b.waitUntil(() => b.ofType('peer').length === 3)
+    expect([...a.ofType('linkDown'), ...b.ofType('linkDown')]).to.deep.equal([])
+    a.task.reset(B)
+    await b.waitUntil(() => b.ofType('linkDown').length > 0)
+    a.task.close()
+    b.task.close()
+    expect(b.ofType('peer').map(event => (event.message as { jobId?: string }).jobId).sort()).to.deep.equal(['0', '1', '2'])
+  })
+
   // Guards against tasks that start with another spec than the caller sent.
   it('deliver text unchanged: long and short, with a byte order mark, and with unpaired surrogates', async () => {
     const [a, b] = [await new TestPeer(A).listen(), await new TestPeer(B).listen()]
--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT_MS = 800
 /** Bytes buffered for a peer that does not read, enough for a few thousand jobs; beyond this the connection is reset. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+/** Time without progress after which a connection is closed that later messages no longer use. */
+const RENEWED_IDLE_MS = 5000
 /** Messages that wait for a connection to be established; beyond this the attempt ends and they are reported as not sent. */
 const MAX_PENDING_MESSAGES = 10_000
 /** Characters of an unusable address that are logged. */
@@ -50,7 +52,11 @@
 /** Listens on the peer port and maintains the connections to peers. */
 export class LinkTask {
   private readonly links = new Map<InstanceId, Link>()
+  /** Connections that later messages no longer use, until they end. */
+  private readonly renewed = new Set<Socket>()
   private readonly inbound = new Set<Socket>()
+  /** The latest connection from each peer. An earlier one was renewed by the peer, so its end means nothing. */
+  private readonly latestInbound = new Map<InstanceId, Socket>()
   private readonly server: Server
   /** The unusable address with which each peer was last addressed, so that it is logged once. */
   private readonly unusableAddresses = new Map<InstanceId, string>()
@@ -84,11 +90,21 @@
     this.post({ type: 'linkDown', peer })
   }
 
+  /** Sends later messages to a peer on a new connection. What has been written to the present one may still arrive. */
+  renew (peer: InstanceId): void {
+    const link = this.links.get(peer)
+    if (link === undefined || !link.connected) return
+    const { socket } = link
+    this.links.delete(peer)
+    this.renewed.add(socket)
+    socket.setTimeout(RENEWED_IDLE_MS, () => socket.destroy())
+    socket.once('close', () => this.renewed.delete(socket))
+  }
+
   /** Closes all connections. */
   close (): void {
     this.closed = true
-    for (const link of this.links.values()) link.socket.destroy()
-    for (const socket of this.inbound) socket.destroy()
+    for (const socket of [...[...this.links.values()].map(link => link.socket), ...this.renewed, ...this.inbound]) socket.destroy()
     this.server.close()
   }
 
@@ -102,6 +118,7 @@
       for await (const value of decodeMultiStream(socket, DECODE_LIMITS)) {
         const envelope = readEnvelope(value)
         if (envelope === undefined) throw new Error('received data that is not a message envelope')
+        if (from === undefined) this.latestInbound.set(envelope.from, socket)
         from = envelope.from
         if (!isShardMessage(envelope.message)) throw new Error(`received an invalid message of type '${envelope.message.type}'`)
         this.deliver(from, envelope.message)
@@ -111,7 +128,9 @@
     }
     socket.destroy()
     this.inbound.delete(socket)
-    if (from !== undefined && !this.closed) this.post({ type: 'linkDown', peer: from })
+    if (from === undefined || this.latestInbound.get(from) !== socket) return
+    this.latestInbound.delete(from)
+    if (!this.closed) this.post({ type: 'linkDown', peer: from })
   }
 
   /**
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -167,6 +167,7 @@
       case 'reply': return this.jobs.reply(effect)
       case 'send': return this.links.send(effect)
       case 'resetLink': return this.links.reset(effect.peer)
+      case 'renewLink': return this.links.renew(effect.peer)
       case 'hold': return void this.orders.hold(effect)
       case 'startTask': return void this.orders.start(effect)
       case 'stopTask': return void this.orders.stop(effect)
