Execution is split along what it decides: starts, room, slow runs, faults, adoption

Cause: executionDecider.ts (640 lines) held six decisions, to which new parts are about to be added. Change: the round of starts, the room of the shard, slow runs, faults of runs and the adoption of found runs are modules of their own; no behaviour changes. Variants of the load player replace methods of these modules.

--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -39,7 +39,7 @@
   {
     name: 'partial-starts',
     description: 'a job starts only when all its tasks fit at once',
-    apply: () => replaceMethod(sample.execution, 'startTasks', original => function (this: typeof sample.execution, ...args) {
+    apply: () => replaceMethod(sample.execution.startRound, 'startTasks', original => function (this: typeof sample.execution.startRound, ...args) {
       const [job, candidates, allowPartial] = args as unknown as [{ firstStartAt: number | undefined }, unknown, boolean]
       return original.apply(this, [job, candidates, allowPartial && job.firstStartAt !== undefined] as never[])
     })
@@ -52,7 +52,7 @@
   {
     name: 'moves',
     description: 'stalled and slow tasks stay where they are',
-    apply: () => replaceMethod(sample.execution, 'moveIfFaster', () => () => {})
+    apply: () => replaceMethod(sample.execution.slowRuns, 'moveIfFaster', () => () => {})
   },
   {
     name: 'learned-run-times',
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -1,42 +1,31 @@
 /**
- * Executes jobs at the owner of a shard: admits a job, starts its tasks in admission order as capacity allows, restarts
- * failed and lost tasks, moves tasks away from endpoints where they make no progress, and reports one outcome to the front.
- * It combines three decisions that are kept apart so that each can be tested alone: admission (which jobs, in which order),
- * placement (which endpoint) and the endpoint ledger (which runs occupy which endpoint).
+ * Executes jobs at the owner of a shard: takes or declines a job, follows its runs, restarts failed and lost tasks, and reports
+ * one outcome to the front. What it decides with is kept apart so that each part can be tested alone: admission (which jobs, in
+ * which order), placement (which endpoint), the endpoint ledger (which runs occupy which endpoint), and beside this module the
+ * round of starts, the room of the shard, slow runs, faults of runs and the adoption of runs that were found.
  */
-import type { AttemptFault, DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ServiceName, ShardMessage } from '@cranberryyard/protocol'
+import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
-import { jobIdOf } from '../attempts/attemptsDb.js'
 import { crashOf, faultOfLoss } from '../attempts/faults.js'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
-import { SlotForecast } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
-import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
-import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
+import type { PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
+import { Adoption } from './adoption.js'
 import { ExecutionDb, runsEndBy } from './executionDb.js'
-import { outlookOf } from './endpointOutlook.js'
-import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { JobEstimates } from './jobEstimates.js'
-import { planStarts } from './startPlan.js'
-import type { PlannedStart, PlannedTask } from './startPlan.js'
-import { STALL_SLOWNESS, slownessOf, healthyRunMs } from './speed.js'
+import { RunFaults, jobIdsOf } from './runFaults.js'
+import { ShardRoom } from './shardRoom.js'
+import { SlowRuns } from './slowRuns.js'
+import { healthyRunMs } from './speed.js'
+import { StartRound } from './startRound.js'
 import type { FrontSession, OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
-/** Projected run time divided by the expected one, from which a task may be moved to another endpoint. */
-const MOVE_SLOWNESS = 2.5
-/** Time a move takes: the stop, the listing that confirms it, and the new start. */
-const MOVE_COST_MS = 80
 /** Interval at which waiting jobs are reassessed, because other jobs may have overtaken them in the meantime. */
 const REASSESS_INTERVAL_MS = 60
-/** When a failed task already avoids this many endpoints, it starts a new list, so that some endpoint remains to run it. */
-const AVOIDED_ENDPOINTS_MAX = 3
-/** How long a computed capacity total is reused; fronts request it many times per tick. */
-const CAPACITY_CACHE_MS = 20
-
 /** Outgoing calls of the execution decision, to fronts and to shard ownership. */
 export interface ExecutionPorts {
   sendToFront (front: FrontSession, message: ShardMessage): void
@@ -53,14 +42,23 @@
 export class ExecutionDecider implements RunListener {
   readonly db = new ExecutionDb()
   readonly admission = new AdmissionDecider<OwnedJob>()
+  readonly startRound: StartRound
+  readonly slowRuns: SlowRuns
+  readonly room: ShardRoom
   private readonly estimates: JobEstimates
-  private startRoundNeeded = false
+  private readonly faults: RunFaults
+  private readonly adoption: Adoption
   private nextReassessmentAt = ms(0)
-  private cachedCapacity: { readonly at: Ms, readonly capacity: ShardCapacity } | undefined
   endpoints!: EndpointsDecider
 
   constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly attempts: AttemptsDecider, private readonly ports: ExecutionPorts) {
+    const endpoints = (): EndpointsDecider => this.endpoints
     this.estimates = new JobEstimates(ctx)
+    this.room = new ShardRoom(ctx, placement, endpoints)
+    this.startRound = new StartRound(ctx, { placement, attempts, admission: this.admission, estimates: this.estimates, endpoints, mayStart: job => this.mayStart(job) })
+    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates() })
+    this.faults = new RunFaults(placement, attempts, jobs => this.shareAttempts(jobs))
+    this.adoption = new Adoption(ctx, attempts, this.estimates, endpoints)
   }
 
   /**
@@ -95,7 +93,7 @@
       this.failIfHopeless(job)
       return
     }
-    if (order.resumed || this.hasRuns(job) || this.admit(job)) this.accept(job)
+    if (order.resumed || this.adoption.hasRuns(job) || this.admit(job)) this.accept(job)
   }
 
   /** Abandons a job whose caller has disconnected; only the front that answers for the job may cancel it. Copies that the cancel has overtaken are not taken. */
@@ -172,46 +170,20 @@
   tick (): void {
     this.db.expire(this.ctx.now)
     this.attempts.tick()
-    this.stopUnclaimed()
+    this.adoption.stopUnclaimed()
     for (const job of [...this.db.jobs.values()]) this.tickJob(job)
     this.reassessWaitingJobs()
-    if (this.admission.db.waiting.size > 0) this.startRoundNeeded = true
+    if (this.admission.db.waiting.size > 0) this.startRound.request()
   }
 
   /** Starts waiting tasks if jobs or capacity have changed since the last call. */
   startWaitingTasks (): void {
-    if (!this.startRoundNeeded) return
-    this.startRoundNeeded = false
-    if (this.admission.db.waiting.size === 0) return
-    const candidates = this.candidates()
-    let largest = largestFreeCpu(candidates)
-    // While the shard is full, most calls return here after one check per waiting job.
-    if (!anyFits(this.admission.db.waiting, largest)) return
-    let mayStartPartially = true
-    for (const job of this.admission.inStartOrder(this.ctx.now)) {
-      if (this.isConfirmationExpired(job) || !this.ports.isQueueInForce(job) || (job.order.resumed && !this.ports.earlierRunsKnown(job))) continue
-      const complete = smallestCpuNeed(job) <= largest && this.startTasks(job, candidates, mayStartPartially || job.firstStartAt !== undefined)
-      if (!complete && job.firstStartAt === undefined) mayStartPartially = false
-      if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
-    }
+    this.startRound.run()
   }
 
-  /** @returns total and free capacity of all usable endpoints, at most `CAPACITY_CACHE_MS` old */
+  /** @returns total and free capacity of all usable endpoints */
   capacity (): ShardCapacity {
-    const { now } = this.ctx
-    if (this.cachedCapacity === undefined || now - this.cachedCapacity.at >= CAPACITY_CACHE_MS) this.cachedCapacity = { at: now, capacity: this.countCapacity() }
-    return this.cachedCapacity.capacity
-  }
-
-  private countCapacity (): ShardCapacity {
-    let totalCpuMilli = 0
-    let freeCpuMilli = 0
-    for (const endpoint of this.endpoints.db.all()) {
-      if (!this.endpoints.usable(endpoint) || this.placement.isQuarantined(endpoint.id)) continue
-      totalCpuMilli += endpoint.report.capacity.cpuMilli
-      freeCpuMilli += Math.max(0, freeCapacityOf(endpoint).cpuMilli)
-    }
-    return { totalCpuMilli, freeCpuMilli }
+    return this.room.capacity()
   }
 
   runStarted (run: LedgerRun): void {
@@ -220,7 +192,7 @@
   }
 
   runEnded (run: LedgerRun, how: RunEnd, endTimeKnown: boolean): void {
-    this.startRoundNeeded = true
+    this.startRound.request()
     const found = this.db.find(run.task)
     if (how === 'done') this.ctx.out.count('shard.tasks.done')
     if (how === 'failed') this.ctx.out.count('shard.tasks.failed')
@@ -236,7 +208,7 @@
 
   runRejected (run: LedgerRun, reason: RejectionReason): void {
     const endpoint = this.endpoints.db.get(run.endpoint)
-    if (reason === 'refused' && endpoint !== undefined && this.attempts.db.has(jobIdOf(run.task))) this.recordFaults([run], endpoint, 'outOfReach')
+    if (reason === 'refused' && endpoint !== undefined && this.faults.isKnown(run)) this.faults.record([run], endpoint, 'outOfReach')
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
     const { job, task } = found
@@ -257,7 +229,7 @@
     this.ctx.out.log('endpoint.refused', { endpoint: endpoint.id, runs: runsThere, lastAnswerAgeMs: Math.round(this.ctx.now - endpoint.answeredAt) }, 'warn')
     if (runs.length === 0) return
     this.ctx.out.count('shard.endpoints.crashed')
-    this.recordFaults(runs, endpoint, crashOf(runsThere))
+    this.faults.record(runs, endpoint, crashOf(runsThere))
     for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
   }
 
@@ -269,18 +241,18 @@
   }
 
   endpointBack (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
-    this.recordFaults(runs, endpoint, 'outOfReach')
+    this.faults.record(runs, endpoint, 'outOfReach')
   }
 
   endpointHadCrashed (endpoint: LedgerEndpoint, runs: readonly LedgerRun[]): void {
     this.ctx.out.count('shard.endpoints.crashed')
-    this.recordFaults(runs, endpoint, crashOf(runs.length))
+    this.faults.record(runs, endpoint, crashOf(runs.length))
     for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
   }
 
   runLost (run: LedgerRun, { why, runsThere, endpoint }: RunLoss): void {
     const fault = faultOfLoss(why, runsThere)
-    if (fault !== undefined) this.recordFaults([run], endpoint, fault)
+    if (fault !== undefined) this.faults.record([run], endpoint, fault)
     const found = this.db.find(run.task)
     if (found === undefined || found.task.run !== run) return
     const { job, task } = found
@@ -292,45 +264,22 @@
 
   runFound (run: LedgerRun): void {
     const found = this.db.find(run.task)
-    if (found !== undefined) this.adoptRun(found.job, found.task, run)
+    if (found !== undefined) this.adoption.adopt(found.job, found.task, run)
   }
 
   runProgressed (run: LedgerRun): void {
     const found = this.db.find(run.task)
-    if (found === undefined || found.task.run !== run) return
-    const step = found.job.steps[found.task.step]
-    if (step === undefined) return
-    const slowness = slownessOf(step, run, this.estimates.expectedMs(found.job, step), this.ctx.now)
-    if (slowness >= MOVE_SLOWNESS) this.moveIfFaster(found.job, step, found.task, run, slowness)
+    if (found !== undefined && found.task.run === run) this.slowRuns.progressed(found.job, found.task, run)
   }
 
   capacityChanged (): void {
-    this.startRoundNeeded = true
+    this.startRound.request()
   }
 
   superseded (failureDomain: FailureDomain, token: FencingToken): void {
     this.ports.superseded(failureDomain, token)
   }
 
-  /** @returns when slots for tasks of the given size become free at the service's endpoints that can be trusted */
-  private forecast (service: ServiceName, cpuMilli: number): SlotForecast {
-    const { now, cfg } = this.ctx
-    const outlooks = [...this.endpoints.db.all()]
-      .filter(endpoint => endpoint.report.service === service && this.endpoints.usable(endpoint) && !this.placement.isQuarantined(endpoint.id))
-      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs))
-    return new SlotForecast(outlooks, cpuMilli, now)
-  }
-
-  /** @returns CPU of the unfinished tasks of jobs that were admitted although they can only be late */
-  private lateCpuMilli (): number {
-    let cpuMilli = 0
-    for (const job of this.db.jobs.values()) {
-      if (!job.admittedLate) continue
-      for (const step of job.steps) cpuMilli += step.unfinishedTasks * step.spec.needs.cpuMilli
-    }
-    return cpuMilli
-  }
-
   private join (job: OwnedJob, front: FrontSession, order: DispatchOrder, sentAt: Ms): void {
     const { out } = this.ctx
     const isSameFront = job.front.instance === front.instance && job.front.incarnation === front.incarnation
@@ -356,11 +305,11 @@
   }
 
   private admit (job: OwnedJob): boolean {
-    if (!this.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
+    if (!this.room.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
     const verdict = this.admission.decide(job, {
       now: this.ctx.now,
       capacity: this.capacity(),
-      forecast: (service, cpuMilli) => this.forecast(service, cpuMilli),
+      forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli),
       lastChance: job.order.lastChance === true,
       lateCpuMilli: this.lateCpuMilli()
     })
@@ -369,6 +318,16 @@
     return true
   }
 
+  /** @returns CPU of the unfinished tasks of jobs that were admitted although they can only be late */
+  private lateCpuMilli (): number {
+    let cpuMilli = 0
+    for (const job of this.db.jobs.values()) {
+      if (!job.admittedLate) continue
+      for (const step of job.steps) cpuMilli += step.unfinishedTasks * step.spec.needs.cpuMilli
+    }
+    return cpuMilli
+  }
+
   private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
     const { out, now } = this.ctx
     this.db.keepDropped(job.id, job.front, job.attempt, !job.mayHaveRun, now)
@@ -378,97 +337,16 @@
     return false
   }
 
-  /** @returns false when some task would not fit even an idle endpoint of this shard */
-  private canFit (job: OwnedJob): boolean {
-    const endpoints = [...this.endpoints.db.all()]
-    return job.steps.every(({ spec }) => endpoints.some(({ report }) =>
-      report.service === job.order.queue.service && fits(spec.needs, report.capacity) && (spec.requiredLabel === '' || report.labels.includes(spec.requiredLabel))))
-  }
-
   private accept (job: OwnedJob): void {
     this.db.jobs.set(job.id, job)
     if (job.order.resumed) this.ctx.out.log('job.resumed', { job: job.id, front: job.front.instance, tasksDone: job.order.done.length, tasksWithFaults: job.order.attempts?.length ?? 0, ageMs: Math.round(job.order.ageMs), earlierRunsKnown: this.ports.earlierRunsKnown(job), earlierEndpoints: job.order.earlierEndpoints?.join() ?? 'notReported' })
-    for (const step of job.steps) {
-      for (const task of step.tasks) {
-        const run = this.endpoints.db.runOf(task.name)
-        if (run !== undefined) this.adoptRun(job, task, run)
-      }
-    }
+    this.adoption.adoptRuns(job)
     this.requeue(job)
   }
 
-  private hasRuns (job: OwnedJob): boolean {
-    return job.steps.some(step => step.tasks.some(task => this.endpoints.db.runOf(task.name) !== undefined))
-  }
-
-  private adoptRun (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
-    job.mayHaveRun = true
-    task.lastRun = Math.max(task.lastRun, run.run)
-    if (task.done || task.run !== undefined) {
-      this.endpoints.stop(run)
-      return
-    }
-    const step = job.steps[task.step]
-    if (step === undefined) return
-    if (run.state === 'unclaimed' || run.needs === undefined) this.endpoints.claim(run, step.spec.needs, this.attempts.standingOf(task.name) !== 'sound', job.runLease)
-    else run.lease = job.runLease
-    run.expectedMs ??= this.estimates.expectedMs(job, step)
-    task.run = run
-    job.firstStartAt ??= this.ctx.now
-  }
-
   private requeue (job: OwnedJob): void {
     this.admission.db.waiting.add(job)
-    this.startRoundNeeded = true
-  }
-
-  private candidates (): Candidate[] {
-    const candidates: Candidate[] = []
-    for (const endpoint of this.endpoints.db.all()) {
-      if (!this.endpoints.usable(endpoint)) continue
-      const freeCapacity = freeCapacityOf(endpoint)
-      if (freeCapacity.cpuMilli > 0) candidates.push({ endpoint, freeCapacity })
-    }
-    return candidates
-  }
-
-  /**
-   * Starts a job's waiting tasks.
-   * @param allowPartial - whether some tasks may start while others still wait; of the jobs that have not started, only one at
-   * a time may do so
-   * @returns true when every task of the ready steps has started
-   */
-  private startTasks (job: OwnedJob, candidates: Candidate[], allowPartial: boolean): boolean {
-    const plan = planStarts(job, { placement: this.placement, candidates: candidates.filter(({ endpoint }) => this.endpoints.endsWithLease(endpoint, job.runLease)), mayRun: task => this.endpoints.db.runOf(task) !== undefined, standingOf: this.attempts.db.has(job.id) ? task => this.attempts.standingOf(task) : () => 'sound', allowPartial })
-    for (const start of plan.starts) this.startTask(job, start)
-    if (plan.suspectWithoutEndpoint !== undefined && this.ctx.now <= job.usefulUntil) this.keepEndpointFree(job, plan.suspectWithoutEndpoint, candidates)
-    if (plan.isComplete && !plan.hasBlockedSteps) this.admission.db.waiting.delete(job)
-    return plan.isComplete
-  }
-
-  /** Lets nothing else start in this round at the endpoint that will be unused first, so that the suspect task gets one. */
-  private keepEndpointFree (job: OwnedJob, { step, task }: PlannedTask, candidates: Candidate[]): void {
-    let best: { readonly index: number, readonly freeAt: number } | undefined
-    for (const [index, { endpoint }] of candidates.entries()) {
-      if (endpoint.report.service !== job.order.queue.service || task.avoid.has(endpoint.id) || this.placement.isQuarantined(endpoint.id) || !fits(step.spec.needs, endpoint.report.capacity)) continue
-      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs).ends.map(end => end.at))
-      if (best === undefined || freeAt < best.freeAt) best = { index, freeAt }
-    }
-    if (best !== undefined) candidates.splice(best.index, 1)
-  }
-
-  private startTask (job: OwnedJob, { step, task, candidate, exclusive }: PlannedStart): void {
-    task.lastRun++
-    task.run = this.endpoints.start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.estimates.expectedMs(job, step), exclusive, lease: job.runLease })
-    this.recordFirstStart(job)
-  }
-
-  private recordFirstStart (job: OwnedJob): void {
-    if (job.firstStartAt !== undefined) return
-    const { now, out } = this.ctx
-    job.firstStartAt = now
-    job.mayHaveRun = true
-    out.push({ type: 'observe', histogram: 'queueWaitMs', label: job.order.queue.name, valueMs: now - job.receivedAt })
+    this.startRound.request()
   }
 
   private taskDone (job: OwnedJob, task: OwnedTask, run: LedgerRun, endTimeKnown: boolean): void {
@@ -490,19 +368,13 @@
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
     const endpoint = this.endpoints.db.get(run.endpoint)
-    if (endpoint !== undefined) this.recordFaults([run], endpoint, 'failed')
+    if (endpoint !== undefined) this.faults.record([run], endpoint, 'failed')
     const attempts = this.attempts.failuresOf(task.name)
-    this.attributeFailure(task, run, attempts)
+    this.faults.attribute(task, run, attempts)
     this.ctx.out.log('task.failed', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, attempts, allowed: job.order.queue.maxAttempts })
     if (!this.failIfHopeless(job)) this.requeue(job)
   }
 
-  /** Records what became of runs, and passes on what is new: the job may go on at another owner, or come again from another front. */
-  private recordFaults (runs: readonly LedgerRun[], endpoint: LedgerEndpoint, fault: AttemptFault): void {
-    const changed = jobIdsOf(runs.filter(run => this.attempts.record(run, endpoint, fault)))
-    if (changed.size > 0) this.shareAttempts(changed)
-  }
-
   private shareAttempts (ids: ReadonlySet<JobId>): void {
     this.ports.attemptsChanged(new Map([...ids].map(id => [id, this.db.jobs.get(id)?.front])))
   }
@@ -519,39 +391,6 @@
     return true
   }
 
-  /**
-   * Counts the task's first failure against the endpoint. After a second failure the fault is taken to be the task's, and
-   * neither failure counts against an endpoint.
-   */
-  private attributeFailure (task: OwnedTask, run: LedgerRun, attempts: number): void {
-    if (task.failedEndpoints.size === 0) {
-      this.placement.recordFailure(run.endpoint)
-    } else if (attempts === 2) {
-      for (const id of task.failedEndpoints) this.placement.retractFailure(id)
-    }
-    task.failedEndpoints.add(run.endpoint)
-    if (task.avoid.size >= AVOIDED_ENDPOINTS_MAX) task.avoid.clear()
-    task.avoid.add(run.endpoint)
-  }
-
-  /**
-   * Stops a run that would finish sooner if it were restarted on another endpoint. A stalled run is stopped even when no
-   * other endpoint has capacity: it makes no progress where it is, and it is restarted on the next endpoint that has free capacity.
-   */
-  private moveIfFaster (job: OwnedJob, step: OwnedStep, task: OwnedTask, run: LedgerRun, slowness: number): void {
-    if (run.state !== 'running') return
-    const expected = healthyRunMs(step, run, this.estimates.expectedMs(job, step))
-    const remaining = expected * slowness * (100 - run.percent) / 100
-    if (remaining <= expected + MOVE_COST_MS) return
-    this.placement.recordSlowRun(run.endpoint, slowness)
-    const worthStopping = slowness >= STALL_SLOWNESS || this.candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.freeCapacity) && !this.placement.isQuarantined(candidate.endpoint.id))
-    if (!worthStopping) return
-    task.avoid.add(run.endpoint)
-    this.ctx.out.count('shard.tasks.moved')
-    this.ctx.out.log('task.moved', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, percent: run.percent, ranMs: Math.round(this.ctx.now - run.startedAt), expectedMs: Math.round(expected) })
-    this.endpoints.stop(run)
-  }
-
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
@@ -586,18 +425,9 @@
     this.admission.db.waiting.delete(job)
   }
 
-  private stopUnclaimed (): void {
-    const { now, cfg, out } = this.ctx
-    for (const endpoint of this.endpoints.db.all()) {
-      const hasClaimedRuns = [...endpoint.runs.values()].some(run => run.state === 'running')
-      const graceMs = hasClaimedRuns ? cfg.claimGraceBesideOthersMs : cfg.claimGraceMs
-      for (const run of endpoint.runs.values()) {
-        if (run.state !== 'unclaimed' || now - run.startedAt < graceMs) continue
-        out.count('shard.tasks.unclaimed')
-        out.log('task.unclaimed', { job: jobIdOf(run.task), task: run.task, run: run.run, endpoint: endpoint.id, foundAgeMs: Math.round(now - run.orderedAt) })
-        this.endpoints.stop(run)
-      }
-    }
+  /** Nothing starts for a job whose front may have given it up, by terms that are not in force here, or beside runs that are not known yet. */
+  private mayStart (job: OwnedJob): boolean {
+    return !this.isConfirmationExpired(job) && this.ports.isQueueInForce(job) && (!job.order.resumed || this.ports.earlierRunsKnown(job))
   }
 
   /** A front that stopped confirming a job may have given it up without reaching this owner; its caller resends the job to any front. Nothing more starts then. */
@@ -625,16 +455,12 @@
     if (now < this.nextReassessmentAt || this.admission.db.waiting.size === 0) return
     this.nextReassessmentAt = ms(now + REASSESS_INTERVAL_MS)
     const capacity = this.capacity()
-    const tooLate = this.admission.jobsToDecline({ now, forecast: (service, cpuMilli) => this.forecast(service, cpuMilli) })
+    const tooLate = this.admission.jobsToDecline({ now, forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli) })
     for (const job of tooLate) this.forget(job)
     for (const job of tooLate) this.decline(job, 'tooLate', this.admission.retryAfter(capacity))
   }
 }
 
-function jobIdsOf (runs: readonly LedgerRun[]): Set<JobId> {
-  return new Set(runs.map(run => jobIdOf(run.task)))
-}
-
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
--- /dev/null
+++ b/packages/core/src/execution/shardRoom.ts
@@ -0,0 +1,62 @@
+/**
+ * What an owner knows of the room at its endpoints: how much there is, when more of it becomes free, and whether a job fits at
+ * all. Admission decides from this which jobs are taken.
+ */
+import type { Ms, ServiceName } from '@cranberryyard/protocol'
+import { SlotForecast } from '../admission/slotForecast.js'
+import type { ShardCapacity } from '../admission/types.js'
+import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
+import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
+import type { LedgerEndpoint } from '../endpoints/types.js'
+import type { PlacementDecider } from '../placement/placementDecider.js'
+import type { ShardContext } from '../shard/types.js'
+import { outlookOf } from './endpointOutlook.js'
+import type { OwnedJob } from './types.js'
+
+/** How long a computed capacity total is reused; fronts request it many times per tick. */
+const CAPACITY_CACHE_MS = 20
+
+/** The capacity of the endpoints that an owner can use. */
+export class ShardRoom {
+  private cached: { readonly at: Ms, readonly capacity: ShardCapacity } | undefined
+
+  constructor (private readonly ctx: ShardContext, private readonly placement: PlacementDecider, private readonly endpoints: () => EndpointsDecider) {}
+
+  /** @returns total and free capacity of all usable endpoints, at most `CAPACITY_CACHE_MS` old */
+  capacity (): ShardCapacity {
+    const { now } = this.ctx
+    if (this.cached === undefined || now - this.cached.at >= CAPACITY_CACHE_MS) this.cached = { at: now, capacity: this.countCapacity() }
+    return this.cached.capacity
+  }
+
+  /** @returns when slots for tasks of the given size become free at the service's endpoints that can be trusted */
+  forecast (service: ServiceName, cpuMilli: number): SlotForecast {
+    const { now, cfg } = this.ctx
+    const outlooks = [...this.endpoints().db.all()]
+      .filter(endpoint => endpoint.report.service === service && this.isTrusted(endpoint))
+      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs))
+    return new SlotForecast(outlooks, cpuMilli, now)
+  }
+
+  /** @returns false when some task would not fit even an idle endpoint of this shard */
+  canFit (job: OwnedJob): boolean {
+    const endpoints = [...this.endpoints().db.all()]
+    return job.steps.every(({ spec }) => endpoints.some(({ report }) =>
+      report.service === job.order.queue.service && fits(spec.needs, report.capacity) && (spec.requiredLabel === '' || report.labels.includes(spec.requiredLabel))))
+  }
+
+  private countCapacity (): ShardCapacity {
+    let totalCpuMilli = 0
+    let freeCpuMilli = 0
+    for (const endpoint of this.endpoints().db.all()) {
+      if (!this.isTrusted(endpoint)) continue
+      totalCpuMilli += endpoint.report.capacity.cpuMilli
+      freeCpuMilli += Math.max(0, freeCapacityOf(endpoint).cpuMilli)
+    }
+    return { totalCpuMilli, freeCpuMilli }
+  }
+
+  private isTrusted (endpoint: LedgerEndpoint): boolean {
+    return this.endpoints().usable(endpoint) && !this.placement.isQuarantined(endpoint.id)
+  }
+}
--- /dev/null
+++ b/packages/core/src/execution/slowRuns.ts
@@ -0,0 +1,58 @@
+/**
+ * Decides which runs are restarted at another endpoint because they make too little progress where they are, and reports
+ * slow runs to placement, which judges endpoints by them.
+ */
+import { fits } from '../endpoints/endpointsDb.js'
+import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
+import type { LedgerRun } from '../endpoints/types.js'
+import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
+import type { ShardContext } from '../shard/types.js'
+import type { JobEstimates } from './jobEstimates.js'
+import { STALL_SLOWNESS, healthyRunMs, slownessOf } from './speed.js'
+import type { OwnedJob, OwnedStep, OwnedTask } from './types.js'
+
+/** Projected run time divided by the expected one, from which a task may be moved to another endpoint. */
+const MOVE_SLOWNESS = 2.5
+/** Time a move takes: the stop, the listing that confirms it, and the new start. */
+const MOVE_COST_MS = 80
+
+/** What the decision to move a run depends on. */
+export interface SlowRunsParts {
+  readonly placement: PlacementDecider
+  readonly estimates: JobEstimates
+  readonly endpoints: () => EndpointsDecider
+  /** Returns the usable endpoints that have some free capacity. */
+  readonly candidates: () => Candidate[]
+}
+
+/** Moves runs away from endpoints where they are slow. */
+export class SlowRuns {
+  constructor (private readonly ctx: ShardContext, private readonly parts: SlowRunsParts) {}
+
+  /** An endpoint has reported the progress of a task's current run. */
+  progressed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
+    const step = job.steps[task.step]
+    if (step === undefined) return
+    const slowness = slownessOf(step, run, this.parts.estimates.expectedMs(job, step), this.ctx.now)
+    if (slowness >= MOVE_SLOWNESS) this.moveIfFaster(job, step, task, run, slowness)
+  }
+
+  /**
+   * Stops a run that would finish sooner if it were restarted on another endpoint. A stalled run is stopped even when no
+   * other endpoint has capacity: it makes no progress where it is, and it is restarted on the next endpoint that has free capacity.
+   */
+  private moveIfFaster (job: OwnedJob, step: OwnedStep, task: OwnedTask, run: LedgerRun, slowness: number): void {
+    const { placement, estimates, endpoints, candidates } = this.parts
+    if (run.state !== 'running') return
+    const expected = healthyRunMs(step, run, estimates.expectedMs(job, step))
+    const remaining = expected * slowness * (100 - run.percent) / 100
+    if (remaining <= expected + MOVE_COST_MS) return
+    placement.recordSlowRun(run.endpoint, slowness)
+    const worthStopping = slowness >= STALL_SLOWNESS || candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.freeCapacity) && !placement.isQuarantined(candidate.endpoint.id))
+    if (!worthStopping) return
+    task.avoid.add(run.endpoint)
+    this.ctx.out.count('shard.tasks.moved')
+    this.ctx.out.log('task.moved', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, percent: run.percent, ranMs: Math.round(this.ctx.now - run.startedAt), expectedMs: Math.round(expected) })
+    endpoints().stop(run)
+  }
+}
