ShardInstance: versions of queues, runs of earlier owners and pauses are modules of their own

Cause: shardInstance.ts (623 lines) decided these beside its wiring. Change: QueueVersions, EarlierRuns and PauseDetector; no behaviour changes, mutations replace methods of these.

--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -62,7 +62,7 @@
 
 /** A fault that shows when two owners of a shard go on side by side for a while, as above. */
 export function waitFromTakeover (): Undo {
-  return replaceMethod(sample, 'earlierRunsKnown', original => function (this: typeof sample, ...args) {
+  return replaceMethod(sample.earlierRuns, 'areKnown', original => function (this: typeof sample.earlierRuns, ...args) {
     return original.apply(this, [{ ...args[0] as object, receivedAt: -Infinity }] as never[])
   })
 }
@@ -74,12 +74,12 @@
 
 /** A fault that shows when a front has an older version than its owner, as above. */
 export function keepVersionsOfFronts (): Undo {
-  return replaceMethod(sample, 'underVersionInForce', () => (...args) => args[0])
+  return replaceMethod(sample.queueVersions, 'underVersionInForce', () => (...args) => args[0])
 }
 
 /** A fault that shows together with the one above, or while a version takes long to arrive. */
 export function startUnderNewerVersions (): Undo {
-  return replaceMethod(sample, 'isQueueInForce', () => () => true)
+  return replaceMethod(sample.queueVersions, 'isQueueInForce', () => () => true)
 }
 
 /** A fault that leaves an instance behind for as long as the store does not serve it. */
@@ -158,13 +158,13 @@
   {
     name: 'a new owner trusts a list that it has only just read',
     breaks: ['TWICE'],
-    apply: () => replaceMethod(sample, 'earlierRunsKnown', () => () => true)
+    apply: () => replaceMethod(sample.earlierRuns, 'areKnown', () => () => true)
   },
   {
     name: 'a new owner takes the list that it has read for all endpoints of the earlier one',
     breaks: ['TWICE'],
     load: MISSING_ENTRIES_LOAD,
-    apply: () => replaceMethod(sample, 'earlierEndpointsHaveAnswered', () => () => true)
+    apply: () => replaceMethod(sample.earlierRuns, 'earlierEndpointsHaveAnswered', () => () => true)
   },
   {
     name: 'text travels between instances as the codec delivers it',
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -11,13 +11,17 @@
 import { EndpointSets } from '../endpoints/endpointSets.js'
 import { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import { ExecutionDecider } from '../execution/executionDecider.js'
-import type { FrontSession, OwnedJob } from '../execution/types.js'
+import type { FrontSession } from '../execution/types.js'
 import { IntroductionDecider } from '../introduction/introductionDecider.js'
 import type { Missing } from '../introduction/introductionDecider.js'
 import { IntakeDecider } from '../intake/intakeDecider.js'
 import { OwnershipDecider } from '../ownership/ownershipDecider.js'
 import { PlacementDecider } from '../placement/placementDecider.js'
 import { SessionsDecider } from '../sessions/sessionsDecider.js'
+import { EarlierRuns } from './earlierRuns.js'
+import { PauseDetector } from './pauseDetector.js'
+import type { Pause } from './pauseDetector.js'
+import { QueueVersions } from './queueVersions.js'
 import type { ShardSettings } from './settings.js'
 import { ShardOutbox } from './types.js'
 import type { CallerReads, CallerReply, ListPace, ShardContext, ShardEffect, ShardInput, ShardSelf } from './types.js'
@@ -31,9 +35,6 @@
 /** How long a new owner waits for its first reading of the list while the store answers; a long list takes this long on a slow link. */
 const FIRST_LIST_WAIT_MS = 250
 
-/** A list to which endpoints were added, or from which they were removed, within this time before a takeover or since may lack some that run tasks of the earlier owner. */
-const LIST_DOUBT_MS = 5000
-
 /** Retry delay for a job whose queue was removed; its front has the newer version by then. */
 const REMOVED_QUEUE_RETRY_MS = ms(1000)
 
@@ -57,11 +58,12 @@
   readonly endpoints: EndpointsDecider
   readonly intake: IntakeDecider
   readonly introduction: IntroductionDecider
+  readonly queueVersions: QueueVersions
+  readonly earlierRuns: EarlierRuns
   private readonly endpointList: EndpointList
   private readonly endpointSets = new EndpointSets()
   private ownDigest: { readonly failureDomain: FailureDomain, readonly changes: number, readonly digest: number } | undefined
-  private lastInputAt: Ms | undefined
-  private lastInputWallTime: Ms | undefined
+  private readonly pauses: PauseDetector
   private ready = false
   private leaving = false
   private drained = false
@@ -72,6 +74,7 @@
   constructor ({ self, cfg, seeds = [] }: ShardInstanceOptions) {
     this.ctx = { self, cfg, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
     const { ctx } = this
+    this.pauses = new PauseDetector(cfg.pauseMs)
     this.sessions = new SessionsDecider(ctx, () => this.desired.inForce(), {
       peerLost: instance => this.peerLost(instance),
       peerRecovered: instance => this.peerRecovered(instance)
@@ -88,12 +91,14 @@
       sendToFront: (front, message) => this.sendToFront(front.instance, message),
       superseded: failureDomain => this.ownership.superseded(failureDomain),
       attemptsChanged: jobs => this.shareAttempts(jobs),
-      isQueueInForce: job => this.isQueueInForce(job.order),
-      earlierRunsKnown: job => this.earlierRunsKnown(job)
+      isQueueInForce: job => this.queueVersions.isQueueInForce(job.order),
+      earlierRunsKnown: job => this.earlierRuns.areKnown(job)
     })
     this.endpoints = new EndpointsDecider(ctx, failureDomain => this.ownership.db.owned.get(failureDomain)?.token, failureDomain => this.listAwaited(failureDomain), this.execution)
     this.execution.endpoints = this.endpoints
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
+    this.queueVersions = new QueueVersions(ctx, this.desired, id => this.execution.db.jobs.has(id))
+    this.earlierRuns = new EarlierRuns(ctx, { ownership: this.ownership, endpoints: this.endpoints, endpointList: this.endpointList, endpointSets: this.endpointSets })
     this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, (to, message) => this.deliver(to, message))
     this.introduction = new IntroductionDecider(ctx, seeds, () => this.missing(), { inForce: () => this.desired.db.version(), kept: () => this.desired.versionsKept() })
   }
@@ -109,7 +114,8 @@
   handle (input: ShardInput, now: Ms, wall: Ms, callerReads: CallerReads = { upTo: now, endedAt: now }): ShardEffect[] {
     this.ctx.now = now
     this.intake.db.callerReads = callerReads
-    this.detectPause(now, wall)
+    const pause = this.pauses.inputArrived(now, wall)
+    if (pause !== undefined) this.paused(pause)
     this.dispatch(input)
     this.execution.startWaitingTasks()
     this.updateState()
@@ -389,8 +395,8 @@
       this.deliver(front.instance, { type: 'notOwner', jobId: message.order.job.id, failureDomain: message.failureDomain })
       return
     }
-    if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion, !this.isQueueInForce(message.order))
-    const order = this.underVersionInForce(message.order)
+    if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion, !this.queueVersions.isQueueInForce(message.order))
+    const order = this.queueVersions.underVersionInForce(message.order)
     if (order === undefined) return this.rejectWithoutQueue(front, message.failureDomain, message.order)
     const sentAt = this.sentAt(front.instance, message.ownerClock)
     if (this.execution.submit(front, message.failureDomain, order, sentAt)) return
@@ -402,29 +408,6 @@
     this.deliver(front.instance, { type: 'notOwner', jobId: job.id, failureDomain: message.failureDomain, ...holder === front.instance ? { attempt } : {} })
   }
 
-  /**
-   * Returns whether this instance knows the queue of a job as its front does. A task that it started otherwise would show the effect of a version by which
-   * it does not treat its own callers. It need not have that version if its own one has the same queue, so that a version that arrives late delays few jobs.
-   */
-  private isQueueInForce ({ job, queue, desiredVersion }: DispatchOrder): boolean {
-    if ((desiredVersion ?? 0) <= this.desired.db.version()) return true
-    const own = this.desired.db.queueFor(queue.host, `${queue.prefix}${job.id}`)
-    return own !== undefined && own.prefix === queue.prefix && own.service === queue.service
-  }
-
-  /**
-   * Returns a job's order with the queue that the version in force here gives it, if its front has an older version. A job that its front received
-   * before this instance had a newer one keeps its queue.
-   * @returns undefined if there is no such queue any more
-   */
-  private underVersionInForce (order: DispatchOrder): DispatchOrder | undefined {
-    const { job, queue, desiredVersion, ageMs } = order
-    const newerSince = desiredVersion === undefined ? undefined : this.desired.db.newerSince(desiredVersion)
-    if (newerSince === undefined || this.ctx.now - ageMs <= newerSince || this.execution.db.jobs.has(job.id)) return order
-    const current = this.desired.db.queueFor(queue.host, `${queue.prefix}${job.id}`)
-    return current === undefined ? undefined : { ...order, queue: current }
-  }
-
   /**
    * Turns away a job whose queue was removed. If nothing of it has run, it is declined; its front learns of the newer version from the same connection, and then
    * answers for itself. Otherwise the front gives it up.
@@ -445,41 +428,6 @@
     return owned !== undefined && this.storeReachable && this.ctx.now - owned.since < FIRST_LIST_WAIT_MS
   }
 
-  /**
-   * Returns whether this owner knows all runs that earlier owners started for a job. They are known once every endpoint of this owner and of the
-   * earlier ones has answered a hold under the present token, and have ended once their leases have expired. Until the list is complete and has been
-   * read since the takeover, an earlier owner may have used endpoints that this one does not know and on which no token
-   * fences it. Nor does one at an endpoint that has not answered: an earlier owner renews the lease there until the front sends the job here.
-   */
-  private earlierRunsKnown ({ failureDomain, receivedAt, order }: OwnedJob): boolean {
-    const { now, cfg } = this.ctx
-    const owned = this.ownership.db.owned.get(failureDomain)
-    const { knownInFullSince, freshAt } = this.endpointList
-    if (owned === undefined || knownInFullSince === undefined) return false
-    const leasesEndMs = cfg.supersededMs + cfg.leaseMs * (1 + cfg.clockDrift) + cfg.leaseSlackMs
-    const allHaveAnswered = this.endpointList.inFailureDomain(failureDomain).every(({ id }) => this.hasAnswered(id)) && this.earlierEndpointsHaveAnswered(order)
-    if (now - Math.max(owned.since, knownInFullSince) > leasesEndMs) return allHaveAnswered || now - Math.max(owned.tokenSince, receivedAt) > leasesEndMs
-    // A list that became complete only with this takeover may lack endpoints that lapsed at both of its reads.
-    if (freshAt === undefined || freshAt < owned.since || knownInFullSince >= owned.since) return false
-    if (this.endpointList.changedAfter(failureDomain, owned.since - LIST_DOUBT_MS)) return false
-    return allHaveAnswered
-  }
-
-  private hasAnswered (id: EndpointId): boolean {
-    return this.endpoints.db.get(id)?.answeredUnderToken === true
-  }
-
-  /**
-   * Returns whether the endpoints of all earlier owners of a job are known here and have answered. The list alone does not show this: an owner goes on
-   * with the runs at an endpoint whose entry is missing, and an instance that started meanwhile has never seen that entry.
-   */
-  private earlierEndpointsHaveAnswered ({ earlierEndpoints }: DispatchOrder): boolean {
-    return earlierEndpoints?.every((digest) => {
-      const ids = this.endpointSets.get(digest)
-      return ids !== undefined && [...ids].every(id => this.hasAnswered(id))
-    }) === true
-  }
-
   /**
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
    * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
@@ -574,16 +522,11 @@
   }
 
   /**
-   * Detects that the process was paused. It cannot know what other instances did in the meantime, so it gives up all jobs,
-   * and every endpoint must answer again before anything starts there.
+   * This process was paused. It cannot know what other instances did in the meantime, so it gives up all jobs, and every endpoint
+   * must answer again before anything starts there.
    */
-  private detectPause (now: Ms, wall: Ms): void {
-    const { cfg, out } = this.ctx
-    const steadyMs = now - (this.lastInputAt ?? now)
-    const elapsedMs = Math.max(steadyMs, wall - (this.lastInputWallTime ?? wall))
-    this.lastInputAt = now
-    this.lastInputWallTime = wall
-    if (elapsedMs < cfg.pauseMs) return
+  private paused ({ elapsedMs, steadyMs }: Pause): void {
+    const { out } = this.ctx
     this.ctx.suspendedMs = ms(this.ctx.suspendedMs + elapsedMs - steadyMs)
     out.count('shard.pauses')
     out.log('process.paused', { pausedMs: Math.round(elapsedMs), steadyMs: Math.round(steadyMs), frontedJobs: this.intake.db.jobs.size, ownedJobs: this.execution.db.jobs.size }, 'warn')
