Owners start nothing at endpoints that are cut off from the store, follow a store that moves, and bound unanswered starts

Cause: an entry that a fresh list lacked was used for 2.5 s more; reload only reported a changed address; all starts of a job were ordered in one turn, timed out in the queue for a connection and were sent again. Change: an endpoint that lists lack while the store answers gets no more work until it is listed, unless a third of the domain's entries are missing at once, which is the store's doing; a changed address is used, on SIGHUP and while the store cannot be reached; an endpoint has at most 16 unanswered starts.

--- a/packages/bench/src/shard/shrinkingEndpoints.spec.ts
+++ b/packages/bench/src/shard/shrinkingEndpoints.spec.ts
@@ -71,4 +71,19 @@
       undo()
     }
   })
+
+  it('get no more work than fits when they shrink while they are cut off from the store', () => {
+    const rules = SEEDS.flatMap((seed) => {
+      const fleet = new ShardFleet({ domains: ['a'], instancesPerDomain: 3, endpointsPerDomain: 6, seed })
+      fleet.run(8000)
+      submitAlways(fleet, 8000)
+      fleet.missEntry('e-a-0', 6000)
+      // The owner reads the list every 0.8 s.
+      fleet.run(1500)
+      fleet.resizeEndpoint('e-a-0', SLOT_CPU_MILLI)
+      fleet.run(7000)
+      return fleet.oracle.violations.map(({ rule }) => rule)
+    })
+    expect(rules).to.deep.equal([])
+  })
 })
--- a/packages/core/src/endpoints/endpointList.spec.ts
+++ b/packages/core/src/endpoints/endpointList.spec.ts
@@ -74,4 +74,35 @@
     list.applyList([], false)
     expect(removed).to.deep.equal(['a'])
   })
+
+  describe('an entry that lists lack while the store answers', () => {
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f']
+    const without = (...missing: readonly string[]): EndpointReport[] => ids.filter(id => !missing.includes(id)).map(id => report(id))
+
+    function setUpListed (): ReturnType<typeof setUp> {
+      const state = setUp()
+      state.list.applyList(without(), true)
+      state.ctx.now = missingEndpointRetentionMs
+      return state
+    }
+
+    it('belongs to an endpoint that is cut off from the store, until it is back', () => {
+      const { list } = setUpListed()
+      list.applyList(without('a'), true)
+      expect([...list.cutOffFromStore()]).to.deep.equal(['a'])
+      list.applyList(without(), true)
+      expect([...list.cutOffFromStore()]).to.deep.equal([])
+    })
+
+    it('may have been lost by the store when many of the domain are missing, or when the store has just come back', () => {
+      const { ctx, list } = setUpListed()
+      list.applyList(without('a', 'b', 'c'), true)
+      expect([...list.cutOffFromStore()]).to.deep.equal([])
+      list.storeReachableAgain()
+      list.applyList(without('a'), true)
+      expect([...list.cutOffFromStore()]).to.deep.equal([])
+      ctx.now = ms(missingEndpointRetentionMs * 2 - 1)
+      expect([...list.cutOffFromStore()]).to.deep.equal([])
+    })
+  })
 })
--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -6,6 +6,9 @@
 import type { EndpointId, EndpointReport, FailureDomain, Ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 
+/** Share of a failure domain's entries above which missing entries are put down to the store, not to the endpoints. */
+const LOST_BY_STORE_SHARE = 1 / 3
+
 /** The latest entry of an endpoint. */
 interface ListEntry {
   readonly report: EndpointReport
@@ -19,6 +22,8 @@
   private lastFreshAt: Ms | undefined
   private firstReadAt: Ms | undefined
   private completeSince: Ms | undefined
+  /** Since when the store has answered, as far as is known here. */
+  private storeReachableSince: Ms | undefined
   /** When an endpoint of the failure domain was last added, by a list after the first, or removed. */
   private readonly changedAt = new Map<FailureDomain, Ms>()
 
@@ -83,6 +88,7 @@
     if (fresh) this.lastFreshAt = now
     const isFirst = this.firstReadAt === undefined
     this.firstReadAt ??= now
+    this.storeReachableSince ??= now
     if (now - this.firstReadAt >= cfg.missingEndpointRetentionMs) this.completeSince ??= now
     for (const report of reports) {
       listedIds.add(report.id)
@@ -96,11 +102,28 @@
 
   /** Called when the store is reachable again: entries that it lost meanwhile get the whole span to come back. */
   storeReachableAgain (): void {
+    this.storeReachableSince = this.ctx.now
     for (const entry of this.entries.values()) {
       if (entry.missingSince !== undefined) entry.missingSince = this.ctx.now
     }
   }
 
+  /**
+   * Returns the endpoints that the latest list lacks although the store has answered for so long that it shows what reaches it. They are cut off from the
+   * store, so nobody hears whether they drain or shrink. When many of a domain are missing at once, it is the store that has lost their entries.
+   */
+  cutOffFromStore (): ReadonlySet<EndpointId> {
+    const { now, cfg } = this.ctx
+    if (this.storeReachableSince === undefined || now - this.storeReachableSince < cfg.missingEndpointRetentionMs) return new Set()
+    const known = new Map<FailureDomain, number>()
+    const missing = new Map<FailureDomain, EndpointId[]>()
+    for (const [id, { report: { failureDomain }, missingSince }] of this.entries) {
+      known.set(failureDomain, (known.get(failureDomain) ?? 0) + 1)
+      if (missingSince !== undefined) missing.set(failureDomain, [...missing.get(failureDomain) ?? [], id])
+    }
+    return new Set([...missing].filter(([failureDomain, ids]) => ids.length <= (known.get(failureDomain) ?? 0) * LOST_BY_STORE_SHARE).flatMap(([, ids]) => ids))
+  }
+
   /**
    * Removes an endpoint that lists have left out for `missingEndpointRetentionMs`. This is checked only when a list is read,
    * because time without any list proves nothing.
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -112,6 +112,7 @@
       unlisted: false,
       listedSinceTakeover: false,
       outdated: false,
+      cutOffFromStore: false,
       freeCapacity: undefined
     }
     this.endpoints.set(report.id, endpoint)
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -77,6 +77,17 @@
     this.listener.capacityChanged()
   }
 
+  /**
+   * Records which endpoints are cut off from the store. They get no more work until their entries are back; their runs go on.
+   */
+  markCutOff (ids: ReadonlySet<EndpointId>): void {
+    for (const endpoint of this.db.all()) {
+      const isCutOff = ids.has(endpoint.id)
+      if (isCutOff !== endpoint.cutOffFromStore) this.ctx.out.log(isCutOff ? 'endpoint.cutOffFromStore' : 'endpoint.listedAgain', { endpoint: endpoint.id, shard: endpoint.report.failureDomain, runs: endpoint.runs.size })
+      endpoint.cutOffFromStore = isCutOff
+    }
+  }
+
   /**
    * Marks an endpoint that the store no longer lists, so that it gets no more work. Its runs go on while it answers; it
    * is removed once nothing runs there.
@@ -102,15 +113,15 @@
 
   /**
    * An endpoint may get work when it answers under the present token in the incarnation that the store lists, and is
-   * neither draining nor unlisted nor outdated. Starts sent to an earlier incarnation must no longer be able to arrive there. A new
+   * neither draining nor unlisted nor outdated nor cut off from the store. Starts sent to an earlier incarnation must no longer be able to arrive there. A new
    * owner's copy of the list may be seconds old, and the endpoint may drain or have shrunk since, so it waits for its own first reading.
    * A start extends the lease of all runs there, so none of them may be about to outlast the lease of its job.
    */
   usable (endpoint: LedgerEndpoint): boolean {
-    const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted, outdated, listedSinceTakeover } = endpoint
+    const { report, answeredUnderToken, unansweredHolds, bornAt, startsBlockedUntil, unlisted, outdated, cutOffFromStore, listedSinceTakeover } = endpoint
     if (!listedSinceTakeover && this.listAwaited(report.failureDomain)) return false
     if (leaseBoundOf(endpoint) < this.ctx.now + this.ctx.cfg.startValidMs) return false
-    return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
+    return answeredUnderToken && unansweredHolds === 0 && !report.draining && !unlisted && !outdated && !cutOffFromStore && bornAt === report.bornAt && startsBlockedUntil <= this.ctx.now
   }
 
   /** Returns whether a run that started at the endpoint now would end with the lease of its job: the one there, which all runs share, may last longer. */
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -138,6 +138,8 @@
   listedSinceTakeover: boolean
   /** The entry dates from before the takeover and a list read since then lacks it; the endpoint may drain by now. */
   outdated: boolean
+  /** The latest list lacks the entry, though the store answers; the endpoint may have shrunk or drain, and cannot tell. */
+  cutOffFromStore: boolean
   /** Cached free capacity; undefined when it has to be computed again. */
   freeCapacity: Resources | undefined
 }
--- a/packages/core/src/execution/capacityPrecheck.spec.ts
+++ b/packages/core/src/execution/capacityPrecheck.spec.ts
@@ -9,7 +9,7 @@
   return { spec, tasks: [], unfinishedTasks, finishedRunMs: [] }
 }
 
-const candidateWith = (cpuMilli: number): Candidate => ({ endpoint: {} as Candidate['endpoint'], freeCapacity: { cpuMilli, memoryMb: 0, accelerators: 0 } })
+const candidateWith = (cpuMilli: number): Candidate => ({ endpoint: {} as Candidate['endpoint'], freeCapacity: { cpuMilli, memoryMb: 0, accelerators: 0 }, startsLeft: 1 })
 
 describe('check whether any waiting task fits', () => {
   it('uses the largest free CPU of a single endpoint, not the sum', () => {
--- a/packages/core/src/execution/startPlan.ts
+++ b/packages/core/src/execution/startPlan.ts
@@ -109,13 +109,17 @@
   placement.recordPlacement(candidate.endpoint.id)
   const reserved = exclusive ? candidate.freeCapacity : needs
   candidate.freeCapacity = minus(candidate.freeCapacity, reserved)
+  candidate.startsLeft--
   starts.push({ step, task, candidate, exclusive, reserved })
   return true
 }
 
 /** Returns the reserved capacity. @returns a plan in which no task starts */
 function release (starts: readonly PlannedStart[]): StartPlan {
-  for (const { candidate, reserved } of starts) candidate.freeCapacity = plus(candidate.freeCapacity, reserved)
+  for (const { candidate, reserved } of starts) {
+    candidate.freeCapacity = plus(candidate.freeCapacity, reserved)
+    candidate.startsLeft++
+  }
   return { starts: [], isComplete: false, hasBlockedSteps: false, suspectWithoutEndpoint: undefined }
 }
 
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -7,6 +7,7 @@
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
+import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
@@ -16,6 +17,9 @@
 import type { PlannedStart, PlannedTask } from './startPlan.js'
 import type { OwnedJob } from './types.js'
 
+/** Starts that an endpoint may have unanswered. More would wait for a connection to it until they time out, and its holds behind them. */
+const UNANSWERED_STARTS_MAX = 16
+
 /** What a round of starts depends on. */
 export interface StartRoundParts {
   readonly placement: PlacementDecider
@@ -64,7 +68,8 @@
     for (const endpoint of endpoints.db.all()) {
       if (!endpoints.usable(endpoint)) continue
       const freeCapacity = freeCapacityOf(endpoint)
-      if (freeCapacity.cpuMilli > 0) candidates.push({ endpoint, freeCapacity })
+      const startsLeft = UNANSWERED_STARTS_MAX - unansweredStarts(endpoint)
+      if (freeCapacity.cpuMilli > 0 && startsLeft > 0) candidates.push({ endpoint, freeCapacity, startsLeft })
     }
     return candidates
   }
@@ -116,3 +121,9 @@
     out.push({ type: 'observe', histogram: 'queueWaitMs', label: job.order.queue.name, valueMs: now - job.receivedAt })
   }
 }
+
+function unansweredStarts ({ runs }: LedgerEndpoint): number {
+  let count = 0
+  for (const { state } of runs.values()) if (state === 'ordered') count++
+  return count
+}
--- a/packages/core/src/placement/placementDecider.spec.ts
+++ b/packages/core/src/placement/placementDecider.spec.ts
@@ -31,7 +31,7 @@
   return specs.map(({ id, cpuMilli, labels = [] }) => {
     const report: EndpointReport = { id: id as EndpointId, service: SERVICE, address: id, failureDomain: 'd' as FailureDomain, draining: false, capacity: { cpuMilli, memoryMb: 100, accelerators: 0 }, labels, bornAt: 0 }
     const endpoint = db.add(report, ms(0))
-    return { endpoint, freeCapacity: freeCapacityOf(endpoint) }
+    return { endpoint, freeCapacity: freeCapacityOf(endpoint), startsLeft: 1 }
   })
 }
 
@@ -43,6 +43,12 @@
     expect(chooseId(placement, candidates({ id: 'wide', cpuMilli: 48_000 }, { id: 'tight', cpuMilli: 16_000 }, { id: 'small', cpuMilli: 8000 }))).to.equal('tight')
   })
 
+  it('leaves out an endpoint that has as many unanswered starts as it may have', () => {
+    const { placement } = setUp()
+    const [busy, other] = candidates({ id: 'busy', cpuMilli: 16_000 }, { id: 'other', cpuMilli: 48_000 }) as [Candidate, Candidate]
+    expect(chooseId(placement, [{ ...busy, startsLeft: 0 }, other])).to.equal('other')
+  })
+
   it('respects the required label, the preferred rack and the endpoints to avoid', () => {
     const { placement } = setUp()
     const from = candidates({ id: 'plain', cpuMilli: 16_000 }, { id: 'labelled', cpuMilli: 48_000, labels: ['gpu', 'r-1'] })
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -35,6 +35,8 @@
 export interface Candidate {
   readonly endpoint: LedgerEndpoint
   freeCapacity: Resources
+  /** Starts that may be sent there now, beside those that it has not answered yet. */
+  startsLeft: number
 }
 
 /** Chooses endpoints for tasks and keeps track of which endpoints can be trusted. */
@@ -53,7 +55,7 @@
     let best: Candidate | undefined
     let bestScore = Infinity
     for (const candidate of candidates) {
-      if (!fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint) || (request.exclusive && !isUnused(candidate))) continue
+      if (candidate.startsLeft <= 0 || !fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint) || (request.exclusive && !isUnused(candidate))) continue
       const score = this.score(request, candidate)
       if (score < bestScore) {
         best = candidate
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -482,6 +482,7 @@
   private applyReports (reports: readonly EndpointReport[], fresh: boolean): void {
     this.endpointList.applyList(reports, fresh)
     this.rememberEndpoints(reports)
+    if (fresh) this.endpoints.markCutOff(this.endpointList.cutOffFromStore())
     this.endpoints.update(reports.filter(report => this.ownership.db.owned.has(report.failureDomain)), fresh)
   }
 
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -17,7 +17,7 @@
 import { SocketReads } from './socketReads.js'
 import { StoreTask } from './storeTask.js'
 import type { StoreList } from './storeTask.js'
-import type { PlatformWires } from './wires.js'
+import type { PlatformWires, StoreWire } from './wires.js'
 
 /** Tick period of a shard owner. On each tick it repeats unanswered orders and decides on waiting jobs. */
 const OWNER_TICK_MS = 25
@@ -47,6 +47,8 @@
   readonly wires: PlatformWires
   readonly clock: Clock
   readonly random: () => number
+  /** Called while the store cannot be reached, for each failed read: its address may have changed. */
+  readonly storeUnreachable?: () => void
 }
 
 /** One instance with its sockets, timers and log. */
@@ -76,6 +78,7 @@
       unreadableEntry: (list, { key, reason }) => this.unreadableEntry(list, key, reason),
       failedCall,
       failedRead: (list, { why, isWatch, tookMs, receivedBytes }) => this.log.write('warn', 'store.readFailed', { list, why, isWatch, tookMs, receivedBytes }),
+      unreachable: () => options.storeUnreachable?.(),
       desiredRead: (version, { isWatch, tookMs, receivedBytes }) => this.log.write('info', 'store.desiredRead', { version, isWatch, tookMs, receivedBytes })
     })
     this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.refusalFor(host, path), this.reads)
@@ -96,6 +99,12 @@
     setInterval(() => this.log.flush(), LOG_FLUSH_MS)
   }
 
+  /** Goes on with the store at another address. */
+  moveStore (wire: StoreWire): void {
+    this.log.write('info', 'store.moved', { address: wire.address })
+    this.store.moveTo(wire)
+  }
+
   /** Logs that the settings were reloaded. */
   logReload (fields: Readonly<Record<string, string | number | boolean>>): void {
     this.log.write('info', 'process.reloaded', fields)
--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -149,4 +149,24 @@
     await server.close()
     expect([allowedStale, reportedFresh]).to.deep.equal([[true, false], [false, true]])
   }).timeout(6000)
+
+  it('goes on at the address to which the store has moved', async () => {
+    const before = await listenHttp(0, (req, res) => {
+      if (req.url !== '/watch') sendJson(res, 200, {})
+    })
+    const after = await listenHttp(0, (_req, res) => sendJson(res, 200, {}))
+    const wire = stubStoreWire(`127.0.0.1:${before.port}`)
+    const versionAfterMove = await new Promise<number>((resolve) => {
+      const task = new StoreTask(wire, (input) => {
+        if (input.type !== 'desired') return
+        void task.close()
+        resolve(input.state.version)
+      }, () => 0, systemClock, { unreadable: () => {}, unreadableEntry: () => {}, failedCall: () => {}, failedRead: () => {}, desiredRead: () => {} })
+      task.start()
+      void before.close()
+      task.moveTo({ ...stubStoreWire(`127.0.0.1:${after.port}`), parseDesiredWatch: () => ({ type: 'state', state: { version: 8, queues: [], services: [] }, asOf: 2, unreadable: undefined }) })
+    })
+    await after.close()
+    expect(versionAfterMove).to.equal(8)
+  }).timeout(10_000)
 })
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -46,6 +46,8 @@
   readonly failedCall: LogFailedCall
   /** Called when a read gave nothing usable. */
   readonly failedRead: (list: StoreList, read: FailedRead) => void
+  /** Called for each failed read while the store counts as unreachable. */
+  readonly unreachable?: () => void
   /** Called when a version of the desired state has arrived. */
   readonly desiredRead: (version: number, read: TimedRead) => void
 }
@@ -76,7 +78,7 @@
   /** True until a read of the records that may not be stale has succeeded. */
   private requireFreshRecords = true
 
-  constructor (private readonly wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog) {
+  constructor (private wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog) {
     this.caller = new HttpCaller(MAX_STORE_CONNECTIONS, log.failedCall)
   }
 
@@ -93,6 +95,13 @@
     })
   }
 
+  /** Goes on with the store at another address, which has the same content and revisions. */
+  moveTo (wire: StoreWire): void {
+    this.wire = wire
+    this.wakeEndpoints()
+    this.refreshRecords()
+  }
+
   /** Changes the polling periods; a list whose period becomes shorter is read at once. */
   setPace (pace: ListPace): void {
     const before = this.pace
@@ -230,6 +239,7 @@
   private recordOutcome (ok: boolean): void {
     this.failures = ok ? 0 : this.failures + 1
     const reachable = this.failures < UNREACHABLE_AFTER_FAILURES
+    if (!reachable) this.log.unreachable?.()
     if (reachable === this.reachable || (!ok && reachable)) return
     this.reachable = reachable
     this.post({ type: 'storeReachable', reachable })
