--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -4,7 +4,7 @@
  * repeated exactly.
  */
 import type { ListPace, RefusalCause, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
-import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
+import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, readsFresh, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
 import { decodeEnvelope, encodeEnvelope } from '@cranberryyard/dispatcher/shard'
 import { FencedEndpointModel, RecordStoreModel, SLOWEST_CLOCK_RATE, ShardOracle, taskSpec, withByteOrderMark } from '@cranberryyard/fakes'
@@ -700,7 +700,7 @@
   }
 
   private readEndpoints (process: Process): void {
-    const fresh = process.pace === 'owner'
+    const fresh = readsFresh(process.pace)
     this.time.after(4, () => {
       if (this.canReachStore(process)) this.post(process, { type: 'endpoints', reports: (fresh ? undefined : this.storeFaults.staleEndpoints) ?? this.reports(), fresh })
     })
--- a/packages/core/src/endpoints/endpointList.spec.ts
+++ b/packages/core/src/endpoints/endpointList.spec.ts
@@ -94,6 +94,15 @@
       expect([...list.cutOffFromStore()]).to.deep.equal([])
     })
 
+    it('is followed by others for a while, so the list should be read more often', () => {
+      const { ctx, list } = setUpListed()
+      expect(list.isLosingEntries()).to.equal(false)
+      list.applyList(without('a'), true)
+      expect(list.isLosingEntries()).to.equal(true)
+      ctx.now = ms(ctx.now + 2000)
+      expect(list.isLosingEntries()).to.equal(false)
+    })
+
     it('may have been lost by the store when many of the domain are missing, or when the store has just come back', () => {
       const { ctx, list } = setUpListed()
       list.applyList(without('a', 'b', 'c'), true)
--- a/packages/core/src/endpoints/endpointList.ts
+++ b/packages/core/src/endpoints/endpointList.ts
@@ -6,6 +6,8 @@
 import type { EndpointId, EndpointReport, FailureDomain, Ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
 
+/** How long after an entry went missing others that were cut off at the same time may follow: a ping period of the endpoints, with some slack. */
+const OTHERS_FOLLOW_MS = 2000
 /** Share of a failure domain's entries above which missing entries are put down to the store, not to the endpoints. */
 const LOST_BY_STORE_SHARE = 1 / 3
 
@@ -24,6 +26,7 @@
   private completeSince: Ms | undefined
   /** Since when the store has answered, as far as is known here. */
   private storeReachableSince: Ms | undefined
+  private lastMissedAt = -Infinity
   /** When an endpoint of the failure domain was last added, by a list after the first, or removed. */
   private readonly changedAt = new Map<FailureDomain, Ms>()
 
@@ -124,12 +127,18 @@
     return new Set([...missing].filter(([failureDomain, ids]) => ids.length <= (known.get(failureDomain) ?? 0) * LOST_BY_STORE_SHARE).flatMap(([, ids]) => ids))
   }
 
+  /** Returns whether entries have just gone missing, so that the list should be read more often. */
+  isLosingEntries (): boolean {
+    return this.ctx.now - this.lastMissedAt < OTHERS_FOLLOW_MS
+  }
+
   /**
    * Removes an endpoint that lists have left out for `missingEndpointRetentionMs`. This is checked only when a list is read,
    * because time without any list proves nothing.
    */
   private removeIfExpired (id: EndpointId, entry: ListEntry): void {
     const { now, cfg, out } = this.ctx
+    if (entry.missingSince === undefined) this.lastMissedAt = now
     entry.missingSince ??= now
     const missingMs = now - entry.missingSince
     if (missingMs < cfg.missingEndpointRetentionMs) return
--- a/packages/core/src/shard/index.ts
+++ b/packages/core/src/shard/index.ts
@@ -4,7 +4,7 @@
  */
 export { ShardInstance } from './shardInstance.js'
 export type { ShardInstanceOptions } from './shardInstance.js'
-export { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS } from './settings.js'
+export { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, readsFresh } from './settings.js'
 export type { ShardSettings } from './settings.js'
 export { SHARD_COUNTERS } from './counters.js'
 export type { ShardCounterName } from './counters.js'
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -108,6 +108,11 @@
  * Periods in milliseconds for reading the list of endpoints. An owner has to notice a draining endpoint in time; the other
  * instances only prepare for a takeover and may use a list that is slightly out of date.
  */
-export const ENDPOINT_LIST_PERIODS_MS: Readonly<Record<ListPace, number>> = { owner: 800, near: 3000, far: 12_000 }
+export const ENDPOINT_LIST_PERIODS_MS: Readonly<Record<ListPace, number>> = { losing: 250, owner: 800, near: 3000, far: 12_000 }
 /** Periods in milliseconds for reading member and shard records. They can be long, since owners also announce themselves. */
-export const RECORD_LIST_PERIODS_MS: Readonly<Record<ListPace, number>> = { owner: 1500, near: 1500, far: 5000 }
+export const RECORD_LIST_PERIODS_MS: Readonly<Record<ListPace, number>> = { losing: 1500, owner: 1500, near: 1500, far: 5000 }
+
+/** Returns whether lists read at a pace may not come from a copy that may be old. */
+export function readsFresh (pace: ListPace): boolean {
+  return pace === 'owner' || pace === 'losing'
+}
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -538,7 +538,9 @@
 
   private updateListPace (): void {
     const { self, out } = this.ctx
-    const pace = this.ownership.owns() ? 'owner' : this.sessions.ownerOf(self.failureDomain) === undefined || this.ownership.isNearSuccessor() ? 'near' : 'far'
+    const ownerPace = this.endpointList.isLosingEntries() ? 'losing' : 'owner'
+    const successorPace = this.sessions.ownerOf(self.failureDomain) === undefined || this.ownership.isNearSuccessor() ? 'near' : 'far'
+    const pace = this.ownership.owns() ? ownerPace : successorPace
     if (pace === this.listPace) return
     this.listPace = pace
     out.push({ type: 'listPace', pace })
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -73,10 +73,10 @@
   | { readonly type: 'lost' }
 
 /**
- * How fresh the store's lists have to be for an instance. `owner`: it acts on them. `near`: it may have to take over soon,
+ * How fresh the store's lists have to be for an instance. `owner`: it acts on them. `losing`: the same while entries of endpoints go missing, since more may follow. `near`: it may have to take over soon,
  * or its domain has no known owner. `far`: it needs them only if all instances ranked before it are lost.
  */
-export type ListPace = 'owner' | 'near' | 'far'
+export type ListPace = 'losing' | 'owner' | 'near' | 'far'
 
 /** Fields of a log line. Those that every line carries are reserved: a reader of JSON keeps only one of two fields with the same name. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>> & { readonly instance?: never, readonly incarnation?: never, readonly failureDomain?: never }
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -3,7 +3,7 @@
  * decisions in `core` and routes the effects that they return to the tasks. All I/O stays on this side, so that the
  * decisions can be tested without sockets and clocks.
  */
-import { ShardInstance } from '@cranberryyard/core/shard'
+import { ShardInstance, readsFresh } from '@cranberryyard/core/shard'
 import type { ListPace, ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
 import type { Clock } from '@cranberryyard/protocol'
 import { listen } from '../utils/plainServer.js'
@@ -148,7 +148,7 @@
 
   private tick (): void {
     this.post({ type: 'tick' })
-    setTimeout(() => this.tickOnceRead(), this.core.isIdle() ? IDLE_TICK_MS : this.listPace === 'owner' ? OWNER_TICK_MS : ACTIVE_TICK_MS)
+    setTimeout(() => this.tickOnceRead(), this.core.isIdle() ? IDLE_TICK_MS : readsFresh(this.listPace) ? OWNER_TICK_MS : ACTIVE_TICK_MS)
   }
 
   /** Ticks when the callers' connections were read, so that no job is confirmed whose caller has left. The wait costs processor time, and is of no use without callers. */
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -3,7 +3,7 @@
  * the period that `core` asks for, and executes writes. Each call has a deadline, and failed reads are repeated
  * with backoff. Timeouts and retries belong here; the platform adapter only translates calls and replies.
  */
-import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS } from '@cranberryyard/core/shard'
+import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, readsFresh } from '@cranberryyard/core/shard'
 import type { ListPace, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { Clock, EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
@@ -175,7 +175,7 @@
   }
 
   private async readEndpoints (): Promise<boolean> {
-    const fresh = this.pace === 'owner'
+    const fresh = readsFresh(this.pace)
     const reports = await this.readPages<EndpointReport>('endpoints', after => this.wire.listEndpoints(after, !fresh), reply => this.wire.parseEndpoints(reply))
     if (reports === undefined) return false
     this.post({ type: 'endpoints', reports, fresh })
