An owner that has just started is taken for lost after twice the time

Two of three domains changed their owner at 0.78 and 0.98 s: the owners answered late, since a process works slowly in its first second and gets everything at once. A refused connection counts at once, as before; fronts count as before.

--- a/packages/core/src/sessions/sessionsDb.ts
+++ b/packages/core/src/sessions/sessionsDb.ts
@@ -28,6 +28,7 @@
       instance,
       address,
       incarnation: 0,
+      incarnationSince: undefined,
       incarnationHeardAt: undefined,
       clock: undefined,
       lastReceivedAt: undefined,
--- a/packages/core/src/sessions/sessionsDecider.spec.ts
+++ b/packages/core/src/sessions/sessionsDecider.spec.ts
@@ -47,6 +47,31 @@
     expect(lostAt).to.be.within(peerTimeoutMs, peerTimeoutMs + TICK_MS)
   })
 
+  // After a loss of all machines, owners that were slow at first were taken for lost, and every job was sent again to the next one.
+  it('takes an owner for lost after twice the time while its process has just started', () => {
+    const lostAfterMs = (startedMsAgo: number): number => {
+      const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
+      let isLost = false
+      const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 1 }), {
+        peerLost: () => {
+          isLost = true
+        },
+        peerRecovered: () => {}
+      })
+      sessions.messageReceived(OWNER, 1, 'owner')
+      sessions.db.learnOwner({ failureDomain: 'd' as FailureDomain, owner: OWNER, token: 1 as FencingToken })
+      ctx.now = ms(startedMsAgo)
+      sessions.messageReceived(OWNER, 1, 'owner')
+      while (!isLost) {
+        ctx.now = ms(ctx.now + TICK_MS)
+        sessions.tick(new Map([[OWNER, pingMs]]), () => false)
+      }
+      return ctx.now - startedMsAgo
+    }
+    expect(lostAfterMs(0)).to.be.within(2 * peerTimeoutMs, 2 * peerTimeoutMs + TICK_MS)
+    expect(lostAfterMs(5000)).to.be.within(peerTimeoutMs, peerTimeoutMs + TICK_MS)
+  })
+
   // An owner that went on receiving pings kept a connection on which its answers were lost, and was taken for lost.
   it('replaces its connection to a peer that receives nothing on it, but not at each of its pings', () => {
     const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(0), suspendedMs: ms(0) }
--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -20,6 +20,14 @@
 /** Silence of an incarnation after which a message of a lower one is taken for a restart with a clock that was set back. */
 const FORMER_INCARNATION_SILENCE_MS = 1000
 
+/**
+ * Time from the first message of an incarnation for which its silence has to last longer before it counts as lost. A process that has just started works slowly,
+ * and after a loss of all machines it gets everything at once; a takeover would make its endpoints and jobs start anew.
+ */
+const STARTING_MS = 3000
+/** Factor by which it has to last longer then. */
+const STARTING_PATIENCE = 2
+
 /** How long an owner of another domain counts as live after a report by the own domain's owner; a few of its ping periods. */
 const REPORTED_LIVE_VALID_MS = 800
 
@@ -61,7 +69,7 @@
       peer.endpointsDigests.clear()
     }
     if (incarnation !== undefined) peer.incarnationHeardAt = now
-    if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, leaving: false })
+    if (incarnation !== undefined && incarnation !== peer.incarnation) Object.assign(peer, { incarnation, incarnationSince: now, leaving: false })
     if (incarnation !== undefined && time !== undefined) peer.clock = { reading: { incarnation, at: time }, readAt: this.ctx.now }
     peer.lastReceivedAt = this.ctx.now
     peer.firstUnansweredPingAt = undefined
@@ -218,7 +226,8 @@
     const silentSince = peer.lastReceivedAt ?? peer.firstUnansweredPingAt
     if (peer.lost || silentSince === undefined) return
     const silentMs = now - silentSince
-    if (silentMs >= cfg.peerTimeoutMs) {
+    const isStarting = this.isOwner(peer.instance) && peer.incarnationSince !== undefined && now - peer.incarnationSince < STARTING_MS
+    if (silentMs >= cfg.peerTimeoutMs * (isStarting ? STARTING_PATIENCE : 1)) {
       this.markLost(peer, 'silent')
     } else if (silentMs >= cfg.reconnectAfterMs && !peer.connectionReplaced) {
       peer.connectionReplaced = true
@@ -227,6 +236,11 @@
     }
   }
 
+  private isOwner (instance: InstanceId): boolean {
+    for (const { owner, disowned } of this.db.shards.values()) if (owner === instance && !disowned) return true
+    return false
+  }
+
   private markLost (peer: PeerSession, why: string): void {
     const { out, now } = this.ctx
     if (peer.lost) return
--- a/packages/core/src/sessions/types.ts
+++ b/packages/core/src/sessions/types.ts
@@ -10,6 +10,8 @@
   address: string
   /** Latest incarnation that a message carried; 0 before the first message. */
   incarnation: number
+  /** When a message of this incarnation first arrived. */
+  incarnationSince: Ms | undefined
   /** When a message of this incarnation last arrived. */
   incarnationHeardAt: Ms | undefined
   /** The latest reading of the peer's clock, with this instance's time at which it arrived. */
