--- a/packages/core/src/admission/slotForecast.ts
+++ b/packages/core/src/admission/slotForecast.ts
@@ -17,6 +17,8 @@
 export interface EndpointOutlook {
   readonly freeCpuMilli: number
   readonly ends: readonly ExpectedEnd[]
+  /** A task starts there only when nothing runs there. */
+  readonly oneAtATime?: boolean
 }
 
 /** Tasks that a job still has to start. */
@@ -66,7 +68,12 @@
   }
 }
 
-function addSlots (times: number[], { freeCpuMilli, ends }: EndpointOutlook, cpuMilli: number, now: Ms): void {
+function addSlots (times: number[], { freeCpuMilli, ends, oneAtATime }: EndpointOutlook, cpuMilli: number, now: Ms): void {
+  if (oneAtATime === true) {
+    const idleCpuMilli = ends.reduce((sum, end) => sum + end.cpuMilli, freeCpuMilli)
+    if (idleCpuMilli >= cpuMilli) times.push(Math.max(now, ...ends.map(end => end.at)))
+    return
+  }
   let free = freeCpuMilli
   for (; free >= cpuMilli; free -= cpuMilli) times.push(now)
   for (const end of [...ends].sort((a, b) => a.at - b.at)) {
--- a/packages/core/src/endpoints/endpointsDb.ts
+++ b/packages/core/src/endpoints/endpointsDb.ts
@@ -23,6 +23,16 @@
   return remaining
 }
 
+/** Returns until when the endpoint of a report that has just been read is slow after its start. */
+export function coldUntil ({ coldForMs }: EndpointReport, now: Ms): Ms {
+  return ms(now + (coldForMs ?? 0))
+}
+
+/** Returns whether an endpoint is slow because it has started a short time ago. Those of an evacuated domain may have, all at once. */
+export function isCold (endpoint: Pick<LedgerEndpoint, 'coldUntil'>, now: Ms): boolean {
+  return endpoint.coldUntil > now
+}
+
 export function plus (a: Resources, b: Resources): Resources {
   return { cpuMilli: a.cpuMilli + b.cpuMilli, memoryMb: a.memoryMb + b.memoryMb, accelerators: a.accelerators + b.accelerators }
 }
@@ -109,6 +119,7 @@
       leasesEndBy: now,
       leaseUntil: 0 as EndpointClockMs,
       startsBlockedUntil: now,
+      coldUntil: coldUntil(report, now),
       unlisted: false,
       listedSinceTakeover: false,
       outdated: false,
--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -22,7 +22,7 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
-import { EndpointsDb, endpointClock, latestLeaseEnd, leaseBoundOf, makeRun } from './endpointsDb.js'
+import { EndpointsDb, coldUntil, endpointClock, latestLeaseEnd, leaseBoundOf, makeRun } from './endpointsDb.js'
 import type { LedgerEndpoint, LedgerRun, LossReason, PendingHold, RejectionReason, RunLease, RunListener } from './types.js'
 
 /** Consecutive holds without an answer after which leases are no longer renewed, so that the runs there are certain to end. */
@@ -73,7 +73,7 @@
     for (const report of reports) {
       const known = this.db.get(report.id)
       if (known === undefined) this.requireFreshAnswer(Object.assign(this.db.add(report, this.ctx.now), { listedSinceTakeover: fresh }))
-      else Object.assign(known, { report, unlisted: false, outdated: false, listedSinceTakeover: known.listedSinceTakeover || fresh, freeCapacity: undefined })
+      else Object.assign(known, { report, coldUntil: report === known.report ? known.coldUntil : coldUntil(report, this.ctx.now), unlisted: false, outdated: false, listedSinceTakeover: known.listedSinceTakeover || fresh, freeCapacity: undefined })
     }
     if (!fresh) return
     this.markOutdated(new Set(reports.map(report => report.id)))
--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -132,6 +132,8 @@
   leaseUntil: EndpointClockMs
   /** Nothing is placed before this time, because starts sent to an earlier incarnation may still arrive. */
   startsBlockedUntil: Ms
+  /** The endpoint is slow until then, since it has started a short time ago; it gets one task at a time. */
+  coldUntil: Ms
   /** The store's list has left the endpoint out for a while; it gets no more work. */
   unlisted: boolean
   /** This owner has seen the endpoint's entry in a list that it read since it took over. */
--- a/packages/core/src/execution/endpointOutlook.ts
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -5,7 +5,7 @@
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { EndpointOutlook } from '../admission/slotForecast.js'
-import { freeCapacityOf } from '../endpoints/endpointsDb.js'
+import { freeCapacityOf, isCold } from '../endpoints/endpointsDb.js'
 import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
 
 /** Progress from which the remaining time is projected from it, and not from the expected run time. */
@@ -24,7 +24,8 @@
   const { cpuMilli: capacity } = endpoint.report.capacity
   return {
     freeCpuMilli: freeCapacityOf(endpoint).cpuMilli,
-    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.exclusive ? capacity : run.needs?.cpuMilli ?? capacity }))
+    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.exclusive ? capacity : run.needs?.cpuMilli ?? capacity })),
+    ...isCold(endpoint, now) ? { oneAtATime: true } : {}
   }
 }
 
--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -61,7 +61,7 @@
       evacuationAllowsStart: () => !this.evacuated,
       isEvacuated: () => this.evacuated
     })
-    this.ledger = new EndpointsDecider(this.ctx, () => 1 as FencingToken, () => false, this.execution)
+    this.ledger = new EndpointsDecider(this.ctx, () => 1 as FencingToken, () => false, this.execution, () => !this.evacuated)
     this.execution.endpoints = this.ledger
     const reports = Array.from({ length: endpoints }, (_, i) => report(`e-${i}`, slots))
     this.ledger.adopt(reports)
@@ -488,3 +488,96 @@
     expect(owner.sentToFronts.map(message => message.type)).to.deep.equal(['declined'])
   })
 })
+
+describe('execution in an evacuated domain', () => {
+  const answers = (owner: OwnerHarness): unknown[] => owner.sentToFronts.map(message => message.type === 'notOwner' ? message.released : message.type)
+
+  it('declines jobs that have not run, waiting ones at once and new ones as they come', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(withObjective(order('a', 1, 100), 5000))
+    owner.submit(withObjective(order('b', 1, 100), 5000))
+    owner.evacuated = true
+    owner.execution.evacuationsChanged()
+    expect(answers(owner)).to.deep.equal(['declined'])
+    owner.submit(withObjective(order('c', 1, 100), 5000))
+    expect(answers(owner)).to.deep.equal(['declined', 'declined'])
+    expect(owner.execution.capacity()).to.deep.equal({ totalCpuMilli: 0, freeCpuMilli: 0 })
+    owner.evacuated = false
+    owner.execution.evacuationsChanged()
+    expect(owner.execution.capacity().totalCpuMilli).to.equal(14_000)
+  })
+
+  it('finishes what runs, and releases the rest of a job only when nothing of it runs any more', () => {
+    const owner = new OwnerHarness(2)
+    owner.submit(withObjective(order('a', 3, 100), 5000))
+    owner.confirmStarts()
+    owner.evacuated = true
+    owner.execution.evacuationsChanged()
+    owner.reportEnd('a.0.0.0', 'failed')
+    owner.execution.tick()
+    expect([answers(owner), owner.starts, owner.stops]).to.deep.equal([[], [], []])
+    owner.reportEnd('a.0.0.1', 'done')
+    owner.execution.tick()
+    expect(answers(owner)).to.deep.equal([{ attempt: 1, done: ['0.1'] }])
+    expect(owner.execution.db.jobs.size).to.equal(0)
+  })
+
+  it('sends no start again whose answer is missing, and keeps its job until it can no longer take effect', () => {
+    const owner = new OwnerHarness(1)
+    owner.submit(withObjective(order('a', 1, 100), 5000))
+    const [start] = owner.starts.splice(0)
+    owner.evacuated = true
+    owner.execution.evacuationsChanged()
+    owner.ledger.startOutcome(start?.endpoint ?? '' as EndpointId, start?.orderId ?? 0, { type: 'silent' })
+    owner.settle()
+    owner.execution.tick()
+    expect([owner.starts, answers(owner)]).to.deep.equal([[], []])
+    owner.advanceMs(SHARD_DEFAULTS.startValidMs + 10)
+    owner.confirmJobs()
+    owner.answerHold('e-0' as EndpointId, [])
+    owner.answerHold('e-0' as EndpointId, [])
+    owner.execution.tick()
+    expect([owner.starts, answers(owner)]).to.deep.equal([[], [{ attempt: 1, done: [] }]])
+  })
+
+  it('starts nothing of a job that an earlier owner may have started, and releases it', () => {
+    const owner = new OwnerHarness(1)
+    owner.evacuated = true
+    owner.submit(order('a', 2, 100, { resumed: true, done: ['0.1'] }))
+    owner.execution.tick()
+    expect([owner.starts, answers(owner)]).to.deep.equal([[], [{ attempt: 1, done: ['0.1'] }]])
+  })
+
+  it('does not stop a slow run to start it elsewhere', () => {
+    const stopped = [false, true].map((evacuated) => {
+      const owner = new OwnerHarness(2)
+      owner.submit(withObjective(order('a', 1, 100), 5000))
+      owner.confirmStarts()
+      owner.evacuated = evacuated
+      for (const percent of [10, 20, 30]) {
+        owner.advanceMs(100)
+        owner.reportProgress('a.0.0.0', percent)
+      }
+      return owner.stops.length
+    })
+    expect(stopped).to.deep.equal([1, 0])
+  })
+})
+
+describe('an endpoint that has started a short time ago', () => {
+  it('gets one task at a time, after endpoints that are warm, until it is warm itself', () => {
+    const owner = new OwnerHarness(2, 2)
+    const warmAt = owner.ctx.now + 1000
+    owner.ledger.update([{ ...report('e-0', 2), coldForMs: ms(1000) }], false)
+    owner.submit(withObjective(order('a', 2, 100), 5000))
+    expect(owner.starts.splice(0).map(start => start.endpoint)).to.deep.equal(['e-1', 'e-1'])
+    owner.submit(withObjective(order('b', 1, 100), 5000))
+    owner.submit(withObjective(order('c', 1, 100), 5000))
+    expect(owner.starts.splice(0).map(start => start.endpoint)).to.deep.equal(['e-0'])
+    owner.ctx.now = ms(warmAt)
+    owner.confirmJobs()
+    owner.execution.tick()
+    owner.settle()
+    expect(owner.starts.map(start => start.endpoint)).to.deep.equal(['e-0'])
+  })
+})
--- a/packages/core/src/execution/shardRoom.ts
+++ b/packages/core/src/execution/shardRoom.ts
@@ -5,7 +5,7 @@
 import type { FailureDomain, Ms, ServiceName } from '@cranberryyard/protocol'
 import { SlotForecast } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
-import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
+import { fits, freeCapacityOf, isCold } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { PlacementDecider } from '../placement/placementDecider.js'
@@ -53,10 +53,11 @@
   private countCapacity (): ShardCapacity {
     let totalCpuMilli = 0
     let freeCpuMilli = 0
+    const { now } = this.ctx
     for (const endpoint of this.endpoints().db.all()) {
       if (!this.isTrusted(endpoint) || this.isEvacuated(endpoint.report.failureDomain)) continue
       totalCpuMilli += endpoint.report.capacity.cpuMilli
-      freeCpuMilli += Math.max(0, freeCapacityOf(endpoint).cpuMilli)
+      if (endpoint.runs.size === 0 || !isCold(endpoint, now)) freeCpuMilli += Math.max(0, freeCapacityOf(endpoint).cpuMilli)
     }
     return { totalCpuMilli, freeCpuMilli }
   }
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -5,7 +5,7 @@
 import type { ServiceName, TaskName } from '@cranberryyard/protocol'
 import type { AdmissionDecider } from '../admission/admissionDecider.js'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
-import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
+import { fits, freeCapacityOf, isCold } from '../endpoints/endpointsDb.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
@@ -68,12 +68,18 @@
     for (const endpoint of endpoints.db.all()) {
       if (!endpoints.usable(endpoint)) continue
       const freeCapacity = freeCapacityOf(endpoint)
-      const startsLeft = UNANSWERED_STARTS_MAX - unansweredStarts(endpoint)
+      const startsLeft = this.startsLeftAt(endpoint)
       if (freeCapacity.cpuMilli > 0 && startsLeft > 0) candidates.push({ endpoint, freeCapacity, startsLeft })
     }
     return candidates
   }
 
+  /** A cold endpoint gets one task at a time: each would slow down the others, and it must not be met by all that waits. */
+  private startsLeftAt (endpoint: LedgerEndpoint): number {
+    if (isCold(endpoint, this.ctx.now)) return endpoint.runs.size === 0 ? 1 : 0
+    return UNANSWERED_STARTS_MAX - unansweredStarts(endpoint)
+  }
+
   /**
    * Starts a job's waiting tasks.
    * @param allowPartial - whether some tasks may start while others still wait; of the jobs that have not started, only one at
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -215,4 +215,36 @@
     expect(replies().map(reply => reply.type === 'refused' && reply.cause)).to.deep.equal(['leaving'])
     expect(sent).to.deep.equal([])
   })
+
+  it('sends nothing to an evacuated domain, and refuses at once when all are evacuated', () => {
+    const { intake, sessions, sent, replies, evacuated } = setUp()
+    const far = 'far' as FailureDomain
+    sessions.messageReceived('other' as InstanceId, 1, 'other')
+    sessions.db.learnOwner({ failureDomain: far, owner: 'other' as InstanceId, token: 1 as FencingToken })
+    evacuated.add(DOMAIN)
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    expect(sent.map(message => message.type === 'submit' && [message.failureDomain, message.order.lastChance])).to.deep.equal([[far, true]])
+    evacuated.add(far)
+    intake.submit('c2', 'h', '/q/b', job('b'), ms(1500))
+    expect(replies()).to.deep.equal([{ type: 'refused', cause: 'evacuated', retryAfterMs: 2000 }])
+    evacuated.clear()
+    intake.submit('c3', 'h', '/q/c', job('c'), ms(1500))
+    expect(sent.at(-1)).to.deep.include({ type: 'submit', failureDomain: DOMAIN })
+  })
+
+  it('sends the rest of a job that an evacuated domain has released to another one, and never says that it has not run', () => {
+    const { intake, sessions, sent, replies, evacuated } = setUp()
+    const [far, other] = ['far' as FailureDomain, 'other' as InstanceId]
+    sessions.messageReceived(other, 1, 'other')
+    sessions.db.learnOwner({ failureDomain: far, owner: other, token: 1 as FencingToken })
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    evacuated.add(DOMAIN)
+    intake.released('a' as JobId, OWNER, DOMAIN, { attempt: 0, done: [] })
+    expect(sent.length, 'an earlier copy').to.equal(1)
+    intake.released('a' as JobId, OWNER, DOMAIN, { attempt: 1, done: ['0.0'] })
+    const last = sent.at(-1)
+    expect(last?.type === 'submit' && [last.failureDomain, last.order.resumed, last.order.done]).to.deep.equal([far, false, ['0.0']])
+    intake.declined('a' as JobId, other, 2, ms(1000))
+    expect(replies()).to.deep.equal([{ type: 'lost' }])
+  })
 })
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -6,7 +6,7 @@
  */
 import type { EndpointId, Resources } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
-import { fits } from '../endpoints/endpointsDb.js'
+import { fits, isCold } from '../endpoints/endpointsDb.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { ShardContext } from '../shard/types.js'
 import { FIRST_TRIAL_PAUSE_MS, PlacementDb } from './placementDb.js'
@@ -30,6 +30,8 @@
 const SLOWNESS_PENALTY = 0.5
 /** Score added for an endpoint outside the preferred rack, which is near the data. */
 const FAR_RACK_PENALTY = 2
+/** Score added for an endpoint that is slow after its start. */
+const COLD_PENALTY = 1
 
 /** An endpoint with its free capacity in the current placement round. */
 export interface Candidate {
@@ -127,7 +129,8 @@
     const unused = (freeCapacity.cpuMilli - request.needs.cpuMilli) / Math.max(1, endpoint.report.capacity.cpuMilli)
     const slow = Math.max(0, trust.slowness - SPEED_TOLERANCE) * SLOWNESS_PENALTY
     const far = request.preferredRack !== '' && !endpoint.report.labels.includes(request.preferredRack) ? FAR_RACK_PENALTY : 0
-    return unused + slow + far
+    const cold = isCold(endpoint, this.ctx.now) ? COLD_PENALTY : 0
+    return unused + slow + far + cold
   }
 
   private quarantine (id: EndpointId, trust: EndpointTrust, why: string): void {
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -379,3 +379,59 @@
     expect(starts[0]).to.be.within(9001 + SHARD_DEFAULTS.resendMs, 9001 + 1600)
   })
 })
+
+describe('an evacuation', () => {
+  const DOMAIN = 'd' as FailureDomain
+  const QUEUE = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+  const JOB = { id: 'a' as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
+  const EVACUATIONS = { revision: 7, domains: [DOMAIN] }
+  const OWNER = 'owner' as InstanceId
+  const announced: ShardInput = { type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken } }
+
+  function instance (): { readonly core: ShardInstance, readonly handle: (now: number, input: ShardInput) => ShardEffect[] } {
+    const core = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+    return { core, handle: (now, input) => core.handle(input, ms(now), ms(now)) }
+  }
+
+  const sentTo = (effects: readonly ShardEffect[], type: string): ShardMessage[] => effects.flatMap(effect => effect.type === 'send' && effect.message.type === type ? [effect.message] : [])
+
+  it('reaches the owner at once from an instance that has learned of it, and is acknowledged by its pong', () => {
+    const front = instance()
+    front.handle(0, announced)
+    const pings = sentTo(front.handle(10, { type: 'evacuations', evacuations: EVACUATIONS }), 'ping')
+    expect(pings.map(message => message.type === 'ping' && message.evacuations)).to.deep.equal([EVACUATIONS])
+    expect(sentTo(front.handle(20, { type: 'evacuations', evacuations: { ...EVACUATIONS, revision: 9 } }), 'ping'), 'nothing has changed').to.deep.equal([])
+    const owner = instance()
+    const pongs = sentTo(owner.handle(30, { type: 'peer', from: 'front' as InstanceId, message: pings[0] as ShardMessage }), 'pong')
+    expect(pongs.map(message => message.type === 'pong' && message.evacuations)).to.deep.equal([EVACUATIONS])
+    expect(owner.core.evacuation.isEvacuated(DOMAIN)).to.equal(true)
+  })
+
+  it('is known to an instance that has the desired state from a peer before that state arrives', () => {
+    const { handle } = instance()
+    handle(0, { type: 'evacuations', evacuations: EVACUATIONS })
+    handle(1, { type: 'desired', state: { version: 3, queues: [], services: [] } })
+    handle(2, { type: 'peer', from: 'new' as InstanceId, message: { type: 'ping', incarnation: 1, address: 'new', desiredVersion: 0 } })
+    const answers = [...handle(3, { type: 'peer', from: 'new' as InstanceId, message: { type: 'desiredRequest' } }), ...handle(4, TICK)]
+    expect(answers.flatMap(effect => effect.type === 'send' ? [effect.message.type] : []).filter(type => type !== 'ping')).to.deep.equal(['pong', 'desired'])
+  })
+
+  it('empties the shard that this instance owns, whose room is back at once when the domain is', () => {
+    const { core, handle } = instance()
+    handle(0, { type: 'records', members: [], shards: [] })
+    handle(1, listInput(ENDPOINT))
+    handle(2, TICK)
+    const [hold] = handle(3, { type: 'claimOutcome', claimId: 1, result: { type: 'written', revision: 1 } }).filter(effect => effect.type === 'hold')
+    handle(4, { type: 'holdOutcome', endpoint: ENDPOINT.id, orderId: hold?.orderId ?? 0, outcome: { type: 'listed', listing: { clock: 4 as EndpointClockMs, bornAt: 1, running: [], ended: [] } } })
+    handle(5, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
+    const submit = (at: number): string[] => handle(at, { type: 'submit', callId: `c${at}`, host: 'h', path: '/q/a', job: { ...JOB, id: `${at}` as JobId }, deadlineMs: ms(9000) }).map(effect => effect.type)
+    const load = (at: number): unknown => sentTo(handle(at, { type: 'peer', from: 'front' as InstanceId, message: { type: 'ping', incarnation: 1, address: 'front', desiredVersion: 1 } }), 'pong').flatMap(message => message.type === 'pong' ? message.owned.map(owned => owned.load) : [])
+    handle(6, { type: 'evacuations', evacuations: EVACUATIONS })
+    expect(submit(7)).to.include('reply').and.not.to.include('startTask')
+    expect(load(8)).to.deep.equal([{ waitMs: SHARD_DEFAULTS.ownerWaitMs, busyShare: 1 }])
+    handle(9, { type: 'evacuations', evacuations: { revision: 8, domains: [] } })
+    expect(load(10)).to.deep.equal([{ waitMs: 0, busyShare: 0 }])
+    expect(submit(11)).to.include('startTask')
+    expect(core.ctx.out.gauges.get('shard.evacuation.lastStartMs')).to.equal(0)
+  })
+})
--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
-import type { EndpointReport } from '@cranberryyard/protocol'
+import type { EndpointReport, FailureDomain } from '@cranberryyard/protocol'
 import { systemClock } from '@cranberryyard/protocol'
 import { listenHttp, sendJson } from '@cranberryyard/fakes'
 import type { ShardInput } from '@cranberryyard/core/shard'
 import { StoreTask } from './storeTask.js'
-import type { StoreWire } from './wires.js'
+import type { DesiredAnswer, DesiredReadResult, StoreWire } from './wires.js'
 
 const call = { method: 'GET', path: '/' } as const
 
@@ -169,4 +169,58 @@
     await after.close()
     expect(versionAfterMove).to.equal(8)
   }).timeout(10_000)
+
+  /** Plays answers to the reads in full and to the watches, each in turn, and collects what is posted until both are used up. */
+  async function postedFor (full: readonly DesiredReadResult[], watches: readonly DesiredReadResult[]): Promise<{ readonly posted: string[], readonly calls: string[] }> {
+    const posted: string[] = []
+    const calls: string[] = []
+    const [fullLeft, watchesLeft] = [[...full], [...watches]]
+    let resolveUsedUp = (): void => {}
+    const usedUp = new Promise<void>((resolve) => {
+      resolveUsedUp = resolve
+    })
+    const server = await listenHttp(0, (req, res) => {
+      const isWatch = req.url?.startsWith('/watch') === true
+      if (!isWatch && req.url !== '/full') return sendJson(res, 200, {})
+      if ((isWatch ? watchesLeft : fullLeft).length === 0) return resolveUsedUp()
+      calls.push(req.url ?? '')
+      sendJson(res, 200, {})
+    })
+    const next = (left: DesiredReadResult[]): DesiredReadResult => left.shift() ?? { type: 'forgotten' }
+    const task = new StoreTask({
+      ...stubStoreWire(`127.0.0.1:${server.port}`),
+      readDesired: () => ({ ...call, path: '/full' }),
+      parseDesired: () => next(fullLeft),
+      watchDesired: after => ({ ...call, path: `/watch${after}` }),
+      parseDesiredWatch: () => next(watchesLeft)
+    }, (input) => {
+      if (input.type === 'evacuations') posted.push(`${input.evacuations.revision} ${input.evacuations.domains.join()}`)
+      if (input.type === 'desired') posted.push(`version ${input.state.version}`)
+    }, () => 0, systemClock, { unreadable: () => {}, unreadableEntry: () => {}, failedCall: () => {}, failedRead: () => {}, desiredRead: () => {} })
+    task.start()
+    await usedUp
+    await task.close()
+    await server.close()
+    return { posted, calls }
+  }
+
+  function answer (asOf: number, version: number | undefined, ...changes: readonly string[]): DesiredAnswer {
+    const entries = changes.map(change => ({ failureDomain: change.slice(1) as FailureDomain, evacuated: change.startsWith('+') }))
+    return { type: 'state', state: version === undefined ? undefined : { version, queues: [], services: [] }, asOf, unreadable: undefined, evacuations: { entries, unreadable: [] } }
+  }
+
+  it('posts the evacuations as of each answer, before the desired state, and reads them again when the store has forgotten the revision', async () => {
+    const { posted, calls } = await postedFor(
+      [{ ...answer(4, undefined, '+a'), nextAfter: 'x' }, answer(5, 1, '+b'), answer(30, 2, '+c')],
+      [answer(6, undefined, '-a', '+d'), answer(8, undefined), { type: 'forgotten' }, answer(31, undefined, '+a', '-a')]
+    )
+    expect(calls).to.deep.equal(['/full', '/full', '/watch4', '/watch6', '/watch8', '/full', '/watch30'])
+    expect(posted).to.deep.equal(['4 a,b', 'version 1', '6 b,d', '8 b,d', '30 c', 'version 2', '31 c'])
+  })
+
+  it('reads the newest of versions that come in quick succession, without those in between', async () => {
+    const { posted, calls } = await postedFor([answer(4, 1), answer(40, 9)], [answer(5, 2)])
+    expect(calls).to.deep.equal(['/full', '/watch4', '/full'])
+    expect(posted.filter(input => input.startsWith('version'))).to.deep.equal(['version 1', 'version 2', 'version 9'])
+  })
 })
