--- a/packages/core/src/desired/desiredHistory.ts
+++ b/packages/core/src/desired/desiredHistory.ts
@@ -26,7 +26,7 @@
     const before = keyed(this.states.at(-1) ?? EMPTY_STATE)
     const queues = state.queues.map((queue) => {
       const known = before.get(keyText(queue))
-      return known !== undefined && fingerprint(known) === fingerprint(queue) ? known : queue
+      return known !== undefined && haveSameTerms(known, queue) ? known : queue
     })
     const kept = { ...state, queues }
     this.states.push(kept)
@@ -94,6 +94,12 @@
   return `${name} ${host} ${prefix}`
 }
 
+/** Compares the terms themselves: most queues of a version are as before, and a hash of each costs more than the comparison. */
+function haveSameTerms (a: QueueTerms, b: QueueTerms): boolean {
+  return a.name === b.name && a.host === b.host && a.prefix === b.prefix && a.service === b.service && a.priority === b.priority && a.maxAttempts === b.maxAttempts &&
+    a.stretch === b.stretch && a.latencyObjectiveMs === b.latencyObjectiveMs && a.needsAdvice === b.needsAdvice
+}
+
 const fingerprints = new WeakMap<QueueTerms, number>()
 
 /** Returns a hash of all terms of a queue. */
