--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -129,7 +129,8 @@
     this.execution.startWaitingTasks()
     this.updateState()
     const effects = this.ctx.out.takeEffects()
-    if (this.evacuation.db.size > 0) this.noteStarts(effects)
+    if (this.evacuation.db.size === 0) return effects
+    this.noteStarts(effects)
     return [...effects, ...this.ctx.out.takeEffects()]
   }
 
--- a/packages/dispatcher/src/shard/desiredWatch.ts
+++ b/packages/dispatcher/src/shard/desiredWatch.ts
@@ -23,12 +23,21 @@
 /** Pause before the newest of such versions is read, without those in between: each may be half a megabyte. */
 const SUCCESSION_PAUSE_MS = 200
 
+/** Part of an answer after which a watch that failed is followed by a read in full, which has the newest version only. */
+const LONG_ANSWER_BYTES = 65_536
+
+/** The outcome of one call, and how much of its answer arrived. */
+export interface DesiredRead {
+  readonly result: DesiredReadResult | StoreFailure
+  readonly receivedBytes: number
+}
+
 type Parse = (reply: HttpReply) => DesiredReadResult | StoreFailure
 
 /** What the watch depends on. */
 export interface DesiredWatchPorts {
   readonly wire: () => StoreWire
-  readonly read: (call: HttpCall, idleTimeoutMs: Ms, parse: Parse, isWatch: boolean) => Promise<DesiredReadResult | StoreFailure>
+  readonly read: (call: HttpCall, idleTimeoutMs: Ms, parse: Parse, isWatch: boolean) => Promise<DesiredRead>
   readonly post: (input: ShardInput) => void
   readonly unreadable: (list: 'desiredState' | 'evacuations', entries: readonly UnreadableEntry[]) => void
   readonly pauseAfterFailures: (failures: number) => Promise<void>
@@ -51,8 +60,10 @@
     let failures = 0
     while (!ports.isClosed()) {
       const isFull = revision === undefined
-      const update = revision === undefined ? await this.readInFull() : await this.watchFrom(revision, failures)
+      const { result: update, receivedBytes } = revision === undefined ? await this.readInFull() : await this.watchFrom(revision, failures)
       if (update.type === 'unavailable' || update.type === 'unknown') {
+        // The answer was too long for the link, and the next would be longer still.
+        if (receivedBytes > LONG_ANSWER_BYTES) revision = undefined
         await ports.pauseAfterFailures(failures++)
         continue
       }
@@ -63,28 +74,25 @@
       }
       this.apply(update, isFull)
       revision = update.asOf
-      if (update.state !== undefined && this.comesInQuickSuccession() && !isFull) {
-        await ports.sleep(SUCCESSION_PAUSE_MS)
-        revision = undefined
-      }
+      const inQuickSuccession = update.state !== undefined && this.comesInQuickSuccession()
+      if (isFull || !(inQuickSuccession || update.hasOlderVersions === true)) continue
+      await ports.sleep(SUCCESSION_PAUSE_MS)
+      revision = undefined
     }
   }
 
   /** Reads all pages. The watch goes on from the first one: what was written since is in a later page already, or comes again. */
-  private async readInFull (): Promise<DesiredReadResult | StoreFailure> {
-    const first = await this.readPage(undefined)
-    if (first.type !== 'state') return first
-    let whole = first
-    for (let after = first.nextAfter; after !== undefined;) {
-      const page = await this.readPage(after)
-      if (page.type !== 'state') return page
-      whole = join(whole, page)
-      after = page.nextAfter
+  private async readInFull (): Promise<DesiredRead> {
+    let read = await this.readPage(undefined)
+    let whole = read.result
+    while (whole.type === 'state' && read.result.type === 'state' && read.result.nextAfter !== undefined) {
+      read = await this.readPage(read.result.nextAfter)
+      whole = read.result.type === 'state' ? join(whole, read.result) : read.result
     }
-    return whole
+    return { ...read, result: whole }
   }
 
-  private readPage (after: string | undefined): Promise<DesiredReadResult | StoreFailure> {
+  private readPage (after: string | undefined): Promise<DesiredRead> {
     const wire = this.ports.wire()
     return this.ports.read(wire.readDesired(after), READ_IDLE_TIMEOUT_MS, reply => wire.parseDesired(reply), false)
   }
@@ -93,7 +101,7 @@
    * Waits for a change since a revision. After a failure it waits only briefly and gives up sooner, since a store that was silent answers no open watch when
    * it is back; the second failure leaves more time, for a busy link.
    */
-  private watchFrom (revision: number, failures: number): Promise<DesiredReadResult | StoreFailure> {
+  private watchFrom (revision: number, failures: number): Promise<DesiredRead> {
     const wire = this.ports.wire()
     const watchTimeoutMs = WATCH_WAIT_MS + WATCH_SLACK_MS
     const [waitMs, timeoutMs] = failures === 0 ? [WATCH_WAIT_MS, watchTimeoutMs] : [PROBE_WAIT_MS, Math.min(PROBE_TIMEOUT_MAX_MS, READ_IDLE_TIMEOUT_MS * failures)]
--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -222,5 +222,7 @@
     const { posted, calls } = await postedFor([answer(4, 1), answer(40, 9)], [answer(5, 2)])
     expect(calls).to.deep.equal(['/full', '/watch4', '/full'])
     expect(posted.filter(input => input.startsWith('version'))).to.deep.equal(['version 1', 'version 2', 'version 9'])
+    const slow = await postedFor([answer(4, undefined), answer(40, 9)], [{ ...answer(5, 2), hasOlderVersions: true }])
+    expect(slow.calls).to.deep.equal(['/full', '/watch4', '/full'])
   })
 })
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -8,6 +8,7 @@
 import type { Clock, EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { DesiredWatch, READ_IDLE_TIMEOUT_MS } from './desiredWatch.js'
+import type { DesiredRead } from './desiredWatch.js'
 import { HttpCaller } from './httpCaller.js'
 import type { CallResult, LogFailedCall } from './httpCaller.js'
 import type { DesiredReadResult, HttpCall, HttpReply, Page, RecordEntry, StoreFailure, StoreWire, UnreadableEntry } from './wires.js'
@@ -136,10 +137,10 @@
     return this.caller.close()
   }
 
-  private async readDesired (call: HttpCall, idleTimeoutMs: Ms, parse: (reply: HttpReply) => DesiredReadResult | StoreFailure, isWatch: boolean): Promise<DesiredReadResult | StoreFailure> {
+  private async readDesired (call: HttpCall, idleTimeoutMs: Ms, parse: (reply: HttpReply) => DesiredReadResult | StoreFailure, isWatch: boolean): Promise<DesiredRead> {
     const { parsed, ...timed } = await this.timedRead('desiredState', call, idleTimeoutMs, parse, isWatch)
     if (parsed.type === 'state' && parsed.state !== undefined) this.log.desiredRead(parsed.state.version, timed)
-    return parsed
+    return { result: parsed, receivedBytes: timed.receivedBytes }
   }
 
   private async readEndpoints (): Promise<boolean> {
--- a/packages/dispatcher/src/shard/wires.ts
+++ b/packages/dispatcher/src/shard/wires.ts
@@ -89,6 +89,8 @@
   readonly state: DesiredState | undefined
   readonly asOf: number
   readonly unreadable: UnreadableEntry | undefined
+  /** The answer has older versions beside the newest. */
+  readonly hasOlderVersions?: boolean
   /** Absent where operators cannot evacuate domains. */
   readonly evacuations?: EvacuationEntries
   /** Key after which the next page of a read in full begins; absent on the last one. */
