--- a/packages/dispatcher/src/shard/storeTask.spec.ts
+++ b/packages/dispatcher/src/shard/storeTask.spec.ts
@@ -27,6 +27,8 @@
 }
 
 describe('the store task', () => {
+  let closeAll = (): Promise<void> => Promise.resolve()
+
   it('posts the readable entries of a list, logs the number of unreadable ones once, and names each', async () => {
     const server = await listenHttp(0, (req, res) => {
       if (req.url !== '/watch') sendJson(res, 200, {})
@@ -225,4 +227,27 @@
     const slow = await postedFor([answer(4, undefined), answer(40, 9)], [{ ...answer(5, 2), hasOlderVersions: true }])
     expect(slow.calls).to.deep.equal(['/full', '/watch4', '/full'])
   })
+
+  it('reads the newest version in full after a watch of which so much arrived that the rest did not come in time', async () => {
+    const calls: string[] = []
+    await new Promise<void>((resolve) => {
+      void listenHttp(0, (req, res) => {
+        if (req.url !== '/watch' && req.url !== '/full') return sendJson(res, 200, {})
+        calls.push(req.url)
+        if (calls.length === 3) resolve()
+        else if (req.url === '/watch') res.writeHead(200).write('x'.repeat(100_000))
+        else sendJson(res, 200, {})
+      }).then((server) => {
+        const wire: StoreWire = { ...stubStoreWire(`127.0.0.1:${server.port}`), readDesired: () => ({ ...call, path: '/full' }) }
+        const task = new StoreTask(wire, () => {}, () => 0, systemClock, { unreadable: () => {}, unreadableEntry: () => {}, failedCall: () => {}, failedRead: () => {}, desiredRead: () => {} })
+        task.start()
+        closeAll = async () => {
+          await task.close()
+          await server.close()
+        }
+      })
+    })
+    await closeAll()
+    expect(calls).to.deep.equal(['/full', '/watch', '/full'])
+  }).timeout(10_000)
 })
