--- a/packages/core/src/endpoints/endpointsDecider.ts
+++ b/packages/core/src/endpoints/endpointsDecider.ts
@@ -22,7 +22,7 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { ShardContext } from '../shard/types.js'
-import { EndpointsDb, endpointClock, handlingDelayOf, latestLeaseEnd, leaseBoundOf, makeRun } from './endpointsDb.js'
+import { EndpointsDb, coldUntil, endpointClock, handlingDelayOf, latestLeaseEnd, leaseBoundOf, makeRun } from './endpointsDb.js'
 import type { LedgerEndpoint, LedgerRun, LossReason, PendingHold, RejectionReason, RunLease, RunListener } from './types.js'
 
 /** Consecutive holds without an answer after which leases are no longer renewed, so that the runs there are certain to end. */
@@ -44,12 +44,15 @@
 /** Returns whether the list of a failure domain's endpoints, read as its new owner, is about to arrive. */
 export type ListAwaited = (failureDomain: FailureDomain) => boolean
 
+/** Returns whether starts may be sent to a failure domain. */
+export type AcceptsStarts = (failureDomain: FailureDomain) => boolean
+
 /** Decides which holds, starts and stops are sent to owned endpoints, and reports what becomes of their runs. */
 export class EndpointsDecider {
   readonly db = new EndpointsDb()
   private orderCounter = 0
 
-  constructor (private readonly ctx: ShardContext, private readonly tokenOf: TokenOf, private readonly listAwaited: ListAwaited, private readonly listener: RunListener) {}
+  constructor (private readonly ctx: ShardContext, private readonly tokenOf: TokenOf, private readonly listAwaited: ListAwaited, private readonly listener: RunListener, private readonly acceptsStarts: AcceptsStarts = () => true) {}
 
   /** Takes over the endpoints of a shard. Each must answer under the new token before anything starts there. */
   adopt (reports: readonly EndpointReport[]): void {
@@ -70,7 +73,7 @@
     for (const report of reports) {
       const known = this.db.get(report.id)
       if (known === undefined) this.requireFreshAnswer(Object.assign(this.db.add(report, this.ctx.now), { listedSinceTakeover: fresh }))
-      else Object.assign(known, { report, unlisted: false, outdated: false, listedSinceTakeover: known.listedSinceTakeover || fresh, freeCapacity: undefined })
+      else Object.assign(known, { report, coldUntil: report === known.report ? known.coldUntil : coldUntil(report, this.ctx.now), unlisted: false, outdated: false, listedSinceTakeover: known.listedSinceTakeover || fresh, freeCapacity: undefined })
     }
     if (!fresh) return
     this.markOutdated(new Set(reports.map(report => report.id)))
@@ -538,10 +541,10 @@
     else this.retryStart(endpoint, run)
   }
 
-  /** Sends a start again, once no other owner can have started tasks at the endpoint since it last answered. */
+  /** Sends a start again, once no other owner can have started tasks at the endpoint since it last answered; none to a domain that was evacuated since. */
   private retryStart (endpoint: LedgerEndpoint, run: LedgerRun): void {
     run.awaitsRetry = !endpoint.answeredUnderToken
-    if (!run.awaitsRetry && run.sends < START_SENDS_MAX && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStart(endpoint, run)
+    if (!run.awaitsRetry && this.acceptsStarts(endpoint.report.failureDomain) && run.sends < START_SENDS_MAX && endpoint.unansweredHolds < UNANSWERED_HOLDS_MAX) this.sendStart(endpoint, run)
   }
 
   /** Ignores the refusal of a token that this instance has itself replaced since; the shard may still be its own. */
--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -21,7 +21,7 @@
   return { id: id as JobId, spec: '', features: [], steps: [{ count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(estimateMs), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }] }
 }
 
-function setUp (): { ctx: ShardContext, intake: IntakeDecider, desired: DesiredDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[] } {
+function setUp (): { ctx: ShardContext, intake: IntakeDecider, desired: DesiredDecider, sessions: SessionsDecider, sent: ShardMessage[], replies: () => CallerReply[], evacuated: Set<FailureDomain> } {
   const ctx: ShardContext = { self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS, out: new ShardOutbox(), now: ms(1000), suspendedMs: ms(0) }
   const sessions = new SessionsDecider(ctx, () => ({ desiredVersion: 3 }), { peerLost: () => {}, peerRecovered: () => {} })
   const desired = new DesiredDecider(ctx, () => {}, () => true)
@@ -29,9 +29,10 @@
   sessions.messageReceived(OWNER, 1, 'owner')
   sessions.db.learnOwner({ failureDomain: DOMAIN, owner: OWNER, token: 1 as FencingToken })
   const sent: ShardMessage[] = []
-  const intake = new IntakeDecider(ctx, desired, sessions, new AttemptsDecider(ctx), (_to, message) => sent.push(message))
+  const evacuated = new Set<FailureDomain>()
+  const intake = new IntakeDecider(ctx, desired, sessions, new AttemptsDecider(ctx), { isEvacuated: failureDomain => evacuated.has(failureDomain) }, (_to, message) => sent.push(message))
   const replies = (): CallerReply[] => ctx.out.takeEffects().flatMap(effect => effect.type === 'reply' ? [effect.reply] : [])
-  return { ctx, intake, desired, sessions, sent, replies }
+  return { ctx, intake, desired, sessions, sent, replies, evacuated }
 }
 
 const types = (messages: readonly ShardMessage[]): string[] => messages.map(message => message.type)
@@ -83,7 +84,7 @@
 
   it('does not say that there is no queue before it has a desired state', () => {
     const { ctx, sessions } = setUp()
-    const intake = new IntakeDecider(ctx, new DesiredDecider(ctx, () => {}, () => true), sessions, new AttemptsDecider(ctx), () => {})
+    const intake = new IntakeDecider(ctx, new DesiredDecider(ctx, () => {}, () => true), sessions, new AttemptsDecider(ctx), { isEvacuated: () => false }, () => {})
     expect(intake.refusalFor('h', '/q/a')?.cause).to.equal('noDesiredState')
   })
 
@@ -214,4 +215,36 @@
     expect(replies().map(reply => reply.type === 'refused' && reply.cause)).to.deep.equal(['leaving'])
     expect(sent).to.deep.equal([])
   })
+
+  it('sends nothing to an evacuated domain, and refuses at once when all are evacuated', () => {
+    const { intake, sessions, sent, replies, evacuated } = setUp()
+    const far = 'far' as FailureDomain
+    sessions.messageReceived('other' as InstanceId, 1, 'other')
+    sessions.db.learnOwner({ failureDomain: far, owner: 'other' as InstanceId, token: 1 as FencingToken })
+    evacuated.add(DOMAIN)
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    expect(sent.map(message => message.type === 'submit' && [message.failureDomain, message.order.lastChance])).to.deep.equal([[far, true]])
+    evacuated.add(far)
+    intake.submit('c2', 'h', '/q/b', job('b'), ms(1500))
+    expect(replies()).to.deep.equal([{ type: 'refused', cause: 'evacuated', retryAfterMs: 2000 }])
+    evacuated.clear()
+    intake.submit('c3', 'h', '/q/c', job('c'), ms(1500))
+    expect(sent.at(-1)).to.deep.include({ type: 'submit', failureDomain: DOMAIN })
+  })
+
+  it('sends the rest of a job that an evacuated domain has released to another one, and never says that it has not run', () => {
+    const { intake, sessions, sent, replies, evacuated } = setUp()
+    const [far, other] = ['far' as FailureDomain, 'other' as InstanceId]
+    sessions.messageReceived(other, 1, 'other')
+    sessions.db.learnOwner({ failureDomain: far, owner: other, token: 1 as FencingToken })
+    intake.submit('c1', 'h', '/q/a', job('a'), ms(1500))
+    evacuated.add(DOMAIN)
+    intake.released('a' as JobId, OWNER, DOMAIN, { attempt: 0, done: [] })
+    expect(sent.length, 'an earlier copy').to.equal(1)
+    intake.released('a' as JobId, OWNER, DOMAIN, { attempt: 1, done: ['0.0'] })
+    const last = sent.at(-1)
+    expect(last?.type === 'submit' && [last.failureDomain, last.order.resumed, last.order.done]).to.deep.equal([far, false, ['0.0']])
+    intake.declined('a' as JobId, other, 2, ms(1000))
+    expect(replies()).to.deep.equal([{ type: 'lost' }])
+  })
 })
