--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -3,7 +3,7 @@
  * of the endpoints and the store, and every link can have faults. All random choices come from one seed, so a run can be
  * repeated exactly.
  */
-import type { ListPace, RefusalCause, ShardEffect, ShardInput, ShardSettings } from '@cranberryyard/core/shard'
+import type { ListPace, RefusalCause, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import { ENDPOINT_LIST_PERIODS_MS, RECORD_LIST_PERIODS_MS, SHARD_DEFAULTS, ShardInstance, seededRandom } from '@cranberryyard/core/shard'
 import type { Random } from '@cranberryyard/core'
 import { decodeEnvelope, encodeEnvelope } from '@cranberryyard/dispatcher/shard'
@@ -30,6 +30,11 @@
 } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { Timeline } from '../memory/timeline.js'
+import { EvacuationFeed } from './evacuationFeed.js'
+import { FleetContact } from './fleetContact.js'
+import type { AddedQueue, CallerJob, FleetOptions, HeldMessage, JobVariant, Process, QueueUse, ReplyKind, StoreFaults, Submission } from './fleetTypes.js'
+
+export type { CallerJob, EndpointKind, FleetOptions, JobVariant, ReplyKind, StoreFaults, Submission } from './fleetTypes.js'
 
 type EffectOf<T extends ShardEffect['type']> = Extract<ShardEffect, { type: T }>
 
@@ -41,8 +46,6 @@
 const WEAK_CPU_MILLI = 324
 /** Number of the first instance that is added to a fleet; as text it comes before those of some of the first instances. */
 const FIRST_ADDED_NUMBER = 10
-/** Time that an instance must have run and reached the store without interruption before checks with a time bound apply to it. */
-const STEADY_CONTACT_MS = 3000
 export const SERVICE = 'workers' as ServiceName
 /** One-way delay between callers and instances. */
 const CALLER_DELAY_MS = 3
@@ -64,6 +67,8 @@
 
 /** Time within which a version is in force at instances that are in contact with the store and their peers (bound of the platform). */
 const CONFIG_APPLY_MS = 2000
+/** Time within which nothing more starts in a failure domain that is evacuated (bound of the platform). */
+const EVACUATE_MS = ms(5000)
 /** Period of an endpoint's pings to the store, and the silence after which its entry lapses. */
 const PING_PERIOD_MS = 1500
 const ENTRY_LIFE_MS = 3 * PING_PERIOD_MS
@@ -73,130 +78,6 @@
 /** Number of queues beside the one that all versions have. */
 const ADDED_QUEUES_MAX = 2
 
-/** Size and seed of a fleet, and settings that differ from the defaults. */
-export interface FleetOptions {
-  readonly domains: readonly string[]
-  readonly instancesPerDomain: number
-  readonly endpointsPerDomain: number
-  readonly seed: number
-  readonly cfg?: Partial<ShardSettings>
-  /** Whether jobs are encoded and decoded on their way between instances, as on real connections. */
-  readonly encodesJobs?: boolean
-  /** Queues of the desired state; by default one. */
-  readonly queues?: readonly QueueTerms[]
-  /** Instances whose links carry this many bytes a millisecond on each connection; those of the others take no time. */
-  readonly narrowLinks?: { readonly instances: readonly string[], readonly bytesPerMs: number }
-  /** The endpoints of each domain, in place of `endpointsPerDomain` endpoints of random size. */
-  readonly endpointKinds?: readonly EndpointKind[]
-}
-
-/** Endpoints of one kind in each domain. `speed` divides run times. */
-export interface EndpointKind {
-  readonly count: number
-  readonly cpuMilli: number
-  readonly speed: number
-}
-
-/** How the fleet answered a submission: `other` covers a lost job and a broken connection. */
-export type ReplyKind = 'completed' | 'failed' | 'refused' | 'other'
-
-/** A job as its caller sends it. */
-export interface Submission {
-  readonly host: string
-  readonly path: string
-  readonly job: JobRequest
-  readonly deadlineMs: number
-  /** How often the caller comes back after a refusal, each time after the Retry-After that it was given. */
-  readonly retries: number
-}
-
-interface Process {
-  readonly name: InstanceId
-  readonly domain: FailureDomain
-  core: ShardInstance
-  incarnation: number
-  up: boolean
-  frozen: boolean
-  pace: ListPace
-  /** Counts changes of the pace, so that the read loops of an earlier pace end. */
-  paceChanges: number
-  /** Inputs that arrived while the process was frozen; they are handled when it resumes. */
-  frozenInputs: ShardInput[]
-  /** The process is down without power: connections to it are not refused, and peers do not notice that theirs are gone. */
-  silent: boolean
-  /** How long inputs from outside wait before the process handles them, as at an instance with too little processor time. */
-  backlogMs: number
-  /** When the latest of these inputs is handled; later ones do not overtake it. */
-  backlogUntil: number
-  /** The longest that any of these inputs waits. */
-  backlogMaxMs: number
-  /** Everything that callers had sent by `upTo` was handled by `endedAt`. */
-  callerReads: { readonly upTo: number, readonly endedAt: number }
-  /** Latest time at which the process did not run or could not reach the store. */
-  lastDisturbedAt: number
-  /** Until when links to other instances have faults, or had them. */
-  linksDisturbedUntil: number
-  /** The version that the process reads from the store at present, over a narrow link. */
-  readingVersion: number
-  /** The machine has been taken away for good. */
-  removed: boolean
-  /** Fencing token of the own shard as reported to the oracle; undefined while the process does not own it. */
-  reportedToken: number | undefined
-  /** Copy of the own shard's record as reported to the oracle. */
-  reportedRecord: Revised<ShardRecord> | undefined
-  /** Reply callbacks of submissions that wait for an answer, by call id. */
-  pendingCalls: Map<string, (reply: ReplyKind, retryAfterMs?: number, cause?: RefusalCause) => void>
-}
-
-/** A message that a held link keeps, with the connection on which it was sent. */
-interface HeldMessage {
-  readonly connection: number
-  readonly deliver: () => void
-}
-
-/** A queue that a version of the desired state has added. */
-interface AddedQueue {
-  readonly addedAt: number
-  removedIn: number | undefined
-  removedAt: number
-}
-
-/** A job of an added queue. */
-interface QueueUse {
-  readonly addedIn: number
-  /** When the caller first sent the job. */
-  readonly sentAt: number
-  /** Whether one of the instances to which it was sent may have had a version with the queue. */
-  mayBeAccepted: boolean
-}
-
-/** Faults of the store that a test can switch on. */
-export interface StoreFaults {
-  down: boolean
-  /** Instances that the store does not serve. */
-  readonly unservedInstances: Set<string>
-  /** Share of shard claims that take effect up to 3 s late and get no reply. */
-  lostReplyShare: number
-  /** What reads of the list of endpoints return that need not be fresh; undefined while such copies are up to date. */
-  staleEndpoints: readonly EndpointReport[] | undefined
-}
-
-/** What is particular about a job. */
-export interface JobVariant {
-  readonly hasByteOrderMark?: boolean
-  /** The version of the desired state that has added the job's queue; without it, the queue that all versions have. */
-  readonly queueVersion?: number
-}
-
-/** A job as its caller sees it. */
-export interface CallerJob {
-  readonly id: JobId
-  readonly tasks: number
-  readonly sentAt: number
-  reply: ReplyKind | undefined
-  latencyMs: number | undefined
-}
-
 /** A simulated fleet with its endpoints, store, callers and oracle. */
 export class ShardFleet {
   readonly time = new Timeline()
@@ -233,6 +114,10 @@
   lateStopShare = 0
   /** Share of orders to endpoints that take effect at the usual time but whose answer is lost. */
   lostAnswerShare = 0
+  /** Which instances could know what the store holds. */
+  private readonly contact = new FleetContact(this.time, this.processes, this.storeFaults)
+  /** What the operator writes about failure domains, and how instances read it. */
+  private readonly evacuations = new EvacuationFeed({ time: this.time, store: this.store, oracle: this.oracle, faults: this.storeFaults, randomBelow: n => this.randomBelow(n), canRead: process => this.contact.canReachStore(process), post: (process, input) => this.postFromOutside(process, input) })
   private readonly domainOf = new Map<string, FailureDomain>()
   /** Orders without an outcome yet, by endpoint; a crash of the endpoint breaks their connections. */
   private readonly openOrders = new Map<string, Set<() => void>>()
@@ -386,7 +271,7 @@
    * connections of one link end their hold-up at different times, since each retransmits on its own.
    */
   holdUpLinks (pairs: readonly string[], durationMs: number): void {
-    this.noteLinkFaults(pairs, durationMs + RETRANSMIT_SPREAD_MS)
+    this.contact.noteLinkFaults(pairs, durationMs + RETRANSMIT_SPREAD_MS)
     for (const pair of pairs) {
       if (this.heldMessages.has(pair)) continue
       this.heldMessages.set(pair, [])
@@ -397,7 +282,7 @@
   /** Delays all messages on directed links, given as `from>to`, for good; each call replaces the delay before. */
   delayLinks (pairs: readonly string[], delayMs: number): void {
     // How long a delay lasts is not known here, only that it is no longer than this.
-    this.noteLinkFaults(pairs, delayMs > 0 ? LINK_DELAY_MAX_MS : 0)
+    this.contact.noteLinkFaults(pairs, delayMs > 0 ? LINK_DELAY_MAX_MS : 0)
     for (const pair of pairs) this.linkQueueMs.set(pair, delayMs)
   }
 
@@ -448,7 +333,7 @@
 
   /** Drops everything on directed links, given as `from>to`, for a while. */
   cutPairs (pairs: readonly string[], durationMs: number): void {
-    this.noteLinkFaults(pairs, durationMs)
+    this.contact.noteLinkFaults(pairs, durationMs)
     for (const pair of pairs) this.cutLinks.add(pair)
     this.time.after(durationMs, () => pairs.forEach(pair => this.cutLinks.delete(pair)))
   }
@@ -487,13 +372,13 @@
 
   /** Makes the present connections of directed links, given as `from>to`, lose everything for good; new ones work. */
   silenceConnections (pairs: readonly string[]): void {
-    this.noteLinkFaults(pairs, 0)
+    this.contact.noteLinkFaults(pairs, 0)
     for (const pair of pairs) this.silentConnections.set(pair, this.connections.get(pair) ?? 0)
   }
 
   /** Reports to two instances that their connection has been lost; both can send again at once. */
   replaceConnections (a: InstanceId, b: InstanceId): void {
-    this.noteLinkFaults([`${a}>${b}`], 0)
+    this.contact.noteLinkFaults([`${a}>${b}`], 0)
     this.renewConnection(a, b)
     this.renewConnection(b, a)
     this.post(this.process(a), { type: 'linkDown', peer: b })
@@ -526,6 +411,21 @@
     })
   }
 
+  /** Lets the operator evacuate a failure domain; it counts from the store's answer, which may take until the store is back. */
+  evacuate (domain: string): void {
+    this.evacuations.evacuate(domain as FailureDomain)
+  }
+
+  /** Lets the operator take back a failure domain that is evacuated. */
+  takeBack (domain: string): void {
+    this.evacuations.takeBack(domain as FailureDomain)
+  }
+
+  /** Lets the store drop its history: watches hear nothing for a second, and then have to read everything again. */
+  compactStore (): void {
+    this.evacuations.compact()
+  }
+
   /** Publishes a new version of the desired state, as operators do. Versions may skip numbers. */
   changeDesiredState (): void {
     this.desired = this.makeDesiredState(this.desired.version + 1 + this.randomBelow(3))
@@ -546,7 +446,7 @@
 
   private addProcess (name: string, domain: FailureDomain): void {
     this.domainOf.set(name, domain)
-    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, linksDisturbedUntil: 0, readingVersion: 0, removed: false, reportedToken: undefined, reportedRecord: undefined, pendingCalls: new Map() })
+    this.processes.set(name as InstanceId, { name: name as InstanceId, domain, core: this.makeCore(name as InstanceId, domain, 1), incarnation: 0, up: false, frozen: false, pace: 'near', paceChanges: 0, frozenInputs: [], silent: false, backlogMs: 0, backlogUntil: 0, backlogMaxMs: 0, callerReads: { upTo: 0, endedAt: 0 }, lastDisturbedAt: 0, lastStoppedAt: 0, linksDisturbedUntil: 0, readingVersion: 0, removed: false, reportedToken: undefined, reportedRecord: undefined, pendingCalls: new Map() })
   }
 
   private addEndpoints (domain: FailureDomain): void {
@@ -583,7 +483,7 @@
   }
 
   private makeCore (name: InstanceId, domain: FailureDomain, incarnation: number): ShardInstance {
-    const cfg = { ...SHARD_DEFAULTS, ...this.options.cfg }
+    const cfg = { ...SHARD_DEFAULTS, evacuateMs: EVACUATE_MS, ...this.options.cfg }
     return new ShardInstance({ self: { instance: name, incarnation, failureDomain: domain, address: name, cpuMilli: name.endsWith('-1') ? STRONG_CPU_MILLI : WEAK_CPU_MILLI }, cfg, seeds: this.options.domains.map(seedDomain => `${seedDomain}-0`) })
   }
 
@@ -613,10 +513,11 @@
     this.setPace(process, 'near')
     process.readingVersion = 0
     repeatEvery(DESIRED_STATE_PERIOD_MS, () => this.readDesired(process))
+    this.evacuations.watch(process)
   }
 
   private readDesired (process: Process): void {
-    if (!this.canReachStore(process)) return
+    if (!this.contact.canReachStore(process)) return
     const state = this.desired
     const link = `store>${process.name}`
     if (!this.isNarrow(link)) return this.post(process, { type: 'desired', state })
@@ -625,7 +526,7 @@
     const { incarnation } = process
     this.time.after(this.transferMs(link, () => JSON.stringify(state).length * BASE64_FACTOR), () => {
       if (process.incarnation !== incarnation) return
-      if (this.canReachStore(process)) this.post(process, { type: 'desired', state })
+      if (this.contact.canReachStore(process)) this.post(process, { type: 'desired', state })
       else process.readingVersion = 0
     })
   }
@@ -659,38 +560,9 @@
     repeatEvery(ENDPOINT_LIST_PERIODS_MS[pace], () => this.readEndpoints(process), slowsDown ? ENDPOINT_LIST_PERIODS_MS[pace] : 0)
   }
 
-  private canReachStore (process: Process): boolean {
-    return !this.storeFaults.down && !this.storeFaults.unservedInstances.has(process.name)
-  }
-
-  /** @returns true when the process ran and could reach the store throughout the last STEADY_CONTACT_MS */
-  private hadSteadyContact (process: Process): boolean {
-    return !process.frozen && this.time.now - process.lastDisturbedAt > STEADY_CONTACT_MS
-  }
-
-  /** @returns true when all instances of the process's domain, which tell each other of versions, had contact with the store and their peers */
-  private isInformed ({ domain }: Process): boolean {
-    return this.present().every(process => process.domain !== domain || (process.up && this.hadSteadyContact(process) && this.time.now - process.linksDisturbedUntil > STEADY_CONTACT_MS))
-  }
-
-  /** Notes faults of links, given as `from>to`, until a time. */
-  private noteLinkFaults (pairs: readonly string[], durationMs: number): void {
-    for (const name of new Set(pairs.flatMap(pair => pair.split('>')))) {
-      const process = this.processes.get(name as InstanceId)
-      if (process !== undefined) process.linksDisturbedUntil = Math.max(process.linksDisturbedUntil, this.time.now + durationMs)
-    }
-  }
-
-  /** Records the present time for processes that do not run, or that cannot rely on the store at the moment. */
-  private recordDisturbances (): void {
-    for (const process of this.processes.values()) {
-      if (!process.up || process.frozen || !this.canReachStore(process) || this.storeFaults.lostReplyShare > 0) process.lastDisturbedAt = this.time.now
-    }
-  }
-
   private readRecords (process: Process): void {
     this.time.after(4, () => {
-      const reachable = this.canReachStore(process)
+      const reachable = this.contact.canReachStore(process)
       this.post(process, { type: 'storeReachable', reachable })
       if (!reachable) return
       const items = this.store.range('')
@@ -702,7 +574,7 @@
   private readEndpoints (process: Process): void {
     const fresh = process.pace === 'owner'
     this.time.after(4, () => {
-      if (this.canReachStore(process)) this.post(process, { type: 'endpoints', reports: (fresh ? undefined : this.storeFaults.staleEndpoints) ?? this.reports(), fresh })
+      if (this.contact.canReachStore(process)) this.post(process, { type: 'endpoints', reports: (fresh ? undefined : this.storeFaults.staleEndpoints) ?? this.reports(), fresh })
     })
   }
 
@@ -770,7 +642,7 @@
       case 'startTask': return this.startTask(process, effect)
       case 'stopTask': return this.stopTask(process, effect)
       case 'writeMember':
-        if (this.canReachStore(process)) this.store.write(`member/${process.name}`, JSON.stringify(effect.record), undefined)
+        if (this.contact.canReachStore(process)) this.store.write(`member/${process.name}`, JSON.stringify(effect.record), undefined)
         return this.time.after(5, () => this.readRecords(process))
       case 'claimShard': return this.claim(process, effect)
       case 'refreshRecords': return this.readRecords(process)
@@ -831,7 +703,7 @@
    * Sends an order to an endpoint. A cut link loses the order or its answer, and the configured shares of orders are late or
    * lose their answer. An order that is not answered within the timeout, or whose connection breaks, is reported as `silent`.
    */
-  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, lateShare: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
+  private sendOrder<T> (process: Process, id: EndpointId, timeoutMs: number, lateShare: number, execute: (endpoint: FencedEndpointModel, answer: (outcome: T) => void, late: boolean) => void, toInput: (outcome: T | { type: 'silent' | 'refused' }) => ShardInput): void {
     const endpoint = this.endpoints.get(id)
     const openOrders = this.openOrders.get(id) ?? new Set()
     this.openOrders.set(id, openOrders)
@@ -857,7 +729,7 @@
       execute(endpoint, (outcome) => {
         if (late || lost || this.isCut(id, process.name)) return
         this.time.after(this.linkDelayMs(id, process.name), () => settle(outcome))
-      })
+      }, late)
     })
   }
 
@@ -885,12 +757,15 @@
     type Outcome = Extract<ShardInput, { type: 'taskStartOutcome' }>['outcome']
     const spec = taskSpec(effect.spec, effect.task)
     this.oracle.recordSpec(effect.task, effect.spec, this.time.now)
-    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer) => {
+    this.sendOrder<Outcome>(process, effect.endpoint, effect.timeoutMs, this.lateOrderShare, (endpoint, answer, late) => {
       if (!this.reaches(endpoint, effect.bornAt)) return answer({ type: 'otherLife' })
       const previousRun = endpoint.runs.get(effect.task)
       const reply = endpoint.start(this.time.now, { token: effect.token, task: effect.task, run: effect.run, spec, untilMs: effect.notAfter })
       if (reply === 'started') this.recordQueueUse(process, effect.task)
-      if (reply === 'started' && endpoint.runs.get(effect.task) !== previousRun) this.oracle.recordStart(endpoint, effect.task, this.time.now, this.hadSteadyContact(process))
+      if (reply === 'started' && endpoint.runs.get(effect.task) !== previousRun) {
+        this.oracle.recordStart(endpoint, effect.task, this.time.now, this.contact.hadSteadyContact(process))
+        if (!late) this.oracle.recordStartInDomain(this.domainOf.get(endpoint.id) as FailureDomain, effect.task, this.time.now, this.contact.ofStarter(process))
+      }
       answer(reply === 'started' ? { type: 'started', clock: endpoint.clock(this.time.now) as EndpointClockMs } : { type: reply })
     }, outcome => ({ type: 'taskStartOutcome', endpoint: effect.endpoint, orderId: effect.orderId, outcome }))
   }
@@ -920,7 +795,7 @@
   }
 
   private claim (process: Process, effect: EffectOf<'claimShard'>): void {
-    if (!this.canReachStore(process)) return this.postLater(process, 4, () => ({ type: 'claimOutcome', claimId: effect.claimId, result: { type: 'unavailable' } }))
+    if (!this.contact.canReachStore(process)) return this.postLater(process, 4, () => ({ type: 'claimOutcome', claimId: effect.claimId, result: { type: 'unavailable' } }))
     const lost = this.randomBelow(1000) < this.storeFaults.lostReplyShare * 1000
     this.time.after(lost ? this.randomBelow(3000) : 2, () => {
       const revision = this.store.write(`shard/${effect.record.failureDomain}`, JSON.stringify(effect.record), effect.expectedRevision)
@@ -935,7 +810,7 @@
     const callId = `${at}-${++this.callCounter}`
     this.oracle.recordSubmission(job.id, job.tasks, submission.job.spec)
     const submittedAt = this.time.now
-    const hadContact = this.isInformed(process)
+    const hadContact = this.contact.isInformed(process)
     const use = this.queueOfJob.get(job.id)
     if (use !== undefined && (!hadContact || submittedAt - (this.addedQueues.get(use.addedIn)?.removedAt ?? Infinity) <= CONFIG_APPLY_MS)) use.mayBeAccepted = true
     const onReply = (reply: ReplyKind, retryAfterMs = 0, cause?: RefusalCause): void => {
@@ -985,7 +860,7 @@
 
   /** Advances all endpoints every millisecond, so that holds that wait for the end of a run are answered on time. */
   private advanceEndpoints (): void {
-    this.recordDisturbances()
+    this.contact.recordDisturbances()
     for (const endpoint of this.endpoints.values()) endpoint.advance(this.time.now)
     this.time.after(1, () => this.advanceEndpoints())
   }
--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -68,6 +68,8 @@
   readonly usefulFactor: number
   /** Time within which a version of the desired state has to be in force everywhere (bound of the platform). */
   readonly configApplyMs: Ms
+  /** Time within which nothing more may start in a failure domain that is evacuated (bound of the platform). */
+  readonly evacuateMs: Ms | undefined
   /** How long endpoints that are missing from the store's list are kept; the span restarts when the store is reachable again. */
   readonly missingEndpointRetentionMs: Ms
 }
@@ -101,6 +103,7 @@
   leaveAcceptMs: ms(1800),
   usefulFactor: 3,
   configApplyMs: ms(2000),
+  evacuateMs: undefined,
   missingEndpointRetentionMs: ms(2500)
 }
 
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -157,6 +157,7 @@
       case 'records': return this.applyRecords(input)
       case 'storeReachable': return this.setStoreReachable(input.reachable)
       case 'claimOutcome': return this.ownership.claimOutcome(input.claimId, input.result)
+      case 'evacuations': return
       case 'leave': return this.leave()
     }
   }
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -7,6 +7,7 @@
   EndpointClockMs,
   EndpointId,
   EndpointReport,
+  Evacuations,
   FencingToken,
   HoldOutcome,
   InstanceId,
@@ -45,6 +46,7 @@
   | { readonly type: 'taskStartOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: TaskStartOutcome }
   | { readonly type: 'taskStopOutcome', readonly endpoint: EndpointId, readonly orderId: number, readonly outcome: TaskStopOutcome }
   | { readonly type: 'desired', readonly state: DesiredState }
+  | { readonly type: 'evacuations', readonly evacuations: Evacuations }
   /** `fresh`: the read began after this instance had become an owner, and was not served from a copy that may be stale. */
   | { readonly type: 'endpoints', readonly reports: readonly EndpointReport[], readonly fresh: boolean }
   | { readonly type: 'records', readonly members: readonly Revised<MemberRecord>[], readonly shards: readonly Revised<ShardRecord>[] }
--- a/packages/fakes/src/shardOracle.ts
+++ b/packages/fakes/src/shardOracle.ts
@@ -18,8 +18,9 @@
  * - UNASKED: a task started with another spec than its caller sent
  * - ONE: two instances owned a shard under the same fencing token, or may do so, since they derive tokens from different copies of a record
  * - CONFIG: an instance went back to an older version of the desired state, or handled a job as only an older one allows, after it had shown a newer one or had had time to get it
+ * - EVAC: a task started in a failure domain that had been evacuated for too long and was not taken back
  */
-export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'ONE' | 'CONFIG'
+export type Rule = 'FAULT' | 'RECOVER' | 'LIMIT' | 'TWICE' | 'REFUSED' | 'MIXED' | 'LOST' | 'DRAIN' | 'BUDGET' | 'UNASKED' | 'ONE' | 'CONFIG' | 'EVAC'
 
 /** A violation of an invariant. */
 export interface Violation {
@@ -46,6 +47,11 @@
 /** Time after the report that an endpoint drains during which tasks may still start on it. */
 const DRAIN_GRACE_MS = 2000
 
+/** Time after the store has acknowledged that a failure domain is evacuated during which tasks may still start there (bound of the platform). */
+const EVACUATION_GRACE_MS = 5000
+/** By how much that is longer for an instance that the store turns away, while others can tell it (bound of the platform). */
+const EVACUATION_SKEW_MS = 6000
+
 /** How long an earlier, larger capacity of an endpoint counts: the time that an instance needs to be in touch, and one beat of the endpoint. */
 const SHRUNK_CAPACITY_GRACE_MS = 4500
 /** A task under which this many endpoints have crashed may be given up. */
@@ -55,6 +61,12 @@
 /** Number of starts after that which are one too many. */
 const STARTS_AFTER_CRASHES_LIMIT = 3
 
+/**
+ * What the instance that started a task could know of the store. `steady`: it ran and reached the store for long enough. `turnedAway`: the store does not
+ * serve it, but it ran, and others that the store serves could tell it; the store has had no other fault since `storeCalmSince`.
+ */
+export type StarterContact = { readonly type: 'steady' } | { readonly type: 'turnedAway', readonly storeCalmSince: number } | { readonly type: 'none' }
+
 /** What the oracle has seen of a task that crashes its endpoints. */
 interface CrashObservation {
   crashes: number
@@ -67,6 +79,7 @@
   readonly jobs = new Map<string, JobObservation>()
   private readonly runsByTask = new Map<string, { readonly run: ModelRun, readonly endpoint: FencedEndpointModel }[]>()
   private readonly drainingSince = new Map<string, number>()
+  private readonly evacuatedSince = new Map<string, number>()
   private readonly earlierCapacities = new Map<string, { readonly until: number, readonly cpuMilli: number }[]>()
   /** Number of runs that were lost beside a task that had crashed an endpoint before. */
   runsLostToSuspects = 0
@@ -171,6 +184,25 @@
     if (!this.drainingSince.has(id)) this.drainingSince.set(id, at)
   }
 
+  /** Records that the store has acknowledged the evacuation of a failure domain; repeated requests keep the first time. */
+  recordEvacuated (domain: string, at: number): void {
+    if (!this.evacuatedSince.has(domain)) this.evacuatedSince.set(domain, at)
+  }
+
+  /** Records that the operator takes a failure domain back. */
+  recordTakenBack (domain: string): void {
+    this.evacuatedSince.delete(domain)
+  }
+
+  /** Records the failure domain in which a task starts. Starts that an endpoint carries out long after they were sent have no bound in time. */
+  recordStartInDomain (domain: string, task: string, at: number, contact: StarterContact): void {
+    const since = this.evacuatedSince.get(domain)
+    if (since === undefined || contact.type === 'none') return
+    if (contact.type === 'turnedAway' && contact.storeCalmSince >= since) return
+    const graceMs = EVACUATION_GRACE_MS + (contact.type === 'turnedAway' ? EVACUATION_SKEW_MS : 0)
+    if (at - since > graceMs) this.reportViolation('EVAC', at, `${task} in ${domain}, evacuated for ${Math.round(at - since)} ms`)
+  }
+
   /** Records that an instance owns a shard under a fencing token. It may have owned the shard under the same token before a restart, which ended its orders. */
   recordOwner (shard: string, token: number, instance: string, at: number): void {
     const key = `${shard} ${token}`
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -92,6 +92,14 @@
   readonly bornAt: number
 }
 
+/** The failure domains that operators have evacuated. */
+export interface Evacuations {
+  /** Revision of the store as of which this is complete. A higher one is newer. */
+  readonly revision: number
+  /** Failure domains that get no new work. */
+  readonly domains: readonly FailureDomain[]
+}
+
 /** A step of a job: identical tasks that may start once all steps in `after` are done. */
 export interface StepSpec {
   readonly count: number
