--- a/packages/bench/src/shard/shardScenario.ts
+++ b/packages/bench/src/shard/shardScenario.ts
@@ -5,6 +5,7 @@
 import type { FencedEndpointModel, ModelTask, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
 import { ShardFleet } from './shardFleet.js'
+import { EVACUATED_AFTERWARDS_MS, addEvacuations } from './evacuations.js'
 import { addQueueChanges } from './queueChanges.js'
 import { addLargeStateChanges, largeStateOptions } from './largeStates.js'
 import { addMissingEntries } from './missingEntries.js'
@@ -188,6 +189,8 @@
   readonly withSilentConnections?: boolean
   /** Adds owners that are cut off from the other instances while endpoints restart. */
   readonly withStaleOwners?: boolean
+  /** Adds failure domains that are evacuated and taken back around other faults. */
+  readonly withEvacuations?: boolean
 }
 
 /**
@@ -196,11 +199,12 @@
  * @param faultyMs - duration of the phase in which faults are injected
  * @param load - the jobs that arrive, and what they do to endpoints
  */
-export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false, withReplacements = false, withStaleOwners = false, withSilentConnections = false }: ScenarioLoad): ScenarioResult {
+export function runShardScenario (seed: number, faultyMs: number, { jobsPerSecond, meanFaultIntervalMs = MEAN_FAULT_INTERVAL_MS, workFactor = 1, withHazards = false, withStrain = false, withMissingEntries = false, withEncodedJobs = false, withQueueChanges = false, withLargeStates = false, withReplacements = false, withStaleOwners = false, withSilentConnections = false, withEvacuations = false }: ScenarioLoad): ScenarioResult {
   const fleet = new ShardFleet({ domains: DOMAINS, instancesPerDomain: 3, endpointsPerDomain: 5, seed, encodesJobs: withEncodedJobs, ...withLargeStates ? largeStateOptions(DOMAINS.map(domain => `${domain}-2`)) : {} })
   const faults: string[] = []
   fleet.run(WARM_UP_MS)
-  const submitUntil = fleet.time.now + faultyMs + FAULT_FREE_MS
+  const faultFreeMs = FAULT_FREE_MS + (withEvacuations ? EVACUATED_AFTERWARDS_MS : 0)
+  const submitUntil = fleet.time.now + faultyMs + faultFreeMs
   const submitNext = (): void => {
     if (fleet.time.now > submitUntil) return
     submitJob(fleet, workFactor, withEncodedJobs && fleet.jobs.length % JOBS_PER_MARKED_SPEC === 0)
@@ -222,7 +226,8 @@
   if (withReplacements) addReplacements(fleet, faultsUntil)
   if (withSilentConnections) addSilentConnections(fleet, faultsUntil)
   if (withStaleOwners) addStaleOwners(fleet, faultsUntil)
-  fleet.run(faultyMs + FAULT_FREE_MS)
+  if (withEvacuations) addEvacuations(fleet, faultsUntil, fault => faults.push(`${Math.round(fleet.time.now)} ${fault}`))
+  fleet.run(faultyMs + faultFreeMs)
   fleet.run(FAULT_FREE_MS)
   return summarize(seed, fleet, faults, submitUntil - 2500)
 }
--- a/packages/bench/src/shardFuzz.ts
+++ b/packages/bench/src/shardFuzz.ts
@@ -21,13 +21,14 @@
   .option('replacements', { type: 'boolean', default: true, describe: 'Adds machines that are replaced while the store loses answers, followed by an outage' })
   .option('silent', { type: 'boolean', default: true, describe: 'Adds connections between instances that go silent for good' })
   .option('stale', { type: 'boolean', default: true, describe: 'Adds owners that are cut off from the other instances while endpoints restart' })
+  .option('evacuations', { type: 'boolean', default: true, describe: 'Adds failure domains that are evacuated and taken back around other faults' })
   .option('work', { type: 'number', default: 1, describe: 'Factor on the run times of tasks' })
   .strict()
   .parse()
 
 let failedRuns = 0
 for (let seed = args.seed; seed < args.seed + args.runs; seed++) {
-  const result = runShardScenario(seed, args.faulty, { jobsPerSecond: args.rate, withHazards: args.hazards, withStrain: args.strain, withMissingEntries: args.entries, withEncodedJobs: args.encoded, withQueueChanges: args.queues, withLargeStates: args.states, withReplacements: args.replacements, withStaleOwners: args.stale, withSilentConnections: args.silent, workFactor: args.work })
+  const result = runShardScenario(seed, args.faulty, { jobsPerSecond: args.rate, withHazards: args.hazards, withStrain: args.strain, withMissingEntries: args.entries, withEncodedJobs: args.encoded, withQueueChanges: args.queues, withLargeStates: args.states, withReplacements: args.replacements, withStaleOwners: args.stale, withSilentConnections: args.silent, withEvacuations: args.evacuations, workFactor: args.work })
   if (result.violations.length > 0) failedRuns++
   console.log(JSON.stringify({ ...result, violations: result.violations.slice(0, 5), violationCount: result.violations.length, faults: result.violations.length > 0 ? result.faults : result.faults.length }))
 }
