--- a/packages/core/src/shard/settings.ts
+++ b/packages/core/src/shard/settings.ts
@@ -68,7 +68,7 @@
   readonly usefulFactor: number
   /** Time within which a version of the desired state has to be in force everywhere (bound of the platform). */
   readonly configApplyMs: Ms
-  /** Time within which nothing more may start in a failure domain that is evacuated (bound of the platform). */
+  /** Time within which an evacuated failure domain must get no more starts (bound of the platform); undefined where operators cannot evacuate domains. */
   readonly evacuateMs: Ms | undefined
   /** How long endpoints that are missing from the store's list are kept; the span restarts when the store is reachable again. */
   readonly missingEndpointRetentionMs: Ms
