--- a/packages/bench/src/shard/evacuationFeed.ts
+++ b/packages/bench/src/shard/evacuationFeed.ts
@@ -9,9 +9,8 @@
 import type { Process, StoreFaults } from './fleetTypes.js'
 
 const PREFIX = 'op/evacuate/'
-/** Period at which an instance without a watch tries to read, and the time from its call to the store's answer. */
+/** Period at which an instance without a watch tries to read. */
 const READ_RETRY_MS = 100
-const READ_MS = 4
 /** Time from a write to the event at a watch, and its spread. */
 const EVENT_MIN_MS = 2
 const EVENT_SPREAD_MS = 4
@@ -28,6 +27,8 @@
   readonly faults: StoreFaults
   readonly randomBelow: (n: number) => number
   readonly canRead: (process: Process) => boolean
+  /** Returns how long the connection to the store still carries what was sent before. */
+  readonly waitMs: (process: Process) => number
   readonly post: (process: Process, input: ShardInput) => void
 }
 
@@ -92,9 +93,11 @@
     attempt()
   }
 
+  /** Reads everything. Instances start nothing before they have a desired state, which comes with the same answer after the evacuations. */
   private read (id: string, process: Process): void {
     this.watches.set(id, process)
-    this.deliver(id, process, READ_MS)
+    if (this.options.waitMs(process) === 0) this.options.post(process, { type: 'evacuations', evacuations: this.present() })
+    else this.deliver(id, process, 0)
   }
 
   private notifyWatches (): void {
@@ -105,9 +108,9 @@
 
   /** Sends what the store holds after a delay. If the store turns the instance away meanwhile, its watch has ended. */
   private deliver (id: string, process: Process, delayMs: number): void {
-    const { canRead, post, time } = this.options
+    const { canRead, post, time, waitMs } = this.options
     const { incarnation } = process
-    time.after(delayMs, () => {
+    time.after(delayMs + waitMs(process), () => {
       if (process.incarnation !== incarnation || !process.up) return
       if (canRead(process)) post(process, { type: 'evacuations', evacuations: this.present() })
       else this.watches.delete(id)
--- a/packages/bench/src/shard/evacuations.ts
+++ b/packages/bench/src/shard/evacuations.ts
@@ -2,7 +2,10 @@
  * Failure domains that are evacuated and taken back, each time around one other fault: an owner that is lost or paused between learning and acting, instances
  * that are away while an evacuation ends and begins again, a store that turns some instances away or drops its history, and a loss of power everywhere.
  */
-import type { InstanceId } from '@cranberryyard/protocol'
+import type { ModelTask } from '@cranberryyard/fakes'
+import type { InstanceId, JobId, StepSpec } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { DEFAULT_QUEUE } from './shardFleet.js'
 import type { ShardFleet } from './shardFleet.js'
 
 const MEAN_INTERVAL_MS = 4000
@@ -21,9 +24,15 @@
 const DARK_SPREAD_MS = 1500
 /** For how long the store stays away after a loss of power everywhere. */
 const OUTAGE_AFTER_LOSS_MS = 1500
-/** For how long the store turns an owner away; longer than the time within which its peers have to have told it. */
+/** For how long the store turns instances away; longer than a domain stays evacuated. */
 const TURNED_AWAY_MS = 13_500
 
+/** Jobs that are at work when a domain is evacuated: each has steps that follow each other, or tasks that fail again and again, until after the bound. */
+const LONG_JOB_PERIOD_MS = 400
+const LONG_JOB_STEPS = 4
+const LONG_JOB_DEADLINE_MS = 20_000
+const STEP_TASK: ModelTask = { cpuMilli: 4000, workMs: 2200, fails: false }
+
 /** Evacuates a domain in a fleet with one other fault, and has it taken back by a time. */
 type Evacuation = (fleet: ShardFleet, domain: string, until: number) => string
 
@@ -120,6 +129,7 @@
     fleet.time.after(fleet.randomBelow(MEAN_INTERVAL_MS * 2), evacuateNext)
   }
   evacuateNext()
+  submitLongJobs(fleet, until + EVACUATED_AFTERWARDS_MS)
   fleet.time.after(until - fleet.time.now, () => {
     const last = pick(fleet, domainsOf(fleet))
     for (const domain of domainsOf(fleet)) if (domain !== last) fleet.takeBack(domain)
@@ -129,6 +139,21 @@
   })
 }
 
+function submitLongJobs (fleet: ShardFleet, until: number): void {
+  if (fleet.time.now > until) return
+  const names = fleet.present().map(process => process.name)
+  submitLongJob(fleet, pick(fleet, names), { ...STEP_TASK, fails: fleet.randomBelow(4) === 0 })
+  fleet.time.after(fleet.randomBelow(LONG_JOB_PERIOD_MS * 2), () => submitLongJobs(fleet, until))
+}
+
+/** Submits a job whose steps follow each other. */
+export function submitLongJob (fleet: ShardFleet, at: InstanceId, task: ModelTask): void {
+  const id = `e${fleet.jobs.length.toString(16).padStart(15, '0')}` as JobId
+  const step = { count: 1, needs: { cpuMilli: task.cpuMilli, memoryMb: 64, accelerators: 0 }, estimateMs: ms(task.workMs), requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }
+  const steps: StepSpec[] = Array.from({ length: LONG_JOB_STEPS }, (_, n) => ({ ...step, after: n === 0 ? [] : [n - 1] }))
+  fleet.submitJob(at, { host: DEFAULT_QUEUE.host, path: `${DEFAULT_QUEUE.prefix}${id}`, job: { id, spec: JSON.stringify(task), features: [], steps }, deadlineMs: LONG_JOB_DEADLINE_MS, retries: 0 })
+}
+
 function evacuateFor (fleet: ShardFleet, domains: readonly string[], until: number): void {
   if (fleet.time.now >= until) return
   for (const domain of domains) {
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -117,7 +117,7 @@
   /** Which instances could know what the store holds. */
   private readonly contact = new FleetContact(this.time, this.processes, this.storeFaults)
   /** What the operator writes about failure domains, and how instances read it. */
-  private readonly evacuations = new EvacuationFeed({ time: this.time, store: this.store, oracle: this.oracle, faults: this.storeFaults, randomBelow: n => this.randomBelow(n), canRead: process => this.contact.canReachStore(process), post: (process, input) => this.postFromOutside(process, input) })
+  private readonly evacuations = new EvacuationFeed({ time: this.time, store: this.store, oracle: this.oracle, faults: this.storeFaults, randomBelow: n => this.randomBelow(n), canRead: process => this.contact.canReachStore(process), waitMs: ({ name }) => Math.max(0, (this.connectionFreeAt.get(`store>${name}`) ?? 0) - this.time.now), post: (process, input) => this.postFromOutside(process, input) })
   private readonly domainOf = new Map<string, FailureDomain>()
   /** Orders without an outcome yet, by endpoint; a crash of the endpoint breaks their connections. */
   private readonly openOrders = new Map<string, Set<() => void>>()
@@ -512,8 +512,8 @@
     repeatEvery(TICK_MS, () => this.post(process, { type: 'tick' }))
     this.setPace(process, 'near')
     process.readingVersion = 0
-    repeatEvery(DESIRED_STATE_PERIOD_MS, () => this.readDesired(process))
     this.evacuations.watch(process)
+    repeatEvery(DESIRED_STATE_PERIOD_MS, () => this.readDesired(process))
   }
 
   private readDesired (process: Process): void {
--- a/packages/bench/src/shard/shardFuzz.spec.ts
+++ b/packages/bench/src/shard/shardFuzz.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { FencedEndpointModel, Rule, Violation } from '@cranberryyard/fakes'
 import type { InstanceId } from '@cranberryyard/protocol'
+import { EVACUATIONS_LOAD } from './evacuationMutations.js'
 import { ShardFleet } from './shardFleet.js'
 import { ENCODED_LOAD, LARGE_STATES_LOAD, MISSING_ENTRIES_LOAD, QUEUE_CHANGES_LOAD, REPLACEMENTS_LOAD, SHARD_MUTATIONS, SILENT_CONNECTIONS_LOAD, STALE_OWNERS_LOAD, requestNoVersions, useOutdatedEntries } from './shardMutations.js'
 import { runShardScenario } from './shardScenario.js'
@@ -17,6 +18,7 @@
 const LARGE_STATES_SEEDS = [1, 2, 3, 4, 5, 6] as const
 const REPLACEMENTS_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8] as const
 const STALE_OWNERS_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8] as const
+const EVACUATIONS_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10] as const
 const SILENT_CONNECTIONS_SEEDS = [1, 2, 3, 4, 5, 6] as const
 /** Load whose tasks outlast the time after which callers send again, under messages that arrive late and losses without a sign. */
 const STRAIN_LOAD: ScenarioLoad = { jobsPerSecond: JOBS_PER_SECOND, workFactor: 4, withHazards: true, withStrain: true }
@@ -123,6 +125,12 @@
     })
   }
 
+  for (const seed of EVACUATIONS_SEEDS) {
+    it(`violates no invariant while failure domains are evacuated and taken back, with seed ${seed}`, () => {
+      expect(runShardScenario(seed, FAULT_PHASE_MS, EVACUATIONS_LOAD).violations).to.deep.equal([])
+    })
+  }
+
   for (const seed of ENCODED_SEEDS) {
     it(`violates no invariant while jobs are encoded on their way between instances, with seed ${seed}`, () => {
       expect(runShardScenario(seed, FAULT_PHASE_MS, ENCODED_LOAD).violations).to.deep.equal([])
--- a/packages/bench/src/shard/shardMutations.ts
+++ b/packages/bench/src/shard/shardMutations.ts
@@ -5,6 +5,7 @@
 import type { InstanceId, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ExactText } from '@cranberryyard/dispatcher/shard'
 import type { Rule } from '@cranberryyard/fakes'
+import { EVACUATION_MUTATIONS } from './evacuationMutations.js'
 import { replaceMethod, sampleInstance as sample } from './patches.js'
 import type { Method, Undo } from './patches.js'
 import { ShardFleet } from './shardFleet.js'
@@ -293,5 +294,6 @@
         undoPeerVersionReceived()
       }
     }
-  }
+  },
+  ...EVACUATION_MUTATIONS
 ]
