Owners place and forecast tasks of uneven size by what fits beside them, with bounded forecasts

Cause: a forecast had one entry for each slot, so tasks that ask for no CPU made 32,000 an endpoint; it counted every waiting task as one slot of the size of the new job, and a placement judged a place only by the CPU left there. The order that puts large tasks first was tried and dropped.

--- a/packages/bench/src/load/reference.ts
+++ b/packages/bench/src/load/reference.ts
@@ -14,19 +14,20 @@
 /** Share of an endpoint that tasks of uneven size can use. */
 const PACKING_SHARE = 0.85
 /** Faults after which the affected share of the endpoints is of no use. */
-const LOST_CAPACITY: readonly LoadFault['type'][] = ['hangingEndpoints', 'failingEndpoints', 'darkEndpoints']
+export const LOST_CAPACITY: readonly LoadFault['type'][] = ['hangingEndpoints', 'failingEndpoints', 'darkEndpoints']
 
 /** @returns for each job whether the reference serves it within its latency objective */
 export function playReference (shape: LoadShape, jobs: readonly PlannedJob[]): ReadonlySet<PlannedJob> {
   const free = capacityBySlice(shape)
   const served = new Set<PlannedJob>()
-  for (const job of [...jobs].sort((a, b) => density(b) - density(a))) {
+  for (const job of [...jobs].sort((a, b) => densityOf(b) - densityOf(a))) {
     if (reserve(free, job)) served.add(job)
   }
   return served
 }
 
-function density (job: PlannedJob): number {
+/** @returns value of a job per unit of capacity */
+export function densityOf (job: PlannedJob): number {
   return job.worth / workOf(job)
 }
 
--- a/packages/core/src/admission/slotForecast.spec.ts
+++ b/packages/core/src/admission/slotForecast.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { ms } from '@cranberryyard/protocol'
+import { TaskSizes } from '../packing/packingDb.js'
 import { SlotForecast } from './slotForecast.js'
 
 const NOW = ms(1000)
@@ -29,6 +30,48 @@
     expect(forecast.reserve({ tasks: 2, runMs: 100 })).to.equal(1100)
   })
 
+  it('holds few entries for tasks that ask for no CPU, however many wait', () => {
+    const endpoints = Array.from({ length: 40 }, () => ({ freeCpuMilli: 32_000, ends: [{ at: ms(1100), cpuMilli: 16_000 }] }))
+    const forecast = new SlotForecast(endpoints, 0, NOW)
+    expect(forecast.entryCount).to.equal(2)
+    for (let job = 0; job < 5000; job++) forecast.reserve({ tasks: 1 + job % 7, runMs: 50 + job % 300 })
+    expect(forecast.entryCount).to.be.at.most(1025)
+    expect(forecast.peek({ tasks: 1 })).to.equal(1000)
+  })
+
+  it('fills all slots several times for a job that is far wider than the fleet', () => {
+    const forecast = new SlotForecast([{ freeCpuMilli: 20_000, ends: [] }], 10_000, NOW)
+    expect(forecast.reserve({ tasks: 2000, runMs: 10 })).to.equal(1000 + 999 * 10)
+    expect(forecast.peek({ tasks: 2 })).to.equal(1000 + 1000 * 10)
+  })
+
+  it('counts the tasks that share an endpoint when they differ in size', () => {
+    const sizes = new TaskSizes()
+    for (const cpuMilli of [7000, 9000, 7000, 9000]) sizes.record({ cpuMilli, memoryMb: 1, accelerators: 0 }, 4)
+    const endpoints = [{ freeCpuMilli: 16_000, ends: [] }, { freeCpuMilli: 16_000, ends: [] }]
+    // Beside a task of 9 cores there is room for one of 7, and for no other of 9.
+    const forecast = new SlotForecast(endpoints, 9000, NOW, sizes)
+    expect(forecast.reserve({ tasks: 3, runMs: 100, cpuMilli: 9000 })).to.equal(1000)
+    expect(forecast.peek({ tasks: 1 })).to.equal(1100)
+  })
+
+  it('takes more slots for tasks that leave room for fewer others', () => {
+    const sizes = new TaskSizes()
+    for (const cpuMilli of [8000, 8000, 12_000, 8000]) sizes.record({ cpuMilli, memoryMb: 1, accelerators: 0 }, 4)
+    const endpoints = Array.from({ length: 4 }, () => ({ freeCpuMilli: 16_000, ends: [] }))
+    const forecast = new SlotForecast(endpoints, 8000, NOW, sizes)
+    forecast.reserve({ tasks: 4, runMs: 100, cpuMilli: 12_000 })
+    expect(forecast.peek({ tasks: 1 })).to.equal(1100)
+  })
+
+  it('expects tasks first where they end first, and counts a start at a slow endpoint as a later one', () => {
+    const endpoints = [{ freeCpuMilli: 10_000, ends: [], speed: 0.5 }, { freeCpuMilli: 0, ends: [{ at: ms(1050), cpuMilli: 10_000 }], speed: 2 }]
+    const forecast = new SlotForecast(endpoints, 10_000, NOW)
+    expect(forecast.reserve({ tasks: 1, runMs: 200 })).to.equal(1050 + 100 - 200)
+    expect(forecast.reserve({ tasks: 1, runMs: 200 })).to.equal(1150 + 100 - 200)
+    expect(forecast.peek({ tasks: 1, runMs: 20 })).to.equal(1020)
+  })
+
   it('reports that tasks which fit no endpoint never start', () => {
     expect(new SlotForecast([{ freeCpuMilli: 5000, ends: [] }], 10_000, NOW).reserve({ tasks: 1, runMs: 50 })).to.equal(Infinity)
     expect(new SlotForecast([], 10_000, NOW).peek({ tasks: 1 })).to.equal(Infinity)
--- a/packages/core/src/admission/slotForecast.ts
+++ b/packages/core/src/admission/slotForecast.ts
@@ -2,10 +2,13 @@
  * Forecasts when the endpoints of a shard have capacity for further tasks. It plays the expected ends of the runs in progress
  * forward and counts the slots that they free, a slot being room for one task of a given size at one endpoint. Dividing
  * the waiting work by the total capacity is not enough: a full shard with an empty queue would seem to start a job at once.
+ * Slots that become free at the same time are one entry, and the number of entries is bounded, so that the work of a forecast does
+ * not depend on the size of the tasks.
  */
 import TinyQueue from 'tinyqueue'
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import type { Packing } from '../packing/types.js'
 
 /** When an endpoint gets back which amount of CPU. */
 export interface ExpectedEnd {
@@ -17,6 +20,8 @@
 export interface EndpointOutlook {
   readonly freeCpuMilli: number
   readonly ends: readonly ExpectedEnd[]
+  /** Divides the expected run time of tasks there; 1 when it is not given. */
+  readonly speed?: number
 }
 
 /** Tasks that a job still has to start. */
@@ -28,48 +33,186 @@
   readonly runMs: number
 }
 
+/** Tasks of another size than the forecast's take as many of its slots as they take room. */
+type Reservation = Pick<Demand, 'tasks' | 'runMs'> & Partial<Pick<Demand, 'cpuMilli'>>
+
+/** Slots that become free at the same time at endpoints of the same speed. Their number need not be whole when tasks differ in size. */
+interface SlotEntry {
+  at: number
+  slots: number
+}
+
+/** The slots at endpoints of one speed, the earliest first. */
+interface SpeedClass {
+  readonly speed: number
+  entries: TinyQueue<SlotEntry>
+  total: number
+}
+
+/** Entries of one speed; beyond that, neighbouring later ones are merged. */
+const ENTRIES_MAX = 1024
+/** Number of times that the tasks of one job fill all slots, up to which they are assigned one entry after the other. */
+const PASSES_MAX = 4
+/** Rounding error of a number of slots. */
+const SLOTS_EPSILON = 1e-6
+
 /** The times at which slots of one size become free, from which jobs are reserved one after the other. */
 export class SlotForecast {
-  private readonly freeAt: TinyQueue<number>
+  private readonly classes: SpeedClass[] = []
+  /** Number of endpoints by their CPU. */
+  private readonly endpointsByCpu = new Map<number, number>()
+  private readonly fleetSlots: number
 
   /**
    * @param endpoints - the usable endpoints
    * @param cpuMilli - size of a slot
    * @param now - the time
+   * @param packing - the sizes of the tasks that share the endpoints, if they are known to differ
    */
-  constructor (endpoints: readonly EndpointOutlook[], cpuMilli: number, now: Ms) {
-    const times: number[] = []
-    for (const endpoint of endpoints) addSlots(times, endpoint, Math.max(1, cpuMilli), now)
-    this.freeAt = new TinyQueue(times)
+  constructor (endpoints: readonly EndpointOutlook[], private readonly cpuMilli: number, now: Ms, private readonly packing?: Packing) {
+    const bySpeed = new Map<number, Map<number, number>>()
+    for (const endpoint of endpoints) {
+      const { speed = 1 } = endpoint
+      const times = bySpeed.get(speed) ?? new Map<number, number>()
+      bySpeed.set(speed, times)
+      this.addSlots(times, endpoint, now)
+    }
+    for (const [speed, times] of bySpeed) {
+      const entries = [...times].map(([at, slots]) => ({ at, slots }))
+      this.classes.push({ speed, entries: makeQueue(entries), total: entries.reduce((sum, { slots }) => sum + slots, 0) })
+    }
+    this.fleetSlots = this.fleetSlotsOf(cpuMilli)
   }
 
-  /** @returns when the last of the tasks can start, without reserving slots */
-  peek ({ tasks }: Pick<Demand, 'tasks'>): Ms {
-    const taken: number[] = []
-    while (taken.length < tasks && this.freeAt.length > 0) taken.push(this.freeAt.pop() as number)
-    for (const at of taken) this.freeAt.push(at)
-    return ms(taken.length < tasks ? Infinity : taken.at(-1) ?? 0)
+  /**
+   * @returns when the last of the tasks can start, without reserving slots; where endpoints differ in speed, the start with which it
+   * would end at the same time at a speed of 1
+   */
+  peek ({ tasks, runMs = 0, cpuMilli }: Pick<Demand, 'tasks'> & Partial<Demand>): Ms {
+    const taken: { readonly from: SpeedClass, readonly entry: SlotEntry }[] = []
+    let missing = this.slotsFor(tasks, cpuMilli)
+    let last = missing > 0 ? -Infinity : 0
+    while (missing > SLOTS_EPSILON) {
+      const from = this.earliest(runMs)
+      if (from === undefined) break
+      const entry = from.entries.pop() as SlotEntry
+      taken.push({ from, entry })
+      missing -= entry.slots
+      last = Math.max(last, entry.at + delayOf(runMs, from.speed))
+    }
+    for (const { from, entry } of taken) from.entries.push(entry)
+    return ms(missing > SLOTS_EPSILON ? Infinity : last)
   }
 
   /**
    * Reserves a slot for each task; the slot becomes free again when the task ends.
-   * @returns when the last of the tasks can start; infinite when the endpoints never have enough room
+   * @returns when the last of the tasks can start, as `peek` does; infinite when the endpoints never have enough room
    */
-  reserve ({ tasks, runMs }: Pick<Demand, 'tasks' | 'runMs'>): Ms {
-    if (this.freeAt.length === 0) return ms(Infinity)
-    let lastStart = 0
-    for (let i = 0; i < tasks; i++) {
-      lastStart = this.freeAt.pop() as number
-      this.freeAt.push(lastStart + runMs)
+  reserve ({ tasks, runMs, cpuMilli }: Reservation): Ms {
+    let missing = this.slotsFor(tasks, cpuMilli)
+    if (this.earliest(runMs) === undefined) return ms(Infinity)
+    missing -= this.reservePasses(missing, runMs)
+    let last = tasks > 0 ? -Infinity : 0
+    while (missing > SLOTS_EPSILON) {
+      const from = this.earliest(runMs) as SpeedClass
+      const entry = from.entries.pop() as SlotEntry
+      const slots = Math.min(entry.slots, missing)
+      missing -= slots
+      last = Math.max(last, entry.at + delayOf(runMs, from.speed))
+      from.entries.push({ at: entry.at + runMs / from.speed, slots })
+      if (entry.slots - slots > SLOTS_EPSILON) from.entries.push({ at: entry.at, slots: entry.slots - slots })
+      if (from.entries.length > ENTRIES_MAX) from.entries = makeQueue(mergeNeighbours(from.entries.data))
+    }
+    return ms(last)
+  }
+
+  /** Number of entries held, on which the work of a reservation depends. */
+  get entryCount (): number {
+    return this.classes.reduce((sum, { entries }) => sum + entries.length, 0)
+  }
+
+  /** Fills all slots several times at once for a job that has many times more tasks than there are slots. @returns the slots used */
+  private reservePasses (missing: number, runMs: number): number {
+    const total = this.classes.reduce((sum, of) => sum + of.total, 0)
+    const passes = Math.floor(missing / total)
+    if (passes <= PASSES_MAX) return 0
+    for (const { speed, entries } of this.classes) {
+      for (const entry of entries.data) entry.at += (passes - 1) * runMs / speed
     }
-    return ms(lastStart)
+    return (passes - 1) * total
   }
+
+  /** @returns the endpoints where a task that starts as early as possible ends first */
+  private earliest (runMs: number): SpeedClass | undefined {
+    let best: SpeedClass | undefined
+    let bestEnd = Infinity
+    for (const candidate of this.classes) {
+      const entry = candidate.entries.peek()
+      if (entry === undefined) continue
+      const end = entry.at + runMs / candidate.speed
+      if (end < bestEnd) {
+        best = candidate
+        bestEnd = end
+      }
+    }
+    return best
+  }
+
+  /** @returns the slots of this forecast that tasks of the given size take */
+  private slotsFor (tasks: number, cpuMilli = this.cpuMilli): number {
+    if (this.packing === undefined || cpuMilli === this.cpuMilli) return tasks
+    const ofThatSize = this.fleetSlotsOf(cpuMilli)
+    return ofThatSize === 0 ? tasks : tasks * this.fleetSlots / ofThatSize
+  }
+
+  private fleetSlotsOf (cpuMilli: number): number {
+    let slots = 0
+    for (const [capacity, count] of this.endpointsByCpu) slots += count * this.slotsIn(capacity, cpuMilli)
+    return slots
+  }
+
+  /** @returns the tasks of the given size that a room is good for; beside one of them, others take the rest of it */
+  private slotsIn (free: number, cpuMilli: number): number {
+    const size = Math.max(1, cpuMilli)
+    if (free < size) return 0
+    return this.packing === undefined ? Math.floor(free / size) : 1 + this.packing.tasksIn(free - size)
+  }
+
+  private addSlots (times: Map<number, number>, { freeCpuMilli, ends }: EndpointOutlook, now: Ms): void {
+    let free = freeCpuMilli
+    let counted = 0
+    const count = (at: number): void => {
+      const slots = this.slotsIn(free, this.cpuMilli)
+      if (slots > counted) times.set(at, (times.get(at) ?? 0) + slots - counted)
+      counted = Math.max(counted, slots)
+    }
+    count(now)
+    for (const end of [...ends].sort((a, b) => a.at - b.at)) {
+      free += end.cpuMilli
+      count(Math.max(now, end.at))
+    }
+    this.endpointsByCpu.set(free, (this.endpointsByCpu.get(free) ?? 0) + 1)
+  }
+}
+
+function makeQueue (entries: SlotEntry[]): TinyQueue<SlotEntry> {
+  return new TinyQueue(entries, (a, b) => a.at - b.at)
+}
+
+/** @returns how much later than at a speed of 1 a run ends */
+function delayOf (runMs: number, speed: number): number {
+  return runMs / speed - runMs
 }
 
-function addSlots (times: number[], { freeCpuMilli, ends }: EndpointOutlook, cpuMilli: number, now: Ms): void {
-  let free = freeCpuMilli
-  for (; free >= cpuMilli; free -= cpuMilli) times.push(now)
-  for (const end of [...ends].sort((a, b) => a.at - b.at)) {
-    for (free += end.cpuMilli; free >= cpuMilli; free -= cpuMilli) times.push(Math.max(now, end.at))
+/** Merges pairs of entries that follow each other in the later half; the slots of both are free when the later ones are. */
+function mergeNeighbours (entries: readonly SlotEntry[]): SlotEntry[] {
+  const sorted = [...entries].sort((a, b) => a.at - b.at)
+  const exact = Math.floor(sorted.length / 2)
+  const merged = sorted.slice(0, exact)
+  for (let i = exact; i < sorted.length; i += 2) {
+    const first = sorted[i] as SlotEntry
+    const second = sorted[i + 1]
+    merged.push(second === undefined ? first : { at: second.at, slots: first.slots + second.slots })
   }
+  return merged
 }
--- a/packages/core/src/execution/endpointOutlook.ts
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -2,7 +2,7 @@
  * Estimates when the runs at an endpoint end and free their capacity, from their expected run time and their reported
  * progress. Admission forecasts from it when waiting tasks can start.
  */
-import type { Ms } from '@cranberryyard/protocol'
+import type { Ms, Resources } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { EndpointOutlook } from '../admission/slotForecast.js'
 import { freeCapacityOf } from '../endpoints/endpointsDb.js'
@@ -19,15 +19,32 @@
  * @param endpoint - a usable endpoint
  * @param now - the time
  * @param unclaimedMs - how long a run that no job claims is kept
+ * @param needs - what the tasks need that are to start there; if memory or accelerators limit their number there and not CPU, the
+ * outlook is that of the scarce one, as the amount of CPU that the tasks would use with it
  */
-export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms): EndpointOutlook {
-  const { cpuMilli: capacity } = endpoint.report.capacity
+export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms, needs?: Resources): EndpointOutlook {
+  const { capacity } = endpoint.report
+  const { resource, cpuPerUnit } = scarcest(capacity, needs)
   return {
-    freeCpuMilli: freeCapacityOf(endpoint).cpuMilli,
-    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: run.exclusive ? capacity : run.needs?.cpuMilli ?? capacity }))
+    freeCpuMilli: freeCapacityOf(endpoint)[resource] * cpuPerUnit,
+    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: (run.exclusive ? capacity : run.needs ?? capacity)[resource] * cpuPerUnit }))
   }
 }
 
+/** @returns the resource of which the endpoint has enough for the fewest tasks, and the CPU that tasks use with a unit of it */
+function scarcest (capacity: Resources, needs: Resources | undefined): { readonly resource: keyof Resources, readonly cpuPerUnit: number } {
+  let scarce: { readonly resource: keyof Resources, readonly cpuPerUnit: number } = { resource: 'cpuMilli', cpuPerUnit: 1 }
+  if (needs === undefined || needs.cpuMilli <= 0) return scarce
+  let least = capacity.cpuMilli / needs.cpuMilli
+  for (const resource of ['memoryMb', 'accelerators'] as const) {
+    const tasks = needs[resource] > 0 ? capacity[resource] / needs[resource] : Infinity
+    if (tasks >= least) continue
+    least = tasks
+    scarce = { resource, cpuPerUnit: needs.cpuMilli / needs[resource] }
+  }
+  return scarce
+}
+
 function endOf (run: LedgerRun, now: Ms, unclaimedMs: Ms): Ms {
   if (run.state === 'stopping') return ms(now + STOP_MS)
   if (run.expectedMs === undefined) return ms(Math.max(now, run.startedAt + unclaimedMs))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -4,7 +4,7 @@
  * which order), placement (which endpoint), the endpoint ledger (which runs occupy which endpoint), and beside this module the
  * round of starts, the room of the shard, slow runs, faults of runs and the adoption of runs that were found.
  */
-import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ShardMessage } from '@cranberryyard/protocol'
+import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, Resources, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { crashOf, faultOfLoss } from '../attempts/faults.js'
@@ -305,11 +305,12 @@
   }
 
   private admit (job: OwnedJob): boolean {
+    this.room.learnSizes(job)
     if (!this.room.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
     const verdict = this.admission.decide(job, {
       now: this.ctx.now,
       capacity: this.capacity(),
-      forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli),
+      forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli, largestNeeds(job)),
       lastChance: job.order.lastChance === true,
       lateCpuMilli: this.lateCpuMilli()
     })
@@ -461,6 +462,11 @@
   }
 }
 
+/** @returns the largest memory and accelerators that a task of the job needs */
+function largestNeeds ({ steps }: OwnedJob): Pick<Resources, 'memoryMb' | 'accelerators'> {
+  return { memoryMb: Math.max(0, ...steps.map(({ spec }) => spec.needs.memoryMb)), accelerators: Math.max(0, ...steps.map(({ spec }) => spec.needs.accelerators)) }
+}
+
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
--- a/packages/core/src/execution/shardRoom.ts
+++ b/packages/core/src/execution/shardRoom.ts
@@ -2,7 +2,7 @@
  * What an owner knows of the room at its endpoints: how much there is, when more of it becomes free, and whether a job fits at
  * all. Admission decides from this which jobs are taken.
  */
-import type { Ms, ServiceName } from '@cranberryyard/protocol'
+import type { Ms, Resources, ServiceName } from '@cranberryyard/protocol'
 import { SlotForecast } from '../admission/slotForecast.js'
 import type { ShardCapacity } from '../admission/types.js'
 import { fits, freeCapacityOf } from '../endpoints/endpointsDb.js'
@@ -29,13 +29,25 @@
     return this.cached.capacity
   }
 
-  /** @returns when slots for tasks of the given size become free at the service's endpoints that can be trusted */
-  forecast (service: ServiceName, cpuMilli: number): SlotForecast {
+  /** Learns the sizes of a job's tasks, which share the endpoints with those of other jobs. */
+  learnSizes (job: OwnedJob): void {
+    const sizes = this.placement.packing.db.of(job.service)
+    for (const { spec, tasks } of job.steps) sizes.record(spec.needs, tasks.length)
+  }
+
+  /**
+   * @param cpuMilli - size of the tasks
+   * @param needs - memory and accelerators of each task; those of a mean task of the service when left out
+   * @returns when slots for tasks of the given size become free at the service's endpoints that can be trusted
+   */
+  forecast (service: ServiceName, cpuMilli: number, needs?: Pick<Resources, 'memoryMb' | 'accelerators'>): SlotForecast {
     const { now, cfg } = this.ctx
+    const sizes = this.placement.packing.db.of(service)
+    const { memoryMb, accelerators } = needs ?? sizes.meanNeeds
     const outlooks = [...this.endpoints().db.all()]
       .filter(endpoint => endpoint.report.service === service && this.isTrusted(endpoint))
-      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs))
-    return new SlotForecast(outlooks, cpuMilli, now)
+      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs, { cpuMilli, memoryMb, accelerators }))
+    return new SlotForecast(outlooks, cpuMilli, now, sizes.isUneven ? sizes : undefined)
   }
 
   /** @returns false when some task would not fit even an idle endpoint of this shard */
@@ -56,7 +68,8 @@
     return { totalCpuMilli, freeCpuMilli }
   }
 
-  private isTrusted (endpoint: LedgerEndpoint): boolean {
+  /** @returns whether work may be placed at the endpoint without being a trial */
+  isTrusted (endpoint: LedgerEndpoint): boolean {
     return this.endpoints().usable(endpoint) && !this.placement.isQuarantined(endpoint.id)
   }
 }
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -9,6 +9,7 @@
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
+import { IdleRoomMeter, strandedCpu } from '../packing/idleRoom.js'
 import type { ShardContext } from '../shard/types.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { outlookOf } from './endpointOutlook.js'
@@ -35,7 +36,11 @@
 export class StartRound {
   private isNeeded = false
 
-  constructor (private readonly ctx: ShardContext, private readonly parts: StartRoundParts) {}
+  private readonly idleRoom: IdleRoomMeter
+
+  constructor (private readonly ctx: ShardContext, private readonly parts: StartRoundParts) {
+    this.idleRoom = new IdleRoomMeter(ctx)
+  }
 
   /** Jobs or capacity have changed since the last round. */
   request (): void {
@@ -47,11 +52,17 @@
     const { admission, mayStart } = this.parts
     if (!this.isNeeded) return
     this.isNeeded = false
-    if (admission.db.waiting.size === 0) return
+    if (admission.db.waiting.size === 0) {
+      this.idleRoom.observe(undefined)
+      return
+    }
     const candidates = this.candidates()
     let largest = largestFreeCpu(candidates)
     // While the shard is full, most calls return here after one check per waiting job.
-    if (!anyFits(admission.db.waiting, largest)) return
+    if (!anyFits(admission.db.waiting, largest)) {
+      this.observeIdleRoom(candidates)
+      return
+    }
     let mayStartPartially = true
     for (const job of admission.inStartOrder(this.ctx.now)) {
       if (!mayStart(job)) continue
@@ -59,6 +70,7 @@
       if (!complete && job.firstStartAt === undefined) mayStartPartially = false
       if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
     }
+    this.observeIdleRoom(candidates)
   }
 
   /** @returns the usable endpoints that have some free capacity */
@@ -74,6 +86,19 @@
     return candidates
   }
 
+  /** Measures the room that is left beside the tasks that still wait. */
+  private observeIdleRoom (candidates: readonly Candidate[]): void {
+    const { admission, mayStart, placement } = this.parts
+    if (!this.idleRoom.isDue()) return
+    const waiting = [...admission.db.waiting].filter(mayStart).flatMap(job => job.steps.map(({ spec }) => ({ needs: spec.needs, tasks: job.demand().tasks })))
+    let totalCpuMilli = 0
+    for (const endpoint of this.parts.endpoints().db.all()) {
+      if (this.parts.endpoints().usable(endpoint) && !placement.isQuarantined(endpoint.id)) totalCpuMilli += endpoint.report.capacity.cpuMilli
+    }
+    const rooms = candidates.filter(({ endpoint }) => !placement.isQuarantined(endpoint.id)).map(({ freeCapacity }) => freeCapacity)
+    this.idleRoom.observe(waiting.length === 0 ? undefined : { totalCpuMilli, strandedCpuMilli: strandedCpu(rooms, waiting) })
+  }
+
   /**
    * Starts a job's waiting tasks.
    * @param allowPartial - whether some tasks may start while others still wait; of the jobs that have not started, only one at
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -8,6 +8,7 @@
 import { ms } from '@cranberryyard/protocol'
 import { fits } from '../endpoints/endpointsDb.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
+import { PackingDecider } from '../packing/packingDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { FIRST_TRIAL_PAUSE_MS, PlacementDb } from './placementDb.js'
 import type { EndpointTrust, PlacementRequest } from './types.js'
@@ -28,6 +29,8 @@
 const SPEED_TOLERANCE = 1.1
 /** Score added per unit of excess slowness, relative to a score of 1 for an entirely unused endpoint. */
 const SLOWNESS_PENALTY = 0.5
+/** Score added per task for which there is less room once the task is placed. */
+const SLOT_PENALTY = 1
 /** Score added for an endpoint outside the preferred rack, which is near the data. */
 const FAR_RACK_PENALTY = 2
 
@@ -42,6 +45,7 @@
 /** Chooses endpoints for tasks and keeps track of which endpoints can be trusted. */
 export class PlacementDecider {
   readonly db = new PlacementDb()
+  readonly packing = new PackingDecider()
 
   constructor (private readonly ctx: ShardContext) {}
 
@@ -127,7 +131,7 @@
     const unused = (freeCapacity.cpuMilli - request.needs.cpuMilli) / Math.max(1, endpoint.report.capacity.cpuMilli)
     const slow = Math.max(0, trust.slowness - SPEED_TOLERANCE) * SLOWNESS_PENALTY
     const far = request.preferredRack !== '' && !endpoint.report.labels.includes(request.preferredRack) ? FAR_RACK_PENALTY : 0
-    return unused + slow + far
+    return unused + slow + far + this.packing.slotsTaken(request.service, freeCapacity.cpuMilli, request.needs.cpuMilli) * SLOT_PENALTY
   }
 
   private quarantine (id: EndpointId, trust: EndpointTrust, why: string): void {
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -24,6 +24,8 @@
   'shard.tasks.unclaimed': 'Runs of an earlier owner that nobody claimed and that were stopped.',
   'shard.holds.sent': 'Holds and looks sent to endpoints, without those that ask on a new connection which incarnation answers.',
   'shard.holds.silent': 'Holds and looks without an answer in time.',
+  'shard.room.waitedCoreMs': 'Core milliseconds of trusted endpoints while tasks waited.',
+  'shard.room.strandedCoreMs': 'Core milliseconds of them that stayed free though waiting tasks would have fitted if the free room had been at fewer endpoints.',
   'shard.endpoints.crashed': 'Endpoints that refused connections while tasks ran there.',
   'shard.endpoints.reborn': 'Endpoints that started again under the same id.',
   'shard.endpoints.setAside': 'Endpoints set aside for slowness or failures.',
