Owners learn how fast endpoints are, by kind and one by one, and place, forecast and judge runs by it

Cause: run times were learned as a mixture over all endpoints, slow endpoints took tasks that could not wait, and long tasks cost their endpoints their trust. Change: speeds/ learns speeds; run times are normalised by them; forecasts have a class of slots for each speed; a task that would be late at a slow endpoint waits for a quick one; runs over their time last longer where long ones are known; a long task is told apart from a slow endpoint.

--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -201,6 +201,8 @@
 export class ShardFleet {
   readonly time = new Timeline()
   readonly oracle = new ShardOracle()
+  /** Label of the endpoints of each kind. */
+  private readonly kindOf = new Map<string, string>()
   readonly processes = new Map<InstanceId, Process>()
   readonly endpoints = new Map<string, FencedEndpointModel>()
   readonly drainingEndpoints = new Set<string>()
@@ -556,8 +558,12 @@
       return
     }
     let number = 0
-    for (const { count, cpuMilli, speed } of endpointKinds) {
-      for (let i = 0; i < count; i++) this.addEndpoint(`e-${domain}-${number++}`, domain, cpuMilli).faults.slowdownFactor = 1 / speed
+    for (const [kind, { count, cpuMilli, speed }] of endpointKinds.entries()) {
+      for (let i = 0; i < count; i++) {
+        const id = `e-${domain}-${number++}`
+        this.addEndpoint(id, domain, cpuMilli).faults.slowdownFactor = 1 / speed
+        this.kindOf.set(id, `kind-${kind}`)
+      }
     }
   }
 
@@ -715,7 +721,7 @@
       failureDomain: this.domainOf.get(endpoint.id) as FailureDomain,
       draining: this.drainingEndpoints.has(endpoint.id),
       capacity: { cpuMilli: endpoint.cpuMilli, memoryMb: 131_072, accelerators: 0 },
-      labels: [],
+      labels: [this.kindOf.get(endpoint.id) ?? []].flat(),
       bornAt: endpoint.bornAt
     }))
   }
--- a/packages/core/src/execution/endpointOutlook.spec.ts
+++ b/packages/core/src/execution/endpointOutlook.spec.ts
@@ -3,6 +3,7 @@
 import { ms } from '@cranberryyard/protocol'
 import { EndpointsDb, makeRun } from '../endpoints/endpointsDb.js'
 import type { LedgerRun } from '../endpoints/types.js'
+import { RunTail } from '../speeds/runTail.js'
 import { outlookOf } from './endpointOutlook.js'
 
 const REPORT: EndpointReport = { id: 'e' as EndpointId, service: 's' as ServiceName, address: 'e', failureDomain: 'd' as FailureDomain, draining: false, capacity: { cpuMilli: 64_000, memoryMb: 100, accelerators: 0 }, labels: [], bornAt: 0 }
@@ -13,7 +14,7 @@
   const endpoint = new EndpointsDb().add(REPORT, ms(0))
   const run = makeRun(endpoint, 'a.0.0.0' as TaskName, 1, ms(1000), { needs: NEEDS, expectedMs: 200, state: 'running', ...overrides })
   endpoint.runs.set(run.task, run)
-  return outlookOf(endpoint, ms(1100), ms(250))
+  return outlookOf(endpoint, ms(1100), ms(250), new RunTail())
 }
 
 describe('the outlook of an endpoint', () => {
@@ -33,7 +34,7 @@
   it('expects nothing from the end of a run at an endpoint that has shrunk below what runs there', () => {
     const endpoint = new EndpointsDb().add({ ...REPORT, capacity: { ...REPORT.capacity, cpuMilli: 20_000 } }, ms(0))
     for (const task of ['a.0.0.0', 'a.0.0.1'] as TaskName[]) endpoint.runs.set(task, makeRun(endpoint, task, 1, ms(1000), { needs: NEEDS, expectedMs: 200, state: 'running' }))
-    expect(outlookOf(endpoint, ms(1100), ms(250)).freeCpuMilli).to.equal(-20_000)
+    expect(outlookOf(endpoint, ms(1100), ms(250), new RunTail()).freeCpuMilli).to.equal(-20_000)
   })
 
   it('expects the whole endpoint back when a run of unknown size is no longer kept', () => {
--- a/packages/core/src/execution/endpointOutlook.ts
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -6,12 +6,11 @@
 import { ms } from '@cranberryyard/protocol'
 import type { EndpointOutlook } from '../admission/slotForecast.js'
 import { freeCapacityOf } from '../endpoints/endpointsDb.js'
+import type { RunTail } from '../speeds/runTail.js'
 import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
 
 /** Progress from which the remaining time is projected from it, and not from the expected run time. */
 const PROJECTION_MIN_PERCENT = 20
-/** Remaining time of a run that is over its expected run time, as a share of the latter. */
-const OVERDUE_SHARE = 0.15
 /** Time until a stopped run has been listed as ended. */
 const STOP_MS = 50
 
@@ -19,15 +18,16 @@
  * @param endpoint - a usable endpoint
  * @param now - the time
  * @param unclaimedMs - how long a run that no job claims is kept
+ * @param tail - how runs go on that are over their time
  * @param needs - what the tasks need that are to start there; if memory or accelerators limit their number there and not CPU, the
  * outlook is that of the scarce one, as the amount of CPU that the tasks would use with it
  */
-export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms, needs?: Resources): EndpointOutlook {
+export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms, tail: RunTail, needs?: Resources): EndpointOutlook {
   const { capacity } = endpoint.report
   const { resource, cpuPerUnit } = scarcest(capacity, needs)
   return {
     freeCpuMilli: freeCapacityOf(endpoint)[resource] * cpuPerUnit,
-    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs), cpuMilli: (run.exclusive ? capacity : run.needs ?? capacity)[resource] * cpuPerUnit }))
+    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs, tail), cpuMilli: (run.exclusive ? capacity : run.needs ?? capacity)[resource] * cpuPerUnit }))
   }
 }
 
@@ -45,10 +45,12 @@
   return scarce
 }
 
-function endOf (run: LedgerRun, now: Ms, unclaimedMs: Ms): Ms {
+function endOf (run: LedgerRun, now: Ms, unclaimedMs: Ms, tail: RunTail): Ms {
   if (run.state === 'stopping') return ms(now + STOP_MS)
   if (run.expectedMs === undefined) return ms(Math.max(now, run.startedAt + unclaimedMs))
   const observedPercent = run.percent - (run.foundPercent ?? 0)
-  const projectedMs = observedPercent >= PROJECTION_MIN_PERCENT ? (run.percentAt - run.startedAt) * (100 - (run.foundPercent ?? 0)) / observedPercent : run.expectedMs
-  return ms(Math.max(run.startedAt + projectedMs, now + run.expectedMs * OVERDUE_SHARE))
+  const isProjected = observedPercent >= PROJECTION_MIN_PERCENT
+  const projectedMs = isProjected ? (run.percentAt - run.startedAt) * (100 - (run.foundPercent ?? 0)) / observedPercent : run.expectedMs
+  const age = isProjected ? 1 : (now - run.startedAt) / Math.max(1, run.expectedMs)
+  return ms(Math.max(run.startedAt + projectedMs, now + run.expectedMs * tail.remaining(age)))
 }
--- a/packages/core/src/execution/executionDb.ts
+++ b/packages/core/src/execution/executionDb.ts
@@ -96,7 +96,7 @@
 }
 
 function makeTask (id: JobId, step: number, index: number, done: boolean): OwnedTask {
-  return { name: taskName(id, step, index), step, index, done, run: undefined, lastRun: 0, lostRuns: 0, failedEndpoints: new Set(), avoid: new Set() }
+  return { name: taskName(id, step, index), step, index, done, run: undefined, lastRun: 0, lostRuns: 0, failedEndpoints: new Set(), slowAt: new Set(), avoid: new Set() }
 }
 
 /**
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -4,7 +4,7 @@
  * which order), placement (which endpoint), the endpoint ledger (which runs occupy which endpoint), and beside this module the
  * round of starts, the room of the shard, slow runs, faults of runs and the adoption of runs that were found.
  */
-import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, Resources, RunEnd, ShardMessage } from '@cranberryyard/protocol'
+import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, Resources, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { crashOf, faultOfLoss } from '../attempts/faults.js'
@@ -56,7 +56,7 @@
     this.estimates = new JobEstimates(ctx)
     this.room = new ShardRoom(ctx, placement, endpoints)
     this.startRound = new StartRound(ctx, { placement, attempts, admission: this.admission, estimates: this.estimates, endpoints, mayStart: job => this.mayStart(job) })
-    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates() })
+    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates(), speedAt: id => this.speedAt(id) })
     this.faults = new RunFaults(placement, attempts, jobs => this.shareAttempts(jobs))
     this.adoption = new Adoption(ctx, attempts, this.estimates, endpoints)
   }
@@ -361,10 +361,22 @@
   }
 
   private learnFromRun (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
+    const { speeds } = this.placement
+    const report = this.endpoints.db.get(run.endpoint)?.report
     const ranMs = this.ctx.now - run.startedAt
-    this.placement.recordCompletion(run.endpoint, ranMs / healthyRunMs(step, run, this.estimates.expectedMs(job, step)))
-    step.finishedRunMs.push(ranMs)
-    if (!this.placement.isQuarantined(run.endpoint)) this.estimates.record(job, step, ranMs)
+    const speedAt = (id: EndpointId): number => this.speedAt(id)
+    const normalMs = ranMs * speedAt(run.endpoint)
+    const healthyMs = healthyRunMs(step, run, this.estimates.expectedMs(job, step), speedAt)
+    this.placement.recordCompletion(run.endpoint, normalMs / healthyMs)
+    step.finishedRunMs.push(normalMs)
+    if (this.placement.isQuarantined(run.endpoint)) return
+    if (report !== undefined) speeds.record(report, this.estimates.expectedMs(job, step), ranMs)
+    this.estimates.record(job, step, normalMs)
+  }
+
+  private speedAt (id: EndpointId): number {
+    const endpoint = this.endpoints.db.get(id)
+    return endpoint === undefined ? 1 : this.placement.speeds.speedOf(endpoint.report)
   }
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
--- a/packages/core/src/execution/shardRoom.ts
+++ b/packages/core/src/execution/shardRoom.ts
@@ -46,7 +46,7 @@
     const { memoryMb, accelerators } = needs ?? sizes.meanNeeds
     const outlooks = [...this.endpoints().db.all()]
       .filter(endpoint => endpoint.report.service === service && this.isTrusted(endpoint))
-      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs, { cpuMilli, memoryMb, accelerators }))
+      .map(endpoint => ({ ...outlookOf(endpoint, now, cfg.claimGraceMs, this.placement.speeds.tail, { cpuMilli, memoryMb, accelerators }), speed: this.placement.speeds.speedOf(endpoint.report) }))
     return new SlotForecast(outlooks, cpuMilli, now, sizes.isUneven ? sizes : undefined)
   }
 
--- a/packages/core/src/execution/slowRuns.ts
+++ b/packages/core/src/execution/slowRuns.ts
@@ -7,8 +7,10 @@
 import type { LedgerRun } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
+import { slowCauseOf } from '../speeds/slowCause.js'
 import type { JobEstimates } from './jobEstimates.js'
 import { STALL_SLOWNESS, healthyRunMs, slownessOf } from './speed.js'
+import type { SpeedAt } from './speed.js'
 import type { OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
 /** Projected run time divided by the expected one, from which a task may be moved to another endpoint. */
@@ -23,6 +25,7 @@
   readonly endpoints: () => EndpointsDecider
   /** Returns the usable endpoints that have some free capacity. */
   readonly candidates: () => Candidate[]
+  readonly speedAt: SpeedAt
 }
 
 /** Moves runs away from endpoints where they are slow. */
@@ -33,24 +36,33 @@
   progressed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
     const step = job.steps[task.step]
     if (step === undefined) return
-    const slowness = slownessOf(step, run, this.parts.estimates.expectedMs(job, step), this.ctx.now)
+    const slowness = slownessOf(step, run, this.parts.estimates.expectedMs(job, step), this.ctx.now, this.parts.speedAt)
     if (slowness >= MOVE_SLOWNESS) this.moveIfFaster(job, step, task, run, slowness)
   }
 
+  /** Returns whether the task itself is long: other runs at its endpoint go on as usual, or it has been slow at another endpoint already. */
+  private isLongTask (task: OwnedTask, run: LedgerRun): boolean {
+    const { placement, endpoints } = this.parts
+    const endpoint = endpoints().db.get(run.endpoint)
+    const cause = endpoint === undefined ? 'unknown' : slowCauseOf(run, endpoint, placement.db.trustOf(run.endpoint).soundAt)
+    return cause === 'task' || (cause === 'unknown' && task.slowAt.size > 0)
+  }
+
   /**
    * Stops a run that would finish sooner if it were restarted on another endpoint. A stalled run is stopped even when no
    * other endpoint has capacity: it makes no progress where it is, and it is restarted on the next endpoint that has free capacity.
    */
   private moveIfFaster (job: OwnedJob, step: OwnedStep, task: OwnedTask, run: LedgerRun, slowness: number): void {
-    const { placement, estimates, endpoints, candidates } = this.parts
-    if (run.state !== 'running') return
-    const expected = healthyRunMs(step, run, estimates.expectedMs(job, step))
-    const remaining = expected * slowness * (100 - run.percent) / 100
-    if (remaining <= expected + MOVE_COST_MS) return
+    const { placement, estimates, endpoints, candidates, speedAt } = this.parts
+    if (run.state !== 'running' || (slowness < STALL_SLOWNESS && this.isLongTask(task, run))) return
+    const expected = healthyRunMs(step, run, estimates.expectedMs(job, step), speedAt)
+    const remaining = expected / speedAt(run.endpoint) * slowness * (100 - run.percent) / 100
+    if (remaining <= expected / placement.speeds.quickest() + MOVE_COST_MS) return
     placement.recordSlowRun(run.endpoint, slowness)
-    const worthStopping = slowness >= STALL_SLOWNESS || candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.freeCapacity) && !placement.isQuarantined(candidate.endpoint.id))
+    const worthStopping = slowness >= STALL_SLOWNESS || candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.freeCapacity) && !placement.isQuarantined(candidate.endpoint.id) && remaining > expected / speedAt(candidate.endpoint.id) + MOVE_COST_MS)
     if (!worthStopping) return
     task.avoid.add(run.endpoint)
+    task.slowAt.add(run.endpoint)
     this.ctx.out.count('shard.tasks.moved')
     this.ctx.out.log('task.moved', { job: job.id, task: task.name, run: run.run, endpoint: run.endpoint, percent: run.percent, ranMs: Math.round(this.ctx.now - run.startedAt), expectedMs: Math.round(expected) })
     endpoints().stop(run)
--- a/packages/core/src/execution/speed.ts
+++ b/packages/core/src/execution/speed.ts
@@ -3,10 +3,13 @@
  * are off by up to 40%, so the siblings replace the estimate as soon as there are enough of them. The calculation is
  * separate from the decision to move a task because the trust in endpoints uses it too.
  */
-import type { Ms } from '@cranberryyard/protocol'
+import type { EndpointId, Ms } from '@cranberryyard/protocol'
 import type { LedgerRun } from '../endpoints/types.js'
 import type { OwnedStep } from './types.js'
 
+/** Speed of an endpoint, by which expected run times are divided there. */
+export type SpeedAt = (endpoint: EndpointId) => number
+
 /** Slowness assigned to a stalled run. */
 export const STALL_SLOWNESS = 10
 /** Estimates are too low by up to about this factor, which is allowed for when there are no siblings to compare with. */
@@ -22,43 +25,45 @@
 const PROGRESS_MIN_PERCENT = 4
 
 /**
- * Expected run time of a task of the step at a healthy endpoint: the median of its siblings, finished or running. With
+ * Expected run time of a task of the step at a healthy endpoint of speed 1: the median of its siblings, finished or running. With
  * too few siblings it is at least the estimate plus its possible error.
  * @param step - the step
  * @param run - the run that is assessed; it does not count as its own sibling
  * @param expectedMs - the estimate, corrected by the ratio learned for the queue
+ * @param speedAt - the speeds of endpoints
  */
-export function healthyRunMs (step: OwnedStep, run: LedgerRun, expectedMs: number): number {
-  const siblings = siblingsMs(step, run).sort((a, b) => a - b)
+export function healthyRunMs (step: OwnedStep, run: LedgerRun, expectedMs: number, speedAt: SpeedAt): number {
+  const siblings = siblingsMs(step, run, speedAt).sort((a, b) => a - b)
   const median = siblings[Math.floor((siblings.length - 1) / 2)] ?? 0
   if (siblings.length >= SIBLINGS_MIN) return Math.max(1, median)
   return Math.max(1, median, expectedMs * ESTIMATE_TOLERANCE)
 }
 
 /**
- * Compares a run with the expected run at a healthy endpoint.
+ * Compares a run with the expected run at a healthy endpoint of the same speed.
  * @param step - the step
  * @param run - a run in progress
  * @param expectedMs - the estimate, corrected by the ratio learned for the queue
  * @param now - the time
+ * @param speedAt - the speeds of endpoints
  * @returns projected run time divided by the expected one; 1 while too little is known
  */
-export function slownessOf (step: OwnedStep, run: LedgerRun, expectedMs: number, now: Ms): number {
-  const healthyMs = healthyRunMs(step, run, expectedMs)
+export function slownessOf (step: OwnedStep, run: LedgerRun, expectedMs: number, now: Ms, speedAt: SpeedAt): number {
+  const healthyMs = healthyRunMs(step, run, expectedMs, speedAt) / speedAt(run.endpoint)
   const ranMs = now - run.startedAt
   const stalledAfterMs = Math.max(STALL_MIN_MS, healthyMs * STALL_SHARE)
   if (ranMs < SPEED_MIN_RUN_MS) return 1
   if (observedProgress(run) < PROGRESS_MIN_PERCENT) return ranMs > stalledAfterMs ? STALL_SLOWNESS : 1
   if (now - run.percentAt > stalledAfterMs) return STALL_SLOWNESS
-  const siblingsUnknown = step.tasks.length > SIBLINGS_MIN && siblingsMs(step, run).length < SIBLINGS_MIN
+  const siblingsUnknown = step.tasks.length > SIBLINGS_MIN && siblingsMs(step, run, speedAt).length < SIBLINGS_MIN
   return siblingsUnknown ? 1 : (ranMs * 100 / observedProgress(run)) / healthyMs
 }
 
-/** @returns run times of the step's other tasks: actual for finished ones, projected from the present speed for running ones */
-function siblingsMs (step: OwnedStep, except: LedgerRun): number[] {
+/** @returns run times of the step's other tasks at a speed of 1: actual for finished ones, projected from the progress for running ones */
+function siblingsMs (step: OwnedStep, except: LedgerRun, speedAt: SpeedAt): number[] {
   const atWork = step.tasks.flatMap(({ run }) => {
     if (run === undefined || run === except || observedProgress(run) < PROGRESS_MIN_PERCENT) return []
-    return [(run.percentAt - run.startedAt) * 100 / observedProgress(run)]
+    return [(run.percentAt - run.startedAt) * 100 / observedProgress(run) * speedAt(run.endpoint)]
   })
   return [...step.finishedRunMs, ...atWork]
 }
--- a/packages/core/src/execution/startPlan.ts
+++ b/packages/core/src/execution/startPlan.ts
@@ -6,6 +6,7 @@
 import type { TaskStanding } from '../attempts/types.js'
 import { minus, plus } from '../endpoints/endpointsDb.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
+import type { TaskTiming } from '../speeds/types.js'
 import { isReady } from './executionDb.js'
 import type { OwnedJob, OwnedStep, OwnedTask } from './types.js'
 
@@ -46,6 +47,7 @@
   /** Returns whether a run of the task may still be in progress. */
   readonly mayRun: (task: TaskName) => boolean
   readonly standingOf: (task: TaskName) => TaskStanding
+  readonly timingOf: (step: OwnedStep) => TaskTiming
   /** Whether some tasks may start while others still wait. */
   readonly allowPartial: boolean
 }
@@ -100,11 +102,11 @@
   return { unplaced: suspect.length - placed, withoutEndpoint: undefined }
 }
 
-function planStart (job: OwnedJob, { step, task }: PlannedTask, { placement, candidates, mayRun }: PlanInput, starts: PlannedStart[], exclusive: boolean): boolean {
+function planStart (job: OwnedJob, { step, task }: PlannedTask, { placement, candidates, mayRun, timingOf }: PlanInput, starts: PlannedStart[], exclusive: boolean): boolean {
   if (mayRun(task.name)) return false
   const { needs, requiredLabel, preferredRack, maxPerEndpoint } = step.spec
   const tasksAt = maxPerEndpoint > 0 ? (id: EndpointId) => countRuns(step, id) + starts.filter(p => p.step === step && p.candidate.endpoint.id === id).length : undefined
-  const candidate = placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, tasksAt, maxPerEndpoint, exclusive }, candidates)
+  const candidate = placement.choose({ service: job.order.queue.service, needs, requiredLabel, preferredRack, avoid: task.avoid, tasksAt, maxPerEndpoint, exclusive, timing: timingOf(step) }, candidates)
   if (candidate === undefined) return false
   placement.recordPlacement(candidate.endpoint.id)
   const reserved = exclusive ? candidate.freeCapacity : needs
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -10,13 +10,14 @@
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import { IdleRoomMeter, strandedCpu } from '../packing/idleRoom.js'
+import type { TaskTiming } from '../speeds/types.js'
 import type { ShardContext } from '../shard/types.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { outlookOf } from './endpointOutlook.js'
 import type { JobEstimates } from './jobEstimates.js'
 import { planStarts } from './startPlan.js'
 import type { PlannedStart, PlannedTask } from './startPlan.js'
-import type { OwnedJob } from './types.js'
+import type { OwnedJob, OwnedStep } from './types.js'
 
 /** Starts that an endpoint may have unanswered. More would wait for a connection to it until they time out, and its holds behind them. */
 const UNANSWERED_STARTS_MAX = 16
@@ -113,6 +114,7 @@
       candidates: candidates.filter(({ endpoint }) => endpoints.endsWithLease(endpoint, job.runLease)),
       mayRun: (task: TaskName) => endpoints.db.runOf(task) !== undefined,
       standingOf: attempts.db.has(job.id) ? task => attempts.standingOf(task) : () => 'sound',
+      timingOf: step => this.timingOf(job, step),
       allowPartial
     })
     for (const start of plan.starts) this.startTask(job, start)
@@ -121,12 +123,19 @@
     return plan.isComplete
   }
 
+  /** @returns when the tasks of a step are due; for a job of several steps, as long as it may still wait to start */
+  private timingOf (job: OwnedJob, step: OwnedStep): TaskTiming {
+    const { now } = this.ctx
+    const runMs = this.parts.estimates.expectedMs(job, step)
+    return { runMs, budgetMs: job.steps.length === 1 ? job.latestStart + job.criticalPathMs - now : runMs + Math.max(0, job.latestStart - now) }
+  }
+
   /** Lets nothing else start in this round at the endpoint that will be unused first, so that the suspect task gets one. */
   private keepEndpointFree (service: ServiceName, { step, task }: PlannedTask, candidates: Candidate[]): void {
     let best: { readonly index: number, readonly freeAt: number } | undefined
     for (const [index, { endpoint }] of candidates.entries()) {
       if (endpoint.report.service !== service || task.avoid.has(endpoint.id) || this.parts.placement.isQuarantined(endpoint.id) || !fits(step.spec.needs, endpoint.report.capacity)) continue
-      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs).ends.map(end => end.at))
+      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs, this.parts.placement.speeds.tail).ends.map(end => end.at))
       if (best === undefined || freeAt < best.freeAt) best = { index, freeAt }
     }
     if (best !== undefined) candidates.splice(best.index, 1)
@@ -134,7 +143,7 @@
 
   private startTask (job: OwnedJob, { step, task, candidate, exclusive }: PlannedStart): void {
     task.lastRun++
-    task.run = this.parts.endpoints().start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.parts.estimates.expectedMs(job, step), exclusive, lease: job.runLease })
+    task.run = this.parts.endpoints().start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.parts.estimates.expectedMs(job, step) / this.parts.placement.speeds.speedOf(candidate.endpoint.report), exclusive, lease: job.runLease })
     this.recordFirstStart(job)
   }
 
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -26,6 +26,8 @@
   lostRuns: number
   /** Endpoints where a run of the task failed. */
   readonly failedEndpoints: Set<EndpointId>
+  /** Endpoints from which the task was moved because it was slow there. */
+  readonly slowAt: Set<EndpointId>
   /** Endpoints that the task is not placed on again. */
   readonly avoid: Set<EndpointId>
 }
@@ -36,7 +38,7 @@
   readonly tasks: readonly OwnedTask[]
   /** Number of tasks that are not done. */
   unfinishedTasks: number
-  /** Run times of finished tasks whose end time is known and that this owner started itself. */
+  /** Run times, at a speed of 1, of finished tasks whose end time is known and that this owner started itself. */
   readonly finishedRunMs: number[]
 }
 
--- a/packages/core/src/placement/placementDb.ts
+++ b/packages/core/src/placement/placementDb.ts
@@ -16,7 +16,7 @@
   trustOf (id: EndpointId): EndpointTrust {
     const known = this.trust.get(id)
     if (known !== undefined) return known
-    const fresh: EndpointTrust = { slowness: 1, failures: 0, quarantined: false, trialAt: ms(0), trialPauseMs: FIRST_TRIAL_PAUSE_MS }
+    const fresh: EndpointTrust = { slowness: 1, failures: 0, soundAt: ms(0), quarantined: false, trialAt: ms(0), trialPauseMs: FIRST_TRIAL_PAUSE_MS }
     this.trust.set(id, fresh)
     return fresh
   }
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -9,6 +9,7 @@
 import { fits } from '../endpoints/endpointsDb.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import { PackingDecider } from '../packing/packingDecider.js'
+import { SpeedsDecider } from '../speeds/speedsDecider.js'
 import type { ShardContext } from '../shard/types.js'
 import { FIRST_TRIAL_PAUSE_MS, PlacementDb } from './placementDb.js'
 import type { EndpointTrust, PlacementRequest } from './types.js'
@@ -31,6 +32,15 @@
 const SLOWNESS_PENALTY = 0.5
 /** Score added per task for which there is less room once the task is placed. */
 const SLOT_PENALTY = 1
+/** Score added for a task that is sure to miss its objective at an endpoint because of its speed. */
+const LATE_PENALTY = 2
+/** Score added per unit of speed above 1, so that quick endpoints are left to tasks that need them. */
+const QUICK_PENALTY = 0.2
+/** Probability of missing the objective from which a task does not start at a slow endpoint, and up to which it waits for a quick one. */
+const LATE_RISK_MIN = 0.7
+const IN_TIME_RISK_MAX = 0.3
+/** Slowness up to which a run shows that its endpoint is sound. */
+const SOUND_SLOWNESS = 1.5
 /** Score added for an endpoint outside the preferred rack, which is near the data. */
 const FAR_RACK_PENALTY = 2
 
@@ -46,6 +56,7 @@
 export class PlacementDecider {
   readonly db = new PlacementDb()
   readonly packing = new PackingDecider()
+  readonly speeds = new SpeedsDecider()
 
   constructor (private readonly ctx: ShardContext) {}
 
@@ -53,13 +64,15 @@
    * Chooses the allowed endpoint with the lowest score.
    * @param request - requirements of the task
    * @param candidates - usable endpoints with their free capacity
-   * @returns the chosen candidate, or undefined when none fits now
+   * @returns the chosen candidate, or undefined when none fits now, or when the task would be late where it fits and still in time at a
+   * quicker endpoint that becomes free soon
    */
   choose (request: PlacementRequest, candidates: readonly Candidate[]): Candidate | undefined {
     let best: Candidate | undefined
     let bestScore = Infinity
+    const quickestRisk = request.timing === undefined ? 0 : this.speeds.lateRisk(request.timing, this.speeds.quickest())
     for (const candidate of candidates) {
-      if (candidate.startsLeft <= 0 || !fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint) || (request.exclusive && !isUnused(candidate))) continue
+      if (candidate.startsLeft <= 0 || !fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint) || (request.exclusive && !isUnused(candidate)) || this.waitsForQuicker(request, candidate, quickestRisk)) continue
       const score = this.score(request, candidate)
       if (score < bestScore) {
         best = candidate
@@ -83,11 +96,12 @@
   /**
    * Records a successful run. Its slowness decides whether the endpoint keeps, loses or regains its trust.
    * @param id - the endpoint
-   * @param slowness - run time divided by the expected run time
+   * @param slowness - run time divided by the one expected at an endpoint of this speed
    */
   recordCompletion (id: EndpointId, slowness: number): void {
     const trust = this.db.trustOf(id)
     trust.failures = 0
+    if (slowness <= SOUND_SLOWNESS) trust.soundAt = this.ctx.now
     trust.slowness = trust.quarantined ? slowness : trust.slowness * (1 - SLOWNESS_WEIGHT) + slowness * SLOWNESS_WEIGHT
     if (trust.quarantined && slowness < SLOWNESS_LIMIT) this.restore(id, trust)
     else if (!trust.quarantined && trust.slowness >= SLOWNESS_LIMIT) this.quarantine(id, trust, 'slow')
@@ -126,12 +140,25 @@
     return !trust.quarantined || (trust.trialAt <= this.ctx.now && endpoint.runs.size === 0)
   }
 
+  /** Returns whether the task would most likely miss its objective at the endpoint and could still meet it at the quickest ones. */
+  private waitsForQuicker ({ timing }: PlacementRequest, { endpoint }: Candidate, quickestRisk: number): boolean {
+    if (timing === undefined || quickestRisk > IN_TIME_RISK_MAX) return false
+    return this.speeds.lateRisk(timing, this.speeds.speedOf(endpoint.report)) >= LATE_RISK_MIN
+  }
+
+  /** @returns score for the risk of missing the objective at the endpoint, and for using up a quick endpoint; 0 at a speed of 1 */
+  private speedScore ({ timing }: PlacementRequest, { report }: LedgerEndpoint): number {
+    const speed = this.speeds.speedOf(report)
+    if (timing === undefined || (speed === 1 && this.speeds.quickest() === 1)) return 0
+    return this.speeds.lateRisk(timing, speed) * LATE_PENALTY + Math.max(0, speed - 1) * QUICK_PENALTY
+  }
+
   private score (request: PlacementRequest, { endpoint, freeCapacity }: Candidate): number {
     const trust = this.db.trustOf(endpoint.id)
     const unused = (freeCapacity.cpuMilli - request.needs.cpuMilli) / Math.max(1, endpoint.report.capacity.cpuMilli)
     const slow = Math.max(0, trust.slowness - SPEED_TOLERANCE) * SLOWNESS_PENALTY
     const far = request.preferredRack !== '' && !endpoint.report.labels.includes(request.preferredRack) ? FAR_RACK_PENALTY : 0
-    return unused + slow + far + this.packing.slotsTaken(request.service, freeCapacity.cpuMilli, request.needs.cpuMilli) * SLOT_PENALTY
+    return unused + slow + far + this.speedScore(request, endpoint) + this.packing.slotsTaken(request.service, freeCapacity.cpuMilli, request.needs.cpuMilli) * SLOT_PENALTY
   }
 
   private quarantine (id: EndpointId, trust: EndpointTrust, why: string): void {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -2,6 +2,7 @@
  * Types of the placement decision: the trust in an endpoint, and the requirements of a task.
  */
 import type { EndpointId, Ms, Resources, ServiceName } from '@cranberryyard/protocol'
+import type { TaskTiming } from '../speeds/types.js'
 
 /** Trust in an endpoint, derived from its recent runs. */
 export interface EndpointTrust {
@@ -9,6 +10,8 @@
   slowness: number
   /** Failed runs and rejected starts since the last successful run. */
   failures: number
+  /** When a run last ended there after about its expected time. */
+  soundAt: Ms
   /** The endpoint gets only trial tasks; logs and metrics call this state `setAside`. */
   quarantined: boolean
   /** When a quarantined endpoint may get its next trial task. */
@@ -30,4 +33,6 @@
   readonly maxPerEndpoint: number
   /** The task starts only where nothing else runs. */
   readonly exclusive: boolean
+  /** Undefined when it does not matter how fast the endpoint is. */
+  readonly timing?: TaskTiming
 }
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -496,6 +496,7 @@
   private endpointRemoved (id: EndpointId): void {
     this.endpoints.markUnlisted(id)
     this.placement.db.forget(id)
+    this.placement.speeds.forget(id)
   }
 
   private applyRecords (input: Extract<ShardInput, { type: 'records' }>): void {
--- /dev/null
+++ b/packages/core/src/speeds/speedsDecider.ts
@@ -0,0 +1,114 @@
+/**
+ * Decides how fast endpoints are, by kind and one by one, and from that how likely a task misses its objective at each. It answers
+ * fleets of uneven endpoints: without it, run times are learned as a mixture, tasks that cannot wait start at slow endpoints, and slow
+ * endpoints of a kind are mistaken for broken ones. Speeds within a tolerance of 1 count as 1, so that nothing changes where endpoints are alike.
+ */
+import type { EndpointId, EndpointReport } from '@cranberryyard/protocol'
+import { RunTail } from './runTail.js'
+import { SpeedsDb } from './speedsDb.js'
+import type { SpeedEvidence, TaskTiming } from './types.js'
+
+/** Speeds differ by more than this factor from 1 before they count; endpoints of one kind differ by about this much. */
+const TOLERANCE = 1.1
+/** Standard errors by which a speed has to lie outside the tolerance. */
+const SURE_DEVIATIONS = 2
+/** Runs with which a label is considered at all. */
+const LABEL_RUNS_MIN = 20
+/** Number of runs that the figure of an endpoint's kind counts for beside its own runs. */
+const KIND_RUNS = 10
+/** A run shows a speed within this factor of the expected one; a task may be long for reasons of its own. */
+const OUTLIER_FACTOR = 2
+/** Spread of the logarithm of run times around their expectation. */
+const RUN_SPREAD = 0.3
+/** Slope of the logistic function that approximates the normal distribution. */
+const LOGISTIC_SLOPE = 1.702
+/** Time that an answer takes to its caller. */
+const ANSWER_MS = 10
+/** Speeds are rounded to steps of this size, so that endpoints of one kind have the same one. */
+const STEP = 0.05
+/** Recorded runs for which a derived speed is kept. */
+const REFRESH_AFTER = 16
+
+/** Estimates the speeds of endpoints. */
+export class SpeedsDecider {
+  readonly db = new SpeedsDb()
+  readonly tail = new RunTail()
+  private cache = new Map<EndpointId, number>()
+  private cachedAt = 0
+  private quickestKnown = 1
+
+  /**
+   * Learns from a run that ended with success at a healthy endpoint.
+   * @param expectedMs - run time expected at a speed of 1
+   */
+  record (report: Pick<EndpointReport, 'id' | 'labels'>, expectedMs: number, ranMs: number): void {
+    const before = Math.log(this.speedOf(report))
+    const shown = Math.log(Math.max(1, expectedMs) / Math.max(1, ranMs))
+    this.tail.record(Math.exp(before - shown))
+    const limit = Math.log(OUTLIER_FACTOR)
+    this.db.record(report, Math.min(before + limit, Math.max(before - limit, shown)))
+    if (this.db.recorded - this.cachedAt < REFRESH_AFTER) return
+    this.quickestKnown = Math.max(1, ...this.cache.values())
+    this.cache = new Map()
+    this.cachedAt = this.db.recorded
+  }
+
+  /** Forgets an endpoint; its next incarnation may be of another kind. */
+  forget (id: EndpointId): void {
+    this.db.forget(id)
+    this.cache.delete(id)
+  }
+
+  /** @returns the factor by which expected run times are divided at the endpoint */
+  speedOf (report: Pick<EndpointReport, 'id' | 'labels'>): number {
+    const known = this.cache.get(report.id)
+    if (known !== undefined) return known
+    const speed = this.computeSpeed(report)
+    this.cache.set(report.id, speed)
+    this.quickestKnown = Math.max(this.quickestKnown, speed)
+    return speed
+  }
+
+  /** @returns the highest speed of the endpoints that were asked about lately */
+  quickest (): number {
+    return this.quickestKnown
+  }
+
+  /** @returns probability that a task which starts now at an endpoint of the given speed ends after its answer is due */
+  lateRisk ({ runMs, budgetMs }: TaskTiming, speed: number): number {
+    const available = budgetMs - ANSWER_MS
+    if (available <= 0) return 1
+    const deviations = Math.log(available * speed / Math.max(1, runMs)) / RUN_SPREAD
+    return 1 / (1 + Math.exp(LOGISTIC_SLOPE * deviations))
+  }
+
+  private computeSpeed ({ id, labels }: Pick<EndpointReport, 'id' | 'labels'>): number {
+    const kind = this.kindOf(labels)
+    const own = this.db.ofEndpoint(id)
+    const prior = kind === undefined ? 0 : sureMean(kind)
+    if (own === undefined) return roundSpeed(prior)
+    const runs = own.runs + KIND_RUNS
+    const mean = (own.mean * own.runs + prior * KIND_RUNS) / runs
+    return roundSpeed(sureMean({ runs, mean, variance: own.variance }))
+  }
+
+  /** @returns the evidence of the label that says most about the speed: the one whose endpoints differ least */
+  private kindOf (labels: readonly string[]): SpeedEvidence | undefined {
+    let best: SpeedEvidence | undefined
+    for (const label of labels) {
+      const evidence = this.db.ofLabel(label)
+      if (evidence !== undefined && evidence.runs >= LABEL_RUNS_MIN && (best === undefined || evidence.variance < best.variance)) best = evidence
+    }
+    return best
+  }
+}
+
+/** @returns the mean logarithm of the speed if it lies outside the tolerance for sure, otherwise that of a speed of 1 */
+function sureMean ({ runs, mean, variance }: SpeedEvidence): number {
+  const error = Math.sqrt(Math.max(variance, RUN_SPREAD ** 2) / Math.max(1, runs))
+  return Math.abs(mean) - SURE_DEVIATIONS * error > 0 && Math.abs(mean) > Math.log(TOLERANCE) ? mean : 0
+}
+
+function roundSpeed (logSpeed: number): number {
+  return Math.max(STEP, Math.round(Math.exp(logSpeed) / STEP) * STEP)
+}
