--- a/packages/core/src/execution/slowRuns.ts
+++ b/packages/core/src/execution/slowRuns.ts
@@ -44,7 +44,7 @@
   private isLongTask (task: OwnedTask, run: LedgerRun): boolean {
     const { placement, endpoints } = this.parts
     const endpoint = endpoints().db.get(run.endpoint)
-    const cause = endpoint === undefined ? 'unknown' : slowCauseOf(run, endpoint, placement.db.trustOf(run.endpoint).soundAt)
+    const cause = endpoint === undefined ? 'unknown' : slowCauseOf(run, endpoint, placement.db.trustOf(run.endpoint).soundAt, this.ctx.now)
     return cause === 'task' || (cause === 'unknown' && task.slowAt.size > 0)
   }
 
--- a/packages/core/src/speeds/slowCause.ts
+++ b/packages/core/src/speeds/slowCause.ts
@@ -14,10 +14,12 @@
 /**
  * @param run - a run that makes progress, but too little
  * @param endpoint - where it runs
+ * @param now - the time
  * @param soundAt - when a run last ended there after about its expected time
  */
-export function slowCauseOf (run: LedgerRun, endpoint: Pick<LedgerEndpoint, 'runs'>, soundAt: Ms): SlowCause {
-  let sound = soundAt > run.startedAt ? 1 : 0
+export function slowCauseOf (run: LedgerRun, endpoint: Pick<LedgerEndpoint, 'runs'>, soundAt: Ms, now: Ms): SlowCause {
+  // What ended early in the run's life says nothing about an endpoint that has turned slow since.
+  let sound = soundAt - run.startedAt > (now - run.startedAt) / 2 ? 1 : 0
   let slow = 0
   for (const other of endpoint.runs.values()) {
     if (other.task === run.task || other.percentAt <= run.startedAt) continue
