--- a/packages/core/src/admission/slotForecast.ts
+++ b/packages/core/src/admission/slotForecast.ts
@@ -8,7 +8,6 @@
 import TinyQueue from 'tinyqueue'
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
-import type { Packing } from '../packing/types.js'
 
 /** When an endpoint gets back which amount of CPU. */
 export interface ExpectedEnd {
@@ -33,10 +32,7 @@
   readonly runMs: number
 }
 
-/** Tasks of another size than the forecast's take as many of its slots as they take room. */
-type Reservation = Pick<Demand, 'tasks' | 'runMs'> & Partial<Pick<Demand, 'cpuMilli'>>
-
-/** Slots that become free at the same time at endpoints of the same speed. Their number need not be whole when tasks differ in size. */
+/** Slots that become free at the same time at endpoints of the same speed. */
 interface SlotEntry {
   at: number
   slots: number
@@ -53,46 +49,39 @@
 const ENTRIES_MAX = 1024
 /** Number of times that the tasks of one job fill all slots, up to which they are assigned one entry after the other. */
 const PASSES_MAX = 4
-/** Rounding error of a number of slots. */
-const SLOTS_EPSILON = 1e-6
 
 /** The times at which slots of one size become free, from which jobs are reserved one after the other. */
 export class SlotForecast {
   private readonly classes: SpeedClass[] = []
-  /** Number of endpoints by their CPU. */
-  private readonly endpointsByCpu = new Map<number, number>()
-  private readonly fleetSlots: number
 
   /**
    * @param endpoints - the usable endpoints
    * @param cpuMilli - size of a slot
    * @param now - the time
-   * @param packing - the sizes of the tasks that share the endpoints, if they are known to differ
    */
-  constructor (endpoints: readonly EndpointOutlook[], private readonly cpuMilli: number, now: Ms, private readonly packing?: Packing) {
+  constructor (endpoints: readonly EndpointOutlook[], cpuMilli: number, now: Ms) {
     const bySpeed = new Map<number, Map<number, number>>()
     for (const endpoint of endpoints) {
       const { speed = 1 } = endpoint
       const times = bySpeed.get(speed) ?? new Map<number, number>()
       bySpeed.set(speed, times)
-      this.addSlots(times, endpoint, now)
+      addSlots(times, endpoint, Math.max(1, cpuMilli), now)
     }
     for (const [speed, times] of bySpeed) {
       const entries = [...times].map(([at, slots]) => ({ at, slots }))
       this.classes.push({ speed, entries: makeQueue(entries), total: entries.reduce((sum, { slots }) => sum + slots, 0) })
     }
-    this.fleetSlots = this.fleetSlotsOf(cpuMilli)
   }
 
   /**
    * @returns when the last of the tasks can start, without reserving slots; where endpoints differ in speed, the start with which it
    * would end at the same time at a speed of 1
    */
-  peek ({ tasks, runMs = 0, cpuMilli }: Pick<Demand, 'tasks'> & Partial<Demand>): Ms {
+  peek ({ tasks, runMs = 0 }: Pick<Demand, 'tasks'> & Partial<Pick<Demand, 'runMs'>>): Ms {
     const taken: { readonly from: SpeedClass, readonly entry: SlotEntry }[] = []
-    let missing = this.slotsFor(tasks, cpuMilli)
+    let missing = tasks
     let last = missing > 0 ? -Infinity : 0
-    while (missing > SLOTS_EPSILON) {
+    while (missing > 0) {
       const from = this.earliest(runMs)
       if (from === undefined) break
       const entry = from.entries.pop() as SlotEntry
@@ -101,26 +90,25 @@
       last = Math.max(last, entry.at + delayOf(runMs, from.speed))
     }
     for (const { from, entry } of taken) from.entries.push(entry)
-    return ms(missing > SLOTS_EPSILON ? Infinity : last)
+    return ms(missing > 0 ? Infinity : last)
   }
 
   /**
    * Reserves a slot for each task; the slot becomes free again when the task ends.
    * @returns when the last of the tasks can start, as `peek` does; infinite when the endpoints never have enough room
    */
-  reserve ({ tasks, runMs, cpuMilli }: Reservation): Ms {
-    let missing = this.slotsFor(tasks, cpuMilli)
+  reserve ({ tasks, runMs }: Pick<Demand, 'tasks' | 'runMs'>): Ms {
     if (this.earliest(runMs) === undefined) return ms(Infinity)
-    missing -= this.reservePasses(missing, runMs)
+    let missing = tasks - this.reservePasses(tasks, runMs)
     let last = tasks > 0 ? -Infinity : 0
-    while (missing > SLOTS_EPSILON) {
+    while (missing > 0) {
       const from = this.earliest(runMs) as SpeedClass
       const entry = from.entries.pop() as SlotEntry
       const slots = Math.min(entry.slots, missing)
       missing -= slots
       last = Math.max(last, entry.at + delayOf(runMs, from.speed))
       from.entries.push({ at: entry.at + runMs / from.speed, slots })
-      if (entry.slots - slots > SLOTS_EPSILON) from.entries.push({ at: entry.at, slots: entry.slots - slots })
+      if (entry.slots > slots) from.entries.push({ at: entry.at, slots: entry.slots - slots })
       if (from.entries.length > ENTRIES_MAX) from.entries = makeQueue(mergeNeighbours(from.entries.data))
     }
     return ms(last)
@@ -157,41 +145,20 @@
     }
     return best
   }
+}
 
-  /** @returns the slots of this forecast that tasks of the given size take */
-  private slotsFor (tasks: number, cpuMilli = this.cpuMilli): number {
-    if (this.packing === undefined || cpuMilli === this.cpuMilli) return tasks
-    const ofThatSize = this.fleetSlotsOf(cpuMilli)
-    return ofThatSize === 0 ? tasks : tasks * this.fleetSlots / ofThatSize
-  }
-
-  private fleetSlotsOf (cpuMilli: number): number {
-    let slots = 0
-    for (const [capacity, count] of this.endpointsByCpu) slots += count * this.slotsIn(capacity, cpuMilli)
-    return slots
-  }
-
-  /** @returns the tasks of the given size that a room is good for; beside one of them, others take the rest of it */
-  private slotsIn (free: number, cpuMilli: number): number {
-    const size = Math.max(1, cpuMilli)
-    if (free < size) return 0
-    return this.packing === undefined ? Math.floor(free / size) : 1 + this.packing.tasksIn(free - size)
+function addSlots (times: Map<number, number>, { freeCpuMilli, ends }: EndpointOutlook, cpuMilli: number, now: Ms): void {
+  let free = freeCpuMilli
+  const count = (at: number): void => {
+    const slots = Math.floor(free / cpuMilli)
+    if (slots <= 0) return
+    times.set(at, (times.get(at) ?? 0) + slots)
+    free -= slots * cpuMilli
   }
-
-  private addSlots (times: Map<number, number>, { freeCpuMilli, ends }: EndpointOutlook, now: Ms): void {
-    let free = freeCpuMilli
-    let counted = 0
-    const count = (at: number): void => {
-      const slots = this.slotsIn(free, this.cpuMilli)
-      if (slots > counted) times.set(at, (times.get(at) ?? 0) + slots - counted)
-      counted = Math.max(counted, slots)
-    }
-    count(now)
-    for (const end of [...ends].sort((a, b) => a.at - b.at)) {
-      free += end.cpuMilli
-      count(Math.max(now, end.at))
-    }
-    this.endpointsByCpu.set(free, (this.endpointsByCpu.get(free) ?? 0) + 1)
+  count(now)
+  for (const end of [...ends].sort((a, b) => a.at - b.at)) {
+    free += end.cpuMilli
+    count(Math.max(now, end.at))
   }
 }
 
--- a/packages/core/src/execution/endpointOutlook.ts
+++ b/packages/core/src/execution/endpointOutlook.ts
@@ -7,6 +7,7 @@
 import type { EndpointOutlook } from '../admission/slotForecast.js'
 import { freeCapacityOf } from '../endpoints/endpointsDb.js'
 import type { RunTail } from '../speeds/runTail.js'
+import type { SpeedsDecider } from '../speeds/speedsDecider.js'
 import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
 
 /** Progress from which the remaining time is projected from it, and not from the expected run time. */
@@ -18,16 +19,17 @@
  * @param endpoint - a usable endpoint
  * @param now - the time
  * @param unclaimedMs - how long a run that no job claims is kept
- * @param tail - how runs go on that are over their time
+ * @param speeds - how fast endpoints are, and how runs go on that are over their time
  * @param needs - what the tasks need that are to start there; if memory or accelerators limit their number there and not CPU, the
  * outlook is that of the scarce one, as the amount of CPU that the tasks would use with it
  */
-export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms, tail: RunTail, needs?: Resources): EndpointOutlook {
+export function outlookOf (endpoint: LedgerEndpoint, now: Ms, unclaimedMs: Ms, speeds: SpeedsDecider, needs?: Resources): EndpointOutlook {
   const { capacity } = endpoint.report
   const { resource, cpuPerUnit } = scarcest(capacity, needs)
   return {
     freeCpuMilli: freeCapacityOf(endpoint)[resource] * cpuPerUnit,
-    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs, tail), cpuMilli: (run.exclusive ? capacity : run.needs ?? capacity)[resource] * cpuPerUnit }))
+    ends: [...endpoint.runs.values()].map(run => ({ at: endOf(run, now, unclaimedMs, speeds.tail), cpuMilli: (run.exclusive ? capacity : run.needs ?? capacity)[resource] * cpuPerUnit })),
+    speed: speeds.speedOf(endpoint.report)
   }
 }
 
--- a/packages/core/src/execution/shardRoom.ts
+++ b/packages/core/src/execution/shardRoom.ts
@@ -42,12 +42,11 @@
    */
   forecast (service: ServiceName, cpuMilli: number, needs?: Pick<Resources, 'memoryMb' | 'accelerators'>): SlotForecast {
     const { now, cfg } = this.ctx
-    const sizes = this.placement.packing.db.of(service)
-    const { memoryMb, accelerators } = needs ?? sizes.meanNeeds
+    const { memoryMb, accelerators } = needs ?? this.placement.packing.db.of(service).meanNeeds
     const outlooks = [...this.endpoints().db.all()]
       .filter(endpoint => endpoint.report.service === service && this.isTrusted(endpoint))
-      .map(endpoint => ({ ...outlookOf(endpoint, now, cfg.claimGraceMs, this.placement.speeds.tail, { cpuMilli, memoryMb, accelerators }), speed: this.placement.speeds.speedOf(endpoint.report) }))
-    return new SlotForecast(outlooks, cpuMilli, now, sizes.isUneven ? sizes : undefined)
+      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs, this.placement.speeds, { cpuMilli, memoryMb, accelerators }))
+    return new SlotForecast(outlooks, cpuMilli, now)
   }
 
   /** @returns false when some task would not fit even an idle endpoint of this shard */
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -135,7 +135,7 @@
     let best: { readonly index: number, readonly freeAt: number } | undefined
     for (const [index, { endpoint }] of candidates.entries()) {
       if (endpoint.report.service !== service || task.avoid.has(endpoint.id) || this.parts.placement.isQuarantined(endpoint.id) || !fits(step.spec.needs, endpoint.report.capacity)) continue
-      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs, this.parts.placement.speeds.tail).ends.map(end => end.at))
+      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs, this.parts.placement.speeds).ends.map(end => end.at))
       if (best === undefined || freeAt < best.freeAt) best = { index, freeAt }
     }
     if (best !== undefined) candidates.splice(best.index, 1)
--- a/packages/core/src/packing/idleRoom.ts
+++ b/packages/core/src/packing/idleRoom.ts
@@ -10,7 +10,7 @@
 /** Longest time for which one observation is counted; the owner looks at its room more often while tasks wait. */
 const OBSERVATION_MAX_MS = 100
 /** Time between two observations. */
-const INTERVAL_MS = 10
+const INTERVAL_MS = 50
 
 /** Adds up idle room over time. */
 export class IdleRoomMeter {
--- a/packages/core/src/packing/packingDb.ts
+++ b/packages/core/src/packing/packingDb.ts
@@ -3,21 +3,20 @@
  * since what fits beside a task depends on the sizes that occur.
  */
 import type { Resources, ServiceName } from '@cranberryyard/protocol'
-import type { Packing } from './types.js'
 
 /** Sizes kept of each service. */
 const SAMPLE_SIZE = 64
 /** Tasks that one size of the sample stands for; a job with fewer tasks is in it less often. */
 const TASKS_PER_SAMPLE = 4
 /** The derived figures are computed again once this share of the sample is new. */
-const REFRESH_SHARE = 0.125
+const REFRESH_SHARE = 0.25
 /** Tasks side by side up to which the sizes are added up one by one; beside more, their mean is precise enough. */
 const TASKS_ADDED_MAX = 8
 /** Weight of a job in the moving averages of memory and accelerators. */
 const NEEDS_WEIGHT = 0.05
 
 /** The sizes of one service's tasks. */
-export class TaskSizes implements Packing {
+export class TaskSizes {
   private readonly sample: number[] = []
   private next = 0
   private credit = TASKS_PER_SAMPLE - 1
@@ -25,6 +24,7 @@
   /** Sums of 1, 2, ... consecutive sizes from each position of the sample, in ascending order. */
   private sums: number[] = []
   private meanCpuMilli = 1
+  /** The tasks have asked for different amounts of CPU. */
   isUneven = false
   /** Mean memory and accelerators of a task. */
   meanNeeds: Pick<Resources, 'memoryMb' | 'accelerators'> = { memoryMb: 0, accelerators: 0 }
@@ -39,7 +39,7 @@
     if (this.stale >= this.sample.length * REFRESH_SHARE) this.refresh()
   }
 
-  /** The sizes in the order in which they came count as the order in which tasks fill a room. */
+  /** @returns the number of tasks that are expected to fit into an amount of CPU when they come in the order of the sample; it need not be whole */
   tasksIn (cpuMilli: number): number {
     if (this.sample.length === 0 || cpuMilli <= 0) return 0
     if (cpuMilli >= TASKS_ADDED_MAX * this.meanCpuMilli) return Math.floor(cpuMilli / this.meanCpuMilli)
--- a/packages/core/src/packing/types.ts
+++ b/packages/core/src/packing/types.ts
@@ -3,14 +3,6 @@
  */
 import type { Resources } from '@cranberryyard/protocol'
 
-/** How tasks of a service fill the room of an endpoint, as far as their sizes are known. */
-export interface Packing {
-  /** @returns the number of further tasks that are expected to fit into an amount of CPU; it grows with the CPU and need not be whole */
-  readonly tasksIn: (cpuMilli: number) => number
-  /** The tasks have asked for different amounts of CPU. */
-  readonly isUneven: boolean
-}
-
 /** Room at the end of a round of starts. */
 export interface IdleRoom {
   /** CPU of the endpoints that can be trusted. */
--- a/packages/core/src/speeds/speedsDecider.ts
+++ b/packages/core/src/speeds/speedsDecider.ts
@@ -27,7 +27,7 @@
 /** Speeds are rounded to steps of this size, so that endpoints of one kind have the same one. */
 const STEP = 0.05
 /** Recorded runs for which a derived speed is kept. */
-const REFRESH_AFTER = 16
+const REFRESH_AFTER = 64
 
 /** Estimates the speeds of endpoints. */
 export class SpeedsDecider {
