--- a/packages/core/src/placement/placementDecider.spec.ts
+++ b/packages/core/src/placement/placementDecider.spec.ts
@@ -57,6 +57,23 @@
     expect(chooseId(placement, from, { ...REQUEST, avoid: new Set(['plain' as EndpointId]) })).to.equal('labelled')
   })
 
+  it('starts a task that would be late at a slow endpoint at a quick one, and waits for one that is busy', () => {
+    const { placement } = setUp()
+    const from = candidates({ id: 'slow', cpuMilli: 16_000, labels: ['a'] }, { id: 'quick', cpuMilli: 48_000, labels: ['b'] })
+    const [slow, quick] = from as [Candidate, Candidate]
+    for (let i = 0; i < 100; i++) {
+      placement.speeds.record(slow.endpoint.report, 70, 100)
+      placement.speeds.record(quick.endpoint.report, 170, 100)
+    }
+    expect([slow, quick].map(({ endpoint }) => placement.speeds.speedOf(endpoint.report) > 1)).to.deep.equal([false, true])
+    const urgent = { ...REQUEST, timing: { runMs: 760, budgetMs: 850 } }
+    expect(chooseId(placement, from, urgent)).to.equal('quick')
+    expect(chooseId(placement, [slow], urgent)).to.equal(undefined)
+    // Late everywhere by now, it starts where there is room; one that can wait leaves the quick endpoint alone.
+    expect(chooseId(placement, [slow], { ...REQUEST, timing: { runMs: 760, budgetMs: 300 } })).to.equal('slow')
+    expect(chooseId(placement, from, { ...REQUEST, timing: { runMs: 60, budgetMs: 900 } })).to.equal('slow')
+  })
+
   it('quarantines an endpoint after two failures and trusts it again after one successful trial', () => {
     const { ctx, placement } = setUp()
     const from = candidates({ id: 'bad', cpuMilli: 16_000 })
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -56,9 +56,11 @@
 export class PlacementDecider {
   readonly db = new PlacementDb()
   readonly packing = new PackingDecider()
-  readonly speeds = new SpeedsDecider()
+  readonly speeds: SpeedsDecider
 
-  constructor (private readonly ctx: ShardContext) {}
+  constructor (private readonly ctx: ShardContext) {
+    this.speeds = new SpeedsDecider((endpoint, speed, before) => ctx.out.log('endpoint.speed', { endpoint, speed: Number(speed.toFixed(2)), before: Number(before.toFixed(2)) }))
+  }
 
   /**
    * Chooses the allowed endpoint with the lowest score.
--- a/packages/core/src/speeds/speedsDecider.ts
+++ b/packages/core/src/speeds/speedsDecider.ts
@@ -36,6 +36,11 @@
   private cache = new Map<EndpointId, number>()
   private cachedAt = 0
   private quickestKnown = 1
+  /** The speed of each endpoint that was reported last. */
+  private readonly reported = new Map<EndpointId, number>()
+
+  /** @param onChange - told when the speed of an endpoint has changed by more than the tolerance */
+  constructor (private readonly onChange: (id: EndpointId, speed: number, before: number) => void = () => {}) {}
 
   /**
    * Learns from a run that ended with success at a healthy endpoint.
@@ -57,6 +62,7 @@
   forget (id: EndpointId): void {
     this.db.forget(id)
     this.cache.delete(id)
+    this.reported.delete(id)
   }
 
   /** @returns the factor by which expected run times are divided at the endpoint */
@@ -66,6 +72,7 @@
     const speed = this.computeSpeed(report)
     this.cache.set(report.id, speed)
     this.quickestKnown = Math.max(this.quickestKnown, speed)
+    this.reportChange(report.id, speed)
     return speed
   }
 
@@ -82,6 +89,13 @@
     return 1 / (1 + Math.exp(LOGISTIC_SLOPE * deviations))
   }
 
+  private reportChange (id: EndpointId, speed: number): void {
+    const before = this.reported.get(id) ?? 1
+    if (speed / before <= TOLERANCE && before / speed <= TOLERANCE) return
+    this.reported.set(id, speed)
+    this.onChange(id, speed, before)
+  }
+
   private computeSpeed ({ id, labels }: Pick<EndpointReport, 'id' | 'labels'>): number {
     const kind = this.kindOf(labels)
     const own = this.db.ofEndpoint(id)
