--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -4,7 +4,7 @@
  * which order), placement (which endpoint), the endpoint ledger (which runs occupy which endpoint), and beside this module the
  * round of starts, the room of the shard, slow runs, faults of runs and the adoption of runs that were found.
  */
-import type { DispatchOrder, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, RunEnd, ShardMessage } from '@cranberryyard/protocol'
+import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, Resources, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { crashOf, faultOfLoss } from '../attempts/faults.js'
@@ -63,7 +63,7 @@
     this.estimates = new JobEstimates(ctx)
     this.room = new ShardRoom(ctx, placement, endpoints, failureDomain => ports.isEvacuated(failureDomain))
     this.startRound = new StartRound(ctx, { placement, attempts, admission: this.admission, estimates: this.estimates, endpoints, mayStart: job => this.mayStart(job) })
-    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates(), mayRestart: job => ports.evacuationAllowsStart(job) })
+    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates(), speedAt: id => this.speedAt(id), mayRestart: job => ports.evacuationAllowsStart(job) })
     this.faults = new RunFaults(placement, attempts, jobs => this.shareAttempts(jobs))
     this.adoption = new Adoption(ctx, attempts, this.estimates, endpoints)
   }
@@ -342,11 +342,12 @@
 
   private admit (job: OwnedJob): boolean {
     if (!this.ports.evacuationAllowsStart(job)) return this.decline(job, 'evacuated', EVACUATED_RETRY_MS)
+    this.room.learnSizes(job)
     if (!this.room.canFit(job)) return this.decline(job, 'cannotFit', this.ctx.cfg.ownerWaitMs)
     const verdict = this.admission.decide(job, {
       now: this.ctx.now,
       capacity: this.capacity(),
-      forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli),
+      forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli, largestNeeds(job)),
       lastChance: job.order.lastChance === true,
       lateCpuMilli: this.lateCpuMilli()
     })
@@ -407,10 +408,22 @@
   }
 
   private learnFromRun (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
+    const { speeds } = this.placement
+    const report = this.endpoints.db.get(run.endpoint)?.report
     const ranMs = run.ranMs ?? this.ctx.now - run.startedAt
-    this.placement.recordCompletion(run.endpoint, ranMs / healthyRunMs(step, run, this.estimates.expectedMs(job, step)))
-    step.finishedRunMs.push(ranMs)
-    if (!this.placement.isQuarantined(run.endpoint)) this.estimates.record(job, step, ranMs)
+    const speedAt = (id: EndpointId): number => this.speedAt(id)
+    const normalMs = ranMs * speedAt(run.endpoint)
+    const healthyMs = healthyRunMs(step, run, this.estimates.expectedMs(job, step), speedAt)
+    this.placement.recordCompletion(run.endpoint, normalMs / healthyMs)
+    step.finishedRunMs.push(normalMs)
+    if (this.placement.isQuarantined(run.endpoint)) return
+    if (report !== undefined) speeds.record(report, this.estimates.expectedMs(job, step), ranMs)
+    this.estimates.record(job, step, normalMs)
+  }
+
+  private speedAt (id: EndpointId): number {
+    const endpoint = this.endpoints.db.get(id)
+    return endpoint === undefined ? 1 : this.placement.speeds.speedOf(endpoint.report)
   }
 
   private taskFailed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
@@ -508,6 +521,11 @@
   }
 }
 
+/** @returns the largest memory and accelerators that a task of the job needs */
+function largestNeeds ({ steps }: OwnedJob): Pick<Resources, 'memoryMb' | 'accelerators'> {
+  return { memoryMb: Math.max(0, ...steps.map(({ spec }) => spec.needs.memoryMb)), accelerators: Math.max(0, ...steps.map(({ spec }) => spec.needs.accelerators)) }
+}
+
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -9,13 +9,15 @@
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerEndpoint } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
+import { IdleRoomMeter, strandedCpu } from '../packing/idleRoom.js'
+import type { TaskTiming } from '../speeds/types.js'
 import type { ShardContext } from '../shard/types.js'
 import { anyFits, largestFreeCpu, smallestCpuNeed } from './capacityPrecheck.js'
 import { outlookOf } from './endpointOutlook.js'
 import type { JobEstimates } from './jobEstimates.js'
 import { planStarts } from './startPlan.js'
 import type { PlannedStart, PlannedTask } from './startPlan.js'
-import type { OwnedJob } from './types.js'
+import type { OwnedJob, OwnedStep } from './types.js'
 
 /** Starts that an endpoint may have unanswered. More would wait for a connection to it until they time out, and its holds behind them. */
 const UNANSWERED_STARTS_MAX = 16
@@ -35,7 +37,11 @@
 export class StartRound {
   private isNeeded = false
 
-  constructor (private readonly ctx: ShardContext, private readonly parts: StartRoundParts) {}
+  private readonly idleRoom: IdleRoomMeter
+
+  constructor (private readonly ctx: ShardContext, private readonly parts: StartRoundParts) {
+    this.idleRoom = new IdleRoomMeter(ctx)
+  }
 
   /** Jobs or capacity have changed since the last round. */
   request (): void {
@@ -47,11 +53,17 @@
     const { admission, mayStart } = this.parts
     if (!this.isNeeded) return
     this.isNeeded = false
-    if (admission.db.waiting.size === 0) return
+    if (admission.db.waiting.size === 0) {
+      this.idleRoom.observe(undefined)
+      return
+    }
     const candidates = this.candidates()
     let largest = largestFreeCpu(candidates)
     // While the shard is full, most calls return here after one check per waiting job.
-    if (!anyFits(admission.db.waiting, largest)) return
+    if (!anyFits(admission.db.waiting, largest)) {
+      this.observeIdleRoom(candidates)
+      return
+    }
     let mayStartPartially = true
     for (const job of admission.inStartOrder(this.ctx.now)) {
       if (!mayStart(job)) continue
@@ -59,6 +71,7 @@
       if (!complete && job.firstStartAt === undefined) mayStartPartially = false
       if (complete || job.firstStartAt !== undefined) largest = largestFreeCpu(candidates)
     }
+    this.observeIdleRoom(candidates)
   }
 
   /** @returns the usable endpoints that have some free capacity */
@@ -80,6 +93,19 @@
     return UNANSWERED_STARTS_MAX - unansweredStarts(endpoint)
   }
 
+  /** Measures the room that is left beside the tasks that still wait. */
+  private observeIdleRoom (candidates: readonly Candidate[]): void {
+    const { admission, mayStart, placement } = this.parts
+    if (!this.idleRoom.isDue()) return
+    const waiting = [...admission.db.waiting].filter(mayStart).flatMap(job => job.steps.map(({ spec }) => ({ needs: spec.needs, tasks: job.demand().tasks })))
+    let totalCpuMilli = 0
+    for (const endpoint of this.parts.endpoints().db.all()) {
+      if (this.parts.endpoints().usable(endpoint) && !placement.isQuarantined(endpoint.id)) totalCpuMilli += endpoint.report.capacity.cpuMilli
+    }
+    const rooms = candidates.filter(({ endpoint }) => !placement.isQuarantined(endpoint.id)).map(({ freeCapacity }) => freeCapacity)
+    this.idleRoom.observe(waiting.length === 0 ? undefined : { totalCpuMilli, strandedCpuMilli: strandedCpu(rooms, waiting) })
+  }
+
   /**
    * Starts a job's waiting tasks.
    * @param allowPartial - whether some tasks may start while others still wait; of the jobs that have not started, only one at
@@ -94,6 +120,7 @@
       candidates: candidates.filter(({ endpoint }) => endpoints.endsWithLease(endpoint, job.runLease)),
       mayRun: (task: TaskName) => endpoints.db.runOf(task) !== undefined,
       standingOf: attempts.db.has(job.id) ? task => attempts.standingOf(task) : () => 'sound',
+      timingOf: step => this.timingOf(job, step),
       allowPartial
     })
     for (const start of plan.starts) this.startTask(job, start)
@@ -102,12 +129,19 @@
     return plan.isComplete
   }
 
+  /** @returns when the tasks of a step are due; for a job of several steps, as long as it may still wait to start */
+  private timingOf (job: OwnedJob, step: OwnedStep): TaskTiming {
+    const { now } = this.ctx
+    const runMs = this.parts.estimates.expectedMs(job, step)
+    return { runMs, budgetMs: job.steps.length === 1 ? job.latestStart + job.criticalPathMs - now : runMs + Math.max(0, job.latestStart - now) }
+  }
+
   /** Lets nothing else start in this round at the endpoint that will be unused first, so that the suspect task gets one. */
   private keepEndpointFree (service: ServiceName, { step, task }: PlannedTask, candidates: Candidate[]): void {
     let best: { readonly index: number, readonly freeAt: number } | undefined
     for (const [index, { endpoint }] of candidates.entries()) {
       if (endpoint.report.service !== service || task.avoid.has(endpoint.id) || this.parts.placement.isQuarantined(endpoint.id) || !fits(step.spec.needs, endpoint.report.capacity)) continue
-      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs).ends.map(end => end.at))
+      const freeAt = Math.max(0, ...outlookOf(endpoint, this.ctx.now, this.ctx.cfg.claimGraceMs, this.parts.placement.speeds).ends.map(end => end.at))
       if (best === undefined || freeAt < best.freeAt) best = { index, freeAt }
     }
     if (best !== undefined) candidates.splice(best.index, 1)
@@ -115,7 +149,7 @@
 
   private startTask (job: OwnedJob, { step, task, candidate, exclusive }: PlannedStart): void {
     task.lastRun++
-    task.run = this.parts.endpoints().start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.parts.estimates.expectedMs(job, step), exclusive, lease: job.runLease })
+    task.run = this.parts.endpoints().start(candidate.endpoint, task.name, task.lastRun, { spec: job.order.job.spec, needs: step.spec.needs, expectedMs: this.parts.estimates.expectedMs(job, step) / this.parts.placement.speeds.speedOf(candidate.endpoint.report), exclusive, lease: job.runLease })
     this.recordFirstStart(job)
   }
 
