Endpoints of a domain that is taken back have their trust again

Cause: with all endpoints of a domain set aside, admission declines every job, so no trial comes that would bring one back. Change: an owner forgets its judgement when the domain is taken back. The spec fails without it.

--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -429,6 +429,7 @@
     handle(6, { type: 'evacuations', evacuations: EVACUATIONS })
     expect(submit(7)).to.include('reply').and.not.to.include('startTask')
     expect(load(8)).to.deep.equal([{ waitMs: SHARD_DEFAULTS.ownerWaitMs, busyShare: 1 }])
+    core.placement.recordSlowRun(ENDPOINT.id, 10)
     handle(9, { type: 'evacuations', evacuations: { revision: 8, domains: [] } })
     expect(load(10)).to.deep.equal([{ waitMs: 0, busyShare: 0 }])
     expect(submit(11)).to.include('startTask')
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -398,13 +398,15 @@
 
   /**
    * Acts on evacuations that have just been learned. The owners of these domains are told at once: one that the store does not serve hears of them
-   * from its fronts otherwise only when it is silent, and its answer shows the room that is back.
+   * from its fronts otherwise only when it is silent, and its answer shows the room that is back. Endpoints that come back have their trust again: they
+   * got no trial meanwhile, and are often not what they were.
    */
   private evacuationsChanged ({ evacuated, ended }: EvacuationChange, source: string): void {
     const { out, self } = this.ctx
     for (const shard of evacuated) {
       if (this.ownership.db.owned.has(shard)) out.log('evacuation.emptying', { shard, ownedJobs: this.execution.db.jobs.size, waitingJobs: this.execution.admission.db.waiting.size, runs: this.execution.runsIn(shard) })
     }
+    for (const { id } of ended.flatMap(shard => this.endpoints.db.inFailureDomain(shard))) this.placement.db.forget(id)
     this.execution.evacuationsChanged()
     const owners = [...evacuated, ...ended, self.failureDomain].flatMap(failureDomain => this.sessions.ownerOf(failureDomain) ?? [])
     for (const owner of new Set(owners)) if (owner !== source) this.sessions.tell(owner)
