--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -23,6 +23,7 @@
   .option('seeds', { type: 'number', default: 3, describe: 'Number of runs of each shape and policy' })
   .option('seed', { type: 'number', default: 1, describe: 'First seed' })
   .option('without', { type: 'string', array: true, default: [] as string[], choices: ['all', ...POLICIES.slice(1).map(({ name }) => name)], describe: 'Mechanisms to switch off, one at a time' })
+  .option('rate', { type: 'number', array: true, default: [1], describe: 'Multiples of the traffic at which each shape is played' })
   .option('plots', { type: 'string', describe: 'Folder for an SVG of each shape' })
   .strict()
   .parse()
@@ -35,10 +36,15 @@
 }
 
 const policies = POLICIES.filter(({ name }, i) => i === 0 || args.without.includes('all') || args.without.includes(name))
-const report = args.shape.map(file => playShape(readShape(file)))
+const report = args.shape.flatMap(file => args.rate.map(rate => playShape(atRate(readShape(file), rate))))
 console.log(JSON.stringify(report))
 process.exit(report.every(({ policies: [product] }) => product?.violations === 0) ? 0 : 1)
 
+function atRate (shape: LoadShape, rate: number): LoadShape {
+  if (rate === 1) return shape
+  return { ...shape, name: `${shape.name} x${rate}`, kinds: shape.kinds.map(kind => ({ ...kind, perSecond: kind.perSecond * rate })) }
+}
+
 function playShape (shape: LoadShape): { readonly shape: string, readonly reference: number, readonly policies: readonly PolicyResult[] } {
   const seeds = Array.from({ length: args.seeds }, (_, i) => args.seed + i)
   const reference = estimate(seeds.map(seed => referenceShare(shape, seed)))
@@ -68,8 +74,9 @@
   const figure = (pick: (summary: Summary) => number): string => estimate(summaries.map(pick)).mean.toFixed(3)
   const kinds = Object.keys(summaries[0]?.byKind ?? {}).map(kind => `${kind} ${figure(summary => summary.byKind[kind]?.value ?? 0)} (widest ${figure(summary => summary.widest[kind]?.value ?? 0)})`)
   const { mean, plusMinus } = difference(product.summaries, summaries)
+  const domains = Object.keys(summaries[0]?.byDomain ?? {}).map(domain => figure(summary => summary.byDomain[domain]?.value ?? 0))
   const compared = policy === product.policy ? '' : `; ${mean.toFixed(3)} +- ${plusMinus.toFixed(3)} against the product`
-  return `${policy === product.policy ? policy : `without ${policy}`}: value ${figure(s => s.all.value)}, on time ${figure(s => s.all.onTime)}, late ${figure(s => s.all.late)}, refused ${figure(s => s.all.refused)}, failed ${figure(s => s.all.failed)}; ${kinds.join(', ')}; violations ${violations}${compared}`
+  return `${policy === product.policy ? policy : `without ${policy}`}: value ${figure(s => s.all.value)}, on time ${figure(s => s.all.onTime)}, late ${figure(s => s.all.late)}, refused ${figure(s => s.all.refused)}, failed ${figure(s => s.all.failed)}; ${kinds.join(', ')}; domains ${domains.join(' ')}; violations ${violations}${compared}`
 }
 
 function writePlot (folder: string, shape: LoadShape, results: readonly PolicyResult[]): void {
--- a/packages/bench/src/load/arrivals.ts
+++ b/packages/bench/src/load/arrivals.ts
@@ -34,18 +34,34 @@
 function planKind (shape: LoadShape, kind: JobKind, seed: number): PlannedJob[] {
   const uniform = uniformSource(seed)
   const jobs: PlannedJob[] = []
-  const peak = Math.max(1, ...shape.faults.map(fault => fault.type === 'burst' ? fault.factor : 1)) ** 2
-  const gapMs = randomExponential.source(uniform)(kind.perSecond * peak / 1000)
+  const peak = Math.max(1, ...shape.faults.map(fault => fault.type === 'burst' && fault.domain === undefined ? fault.factor : 1)) ** 2
+  const domainPeak = domainPeakOf(shape)
+  const gapMs = randomExponential.source(uniform)(kind.perSecond * peak * domainPeak / 1000)
   for (let atMs = gapMs(); atMs < shape.durationS * 1000; atMs += gapMs()) {
-    if (uniform() * peak < rateFactor(shape.faults, kind, atMs)) jobs.push(drawJob(shape, kind, atMs, uniform))
+    if (uniform() * peak >= rateFactor(shape.faults, kind, atMs)) continue
+    const job = drawJob(shape, kind, atMs, uniform)
+    // Shapes without such differences draw no number for them, so that their jobs stay the same.
+    if (domainPeak === 1 || uniform() * domainPeak < domainFactor(shape, job)) jobs.push(job)
   }
   return jobs
 }
 
-function rateFactor (faults: readonly LoadFault[], kind: JobKind, atMs: number): number {
+function domainPeakOf ({ waves, faults }: LoadShape): number {
+  return (1 + (waves?.swing ?? 0)) * Math.max(1, ...faults.map(fault => fault.type === 'burst' && fault.domain !== undefined ? fault.factor : 1))
+}
+
+/** @returns how much more traffic than on average comes from the callers of the job's domain at its time */
+function domainFactor ({ waves, faults }: LoadShape, { atMs, domain, kind }: PlannedJob): number {
+  const burst = rateFactor(faults.filter(fault => fault.type === 'burst' && fault.domain === domain), kind, atMs, domain)
+  if (waves === undefined) return burst
+  const phase = waves.phases[domain % waves.phases.length] ?? 0
+  return burst * (1 + waves.swing * Math.sin(2 * Math.PI * (atMs / 1000 / waves.periodS + phase)))
+}
+
+function rateFactor (faults: readonly LoadFault[], kind: JobKind, atMs: number, domain?: number): number {
   let factor = 1
   for (const fault of faults) {
-    if (fault.type !== 'burst' || (fault.kind !== undefined && fault.kind !== kind.name)) continue
+    if (fault.type !== 'burst' || fault.domain !== domain || (fault.kind !== undefined && fault.kind !== kind.name)) continue
     if (atMs >= fault.atS * 1000 && atMs < (fault.atS + fault.forS) * 1000) factor *= fault.factor
   }
   return factor
@@ -54,7 +70,7 @@
 function drawJob (shape: LoadShape, kind: JobKind, atMs: number, uniform: () => number): PlannedJob {
   const width = Math.max(1, Math.round(drawAround(kind.width, kind.widthSpread, uniform)))
   const jobRunMs = drawAround(kind.runMs, kind.runSpread, uniform)
-  const runMs = Array.from({ length: width }, () => drawAround(jobRunMs, kind.unevenness, uniform))
+  const runMs = Array.from({ length: width }, () => drawAround(jobRunMs, kind.unevenness, uniform) * (kind.tail > 0 && uniform() < kind.tail ? kind.tailFactor : 1))
   const meanWork = kind.width * kind.runMs
   const work = runMs.reduce((a, b) => a + b, 0)
   const estimateMs = Math.max(1, Math.round(jobRunMs * randomUniform.source(uniform)(1 - kind.estimateError, 1 + kind.estimateError)()))
--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -21,7 +21,7 @@
     name: 'declines',
     description: 'every job is admitted, and none is declined while it waits',
     apply: () => {
-      const undoDecide = replaceMethod(sample.execution.admission, 'decide', () => () => ({ type: 'admit', late: false }))
+      const undoDecide = replaceMethod(sample.execution.admission, 'decide', () => () => ({ type: 'admit', late: false, displaced: [] }))
       const undoDecline = replaceMethod(sample.execution.admission, 'jobsToDecline', () => () => [])
       return () => {
         undoDecide()
@@ -29,6 +29,11 @@
       }
     }
   },
+  {
+    name: 'shedding',
+    description: 'where not all jobs can be on time, the one that misses is declined, whatever it costs',
+    apply: () => replaceMethod(sample.execution.admission.shedding, 'victimsFor', () => () => undefined)
+  },
   {
     name: 'order',
     description: 'waiting jobs start in the order in which they arrived',
--- a/packages/bench/src/load/shape.ts
+++ b/packages/bench/src/load/shape.ts
@@ -30,6 +30,9 @@
   runSpread: share.default(0.4),
   /** The same between the tasks of one job. */
   unevenness: share.default(0.15),
+  /** Share of the tasks that take `tailFactor` times as long, which no estimate tells. */
+  tail: share.default(0),
+  tailFactor: positive.default(1),
   cpuMilli: z.int().positive(),
   cpuSpread: share.default(0.2),
   /** The estimate that a job states is off by up to this share of the true run time. */
@@ -45,8 +48,8 @@
 })
 
 const fault = z.discriminatedUnion('type', [
-  /** More jobs, of one kind or of all. */
-  z.strictObject({ type: z.literal('burst'), ...span, factor: positive, kind: z.string().optional() }),
+  /** More jobs, of one kind or of all, from the callers of one failure domain or of all. */
+  z.strictObject({ type: z.literal('burst'), ...span, factor: positive, kind: z.string().optional(), domain: z.int().min(0).optional() }),
   z.strictObject({ type: z.literal('slowEndpoints'), ...span, share, factor: positive }),
   z.strictObject({ type: z.literal('hangingEndpoints'), ...span, share }),
   z.strictObject({ type: z.literal('failingEndpoints'), ...span, share }),
@@ -61,6 +64,9 @@
   z.strictObject({ type: z.literal('rollingRestart'), atS: z.number().min(0), gapS: positive })
 ])
 
+/** Traffic that swings around its mean by up to this share, in each failure domain with a phase of its own (in periods). */
+const waves = z.strictObject({ swing: share, periodS: positive, phases: z.array(z.number()).min(1) })
+
 const schema = z.strictObject({
   name: z.string(),
   /** The load that the shape stands for. */
@@ -70,6 +76,7 @@
   instancesPerDomain: z.int().positive().default(2),
   /** Share of the callers' traffic that each domain gets; equal when empty. */
   traffic: z.array(positive).default([]),
+  waves: waves.optional(),
   endpoints: z.array(endpointKind).min(1),
   kinds: z.array(jobKind).min(1),
   faults: z.array(fault).default([])
--- a/packages/core/src/admission/admissionDecider.spec.ts
+++ b/packages/core/src/admission/admissionDecider.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { ServiceName } from '@cranberryyard/protocol'
+import type { QueueName, ServiceName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { AdmissionDecider } from './admissionDecider.js'
 import { SlotForecast } from './slotForecast.js'
@@ -27,6 +27,10 @@
   return {
     name,
     service: SERVICE,
+    queue: 'q' as QueueName,
+    calledAt: ms(1000),
+    width: tasks,
+    workAsked: tasks * SLOT_CPU_MILLI * 100,
     priority: 0,
     criticalPathMs: ms(100),
     latestStart: ms(1100),
@@ -71,7 +75,7 @@
 
   it('counts the runs in progress: a full shard with an empty queue has no slot yet', () => {
     const admission = new AdmissionDecider<NamedWork>()
-    expect(admission.decide(makeWork('narrow', { tasks: 2, latestStart: ms(1050) }), makeInput(FULL))).to.deep.equal({ type: 'admit', late: false })
+    expect(admission.decide(makeWork('narrow', { tasks: 2, latestStart: ms(1050) }), makeInput(FULL))).to.deep.equal({ type: 'admit', late: false, displaced: [] })
     expect(admission.decide(makeWork('wide', { tasks: 8, latestStart: ms(1050) }), makeInput(FULL)).type).to.equal('decline')
   })
 
@@ -79,16 +83,16 @@
     const admission = new AdmissionDecider<NamedWork>()
     const wide = makeWork('wide', { tasks: 20, latestStart: ms(1050) })
     expect(admission.decide(wide, makeInput(IDLE)).type).to.equal('decline')
-    expect(admission.decide(wide, makeInput(IDLE, { lastChance: true }))).to.deep.equal({ type: 'admit', late: true })
+    expect(admission.decide(wide, makeInput(IDLE, { lastChance: true }))).to.deep.equal({ type: 'admit', late: true, displaced: [] })
     expect(admission.decide(wide, makeInput(IDLE, { lastChance: true, lateCpuMilli: 50_000 })).type).to.equal('decline')
   })
 
   it('does not count the jobs of another service, which run on other endpoints', () => {
     const admission = new AdmissionDecider<NamedWork>()
     for (let i = 0; i < 100; i++) admission.db.waiting.add(makeWork(`other ${i}`, { service: 'other' as ServiceName, latestStart: ms(1050) }))
-    expect(admission.decide(makeWork('new'), makeInput(IDLE))).to.deep.equal({ type: 'admit', late: false })
+    expect(admission.decide(makeWork('new'), makeInput(IDLE))).to.deep.equal({ type: 'admit', late: false, displaced: [] })
     admission.db.waiting.add(makeWork('waits'))
-    expect(admission.jobsToDecline(makeInput(IDLE)).map(job => job.name)).not.to.include('waits')
+    expect(admission.jobsToDecline(makeInput(IDLE)).map(({ job }) => job.name)).not.to.include('waits')
   })
 
   it('declines only the jobs of a burst that exceed the capacity, and never a job that may have run', () => {
@@ -96,7 +100,7 @@
     // A start is on time until 1700, so seven rounds of ten jobs, which take 100 ms each, start in time, and the margin allows no eighth.
     for (let i = 0; i < 100; i++) admission.db.waiting.add(makeWork(`burst ${i}`, { latestStart: ms(1650) }))
     admission.db.waiting.add(makeWork('has run', { mayHaveRun: true, latestStart: ms(4999), criticalPathMs: ms(1) }))
-    const declined = admission.jobsToDecline(makeInput(IDLE)).map(job => job.name)
+    const declined = admission.jobsToDecline(makeInput(IDLE)).map(({ job }) => job.name)
     expect(declined).to.have.length(30)
     expect(declined).not.to.include('has run')
   })
@@ -105,7 +109,7 @@
     const admission = new AdmissionDecider<NamedWork>()
     admission.db.waiting.add(makeWork('late', { admittedLate: true, latestStart: ms(950) }))
     admission.db.waiting.add(makeWork('started late', { admittedLate: true, latestStart: ms(950), started: true }))
-    expect(admission.jobsToDecline(makeInput(IDLE)).map(job => job.name)).to.deep.equal(['late'])
+    expect(admission.jobsToDecline(makeInput(IDLE)).map(({ job }) => job.name)).to.deep.equal(['late'])
   })
 
   it('admits no job late while another job waits for room', () => {
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -4,15 +4,16 @@
  * Jobs whose answer is no longer useful come last, started or not. A job that has not started is declined as soon as the
  * forecast shows that it cannot be on time; few exceptions keep jobs from being refused everywhere. This matters under overload, that is when a burst of one or all kinds of jobs
  * exceeds the capacity of the shard or a failure domain loses endpoints: a queue of jobs that can only be late would then
- * make the jobs that arrive behind them late as well.
+ * make the jobs that arrive behind them late as well. Which jobs are given up where not all can be on time is the shedding decision.
  */
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { JobCost } from '../shedding/jobCost.js'
+import { SheddingDecider } from '../shedding/sheddingDecider.js'
+import type { ShedJob } from '../shedding/types.js'
 import { AdmissionDb } from './admissionDb.js'
 import type { AdmissionInput, AdmissionVerdict, QueuedWork, ShardCapacity } from './types.js'
 
-/** Added to the latest start per priority level when jobs are ordered; a higher number is less important. */
-const PRIORITY_STEP_MS = 150
 /** Share of a shard's capacity that jobs which can only be late may occupy. */
 const LATE_SHARE_MAX = 0.1
 /** Share of the capacity that can be used, since tasks of uneven size do not fill endpoints completely. */
@@ -20,28 +21,42 @@
 /** Shortest and longest retry delay given to a declined caller. */
 const RETRY_MIN_MS = 1000
 const RETRY_MAX_MS = 5000
+const CORE_MS_PER_CORE_SECOND = 1_000_000
+/** Successive multiples of this, without their whole part, fill the interval from 0 to 1 evenly. */
+const GOLDEN_RATIO = 0.618_034
 /** Upper bound of the reported wait; without any usable capacity the wait would be unbounded. */
 const BACKLOG_MAX_MS = 60_000
 
 /** Orders and declines the waiting jobs of one owner. */
 export class AdmissionDecider<T extends QueuedWork> {
   readonly db = new AdmissionDb<T>()
+  readonly shedding = new SheddingDecider<T>()
+  private retries = 0
 
   /**
-   * Admits a newly arrived job that can be on time behind the jobs ahead of it. One that can only be late is admitted
-   * if no other shard is left, it starts at once, and late jobs occupy little of the shard.
+   * Admits a newly arrived job that can be on time behind the jobs ahead of it, or in the place of some whose refusal costs less. One that can
+   * only be late is admitted if no other shard is left, it starts at once, and late jobs occupy little of the shard.
    */
-  decide (job: QueuedWork, input: AdmissionInput): AdmissionVerdict {
-    const { capacity, lastChance } = input
-    const start = this.forecastStart(job, input)
-    if (start <= job.latestStart) return { type: 'admit', late: false }
-    if (lastChance && this.startsLate(job, start, input)) return { type: 'admit', late: true }
-    return { type: 'decline', retryAfterMs: this.retryAfter(capacity) }
+  decide (job: QueuedWork, input: AdmissionInput): AdmissionVerdict<T> {
+    const { now, capacity, lastChance } = input
+    this.shedding.db.jobArrived(job)
+    const verdict = this.assess(job, input)
+    if (verdict.type === 'admit') {
+      this.shedding.db.recordKept(job, now)
+      this.recordShed(verdict.displaced, now)
+      return verdict
+    }
+    if (lastChance && this.startsLate(job, verdict.start, input)) {
+      this.shedding.db.recordKept(job, now)
+      return { type: 'admit', late: true, displaced: [] }
+    }
+    this.shedding.db.recordTurnedAway(job, this.shedding.priceOf(job, now), false, now)
+    return { type: 'decline', retryAfterMs: this.retryAfter(capacity, now) }
   }
 
   /** @returns the waiting jobs in the order in which their tasks start */
   inStartOrder (now: Ms): T[] {
-    const ranked = [...this.db.waiting].map(job => ({ job, tier: tier(job, now), rank: rank(job) }))
+    const ranked = [...this.db.waiting].map(job => ({ job, tier: tier(job, now), rank: JobCost.rankOf(job) }))
     return ranked.sort((a, b) => a.tier - b.tier || a.rank - b.rank).map(({ job }) => job)
   }
 
@@ -51,18 +66,16 @@
    * late has started by then, unless its room was lost.
    * @returns jobs that cannot be on time
    */
-  jobsToDecline ({ now, forecast: makeForecast }: Pick<AdmissionInput, 'now' | 'forecast'>): T[] {
-    const declined: T[] = []
+  jobsToDecline ({ now, forecast: makeForecast }: Pick<AdmissionInput, 'now' | 'forecast'>): ShedJob<T>[] {
+    const declined: ShedJob<T>[] = []
     const order = this.inStartOrder(now)
     for (const service of new Set(order.map(job => job.service))) {
       const ofService = order.filter(job => job.service === service)
-      const forecast = makeForecast(service, meanCpu(ofService))
-      for (const job of ofService) {
-        const isTooLate = now > job.latestStart || job.admittedLate || forecast.peek(job.demand()) > job.latestStart
-        if (isTooLate && !job.mayHaveRun) declined.push(job)
-        else forecast.reserve(job.demand())
-      }
+      const cpuMilli = meanCpu(ofService)
+      declined.push(...this.shedding.plan(ofService, () => makeForecast(service, cpuMilli), now).shed)
     }
+    this.shedding.db.expire(now)
+    this.recordShed(declined, now)
     return declined
   }
 
@@ -73,9 +86,14 @@
     return ms(Math.min(BACKLOG_MAX_MS, waiting / usableCpu(capacity)))
   }
 
-  /** @returns delay after which callers that are declined now should retry */
-  retryAfter (capacity: ShardCapacity): Ms {
-    return ms(Math.min(RETRY_MAX_MS, Math.max(RETRY_MIN_MS, this.backlogMs(capacity))))
+  /**
+   * Spreads the callers over the time that the work which was turned away of late would take, so that they don't return as one crowd.
+   * @returns delay after which a caller that is declined now should retry
+   */
+  retryAfter (capacity: ShardCapacity, now: Ms): Ms {
+    const excessMs = this.shedding.db.turnedAwayOfLate(now) * CORE_MS_PER_CORE_SECOND / usableCpu(capacity)
+    const spread = ++this.retries * GOLDEN_RATIO % 1 * excessMs
+    return ms(Math.min(RETRY_MAX_MS, Math.max(RETRY_MIN_MS, this.backlogMs(capacity)) + spread))
   }
 
   /**
@@ -85,22 +103,27 @@
   private startsLate (job: QueuedWork, lastStart: Ms, { now, capacity, forecast: makeForecast, lateCpuMilli }: AdmissionInput): boolean {
     const { tasks, cpuMilli } = job.demand()
     const isWithinShare = lateCpuMilli === 0 || lateCpuMilli + tasks * cpuMilli <= capacity.totalCpuMilli * LATE_SHARE_MAX
-    if (!isWithinShare || this.db.waiting.size > 0 || lastStart + job.criticalPathMs > job.usefulUntil) return false
+    if (!isWithinShare || this.db.waiting.size > 0 || !this.shedding.isLateWorthRoom(job, ms(lastStart + job.criticalPathMs), now)) return false
     return makeForecast(job.service, cpuMilli).peek({ tasks: 1 }) <= now
   }
 
-  /** @returns when the last task of the job can start behind the jobs that are ahead of it */
-  private forecastStart (job: QueuedWork, { now, forecast: makeForecast }: AdmissionInput): Ms {
+  private assess (job: QueuedWork, { now, forecast: makeForecast }: AdmissionInput): Extract<AdmissionVerdict<T>, { type: 'admit' }> | { readonly type: 'miss', readonly start: Ms } {
     const demand = job.demand()
+    const ahead = this.inStartOrder(now).filter(other => other.service === job.service && this.compare(other, job, now) <= 0)
     const forecast = makeForecast(job.service, demand.cpuMilli)
-    for (const other of this.inStartOrder(now)) {
-      if (other !== job && other.service === job.service && this.compare(other, job, now) <= 0) forecast.reserve(other.demand())
-    }
-    return forecast.reserve(demand)
+    for (const other of ahead) forecast.reserve(other.demand())
+    const start = forecast.reserve(demand)
+    if (start <= job.latestStart) return { type: 'admit', late: false, displaced: [] }
+    const displaced = this.shedding.displace(job, ahead, () => makeForecast(job.service, demand.cpuMilli), now)
+    return displaced === undefined ? { type: 'miss', start } : { type: 'admit', late: false, displaced }
+  }
+
+  private recordShed (shed: readonly ShedJob<T>[], now: Ms): void {
+    for (const { job, price } of shed) this.shedding.db.recordTurnedAway(job, price, true, now)
   }
 
   private compare (a: QueuedWork, b: QueuedWork, now: Ms): number {
-    return tier(a, now) - tier(b, now) || rank(a) - rank(b)
+    return tier(a, now) - tier(b, now) || JobCost.rankOf(a) - JobCost.rankOf(b)
   }
 }
 
@@ -122,10 +145,6 @@
   return tasks === 0 ? 1 : cpuMilli / tasks
 }
 
-function rank (job: QueuedWork): number {
-  return job.latestStart + job.priority * PRIORITY_STEP_MS
-}
-
 function usableCpu (capacity: ShardCapacity): number {
   return Math.max(1, capacity.totalCpuMilli * PACKING_SHARE)
 }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -3,6 +3,7 @@
  * job only through these, without its steps, tasks and endpoints.
  */
 import type { Ms, ServiceName } from '@cranberryyard/protocol'
+import type { ShedJob, SheddableWork } from '../shedding/types.js'
 import type { Demand, SlotForecast } from './slotForecast.js'
 
 /** Deadlines and expected duration of a job; times are on this instance's clock. */
@@ -16,7 +17,7 @@
 }
 
 /** What admission needs to know about a waiting job. */
-export interface QueuedWork extends JobTimes {
+export interface QueuedWork extends JobTimes, SheddableWork {
   readonly service: ServiceName
   readonly priority: number
   /** Whether some task has started. The remaining tasks then take precedence, so that finished work is not wasted. */
@@ -53,6 +54,7 @@
 }
 
 /** Whether a job is admitted, and otherwise when its caller should retry. */
-export type AdmissionVerdict =
-  | { readonly type: 'admit', readonly late: boolean }
+export type AdmissionVerdict<T> =
+  /** `displaced`: waiting jobs that are declined so that this one is on time. */
+  | { readonly type: 'admit', readonly late: boolean, readonly displaced: readonly ShedJob<T>[] }
   | { readonly type: 'decline', readonly retryAfterMs: Ms }
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -13,7 +13,8 @@
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
 import type { LedgerEndpoint, LedgerRun, RejectionReason, RunListener, RunLoss } from '../endpoints/types.js'
 import type { PlacementDecider } from '../placement/placementDecider.js'
-import type { ShardContext } from '../shard/types.js'
+import type { ShedJob } from '../shedding/types.js'
+import type { LogFields, ShardContext } from '../shard/types.js'
 import { Adoption } from './adoption.js'
 import { ExecutionDb, runsEndBy } from './executionDb.js'
 import { JobEstimates } from './jobEstimates.js'
@@ -315,6 +316,7 @@
     })
     if (verdict.type === 'decline') return this.decline(job, 'overloaded', verdict.retryAfterMs)
     job.admittedLate = verdict.late
+    this.shed(verdict.displaced)
     return true
   }
 
@@ -328,11 +330,21 @@
     return cpuMilli
   }
 
-  private decline (job: OwnedJob, why: string, retryAfterMs: Ms): false {
+  /** Declines jobs that had been admitted. All are forgotten first, so that none counts as waiting behind another. */
+  private shed (jobs: readonly ShedJob<OwnedJob>[]): void {
+    const retryAfterMs = (): Ms => this.admission.retryAfter(this.capacity(), this.ctx.now)
+    for (const { job } of jobs) this.forget(job)
+    for (const { job, why, price, keptPrice } of jobs) {
+      this.ctx.out.count('shard.jobs.shed')
+      this.decline(job, why, retryAfterMs(), { price: round(price), keptPrice: round(keptPrice) })
+    }
+  }
+
+  private decline (job: OwnedJob, why: string, retryAfterMs: Ms, prices: LogFields = {}): false {
     const { out, now } = this.ctx
     this.db.keepDropped(job.id, job.front, job.attempt, !job.mayHaveRun, now)
     out.count('shard.jobs.declined')
-    out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.capacity())), waitingJobs: this.admission.db.waiting.size })
+    out.log('job.declined', { job: job.id, why, front: job.front.instance, queue: job.order.queue.name, waitedMs: Math.round(now - job.receivedAt), backlogMs: Math.round(this.admission.backlogMs(this.capacity())), waitingJobs: this.admission.db.waiting.size, price: round(this.admission.shedding.priceOf(job, now)), roomPrice: round(this.admission.shedding.db.roomPrice(now)), retryAfterMs: Math.round(retryAfterMs), ...prices })
     this.ports.sendToFront(job.front, { type: 'declined', jobId: job.id, attempt: job.attempt, retryAfterMs })
     return false
   }
@@ -394,6 +406,7 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
+    if (outcome === 'completed') this.admission.shedding.db.recordServed(job, now)
     out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job), ...this.copyAges(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
@@ -454,13 +467,15 @@
     const { now } = this.ctx
     if (now < this.nextReassessmentAt || this.admission.db.waiting.size === 0) return
     this.nextReassessmentAt = ms(now + REASSESS_INTERVAL_MS)
-    const capacity = this.capacity()
-    const tooLate = this.admission.jobsToDecline({ now, forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli) })
-    for (const job of tooLate) this.forget(job)
-    for (const job of tooLate) this.decline(job, 'tooLate', this.admission.retryAfter(capacity))
+    this.shed(this.admission.jobsToDecline({ now, forecast: (service, cpuMilli) => this.room.forecast(service, cpuMilli) }))
   }
 }
 
 function doneTasks (job: OwnedJob): string[] {
   return job.steps.flatMap(step => step.tasks.filter(task => task.done).map(task => `${task.step}.${task.index}`))
 }
+
+/** Prices in logs have three digits; that of a job which goes before all others is left out. */
+function round (price: number | undefined): number | undefined {
+  return price === undefined || !Number.isFinite(price) ? undefined : Number(price.toFixed(3))
+}
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -12,6 +12,7 @@
   'shard.jobs.joined': 'Submissions joined to a job that was already known.',
   'shard.jobs.outdated': 'Copies of jobs that an owner did not take, since their fronts may have given them up.',
   'shard.jobs.declined': 'Jobs that an owner turned away before any start.',
+  'shard.jobs.shed': 'Admitted jobs that an owner turned away before any start, since they could not be on time or a dearer one was in their place.',
   'shard.tasks.started': 'Start orders sent to endpoints, repeats included.',
   'shard.tasks.startSilent': 'Start orders without an answer in time.',
   'shard.tasks.startRejected': 'Start orders that an endpoint rejected.',
--- /dev/null
+++ b/packages/core/src/shedding/jobCost.ts
@@ -0,0 +1,72 @@
+/**
+ * The cost model of shedding: what the delay or refusal of a job costs its caller, in core-seconds of answers on time. It
+ * assumes no more than what a contract and a job state:
+ *
+ * - A caller asks for an amount of work because the answer is worth at least that much to it, and loses something however
+ *   little it has asked for.
+ * - A level of priority halves what the same loss counts.
+ * - A late answer is worth at most half of one on time, and falls to nothing by the time after which it is of no use.
+ * - A caller that has waited and is then refused has lost the time as well.
+ *
+ * The price of a job is its loss per core-second of the room that its refusal frees.
+ */
+import type { Ms } from '@cranberryyard/protocol'
+import type { SheddableWork } from './types.js'
+
+/** What a caller loses with a refusal beside the work that it asked for, in core-seconds. */
+const CALLER_CORE_SECONDS = 1
+/** How much less a loss counts at the next level of priority. */
+const LEVEL_RATIO = 2
+/** Levels beyond the last count like it. */
+const LEVEL_MAX = 9
+/** Scale of the error of a forecast of starts: of two jobs, the one with more slack by this much is less likely to miss by a factor of e. */
+const FORECAST_ERROR_MS = 216
+/** What an answer just after its objective is worth, as a share of one on time. */
+const LATE_SHARE = 0.5
+/** Work of one job from which a larger claim counts no more, in core-seconds; it bounds what wrong estimates do to others. */
+const WORK_MAX = 10_000
+const CORE_MS_PER_CORE_SECOND = 1_000_000
+
+/** Cost of delays and refusals. */
+export class JobCost {
+  /** Upper bound of finite prices. */
+  static readonly PRICE_MAX = 1000
+
+  /** @returns the level of priority, within bounds whatever the contract says */
+  static levelOf ({ priority }: Pick<SheddableWork, 'priority'>): number {
+    return Number.isNaN(priority) ? LEVEL_MAX : Math.min(LEVEL_MAX, Math.max(0, priority))
+  }
+
+  /** @returns work that the job asks for, in core-seconds */
+  static coreSecondsOf ({ workAsked }: Pick<SheddableWork, 'workAsked'>): number {
+    return Number.isNaN(workAsked) ? 0 : Math.min(WORK_MAX, Math.max(0, workAsked / CORE_MS_PER_CORE_SECOND))
+  }
+
+  /** @returns what the caller loses when the job is refused at once, in core-seconds of the most important level */
+  static lossOf (job: Pick<SheddableWork, 'priority' | 'workAsked'>): number {
+    return (CALLER_CORE_SECONDS + JobCost.coreSecondsOf(job)) / LEVEL_RATIO ** JobCost.levelOf(job)
+  }
+
+  /** @returns the same per core-second; a job that claims to need next to nothing frees nothing either */
+  static priceOf (job: SheddableWork, now: Ms): number {
+    const waited = Math.min(1, Math.max(0, now - job.calledAt) / Math.max(1, job.latestStart + job.criticalPathMs - job.calledAt))
+    return JobCost.lossOf(job) / Math.max(CALLER_CORE_SECONDS, JobCost.coreSecondsOf(job)) * (1 + waited)
+  }
+
+  /** @returns share of its worth that an answer keeps which ends at the given time */
+  static shareKept ({ latestStart, criticalPathMs, usefulUntil }: Pick<SheddableWork, 'latestStart' | 'criticalPathMs' | 'usefulUntil'>, endsAt: Ms): number {
+    const dueAt = latestStart + criticalPathMs
+    if (endsAt <= dueAt) return 1
+    if (endsAt >= usefulUntil) return 0
+    return LATE_SHARE * (usefulUntil - endsAt) / (usefulUntil - dueAt)
+  }
+
+  /**
+   * Of two jobs that may both miss, the one with the larger expected loss goes first. The chance of a miss falls exponentially
+   * with the slack, so a level of priority counts a fixed time.
+   * @returns the latest start, put off by what the priority allows
+   */
+  static rankOf (job: Pick<SheddableWork, 'latestStart' | 'priority'>): number {
+    return job.latestStart + JobCost.levelOf(job) * FORECAST_ERROR_MS * Math.log(LEVEL_RATIO)
+  }
+}
--- /dev/null
+++ b/packages/core/src/shedding/sheddingDb.ts
@@ -0,0 +1,121 @@
+/**
+ * State of the shedding decision: how much of each queue was kept and turned away of late, since when a queue has been
+ * turned away entirely, and the price of the work that was turned away. It is kept in memory and forgotten by a new owner,
+ * for which all queues count as served.
+ */
+import type { Ms, QueueName } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
+import { JobCost } from './jobCost.js'
+import type { GroupKey, SheddableWork } from './types.js'
+
+/** Time constant with which decisions are forgotten; a few times the latency objective of most jobs. */
+const MEMORY_MS = 2000
+/** Jobs with more tasks than this multiple of their queue's mean count as wide. */
+const WIDE_FACTOR = 1.5
+/** Weight of a job in the mean width of its queue. */
+const WIDTH_WEIGHT = 0.02
+/** Groups that have not been asked for this long are dropped. */
+const IDLE_MS = 30_000
+
+interface Group {
+  at: Ms
+  /** What the callers of the jobs that were kept and turned away would have lost or lost, in core-seconds. */
+  kept: number
+  turnedAway: number
+  /** When the first job was turned away after the last answer to one of the group. */
+  starvedSince: Ms | undefined
+}
+
+/** What was kept and turned away, by queue and width. */
+export class SheddingDb {
+  private readonly groups = new Map<GroupKey, Group>()
+  private readonly widths = new Map<QueueName, number>()
+  private readonly protectedJobs = new WeakSet<SheddableWork>()
+  private turnedAwayAt = ms(-Infinity)
+  private turnedAwayLoss = 0
+  private turnedAwayWork = 0
+
+  /** Learns the usual width of a queue from a job that has arrived. */
+  jobArrived ({ queue, width }: SheddableWork): void {
+    const mean = this.widths.get(queue) ?? width
+    this.widths.set(queue, mean + WIDTH_WEIGHT * (Math.min(width, 2 * mean) - mean))
+  }
+
+  groupOf ({ queue, width }: Pick<SheddableWork, 'queue' | 'width'>): GroupKey {
+    return `${queue} ${width > WIDE_FACTOR * (this.widths.get(queue) ?? width) ? 'wide' : 'usual'}`
+  }
+
+  recordKept (job: SheddableWork, now: Ms): void {
+    this.touch(job, now).kept += JobCost.lossOf(job)
+  }
+
+  /** Called when a job has been answered. */
+  recordServed (job: SheddableWork, now: Ms): void {
+    this.touch(job, now).starvedSince = undefined
+  }
+
+  /** Protects a job of a group that was turned away entirely; the group has its turn again after another span. */
+  protect (job: SheddableWork, now: Ms): void {
+    this.touch(job, now).starvedSince = now
+    this.protectedJobs.add(job)
+  }
+
+  isProtected (job: SheddableWork): boolean {
+    return this.protectedJobs.has(job)
+  }
+
+  /** @param wasKept - whether the job had been counted as kept before */
+  recordTurnedAway (job: SheddableWork, price: number, wasKept: boolean, now: Ms): void {
+    const group = this.touch(job, now)
+    const loss = JobCost.lossOf(job)
+    if (wasKept) group.kept = Math.max(0, group.kept - loss)
+    group.turnedAway += loss
+    group.starvedSince ??= now
+    const share = Math.exp((this.turnedAwayAt - now) / MEMORY_MS)
+    const work = JobCost.coreSecondsOf(job)
+    this.turnedAwayWork = this.turnedAwayWork * share + work
+    this.turnedAwayLoss = this.turnedAwayLoss * share + Math.min(price, JobCost.PRICE_MAX) * work
+    this.turnedAwayAt = now
+  }
+
+  /** @returns share of what the callers of such jobs asked for that was kept of late */
+  keptShare (job: SheddableWork, now: Ms): number {
+    const group = this.groups.get(this.groupOf(job))
+    if (group === undefined || group.turnedAway === 0) return 1
+    // Both sums fade at the same pace, and what has faded counts as kept.
+    const faded = Math.exp((group.at - now) / MEMORY_MS)
+    return 1 - faded * group.turnedAway / (group.kept + group.turnedAway)
+  }
+
+  /** @returns since when no such job has been answered while some were turned away */
+  starvedSince (job: SheddableWork): Ms | undefined {
+    return this.groups.get(this.groupOf(job))?.starvedSince
+  }
+
+  /** @returns mean price of the room that was missing of late, per core-second; 0 if no work has been turned away */
+  roomPrice (now: Ms): number {
+    if (this.turnedAwayWork === 0) return 0
+    return this.turnedAwayLoss / this.turnedAwayWork * Math.exp((this.turnedAwayAt - now) / MEMORY_MS)
+  }
+
+  /** @returns the work that was turned away of late, in core-seconds */
+  turnedAwayOfLate (now: Ms): number {
+    return this.turnedAwayWork * Math.exp((this.turnedAwayAt - now) / MEMORY_MS)
+  }
+
+  /** Forgets the groups that nobody has asked for. */
+  expire (now: Ms): void {
+    for (const [key, { at }] of this.groups) if (now - at > IDLE_MS) this.groups.delete(key)
+  }
+
+  private touch (job: SheddableWork, now: Ms): Group {
+    const key = this.groupOf(job)
+    const group = this.groups.get(key) ?? { at: now, kept: 0, turnedAway: 0, starvedSince: undefined }
+    const share = Math.exp((group.at - now) / MEMORY_MS)
+    group.at = now
+    group.kept *= share
+    group.turnedAway *= share
+    this.groups.set(key, group)
+    return group
+  }
+}
