--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -32,7 +32,16 @@
   {
     name: 'shedding',
     description: 'where not all jobs can be on time, the one that misses is declined, whatever it costs',
-    apply: () => replaceMethod(sample.execution.admission.shedding, 'victimsFor', () => () => undefined)
+    apply: () => {
+      const undoVictims = replaceMethod(sample.execution.admission.shedding, 'victimsFor', () => () => undefined)
+      const undoPrice = replaceMethod(sample.execution.admission.shedding, 'isOutbid', () => () => false)
+      const undoSqueeze = replaceMethod(sample.execution.admission.shedding, 'squeezesOut', () => () => false)
+      return () => {
+        undoSqueeze()
+        undoVictims()
+        undoPrice()
+      }
+    }
   },
   {
     name: 'order',
--- a/packages/core/src/admission/admissionDecider.spec.ts
+++ b/packages/core/src/admission/admissionDecider.spec.ts
@@ -30,6 +30,7 @@
     queue: 'q' as QueueName,
     calledAt: ms(1000),
     width: tasks,
+    lastChance: false,
     workAsked: tasks * SLOT_CPU_MILLI * 100,
     priority: 0,
     criticalPathMs: ms(100),
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -46,11 +46,11 @@
       this.recordShed(verdict.displaced, now)
       return verdict
     }
-    if (lastChance && this.startsLate(job, verdict.start, input)) {
+    if (verdict.type === 'tooLate' && lastChance && this.startsLate(job, verdict.start, input)) {
       this.shedding.db.recordKept(job, now)
       return { type: 'admit', late: true, displaced: [] }
     }
-    this.shedding.db.recordTurnedAway(job, this.shedding.priceOf(job, now), false, now)
+    if (lastChance) this.shedding.turnedAway(job, verdict.type, now)
     return { type: 'decline', retryAfterMs: this.retryAfter(capacity, now) }
   }
 
@@ -107,19 +107,24 @@
     return makeForecast(job.service, cpuMilli).peek({ tasks: 1 }) <= now
   }
 
-  private assess (job: QueuedWork, { now, forecast: makeForecast }: AdmissionInput): Extract<AdmissionVerdict<T>, { type: 'admit' }> | { readonly type: 'miss', readonly start: Ms } {
+  private assess (job: QueuedWork, { now, forecast: makeForecast }: AdmissionInput): Extract<AdmissionVerdict<T>, { type: 'admit' }> | { readonly type: 'tooLate' | 'outbid', readonly start: Ms } {
     const demand = job.demand()
-    const ahead = this.inStartOrder(now).filter(other => other.service === job.service && this.compare(other, job, now) <= 0)
+    const others = this.inStartOrder(now).filter(other => other.service === job.service)
+    const ahead = others.filter(other => this.compare(other, job, now) <= 0)
     const forecast = makeForecast(job.service, demand.cpuMilli)
     for (const other of ahead) forecast.reserve(other.demand())
     const start = forecast.reserve(demand)
+    if (start <= job.latestStart && (this.shedding.isOutbid(job, start, now) || this.shedding.squeezesOut(job, others.slice(ahead.length), forecast, now))) return { type: 'outbid', start }
     if (start <= job.latestStart) return { type: 'admit', late: false, displaced: [] }
     const displaced = this.shedding.displace(job, ahead, () => makeForecast(job.service, demand.cpuMilli), now)
-    return displaced === undefined ? { type: 'miss', start } : { type: 'admit', late: false, displaced }
+    return displaced === undefined ? { type: 'tooLate', start } : { type: 'admit', late: false, displaced }
   }
 
   private recordShed (shed: readonly ShedJob<T>[], now: Ms): void {
-    for (const { job, price } of shed) this.shedding.db.recordTurnedAway(job, price, true, now)
+    for (const { job, why } of shed) {
+      this.shedding.db.recordGivenUp(job, now)
+      if (job.lastChance) this.shedding.turnedAway(job, why, now)
+    }
   }
 
   private compare (a: QueuedWork, b: QueuedWork, now: Ms): number {
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -50,6 +50,7 @@
       service: queue.service,
       queue: queue.name,
       calledAt: ms(calledAt),
+      lastChance: order.lastChance === true,
       width: job.steps.reduce((sum, step) => sum + step.count, 0),
       workAsked: job.steps.reduce((sum, { count, needs, estimateMs }) => sum + count * needs.cpuMilli * runTimes.expectedMs(estimateMs), 0),
       priority: queue.priority,
--- a/packages/core/src/shedding/jobCost.ts
+++ b/packages/core/src/shedding/jobCost.ts
@@ -4,7 +4,7 @@
  *
  * - A caller asks for an amount of work because the answer is worth at least that much to it, and loses something however
  *   little it has asked for.
- * - A level of priority halves what the same loss counts.
+ * - Level 0 comes first and may preempt others, so the same loss counts much more there; among the other levels it counts a little less at each.
  * - A late answer is worth at most half of one on time, and falls to nothing by the time after which it is of no use.
  * - A caller that has waited and is then refused has lost the time as well.
  *
@@ -15,12 +15,13 @@
 
 /** What a caller loses with a refusal beside the work that it asked for, in core-seconds. */
 const CALLER_CORE_SECONDS = 1
-/** How much less a loss counts at the next level of priority. */
-const LEVEL_RATIO = 2
+/** How much more a loss counts at level 0 than at the next level, and at each other level than at the one after it. */
+const FIRST_LEVEL_RATIO = 4
+const LEVEL_RATIO = 1.25
 /** Levels beyond the last count like it. */
 const LEVEL_MAX = 9
-/** Scale of the error of a forecast of starts: of two jobs, the one with more slack by this much is less likely to miss by a factor of e. */
-const FORECAST_ERROR_MS = 216
+/** Added to the latest start per priority level when jobs are ordered; a higher number is less important. */
+const PRIORITY_STEP_MS = 150
 /** What an answer just after its objective is worth, as a share of one on time. */
 const LATE_SHARE = 0.5
 /** Work of one job from which a larger claim counts no more, in core-seconds; it bounds what wrong estimates do to others. */
@@ -29,9 +30,6 @@
 
 /** Cost of delays and refusals. */
 export class JobCost {
-  /** Upper bound of finite prices. */
-  static readonly PRICE_MAX = 1000
-
   /** @returns the level of priority, within bounds whatever the contract says */
   static levelOf ({ priority }: Pick<SheddableWork, 'priority'>): number {
     return Number.isNaN(priority) ? LEVEL_MAX : Math.min(LEVEL_MAX, Math.max(0, priority))
@@ -44,7 +42,7 @@
 
   /** @returns what the caller loses when the job is refused at once, in core-seconds of the most important level */
   static lossOf (job: Pick<SheddableWork, 'priority' | 'workAsked'>): number {
-    return (CALLER_CORE_SECONDS + JobCost.coreSecondsOf(job)) / LEVEL_RATIO ** JobCost.levelOf(job)
+    return (CALLER_CORE_SECONDS + JobCost.coreSecondsOf(job)) * weightOf(JobCost.levelOf(job))
   }
 
   /** @returns the same per core-second; a job that claims to need next to nothing frees nothing either */
@@ -62,11 +60,14 @@
   }
 
   /**
-   * Of two jobs that may both miss, the one with the larger expected loss goes first. The chance of a miss falls exponentially
-   * with the slack, so a level of priority counts a fixed time.
+   * The order of starts matters only as far as the forecast errs; then the jobs with the least slack miss first.
    * @returns the latest start, put off by what the priority allows
    */
   static rankOf (job: Pick<SheddableWork, 'latestStart' | 'priority'>): number {
-    return job.latestStart + JobCost.levelOf(job) * FORECAST_ERROR_MS * Math.log(LEVEL_RATIO)
+    return job.latestStart + JobCost.levelOf(job) * PRIORITY_STEP_MS
   }
 }
+
+function weightOf (level: number): number {
+  return level === 0 ? 1 : 1 / (FIRST_LEVEL_RATIO * LEVEL_RATIO ** (level - 1))
+}
--- a/packages/core/src/shedding/sheddingDb.ts
+++ b/packages/core/src/shedding/sheddingDb.ts
@@ -32,8 +32,10 @@
   private readonly widths = new Map<QueueName, number>()
   private readonly protectedJobs = new WeakSet<SheddableWork>()
   private turnedAwayAt = ms(-Infinity)
-  private turnedAwayLoss = 0
   private turnedAwayWork = 0
+  private missingAt = ms(-Infinity)
+  private missingLoss = 0
+  private missingSquares = 0
 
   /** Learns the usual width of a queue from a job that has arrived. */
   jobArrived ({ queue, width }: SheddableWork): void {
@@ -64,20 +66,30 @@
     return this.protectedJobs.has(job)
   }
 
-  /** @param wasKept - whether the job had been counted as kept before */
-  recordTurnedAway (job: SheddableWork, price: number, wasKept: boolean, now: Ms): void {
+  /** A job that was counted as kept is declined after all. */
+  recordGivenUp (job: SheddableWork, now: Ms): void {
     const group = this.touch(job, now)
-    const loss = JobCost.lossOf(job)
-    if (wasKept) group.kept = Math.max(0, group.kept - loss)
-    group.turnedAway += loss
+    group.kept = Math.max(0, group.kept - JobCost.lossOf(job))
+  }
+
+  /** A job is declined that no other shard takes. */
+  recordTurnedAway (job: SheddableWork, now: Ms): void {
+    const group = this.touch(job, now)
+    group.turnedAway += JobCost.lossOf(job)
     group.starvedSince ??= now
-    const share = Math.exp((this.turnedAwayAt - now) / MEMORY_MS)
-    const work = JobCost.coreSecondsOf(job)
-    this.turnedAwayWork = this.turnedAwayWork * share + work
-    this.turnedAwayLoss = this.turnedAwayLoss * share + Math.min(price, JobCost.PRICE_MAX) * work
+    this.turnedAwayWork = this.turnedAwayOfLate(now) + JobCost.coreSecondsOf(job)
     this.turnedAwayAt = now
   }
 
+  /** Records that room was missing for a job with the given price. */
+  recordMissing (job: SheddableWork, price: number, now: Ms): void {
+    const share = Math.exp((this.missingAt - now) / MEMORY_MS)
+    const work = JobCost.coreSecondsOf(job)
+    this.missingLoss = this.missingLoss * share + price * work
+    this.missingSquares = this.missingSquares * share + price * price * work
+    this.missingAt = now
+  }
+
   /** @returns share of what the callers of such jobs asked for that was kept of late */
   keptShare (job: SheddableWork, now: Ms): number {
     const group = this.groups.get(this.groupOf(job))
@@ -92,10 +104,10 @@
     return this.groups.get(this.groupOf(job))?.starvedSince
   }
 
-  /** @returns mean price of the room that was missing of late, per core-second; 0 if no work has been turned away */
+  /** @returns mean price of the work for which room was missing of late, weighted by the loss, so that the dearer work counts more; 0 if none was missing */
   roomPrice (now: Ms): number {
-    if (this.turnedAwayWork === 0) return 0
-    return this.turnedAwayLoss / this.turnedAwayWork * Math.exp((this.turnedAwayAt - now) / MEMORY_MS)
+    if (this.missingLoss === 0) return 0
+    return this.missingSquares / this.missingLoss * Math.exp((this.missingAt - now) / MEMORY_MS)
   }
 
   /** @returns the work that was turned away of late, in core-seconds */
--- a/packages/core/src/shedding/sheddingDecider.ts
+++ b/packages/core/src/shedding/sheddingDecider.ts
@@ -11,7 +11,7 @@
 import type { Ms } from '@cranberryyard/protocol'
 import { JobCost } from './jobCost.js'
 import { SheddingDb } from './sheddingDb.js'
-import type { RoomForecast, ShedJob, SheddableWork } from './types.js'
+import type { RoomForecast, ShedJob, ShedReason, SheddableWork } from './types.js'
 
 /** How long jobs of a queue may be turned away entirely before the next one that fits goes before all others. */
 export const STARVED_MAX_MS = 2000
@@ -42,9 +42,43 @@
   /** @returns what the refusal of the job costs per core-second of room, by what its queue has lost of late */
   priceOf (job: SheddableWork, now: Ms): number {
     const since = this.db.starvedSince(job)
-    if (this.db.isProtected(job)) return Infinity
-    if (since !== undefined && now - since > STARVED_MAX_MS) return Infinity
-    return Math.min(JobCost.PRICE_MAX, JobCost.priceOf(job, now) / Math.max(KEPT_SHARE_MIN, this.db.keptShare(job, now)))
+    if (this.db.isProtected(job) || (since !== undefined && now - since > STARVED_MAX_MS)) return Infinity
+    return this.finitePriceOf(job, now)
+  }
+
+  /**
+   * Returns whether the room that a job needs was missing of late to dearer work, which will want it again. A job that starts at once
+   * takes room that nobody waits for; the longer the queue is in which it takes a place, compared with its slack, the more it has to be worth.
+   * @param start - when the last task of the job can start
+   */
+  isOutbid (job: SheddableWork, start: Ms, now: Ms): boolean {
+    const slackUsed = Math.min(1, (start - now) / Math.max(1, job.latestStart - now))
+    return slackUsed > 0 && isDearer(this.db.roomPrice(now) * slackUsed, this.priceOf(job, now))
+  }
+
+  /**
+   * Returns whether a job that has just arrived would make a waiting one miss, of which its caller would lose more.
+   * @param behind - the waiting jobs that start after it, in their order
+   * @param forecast - the forecast of room, with the job and those ahead of it reserved
+   */
+  squeezesOut (job: SheddableWork, behind: readonly T[], forecast: RoomForecast, now: Ms): boolean {
+    const price = this.priceOf(job, now)
+    for (const other of behind) {
+      const start = forecast.reserve(other.demand())
+      if (start > other.latestStart && !other.mayHaveRun && !isLate(other, now)) return this.priceOf(other, now) >= price
+    }
+    return false
+  }
+
+  /** Called when a job is declined that no other shard takes. One that was outbid could have been on time, so it says nothing about the price of room. */
+  turnedAway (job: SheddableWork, why: ShedReason, now: Ms): void {
+    if (why === 'tooLate') this.db.recordMissing(job, this.finitePriceOf(job, now), now)
+    this.db.recordTurnedAway(job, now)
+  }
+
+  /** The price without the precedence of a queue that has been turned away entirely. */
+  private finitePriceOf (job: SheddableWork, now: Ms): number {
+    return JobCost.priceOf(job, now) / Math.max(KEPT_SHARE_MIN, this.db.keptShare(job, now))
   }
 
   /**
--- a/packages/core/src/shedding/types.ts
+++ b/packages/core/src/shedding/types.ts
@@ -22,6 +22,8 @@
   readonly width: number
   /** Expected work of the whole job, in thousandths of a core times milliseconds. */
   readonly workAsked: number
+  /** No other shard is left that could take the job. */
+  readonly lastChance: boolean
   /** Whether a run of the job may ever have existed; such a job is never given up. */
   readonly mayHaveRun: boolean
   /** The job was admitted although it can only be late. */
@@ -36,8 +38,8 @@
   reserve (demand: Pick<Demand, 'tasks' | 'runMs'>): Ms
 }
 
-/** Why a job is given up: it cannot be on time, or a dearer one is on time in its place. */
-export type ShedReason = 'tooLate' | 'displaced'
+/** Why a job is given up: it cannot be on time, a dearer one is on time in its place, or room was missing of late to dearer ones. */
+export type ShedReason = 'tooLate' | 'displaced' | 'outbid'
 
 /** A job that is given up. */
 export interface ShedJob<T> {
