--- a/packages/bench/src/load/load.spec.ts
+++ b/packages/bench/src/load/load.spec.ts
@@ -80,6 +80,26 @@
     expect(all.value - queueing.all.value).to.be.greaterThan(0.05)
   })
 
+  it('from too little room for seconds: more value with more traffic, most to the most important level, and something to every kind', () => {
+    const shape = shapeOf('pairs')
+    const atRate = (rate: number): LoadShape => ({ ...shape, durationS: 4, kinds: shape.kinds.map(kind => ({ ...kind, perSecond: kind.perSecond * rate })) })
+    const runs = [1, 2.5, 4].map(rate => ({ rate, shape: atRate(rate), run: playLoad(atRate(rate), SEED) }))
+    let servedBefore = 0
+    for (const { rate, run } of runs) {
+      const { all, byKind, widest } = summarize(run.jobs)
+      expect(run.violations).to.deep.equal([])
+      expect(all.value * rate, 'value served').to.be.at.least(servedBefore)
+      servedBefore = all.value * rate
+      const shares = Object.entries(byKind).map(([kind, { value }]) => ({ priority: shape.kinds.find(({ name }) => name === kind)?.priority, value }))
+      const dearest = shares.find(({ priority }) => priority === 0)?.value ?? 0
+      for (const { priority, value } of shares) if (priority !== 0 && rate > 1) expect(dearest).to.be.greaterThan(value)
+      for (const { value } of [...shares, ...Object.values(widest)]) expect(value).to.be.greaterThan(0)
+    }
+    const last = runs.at(-1)
+    const leastServed = (summary: Summary): number => Math.min(...Object.values(summary.byKind).map(({ value }) => value))
+    expect(leastServed(summarize(last?.run.jobs ?? []))).to.be.greaterThan(leastServed(playWithout('shedding', last?.shape ?? shape)))
+  })
+
   it('from domains smaller than their job: a job that cannot be on time anywhere is served late, not refused each time', () => {
     const busy = shapeOf('busy')
     const kind = { ...busy.kinds[0] as JobKind, perSecond: 3, width: 16, widthSpread: 0.1 }
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -51,7 +51,7 @@
       return { type: 'admit', late: true, displaced: [] }
     }
     if (lastChance) this.shedding.turnedAway(job, verdict.type, now)
-    return { type: 'decline', retryAfterMs: this.retryAfter(capacity, now) }
+    return { type: 'decline', why: verdict.type === 'outbid' ? 'outbid' : 'overloaded', retryAfterMs: this.retryAfter(capacity, now) }
   }
 
   /** @returns the waiting jobs in the order in which their tasks start */
@@ -103,7 +103,7 @@
   private startsLate (job: QueuedWork, lastStart: Ms, { now, capacity, forecast: makeForecast, lateCpuMilli }: AdmissionInput): boolean {
     const { tasks, cpuMilli } = job.demand()
     const isWithinShare = lateCpuMilli === 0 || lateCpuMilli + tasks * cpuMilli <= capacity.totalCpuMilli * LATE_SHARE_MAX
-    if (!isWithinShare || this.db.waiting.size > 0 || !this.shedding.isLateWorthRoom(job, ms(lastStart + job.criticalPathMs), now)) return false
+    if (!isWithinShare || this.db.waiting.size > 0 || lastStart + job.criticalPathMs > job.usefulUntil) return false
     return makeForecast(job.service, cpuMilli).peek({ tasks: 1 }) <= now
   }
 
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -314,7 +314,7 @@
       lastChance: job.order.lastChance === true,
       lateCpuMilli: this.lateCpuMilli()
     })
-    if (verdict.type === 'decline') return this.decline(job, 'overloaded', verdict.retryAfterMs)
+    if (verdict.type === 'decline') return this.decline(job, verdict.why, verdict.retryAfterMs)
     job.admittedLate = verdict.late
     this.shed(verdict.displaced)
     return true
@@ -406,7 +406,7 @@
   private end (job: OwnedJob, outcome: JobOutcome): void {
     const { now, out } = this.ctx
     this.db.keepOutcome(job.id, outcome, now)
-    if (outcome === 'completed') this.admission.shedding.db.recordServed(job, now)
+    this.admission.shedding.db.recordServed(job)
     out.log('job.ended', { job: job.id, outcome, queue: job.order.queue.name, front: job.front.instance, tookMs: Math.round(now - job.receivedAt), waitedMs: Math.round((job.firstStartAt ?? now) - job.receivedAt), onTime: now <= job.receivedAt - job.order.ageMs + this.estimates.actualObjective(job), ...this.copyAges(job) })
     this.ports.sendToFront(job.front, { type: 'ended', jobId: job.id, outcome })
     this.stopRuns(job)
--- a/packages/core/src/execution/jobEstimates.ts
+++ b/packages/core/src/execution/jobEstimates.ts
@@ -12,6 +12,9 @@
 
 /** Standard deviations below the expected run time that a job's latest start allows for. */
 const LOW_RUN_TIME_DEVIATIONS = 0.5
+/** Bounds of the estimates that are taken as stated. */
+const ESTIMATE_MIN_MS = 1
+const ESTIMATE_MAX_MS = 3_600_000
 
 /** Estimates for the jobs of an owner. */
 export class JobEstimates {
@@ -27,8 +30,8 @@
     const { now, cfg } = this.ctx
     const { queue, job } = order
     const runTimes = this.runTimes.of(queue.name)
-    const criticalPathMs = criticalPathOf(job.steps, estimateMs => runTimes.expectedMs(estimateMs))
-    const shortestPathMs = criticalPathOf(job.steps, estimateMs => runTimes.lowMs(estimateMs, LOW_RUN_TIME_DEVIATIONS))
+    const criticalPathMs = criticalPathOf(job.steps, estimateMs => runTimes.expectedMs(bounded(estimateMs)))
+    const shortestPathMs = criticalPathOf(job.steps, estimateMs => runTimes.lowMs(bounded(estimateMs), LOW_RUN_TIME_DEVIATIONS))
     const calledAt = now - order.ageMs
     const callerDeadline = ms(sentAt + order.remainingMs)
     const owned: OwnedJob = {
@@ -52,7 +55,7 @@
       calledAt: ms(calledAt),
       lastChance: order.lastChance === true,
       width: job.steps.reduce((sum, step) => sum + step.count, 0),
-      workAsked: job.steps.reduce((sum, { count, needs, estimateMs }) => sum + count * needs.cpuMilli * runTimes.expectedMs(estimateMs), 0),
+      workAsked: job.steps.reduce((sum, { count, needs, estimateMs }) => sum + count * needs.cpuMilli * runTimes.expectedMs(bounded(estimateMs)), 0),
       priority: queue.priority,
       criticalPathMs,
       latestStart: ms(calledAt + objectiveOf(queue, shortestPathMs) - shortestPathMs),
@@ -66,12 +69,12 @@
 
   /** @returns expected run time of a task of the step, in milliseconds */
   expectedMs ({ order }: OwnedJob, { spec }: OwnedStep): number {
-    return this.runTimes.of(order.queue.name).expectedMs(spec.estimateMs)
+    return this.runTimes.of(order.queue.name).expectedMs(bounded(spec.estimateMs))
   }
 
   /** Learns from a task that ended with success at a healthy endpoint. */
   record ({ order }: OwnedJob, { spec }: OwnedStep, ranMs: number): void {
-    this.runTimes.of(order.queue.name).record(spec.estimateMs, ranMs)
+    this.runTimes.of(order.queue.name).record(bounded(spec.estimateMs), ranMs)
   }
 
   /** @returns the latency objective that follows from the run times of the job's tasks, as far as they are known */
@@ -107,3 +110,8 @@
   if (unfinishedTasks === 0) return 0
   return tasks.reduce((n, task) => n + (task.done || task.run !== undefined ? 0 : 1), 0)
 }
+
+/** @returns the estimate within bounds; without a usable one, the run time that is learned counts from the shortest */
+function bounded (estimateMs: number): number {
+  return Number.isNaN(estimateMs) ? ESTIMATE_MIN_MS : Math.min(ESTIMATE_MAX_MS, Math.max(ESTIMATE_MIN_MS, estimateMs))
+}
--- a/packages/core/src/shedding/jobCost.ts
+++ b/packages/core/src/shedding/jobCost.ts
@@ -5,7 +5,7 @@
  * - A caller asks for an amount of work because the answer is worth at least that much to it, and loses something however
  *   little it has asked for.
  * - Level 0 comes first and may preempt others, so the same loss counts much more there; among the other levels it counts a little less at each.
- * - A late answer is worth at most half of one on time, and falls to nothing by the time after which it is of no use.
+ * - A late answer is worth so much less that it takes only room for which nothing on time waits, and nothing after the time from which it is of no use.
  * - A caller that has waited and is then refused has lost the time as well.
  *
  * The price of a job is its loss per core-second of the room that its refusal frees.
@@ -22,8 +22,8 @@
 const LEVEL_MAX = 9
 /** Added to the latest start per priority level when jobs are ordered; a higher number is less important. */
 const PRIORITY_STEP_MS = 150
-/** What an answer just after its objective is worth, as a share of one on time. */
-const LATE_SHARE = 0.5
+/** What a caller loses that is refused only when its answer is due, as a share of what it loses when it is refused at once. */
+const WAIT_SHARE = 0.5
 /** Work of one job from which a larger claim counts no more, in core-seconds; it bounds what wrong estimates do to others. */
 const WORK_MAX = 10_000
 const CORE_MS_PER_CORE_SECOND = 1_000_000
@@ -48,15 +48,7 @@
   /** @returns the same per core-second; a job that claims to need next to nothing frees nothing either */
   static priceOf (job: SheddableWork, now: Ms): number {
     const waited = Math.min(1, Math.max(0, now - job.calledAt) / Math.max(1, job.latestStart + job.criticalPathMs - job.calledAt))
-    return JobCost.lossOf(job) / Math.max(CALLER_CORE_SECONDS, JobCost.coreSecondsOf(job)) * (1 + waited)
-  }
-
-  /** @returns share of its worth that an answer keeps which ends at the given time */
-  static shareKept ({ latestStart, criticalPathMs, usefulUntil }: Pick<SheddableWork, 'latestStart' | 'criticalPathMs' | 'usefulUntil'>, endsAt: Ms): number {
-    const dueAt = latestStart + criticalPathMs
-    if (endsAt <= dueAt) return 1
-    if (endsAt >= usefulUntil) return 0
-    return LATE_SHARE * (usefulUntil - endsAt) / (usefulUntil - dueAt)
+    return JobCost.lossOf(job) / Math.max(CALLER_CORE_SECONDS, JobCost.coreSecondsOf(job)) * (1 + WAIT_SHARE * waited)
   }
 
   /**
--- a/packages/core/src/shedding/sheddingDb.ts
+++ b/packages/core/src/shedding/sheddingDb.ts
@@ -12,11 +12,19 @@
 const MEMORY_MS = 2000
 /** Jobs with more tasks than this multiple of their queue's mean count as wide. */
 const WIDE_FACTOR = 1.5
-/** Weight of a job in the mean width of its queue. */
-const WIDTH_WEIGHT = 0.02
+/** Weight of a job in the means of its queue. */
+const USUAL_WEIGHT = 0.02
+/** A job counts in the means of its queue up to this multiple of them, and in sums up to the square, so that wrong estimates hide nothing. */
+const OUTLIER_FACTOR = 2
 /** Groups that have not been asked for this long are dropped. */
 const IDLE_MS = 30_000
 
+/** Means over the jobs of a queue. */
+interface Usual {
+  width: number
+  loss: number
+}
+
 interface Group {
   at: Ms
   /** What the callers of the jobs that were kept and turned away would have lost or lost, in core-seconds. */
@@ -29,7 +37,7 @@
 /** What was kept and turned away, by queue and width. */
 export class SheddingDb {
   private readonly groups = new Map<GroupKey, Group>()
-  private readonly widths = new Map<QueueName, number>()
+  private readonly usual = new Map<QueueName, Usual>()
   private readonly protectedJobs = new WeakSet<SheddableWork>()
   private turnedAwayAt = ms(-Infinity)
   private turnedAwayWork = 0
@@ -37,23 +45,27 @@
   private missingLoss = 0
   private missingSquares = 0
 
-  /** Learns the usual width of a queue from a job that has arrived. */
-  jobArrived ({ queue, width }: SheddableWork): void {
-    const mean = this.widths.get(queue) ?? width
-    this.widths.set(queue, mean + WIDTH_WEIGHT * (Math.min(width, 2 * mean) - mean))
+  /** Learns what is usual in a queue from a job that has arrived. */
+  jobArrived (job: SheddableWork): void {
+    const loss = JobCost.lossOf(job)
+    const usual = this.usual.get(job.queue) ?? { width: job.width, loss }
+    usual.width += USUAL_WEIGHT * (Math.min(job.width, OUTLIER_FACTOR * usual.width) - usual.width)
+    usual.loss += USUAL_WEIGHT * (Math.min(loss, OUTLIER_FACTOR * usual.loss) - usual.loss)
+    this.usual.set(job.queue, usual)
   }
 
   groupOf ({ queue, width }: Pick<SheddableWork, 'queue' | 'width'>): GroupKey {
-    return `${queue} ${width > WIDE_FACTOR * (this.widths.get(queue) ?? width) ? 'wide' : 'usual'}`
+    return `${queue} ${width > WIDE_FACTOR * (this.usual.get(queue)?.width ?? width) ? 'wide' : 'usual'}`
   }
 
   recordKept (job: SheddableWork, now: Ms): void {
-    this.touch(job, now).kept += JobCost.lossOf(job)
+    this.touch(job, now).kept += this.boundedLoss(job)
   }
 
-  /** Called when a job has been answered. */
-  recordServed (job: SheddableWork, now: Ms): void {
-    this.touch(job, now).starvedSince = undefined
+  /** Called when a job has been answered, whatever its outcome. */
+  recordServed (job: SheddableWork): void {
+    const group = this.groups.get(this.groupOf(job))
+    if (group !== undefined) group.starvedSince = undefined
   }
 
   /** Protects a job of a group that was turned away entirely; the group has its turn again after another span. */
@@ -69,13 +81,13 @@
   /** A job that was counted as kept is declined after all. */
   recordGivenUp (job: SheddableWork, now: Ms): void {
     const group = this.touch(job, now)
-    group.kept = Math.max(0, group.kept - JobCost.lossOf(job))
+    group.kept = Math.max(0, group.kept - this.boundedLoss(job))
   }
 
   /** A job is declined that no other shard takes. */
   recordTurnedAway (job: SheddableWork, now: Ms): void {
     const group = this.touch(job, now)
-    group.turnedAway += JobCost.lossOf(job)
+    group.turnedAway += this.boundedLoss(job)
     group.starvedSince ??= now
     this.turnedAwayWork = this.turnedAwayOfLate(now) + JobCost.coreSecondsOf(job)
     this.turnedAwayAt = now
@@ -100,8 +112,9 @@
   }
 
   /** @returns since when no such job has been answered while some were turned away */
-  starvedSince (job: SheddableWork): Ms | undefined {
-    return this.groups.get(this.groupOf(job))?.starvedSince
+  starvedSince (job: SheddableWork, now: Ms): Ms | undefined {
+    const group = this.groups.get(this.groupOf(job))
+    return group === undefined || now - group.at > IDLE_MS ? undefined : group.starvedSince
   }
 
   /** @returns mean price of the work for which room was missing of late, weighted by the loss, so that the dearer work counts more; 0 if none was missing */
@@ -120,6 +133,11 @@
     for (const [key, { at }] of this.groups) if (now - at > IDLE_MS) this.groups.delete(key)
   }
 
+  private boundedLoss (job: SheddableWork): number {
+    const loss = JobCost.lossOf(job)
+    return Math.min(loss, OUTLIER_FACTOR ** 2 * (this.usual.get(job.queue)?.loss ?? loss))
+  }
+
   private touch (job: SheddableWork, now: Ms): Group {
     const key = this.groupOf(job)
     const group = this.groups.get(key) ?? { at: now, kept: 0, turnedAway: 0, starvedSince: undefined }
--- a/packages/core/src/shedding/sheddingDecider.ts
+++ b/packages/core/src/shedding/sheddingDecider.ts
@@ -41,7 +41,7 @@
 
   /** @returns what the refusal of the job costs per core-second of room, by what its queue has lost of late */
   priceOf (job: SheddableWork, now: Ms): number {
-    const since = this.db.starvedSince(job)
+    const since = this.db.starvedSince(job, now)
     if (this.db.isProtected(job) || (since !== undefined && now - since > STARVED_MAX_MS)) return Infinity
     return this.finitePriceOf(job, now)
   }
@@ -139,12 +139,6 @@
     return { kept, shed }
   }
 
-  /** @returns whether the room that a late answer takes is worth more to its caller than to those who are turned away */
-  isLateWorthRoom (job: SheddableWork, endsAt: Ms, now: Ms): boolean {
-    const share = JobCost.shareKept(job, endsAt)
-    return share > 0 && share * this.priceOf(job, now) >= this.db.roomPrice(now)
-  }
-
   /** @returns the jobs to give up for those that would miss behind them */
   private choose (order: readonly T[], makeForecast: () => RoomForecast, now: Ms): Map<T, ShedJob<T>> {
     const chosen = new Map<T, ShedJob<T>>()
--- a/packages/core/src/shedding/types.ts
+++ b/packages/core/src/shedding/types.ts
@@ -14,8 +14,6 @@
   readonly calledAt: Ms
   /** Latest start of the job's tasks with which its answer is likely to be on time. */
   readonly latestStart: Ms
-  /** An answer after this time is of no use to the caller. */
-  readonly usefulUntil: Ms
   /** Expected duration of the critical path, the longest chain of dependent steps. */
   readonly criticalPathMs: Ms
   /** Number of tasks of the whole job. */
