--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -36,7 +36,9 @@
       const undoVictims = replaceMethod(sample.execution.admission.shedding, 'victimsFor', () => () => undefined)
       const undoPrice = replaceMethod(sample.execution.admission.shedding, 'isOutbid', () => () => false)
       const undoSqueeze = replaceMethod(sample.execution.admission.shedding, 'squeezesOut', () => () => false)
+      const undoReach = replaceMethod(sample.execution.admission.shedding.db, 'reachOf', () => () => 1)
       return () => {
+        undoReach()
         undoSqueeze()
         undoVictims()
         undoPrice()
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -114,15 +114,17 @@
     const forecast = makeForecast(job.service, demand.cpuMilli)
     for (const other of ahead) forecast.reserve(other.demand())
     const start = forecast.reserve(demand)
-    if (start <= job.latestStart && (this.shedding.isOutbid(job, start, now) || this.shedding.squeezesOut(job, others.slice(ahead.length), forecast, now))) return { type: 'outbid', start }
-    if (start <= job.latestStart) return { type: 'admit', late: false, displaced: [] }
-    const displaced = this.shedding.displace(job, ahead, () => makeForecast(job.service, demand.cpuMilli), now)
+    const startBy = this.shedding.startBy(job, now)
+    if (start <= startBy && (this.shedding.isOutbid(job, start, now) || this.shedding.squeezesOut(job, others.slice(ahead.length), forecast, now))) return { type: 'outbid', start }
+    if (start <= startBy) return { type: 'admit', late: false, displaced: [] }
+    const displaced = this.shedding.displace(job, startBy, ahead, () => makeForecast(job.service, demand.cpuMilli), now)
     return displaced === undefined ? { type: 'tooLate', start } : { type: 'admit', late: false, displaced }
   }
 
   private recordShed (shed: readonly ShedJob<T>[], now: Ms): void {
     for (const { job, why } of shed) {
       this.shedding.db.recordGivenUp(job, now)
+      if (why === 'tooLate') this.shedding.db.recordBroken(job)
       if (job.lastChance) this.shedding.turnedAway(job, why, now)
     }
   }
--- a/packages/core/src/shedding/sheddingDb.ts
+++ b/packages/core/src/shedding/sheddingDb.ts
@@ -16,6 +16,11 @@
 const USUAL_WEIGHT = 0.02
 /** A job counts in the means of its queue up to this multiple of them, and in sums up to the square, so that wrong estimates hide nothing. */
 const OUTLIER_FACTOR = 2
+/** Share of the admitted jobs of a queue that may turn out too late. Their callers are refused after they have waited. */
+const BROKEN_SHARE = 0.05
+/** How fast the reach of a queue follows what became of its jobs, and its least value. */
+const REACH_STEP = 0.02
+const REACH_MIN = 0.2
 /** Groups that have not been asked for this long are dropped. */
 const IDLE_MS = 30_000
 
@@ -23,6 +28,10 @@
 interface Usual {
   width: number
   loss: number
+  /**
+   * Share of its slack that a job may wait by the forecast to be admitted. It follows how often such forecasts prove wrong.
+   */
+  reach: number
 }
 
 interface Group {
@@ -48,7 +57,7 @@
   /** Learns what is usual in a queue from a job that has arrived. */
   jobArrived (job: SheddableWork): void {
     const loss = JobCost.lossOf(job)
-    const usual = this.usual.get(job.queue) ?? { width: job.width, loss }
+    const usual = this.usual.get(job.queue) ?? { width: job.width, loss, reach: 1 }
     usual.width += USUAL_WEIGHT * (Math.min(job.width, OUTLIER_FACTOR * usual.width) - usual.width)
     usual.loss += USUAL_WEIGHT * (Math.min(loss, OUTLIER_FACTOR * usual.loss) - usual.loss)
     this.usual.set(job.queue, usual)
@@ -62,8 +71,21 @@
     this.touch(job, now).kept += this.boundedLoss(job)
   }
 
+  /** An admitted job has turned out too late. */
+  recordBroken ({ queue }: SheddableWork): void {
+    const usual = this.usual.get(queue)
+    if (usual !== undefined) usual.reach = Math.max(REACH_MIN, usual.reach - REACH_STEP * (1 - BROKEN_SHARE))
+  }
+
+  /** @returns share of its slack that such a job may wait by the forecast to be admitted */
+  reachOf ({ queue }: SheddableWork): number {
+    return this.usual.get(queue)?.reach ?? 1
+  }
+
   /** Called when a job has been answered, whatever its outcome. */
   recordServed (job: SheddableWork): void {
+    const usual = this.usual.get(job.queue)
+    if (usual !== undefined) usual.reach = Math.min(1, usual.reach + REACH_STEP * BROKEN_SHARE)
     const group = this.groups.get(this.groupOf(job))
     if (group !== undefined) group.starvedSince = undefined
   }
--- a/packages/core/src/shedding/sheddingDecider.spec.ts
+++ b/packages/core/src/shedding/sheddingDecider.spec.ts
@@ -61,7 +61,7 @@
     const started = makeWork('started', { priority: 9, mayHaveRun: true, latestStart: ms(500) })
     const dear = makeWork('dear', { priority: 0 })
     expect(shedding.plan([started, dear], forecast, NOW).shed.map(({ job }) => job)).to.deep.equal([dear])
-    expect(shedding.displace(dear, [started], forecast, NOW)).to.equal(undefined)
+    expect(shedding.displace(dear, NOW, [started], forecast, NOW)).to.equal(undefined)
   })
 
   it('sacrifices nothing for a job that would miss all the same, such as one wider than the shard', () => {
@@ -69,15 +69,15 @@
     const cheap = makeWork('cheap', { priority: 9 })
     const wide = makeWork('wide', { priority: 0, tasks: 11 })
     turnAway(shedding, wide, 5000)
-    expect(shedding.displace(wide, [cheap], forecast, NOW)).to.equal(undefined)
+    expect(shedding.displace(wide, NOW, [cheap], forecast, NOW)).to.equal(undefined)
     expect(shedding.plan([cheap, wide], forecast, NOW).kept).to.deep.equal([cheap])
   })
 
   it('admits a dearer job in the place of cheaper ones, and not one of the same price', () => {
     const shedding = new SheddingDecider<NamedWork>()
     const cheap = [makeWork('cheap 1', { tasks: 5, priority: 2 }), makeWork('cheap 2', { tasks: 5, priority: 2 })]
-    expect(shedding.displace(makeWork('dear', { priority: 0 }), cheap, forecast, NOW)?.map(({ job }) => job)).to.deep.equal(cheap)
-    expect(shedding.displace(makeWork('equal', { tasks: 5, priority: 2 }), cheap, forecast, NOW)).to.equal(undefined)
+    expect(shedding.displace(makeWork('dear', { priority: 0 }), NOW, cheap, forecast, NOW)?.map(({ job }) => job)).to.deep.equal(cheap)
+    expect(shedding.displace(makeWork('equal', { tasks: 5, priority: 2 }), NOW, cheap, forecast, NOW)).to.equal(undefined)
   })
 
   it('makes what a queue loses dearer the less it has kept, so that no queue loses everything', () => {
@@ -96,7 +96,7 @@
     const room = (): RoomForecast => new SlotForecast(Array.from({ length: 10 }, () => ({ freeCpuMilli: CPU_MILLI, ends: [] })), CPU_MILLI, now)
     turnAway(shedding, starved, STARVED_MAX_MS)
     const dear = makeWork('dear', { priority: 0, calledAt: now, latestStart: now })
-    expect(shedding.displace(starved, [dear], room, now)?.map(({ job }) => job)).to.deep.equal([dear])
+    expect(shedding.displace(starved, starved.latestStart, [dear], room, now)?.map(({ job }) => job)).to.deep.equal([dear])
     expect(shedding.priceOf(starved, now)).to.equal(Infinity)
     expect(shedding.priceOf(makeWork('starved', { priority: 9 }), now)).to.be.below(Infinity)
   })
@@ -125,6 +125,17 @@
     expect(shedding.db.keptShare(usual, NOW)).to.be.within(0.4, 0.7)
   })
 
+  it('admits fewer jobs of a queue whose admitted jobs turn out too late, and more again once they do not', () => {
+    const shedding = new SheddingDecider<NamedWork>()
+    const job = makeWork('q', { latestStart: ms(1200) })
+    shedding.db.jobArrived(job)
+    expect(shedding.startBy(job, NOW)).to.equal(1200)
+    for (let i = 0; i < 20; i++) shedding.db.recordBroken(job)
+    expect(shedding.startBy(job, NOW)).to.be.within(1001, 1150)
+    for (let i = 0; i < 1000; i++) shedding.db.recordServed(job)
+    expect(shedding.startBy(job, NOW)).to.equal(1200)
+  })
+
   it('plans 5,000 waiting tasks in a few steps for each', () => {
     const shedding = new SheddingDecider<NamedWork>()
     let steps = 0
--- a/packages/core/src/shedding/sheddingDecider.ts
+++ b/packages/core/src/shedding/sheddingDecider.ts
@@ -9,6 +9,7 @@
  */
 import TinyQueue from 'tinyqueue'
 import type { Ms } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
 import { JobCost } from './jobCost.js'
 import { SheddingDb } from './sheddingDb.js'
 import type { RoomForecast, ShedJob, ShedReason, SheddableWork } from './types.js'
@@ -81,25 +82,35 @@
     return JobCost.priceOf(job, now) / Math.max(KEPT_SHARE_MIN, this.db.keptShare(job, now))
   }
 
+  /**
+   * A job is admitted only if the forecast leaves some of its slack, as far as forecasts for its queue have proved wrong: a refusal at once costs
+   * less than one after a wait.
+   * @returns when its last task has to start by the forecast
+   */
+  startBy (job: SheddableWork, now: Ms): Ms {
+    return ms(now + (job.latestStart - now) * (job.latestStart > now ? this.db.reachOf(job) : 1))
+  }
+
   /**
    * Looks for waiting jobs without which a job that has just arrived would be on time.
    * @param job - the job that would miss its latest start
    * @param ahead - the waiting jobs that start before it, in their order
+   * @param startBy - when its last task has to start by the forecast
    * @param makeForecast - makes a forecast of the room
    * @returns the jobs to give up for it, or undefined if their callers would lose more
    */
-  displace (job: SheddableWork, ahead: readonly T[], makeForecast: () => RoomForecast, now: Ms): ShedJob<T>[] | undefined {
+  displace (job: SheddableWork, startBy: Ms, ahead: readonly T[], makeForecast: () => RoomForecast, now: Ms): ShedJob<T>[] | undefined {
     const price = this.priceOf(job, now)
     const demand = job.demand()
     const cheaper = ahead.filter(other => !other.mayHaveRun).map(other => this.candidateOf(other, now)).filter(other => isDearer(price, other.price)).sort((a, b) => a.price - b.price)
-    if (cheaper.length === 0 || makeForecast().reserve(demand) > job.latestStart) return undefined
+    if (cheaper.length === 0 || makeForecast().reserve(demand) > startBy) return undefined
     for (let attempt = 0; attempt < DISPLACE_TRIES; attempt++) {
       const victims = this.victimsFor(price, roomOf(job) * 2 ** attempt, cheaper, now)
       if (victims === undefined) return undefined
       const given = new Set(victims.map(victim => victim.job))
       const forecast = makeForecast()
       for (const other of ahead) if (!given.has(other)) forecast.reserve(other.demand())
-      if (forecast.reserve(demand) > job.latestStart) continue
+      if (forecast.reserve(demand) > startBy) continue
       if (price === Infinity) this.db.protect(job, now)
       return victims.map(victim => ({ job: victim.job, why: 'displaced', price: victim.price, keptPrice: price }))
     }
