--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -34,14 +34,12 @@
     description: 'where not all jobs can be on time, the one that misses is declined, whatever it costs',
     apply: () => {
       const undoVictims = replaceMethod(sample.execution.admission.shedding, 'victimsFor', () => () => undefined)
-      const undoPrice = replaceMethod(sample.execution.admission.shedding, 'isOutbid', () => () => false)
       const undoSqueeze = replaceMethod(sample.execution.admission.shedding, 'squeezesOut', () => () => false)
       const undoReach = replaceMethod(sample.execution.admission.shedding.db, 'reachOf', () => () => 1)
       return () => {
         undoReach()
         undoSqueeze()
         undoVictims()
-        undoPrice()
       }
     }
   },
--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -115,8 +115,7 @@
     for (const other of ahead) forecast.reserve(other.demand())
     const start = forecast.reserve(demand)
     const startBy = this.shedding.startBy(job, now)
-    if (start <= startBy && (this.shedding.isOutbid(job, start, now) || this.shedding.squeezesOut(job, others.slice(ahead.length), forecast, now))) return { type: 'outbid', start }
-    if (start <= startBy) return { type: 'admit', late: false, displaced: [] }
+    if (start <= startBy) return this.shedding.squeezesOut(job, others.slice(ahead.length), forecast, now) ? { type: 'outbid', start } : { type: 'admit', late: false, displaced: [] }
     const displaced = this.shedding.displace(job, startBy, ahead, () => makeForecast(job.service, demand.cpuMilli), now)
     return displaced === undefined ? { type: 'tooLate', start } : { type: 'admit', late: false, displaced }
   }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -57,5 +57,5 @@
 export type AdmissionVerdict<T> =
   /** `displaced`: waiting jobs that are declined so that this one is on time. */
   | { readonly type: 'admit', readonly late: boolean, readonly displaced: readonly ShedJob<T>[] }
-  /** `overloaded`: it cannot be on time here; `outbid`: it could, but the room will be wanted by work that is dearer. */
+  /** `overloaded`: it cannot be on time here; `outbid`: it could, but would make a waiting job miss whose refusal costs more. */
   | { readonly type: 'decline', readonly why: 'overloaded' | 'outbid', readonly retryAfterMs: Ms }
--- a/packages/core/src/shedding/sheddingDecider.spec.ts
+++ b/packages/core/src/shedding/sheddingDecider.spec.ts
@@ -101,14 +101,17 @@
     expect(shedding.priceOf(makeWork('starved', { priority: 9 }), now)).to.be.below(Infinity)
   })
 
-  it('keeps room for dearer work that was turned away of late, the more the longer the queue is', () => {
+  it('does not admit a job that would make a waiting one miss whose refusal costs more', () => {
     const shedding = new SheddingDecider<NamedWork>()
-    const cheap = makeWork('cheap', { priority: 2, latestStart: ms(1200) })
-    expect(shedding.isOutbid(cheap, ms(1190), NOW)).to.equal(false)
-    turnAway(shedding, makeWork('dear', { priority: 0 }))
-    expect(shedding.isOutbid(cheap, NOW, NOW)).to.equal(false)
-    expect(shedding.isOutbid(cheap, ms(1190), NOW)).to.equal(true)
-    expect(shedding.isOutbid(cheap, ms(21_190), ms(21_000))).to.equal(false)
+    const waiting = [makeWork('waiting', { latestStart: ms(1050) })]
+    const squeezesOut = (job: NamedWork): boolean => {
+      const room = forecast()
+      room.reserve(job.demand())
+      return shedding.squeezesOut(job, waiting, room, NOW)
+    }
+    expect(squeezesOut(makeWork('minor', { priority: 2 }))).to.equal(true)
+    expect(squeezesOut(makeWork('major', { priority: 0 }))).to.equal(false)
+    expect(squeezesOut(makeWork('short', { priority: 2, runMs: 40 }))).to.equal(false)
   })
 
   it('is not misled by a job with a huge estimate: the share of its queue stays as it is', () => {
--- a/packages/core/src/shedding/sheddingDecider.ts
+++ b/packages/core/src/shedding/sheddingDecider.ts
@@ -47,16 +47,6 @@
     return this.finitePriceOf(job, now)
   }
 
-  /**
-   * Returns whether the room that a job needs was missing of late to dearer work, which will want it again. A job that starts at once
-   * takes room that nobody waits for; the longer the queue is in which it takes a place, compared with its slack, the more it has to be worth.
-   * @param start - when the last task of the job can start
-   */
-  isOutbid (job: SheddableWork, start: Ms, now: Ms): boolean {
-    const slackUsed = Math.min(1, (start - now) / Math.max(1, job.latestStart - now))
-    return slackUsed > 0 && isDearer(this.db.roomPrice(now) * slackUsed, this.priceOf(job, now))
-  }
-
   /**
    * Returns whether a job that has just arrived would make a waiting one miss, of which its caller would lose more.
    * @param behind - the waiting jobs that start after it, in their order
@@ -71,7 +61,7 @@
     return false
   }
 
-  /** Called when a job is declined that no other shard takes. One that was outbid could have been on time, so it says nothing about the price of room. */
+  /** Called when a job is declined that no other shard takes. */
   turnedAway (job: SheddableWork, why: ShedReason, now: Ms): void {
     if (why === 'tooLate') this.db.recordMissing(job, this.finitePriceOf(job, now), now)
     this.db.recordTurnedAway(job, now)
--- a/packages/core/src/shedding/types.ts
+++ b/packages/core/src/shedding/types.ts
@@ -36,7 +36,7 @@
   reserve (demand: Pick<Demand, 'tasks' | 'runMs'>): Ms
 }
 
-/** Why a job is given up: it cannot be on time, a dearer one is on time in its place, or room was missing of late to dearer ones. */
+/** Why a job is given up: it cannot be on time, a dearer one is on time in its place, or it would make a dearer one miss that waits. */
 export type ShedReason = 'tooLate' | 'displaced' | 'outbid'
 
 /** A job that is given up. */
