--- a/packages/core/src/admission/admissionDecider.ts
+++ b/packages/core/src/admission/admissionDecider.ts
@@ -123,7 +123,7 @@
   private recordShed (shed: readonly ShedJob<T>[], now: Ms): void {
     for (const { job, why } of shed) {
       this.shedding.db.recordGivenUp(job, now)
-      if (why === 'tooLate') this.shedding.db.recordBroken(job)
+      if (why === 'tooLate') this.shedding.db.recordBroken(job, now)
       if (job.lastChance) this.shedding.turnedAway(job, why, now)
     }
   }
--- a/packages/core/src/shedding/sheddingDb.ts
+++ b/packages/core/src/shedding/sheddingDb.ts
@@ -21,6 +21,8 @@
 /** How fast the reach of a queue follows what became of its jobs, and its least value. */
 const REACH_STEP = 0.02
 const REACH_MIN = 0.2
+/** Time constant with which the reach returns once forecasts hold. */
+const REACH_RECOVERY_MS = 20_000
 /** Groups that have not been asked for this long are dropped. */
 const IDLE_MS = 30_000
 
@@ -32,6 +34,7 @@
    * Share of its slack that a job may wait by the forecast to be admitted. It follows how often such forecasts prove wrong.
    */
   reach: number
+  brokenAt: Ms
 }
 
 interface Group {
@@ -57,7 +60,7 @@
   /** Learns what is usual in a queue from a job that has arrived. */
   jobArrived (job: SheddableWork): void {
     const loss = JobCost.lossOf(job)
-    const usual = this.usual.get(job.queue) ?? { width: job.width, loss, reach: 1 }
+    const usual = this.usual.get(job.queue) ?? { width: job.width, loss, reach: 1, brokenAt: ms(-Infinity) }
     usual.width += USUAL_WEIGHT * (Math.min(job.width, OUTLIER_FACTOR * usual.width) - usual.width)
     usual.loss += USUAL_WEIGHT * (Math.min(loss, OUTLIER_FACTOR * usual.loss) - usual.loss)
     this.usual.set(job.queue, usual)
@@ -72,14 +75,17 @@
   }
 
   /** An admitted job has turned out too late. */
-  recordBroken ({ queue }: SheddableWork): void {
-    const usual = this.usual.get(queue)
-    if (usual !== undefined) usual.reach = Math.max(REACH_MIN, usual.reach - REACH_STEP * (1 - BROKEN_SHARE))
+  recordBroken (job: SheddableWork, now: Ms): void {
+    const usual = this.usual.get(job.queue)
+    if (usual === undefined) return
+    usual.reach = Math.max(REACH_MIN, this.reachOf(job, now) - REACH_STEP * (1 - BROKEN_SHARE))
+    usual.brokenAt = now
   }
 
   /** @returns share of its slack that such a job may wait by the forecast to be admitted */
-  reachOf ({ queue }: SheddableWork): number {
-    return this.usual.get(queue)?.reach ?? 1
+  reachOf ({ queue }: SheddableWork, now: Ms): number {
+    const usual = this.usual.get(queue)
+    return usual === undefined ? 1 : 1 - (1 - usual.reach) * Math.exp((usual.brokenAt - now) / REACH_RECOVERY_MS)
   }
 
   /** Called when a job has been answered, whatever its outcome. */
--- a/packages/core/src/shedding/sheddingDecider.ts
+++ b/packages/core/src/shedding/sheddingDecider.ts
@@ -78,7 +78,7 @@
    * @returns when its last task has to start by the forecast
    */
   startBy (job: SheddableWork, now: Ms): Ms {
-    return ms(now + (job.latestStart - now) * (job.latestStart > now ? this.db.reachOf(job) : 1))
+    return ms(now + (job.latestStart - now) * (job.latestStart > now ? this.db.reachOf(job, now) : 1))
   }
 
   /**
