--- a/packages/core/src/shedding/jobCost.ts
+++ b/packages/core/src/shedding/jobCost.ts
@@ -22,8 +22,8 @@
 const LEVEL_MAX = 9
 /** Added to the latest start per priority level when jobs are ordered; a higher number is less important. */
 const PRIORITY_STEP_MS = 150
-/** What a caller loses that is refused only when its answer is due, as a share of what it loses when it is refused at once. */
-const WAIT_SHARE = 0.5
+/** What a caller loses more that is refused only when its slack is used up, so that no other shard can serve it in time either, as a share of what it loses when it is refused at once. */
+const WAIT_SHARE = 0.25
 /** Work of one job from which a larger claim counts no more, in core-seconds; it bounds what wrong estimates do to others. */
 const WORK_MAX = 10_000
 const CORE_MS_PER_CORE_SECOND = 1_000_000
@@ -47,7 +47,7 @@
 
   /** @returns the same per core-second; a job that claims to need next to nothing frees nothing either */
   static priceOf (job: SheddableWork, now: Ms): number {
-    const waited = Math.min(1, Math.max(0, now - job.calledAt) / Math.max(1, job.latestStart + job.criticalPathMs - job.calledAt))
+    const waited = Math.min(1, Math.max(0, now - job.calledAt) / Math.max(1, job.latestStart - job.calledAt))
     return JobCost.lossOf(job) / Math.max(CALLER_CORE_SECONDS, JobCost.coreSecondsOf(job)) * (1 + WAIT_SHARE * waited)
   }
 
--- a/packages/core/src/shedding/sheddingDb.ts
+++ b/packages/core/src/shedding/sheddingDb.ts
@@ -19,7 +19,7 @@
 /** Share of the admitted jobs of a queue that may turn out too late. Their callers are refused after they have waited. */
 const BROKEN_SHARE = 0.05
 /** How fast the reach of a queue follows what became of its jobs, and its least value. */
-const REACH_STEP = 0.02
+const REACH_STEP = 0.05
 const REACH_MIN = 0.2
 /** Time constant with which the reach returns once forecasts hold. */
 const REACH_RECOVERY_MS = 20_000
