--- a/packages/bench/src/load/policies.ts
+++ b/packages/bench/src/load/policies.ts
@@ -21,7 +21,7 @@
     name: 'declines',
     description: 'every job is admitted, and none is declined while it waits',
     apply: () => {
-      const undoDecide = replaceMethod(sample.execution.admission, 'decide', () => () => ({ type: 'admit', late: false }))
+      const undoDecide = replaceMethod(sample.execution.admission, 'decide', () => () => ({ type: 'admit', late: false, displaced: [] }))
       const undoDecline = replaceMethod(sample.execution.admission, 'jobsToDecline', () => () => [])
       return () => {
         undoDecide()
@@ -29,6 +29,20 @@
       }
     }
   },
+  {
+    name: 'shedding',
+    description: 'where not all jobs can be on time, the one that misses is declined, whatever it costs',
+    apply: () => {
+      const undoVictims = replaceMethod(sample.execution.admission.shedding, 'victimsFor', () => () => undefined)
+      const undoSqueeze = replaceMethod(sample.execution.admission.shedding, 'squeezesOut', () => () => false)
+      const undoReach = replaceMethod(sample.execution.admission.shedding.db, 'reachOf', () => () => 1)
+      return () => {
+        undoReach()
+        undoSqueeze()
+        undoVictims()
+      }
+    }
+  },
   {
     name: 'order',
     description: 'waiting jobs start in the order in which they arrived',
