Connections have budgets of bytes and numbers, bodies and messages are collected in one buffer (in progress)

Cause: each server kept what arrived without a bound over all connections, one object a chunk. Change: core/connections decides who is closed; the guards, the read throttle and the body reader of all servers act on it; peers' messages are framed before they are decoded; answers have a size.

--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -4,7 +4,7 @@
  */
 import { CHART_NAMES, COUNTERS, readChart } from '@cranberryyard/core'
 import type { ChartName } from '@cranberryyard/core'
-import { SHARD_COUNTERS } from '@cranberryyard/core/shard'
+import { SHARD_COUNTERS, SHARD_GAUGES } from '@cranberryyard/core/shard'
 import { GAUGES, TIMELINESS_COUNTERS } from '@cranberryyard/dispatcher'
 import { SHARD_HISTOGRAMS, metricName } from '@cranberryyard/dispatcher/shard'
 import { settingsSchema } from '@cranberryyard/protocol'
@@ -81,7 +81,7 @@
     '',
     'Served as text on the metrics address (`deploy/system.toml`). Histograms have the label `label`: queue or way of succession.',
     '',
-    tableOf(['name', 'type', 'meaning'], [...shardRows(SHARD_COUNTERS, 'counter'), ...shardRows(SHARD_HISTOGRAMS, 'histogram, ms')]),
+    tableOf(['name', 'type', 'meaning'], [...shardRows(SHARD_COUNTERS, 'counter'), ...shardRows(SHARD_GAUGES, 'gauge'), ...shardRows(SHARD_HISTOGRAMS, 'histogram, ms')]),
     ''
   ].join('\n')
 }
--- /dev/null
+++ b/packages/core/src/connections/types.ts
@@ -0,0 +1,65 @@
+/**
+ * Types of the connections decision: what one instance spends on connections that others opened to it, or on answers that it receives, and which
+ * of them it gives up when the budget is used up.
+ */
+import type { Ms } from '@cranberryyard/protocol'
+
+/** Resources of the machine, from the settings. */
+export interface MachineLimits {
+  readonly memoryMb: number
+  readonly maxFds: number
+}
+
+/** What connections of one kind may use together. */
+export interface Allowance {
+  readonly connections: number
+  readonly bytes: number
+}
+
+/** The allowances of an instance. Each kind has its own, so that a crowd of callers cannot take what peers need. */
+export interface ConnectionAllowances {
+  readonly callers: Allowance
+  /** Connections that peers opened. */
+  readonly peers: Allowance
+  /** Answers of endpoints and of the store while they are received; `connections` counts calls. */
+  readonly answers: Allowance
+}
+
+/**
+ * What a connection does. `idle`: nothing has arrived of a next request. `receiving`: a request or message has begun and is not complete. `served`: what
+ * has arrived is complete, and this instance owes the answer.
+ */
+export type ConnectionPhase = 'idle' | 'receiving' | 'served'
+
+/** Why a connection is closed. */
+export type CloseReason =
+  /** There are more connections than the allowance. */
+  | 'tooMany'
+  /** Connections hold more bytes than the allowance. */
+  | 'memory'
+  /** A request or message arrives too slowly, or a peer has never sent any. */
+  | 'stalled'
+  /** The other side does not read its answers. */
+  | 'unread'
+  /** A body, message or answer is larger than the limit. */
+  | 'tooLarge'
+
+/** One connection. It is the handle by which the shell names it. */
+export interface Connection {
+  readonly openedAt: Ms
+  phase: ConnectionPhase
+  /** When this phase began. */
+  since: Ms
+  /** Bytes that are held for it beyond `CONNECTION_BYTES`. */
+  bytes: number
+  /** Bytes that have arrived in this phase. */
+  received: number
+}
+
+/** Limits that do not depend on the machine. */
+export interface ConnectionSettings {
+  /** Time for which a request or message may stand still, whatever has arrived of it. */
+  readonly stallGraceMs: Ms
+  /** Rate in bytes per second below which a request or message counts as stalled once the grace is over. */
+  readonly leastBytesPerS: number
+}
--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -32,8 +32,25 @@
   'shard.owner.superseded': 'Shards lost to a newer owner.',
   'shard.peers.lost': 'Peers that fell silent or refused connections.',
   'shard.store.unreadable': 'Entries of the store that could not be used and were left out, counted at each reading.',
+  'shard.connections.tooMany': 'Connections closed because there were more than the budget of their kind allows.',
+  'shard.connections.memory': 'Connections and calls closed because all of their kind held more bytes than its budget.',
+  'shard.connections.stalled': 'Connections closed because a request or message arrived too slowly, or a peer had sent none.',
+  'shard.connections.unread': 'Connections closed because the other side did not read its answers.',
+  'shard.connections.tooLarge': 'Requests refused and calls given up because a body or an answer was larger than the limit.',
   'shard.pauses': 'Times this process stood still for longer than the limit.'
 } as const
 
+/** Gauges of the budgets of connections with their help texts. */
+export const SHARD_GAUGES = {
+  'shard.connections.callers': 'Connections of callers that are open.',
+  'shard.connections.callerBytes': 'Bytes held for requests of callers.',
+  'shard.connections.peers': 'Connections that peers have opened.',
+  'shard.connections.peerBytes': 'Bytes held for messages of peers that are not complete.',
+  'shard.connections.answerBytes': 'Bytes held for answers of endpoints and of the store that are not complete.'
+} as const
+
+/** Name of a gauge. */
+export type ShardGaugeName = keyof typeof SHARD_GAUGES
+
 /** Name of a counter. */
 export type ShardCounterName = keyof typeof SHARD_COUNTERS
--- a/packages/dispatcher/src/callers/callerTask.ts
+++ b/packages/dispatcher/src/callers/callerTask.ts
@@ -7,6 +7,7 @@
 import { codedError, jobSchema } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { EffectOf, Post } from '../messages.js'
+import type { ConnectionGuard } from '../utils/connectionGuard.js'
 import { keyHashOf } from '../utils/keys.js'
 import { readJson, sendJson, statusOf, targetOf } from '../utils/httpServer.js'
 
@@ -27,10 +28,11 @@
   healthy = false
   server: Server | undefined
 
-  constructor (private readonly post: Post) {}
+  constructor (private readonly post: Post, private readonly guard: ConnectionGuard) {}
 
   /** Routes one request of a caller: health check, submission, or the fetch or cancellation of an earlier one. */
   handle (req: IncomingMessage, res: ServerResponse): void {
+    this.guard.of(req.socket).begin(req, res)
     const target = targetOf(req)
     if (target.isErr) return this.sendRefusal(res, target.error)
     const url = target.value
@@ -77,12 +79,8 @@
 
   private async submit (req: IncomingMessage, res: ServerResponse, waitsForAnswer: boolean): Promise<void> {
     const keyHash = keyHashOf(req)
-    const body = await readJson(req)
-    if (body.isErr) {
-      this.sendRefusal(res, body.error)
-      if (!req.complete) req.destroy()
-      return
-    }
+    const body = await readJson(req, res, this.guard)
+    if (body.isErr) return this.sendRefusal(res, body.error)
     const job = jobSchema.safeParse(body.value)
     if (!job.success) {
       const issue = job.error.issues[0]
--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -3,8 +3,8 @@
  * for each kind of socket. The daemon passes their inputs to the core task one at a time, and each effect to the task
  * that executes it.
  */
-import { Instance } from '@cranberryyard/core'
-import type { Effect, Input } from '@cranberryyard/core'
+import { Instance, allowancesFor } from '@cranberryyard/core'
+import type { Allowance, Effect, Input } from '@cranberryyard/core'
 import type { FailureDomain, InstanceId, Settings } from '@cranberryyard/protocol'
 import { systemClock } from '@cranberryyard/protocol'
 import { CallerTask } from './callers/callerTask.js'
@@ -13,6 +13,7 @@
 import { OperatorTask } from './operators/operatorTask.js'
 import { PeerTask } from './peers/peerTask.js'
 import { PlatformTask } from './platform/platformTask.js'
+import { ConnectionGuard } from './utils/connectionGuard.js'
 import { makeServer } from './utils/httpServer.js'
 import { listen } from './utils/plainServer.js'
 import { log } from './utils/log.js'
@@ -30,6 +31,8 @@
 /** A running entry instance. */
 export class Daemon {
   private readonly core: Instance
+  private readonly callerGuard: ConnectionGuard
+  private readonly operatorGuard: ConnectionGuard
   private readonly callers: CallerTask
   private readonly operators: OperatorTask
   private readonly peers: PeerTask
@@ -51,12 +54,16 @@
       cfg: settings,
       seed: Date.now() & 0x7fffffff
     })
-    this.callers = new CallerTask(post)
+    const allowances = allowancesFor(settings.machine)
+    this.callerGuard = makeGuard('callers', allowances.callers)
+    // The peers' port has limits of its own, those of gRPC.
+    this.operatorGuard = makeGuard('operators', allowances.peers)
+    this.callers = new CallerTask(post, this.callerGuard)
     this.operators = new OperatorTask(settings.operators, post, {
       status: () => this.core.status(),
       fleet: () => this.core.contracts.db.fleet,
       readArchive: key => this.platform.readKey(key)
-    })
+    }, this.operatorGuard)
     this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post)
     this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post)
     this.platform = new PlatformTask(settings.platform, instance.failureDomain, post)
@@ -66,8 +73,8 @@
   /** Binds the ports, starts polling the platform and starts the tick. @returns the ports */
   async start (): Promise<BoundPorts> {
     const { instance, listen: ports, callerTls, operatorTls, jobs, peers } = this.settings
-    this.callers.server = makeServer(callerTls, jobs.senderTimeoutMs, (req, res) => this.callers.handle(req, res))
-    this.operators.server = makeServer(operatorTls, jobs.senderTimeoutMs, (req, res) => this.operators.handle(req, res))
+    this.callers.server = makeServer(callerTls, jobs.senderTimeoutMs, (req, res) => this.callers.handle(req, res), this.callerGuard)
+    this.operators.server = makeServer(operatorTls, jobs.senderTimeoutMs, (req, res) => this.operators.handle(req, res), this.operatorGuard)
     const peer = await this.peers.listen(instance.address, ports.peerPort)
     const caller = await listen(this.callers.server, instance.address, ports.callerPort)
     const operator = await listen(this.operators.server, instance.address, ports.operatorPort)
@@ -154,3 +161,13 @@
 function sleep (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
+
+/** Counts the connections closed for each reason; a line is written for the first and then for each tenfold number. */
+function makeGuard (port: string, allowance: Allowance): ConnectionGuard {
+  const closed = new Map<string, number>()
+  return new ConnectionGuard(allowance, systemClock, (reason) => {
+    const count = (closed.get(reason) ?? 0) + 1
+    closed.set(reason, count)
+    if (Number.isInteger(Math.log10(count))) log.info('connection.closed', { port, reason, count })
+  })
+}
--- a/packages/dispatcher/src/operators/operatorTask.ts
+++ b/packages/dispatcher/src/operators/operatorTask.ts
@@ -10,6 +10,7 @@
 import { z } from 'zod'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { EffectOf, Post } from '../messages.js'
+import type { ConnectionGuard } from '../utils/connectionGuard.js'
 import { keyHashOf } from '../utils/keys.js'
 import { readJson, sendJson, statusOf, targetOf } from '../utils/httpServer.js'
 
@@ -45,10 +46,11 @@
   private lastCallNumber = 0
   server: Server | undefined
 
-  constructor (private readonly settings: Settings['operators'], private readonly post: Post, private readonly view: OperatorView) {}
+  constructor (private readonly settings: Settings['operators'], private readonly post: Post, private readonly view: OperatorView, private readonly guard: ConnectionGuard) {}
 
   /** Checks the key of one request and routes it. */
   handle (req: IncomingMessage, res: ServerResponse): void {
+    this.guard.of(req.socket).begin(req, res)
     const actor = findActor(keyHashOf(req), this.settings.teamKeys, this.view.fleet())
     if (actor === undefined) return this.sendRefusal(res, codedError('unauthorized', 'unknown key'))
     const target = targetOf(req)
@@ -77,7 +79,7 @@
 
   private async handleChange (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const keyHash = keyHashOf(req)
-    const body = await readJson(req)
+    const body = await readJson(req, res, this.guard)
     if (body.isErr) return this.sendRefusal(res, body.error)
     const parsed = changeSchema.safeParse(body.value)
     if (!parsed.success) return this.sendRefusal(res, fieldError(parsed.error.issues[0]))
--- a/packages/dispatcher/src/shard/endpointConnections.ts
+++ b/packages/dispatcher/src/shard/endpointConnections.ts
@@ -5,10 +5,14 @@
  */
 import type { Ms } from '@cranberryyard/protocol'
 import { Client, buildConnector } from 'undici'
+import type { AnswerBudget, AnswerLimits } from './answerBudget.js'
 import { CONNECTION_OPTIONS, CONNECT_TIMEOUT_MS, originOf, sendCall } from './httpCaller.js'
 import type { CallResult, LogFailedCall } from './httpCaller.js'
 import type { HttpCall } from './wires.js'
 
+/** Largest answer of an endpoint: a list of some ten thousand runs. */
+const MAX_ANSWER_BYTES = 1_048_576
+
 /** Chooses one of the idle connections; undefined if none of them will do and a new one is needed. */
 export type ChooseConnection = (idle: readonly EndpointConnection[]) => EndpointConnection | undefined
 
@@ -27,7 +31,7 @@
   private readonly client: Client
 
   /** @param onClosed - called once when the connection has ended, by either side */
-  constructor (private readonly address: string, private readonly logFailure: LogFailedCall, private readonly onClosed: () => void) {
+  constructor (private readonly address: string, private readonly logFailure: LogFailedCall, private readonly limits: AnswerLimits, private readonly onClosed: () => void) {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
     let connected = false
     this.client = new Client(originOf(address), {
@@ -43,7 +47,7 @@
 
   /** Makes a call. A connection whose call gets no answer is closed, since it may never work again. */
   async call (call: HttpCall, timeoutMs: Ms): Promise<CallResult> {
-    const result = await sendCall(() => this.client, call, timeoutMs, reason => this.logFailure(this.address, reason))
+    const result = await sendCall(() => this.client, call, timeoutMs, reason => this.logFailure(this.address, reason), this.limits)
     if (result.type === 'reply') this.answered = true
     else this.close()
     return result
@@ -64,7 +68,7 @@
   private readonly inUse = new Set<EndpointConnection>()
   private readonly waiters: Waiter[] = []
 
-  constructor (private readonly address: string, private readonly max: number, private readonly logFailure: LogFailedCall) {}
+  constructor (private readonly address: string, private readonly max: number, private readonly logFailure: LogFailedCall, private readonly limits: AnswerLimits) {}
 
   acquire (choose: ChooseConnection, timeoutMs: Ms): Promise<EndpointConnection | undefined> {
     const connection = this.take(choose)
@@ -116,7 +120,7 @@
   }
 
   private open (): EndpointConnection {
-    const connection = new EndpointConnection(this.address, this.logFailure, () => {
+    const connection = new EndpointConnection(this.address, this.logFailure, this.limits, () => {
       this.connections.splice(this.connections.indexOf(connection), 1)
       // Later, since a connection may be closed while one is being chosen for a waiter.
       queueMicrotask(() => this.serveWaiters())
@@ -139,8 +143,15 @@
 export class EndpointConnections {
   private readonly byAddress = new Map<string, AddressConnections>()
 
-  /** @param max - maximum number of connections to one address */
-  constructor (private readonly max: number, private readonly logFailure: LogFailedCall) {}
+  private readonly limits: AnswerLimits
+
+  /**
+   * @param max - maximum number of connections to one address
+   * @param budget - what all answers may hold together
+   */
+  constructor (private readonly max: number, private readonly logFailure: LogFailedCall, budget: AnswerBudget) {
+    this.limits = { maxBytes: MAX_ANSWER_BYTES, budget }
+  }
 
   /**
    * Takes a connection for one exchange; `release` gives it back.
@@ -148,7 +159,7 @@
    * @returns undefined if none has become free in time; throws if the address cannot be used
    */
   acquire (address: string, choose: ChooseConnection, timeoutMs: Ms): Promise<EndpointConnection | undefined> {
-    const connections = this.byAddress.get(address) ?? new AddressConnections(address, this.max, this.logFailure)
+    const connections = this.byAddress.get(address) ?? new AddressConnections(address, this.max, this.logFailure, this.limits)
     this.byAddress.set(address, connections)
     return connections.acquire(choose, timeoutMs)
   }
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -8,7 +8,10 @@
 import { validateHeaderValue } from 'node:http'
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
+import { GrowingBuffer } from '../utils/growingBuffer.js'
 import { parseAddress } from './address.js'
+import { AnswerBudget } from './answerBudget.js'
+import type { AnswerLimits, HeldAnswer } from './answerBudget.js'
 import type { HttpCall, HttpReply } from './wires.js'
 
 /**
@@ -33,6 +36,8 @@
 const KEEP_ALIVE_MS = 10_000
 /** Longest time to connect; allows a few round trips. */
 export const CONNECT_TIMEOUT_MS = 400
+/** Largest answer of the store: a page of 1 MB, or a watch with a few of the largest values. */
+export const MAX_ANSWER_BYTES = 8_388_608
 /** Timeouts of connections; a call has its own. */
 export const CONNECTION_OPTIONS = { keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: 0, bodyTimeout: 0 } as const
 
@@ -49,14 +54,18 @@
   private controller: Dispatcher.DispatchController | undefined
   private sent = false
   private status = 0
-  private readonly chunks: Buffer[] = []
+  /** The answer, as long as it is a single part. */
+  private firstPart: Buffer | undefined
+  /** The answer, if it has come in several parts. */
+  private readonly parts = new GrowingBuffer()
+  private held: HeldAnswer | undefined
   private finished = false
   private readonly idleTimer: NodeJS.Timeout
   private readonly totalTimer: NodeJS.Timeout | undefined
   /** Number of parts of the answer received so far; the status line counts as one. */
   private partsReceived = 0
 
-  constructor ({ idleTimeoutMs, totalTimeoutMs }: CallTimeouts, private readonly report: (result: CallResult) => void, private readonly logFailure: (reason: string) => void) {
+  constructor ({ idleTimeoutMs, totalTimeoutMs }: CallTimeouts, private readonly report: (result: CallResult) => void, private readonly logFailure: (reason: string) => void, private readonly limits: AnswerLimits) {
     this.idleTimer = setTimeout(() => this.checkIdle(), idleTimeoutMs)
     this.totalTimer = totalTimeoutMs > idleTimeoutMs ? setTimeout(() => this.timeOut(), totalTimeoutMs) : undefined
   }
@@ -74,12 +83,15 @@
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.chunks.push(chunk)
+    if (this.finished) return
     this.recordProgress()
+    if (this.receivedBytes + chunk.length > this.limits.maxBytes) return this.giveUp(`the answer is larger than ${this.limits.maxBytes} bytes`, true)
+    if (this.receivedBytes === 0) this.firstPart = chunk
+    else this.collect(chunk)
   }
 
   onResponseEnd (): void {
-    const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks)
+    const body = this.firstPart ?? this.parts.bytes()
     this.finish({ type: 'reply', reply: { status: this.status, body: body.toString('utf8') } })
   }
 
@@ -95,6 +107,29 @@
     else this.finishSilent()
   }
 
+  private get receivedBytes (): number {
+    return this.firstPart?.length ?? this.parts.length
+  }
+
+  private collect (chunk: Buffer): void {
+    const before = this.parts.capacity
+    if (this.firstPart !== undefined) this.parts.append(this.firstPart)
+    this.firstPart = undefined
+    this.parts.append(chunk)
+    this.held ??= this.limits.budget.open(() => this.giveUp('the answers that are received use up the budget', false))
+    this.held.receive(chunk.length)
+    if (this.parts.capacity > before) this.held.hold(this.parts.capacity)
+  }
+
+  /** Ends the call, whose answer is not read any further. */
+  private giveUp (reason: string, tooLarge: boolean): void {
+    if (this.finished) return
+    if (tooLarge) this.limits.budget.report('tooLarge')
+    this.logFailure(reason)
+    this.finishSilent()
+    this.abort(reason)
+  }
+
   private recordProgress (): void {
     this.partsReceived++
     if (this.totalTimer !== undefined && !this.finished) this.idleTimer.refresh()
@@ -115,11 +150,11 @@
   }
 
   private finishSilent (): void {
-    this.finish({ type: 'silent', receivedBytes: this.chunks.reduce((sum, { length }) => sum + length, 0), sent: this.sent })
+    this.finish({ type: 'silent', receivedBytes: this.receivedBytes, sent: this.sent })
   }
 
-  private abort (): void {
-    this.controller?.abort(new Error('the call timed out'))
+  private abort (reason = 'the call timed out'): void {
+    this.controller?.abort(new Error(reason))
   }
 
   private finish (result: CallResult): void {
@@ -127,6 +162,8 @@
     this.finished = true
     clearTimeout(this.idleTimer)
     clearTimeout(this.totalTimer)
+    this.held?.close()
+    this.parts.clear()
     this.report(result)
   }
 }
@@ -137,10 +174,11 @@
  * @param call - the request
  * @param timeouts - both timeouts, or one number for the longest time until the answer is complete
  * @param logFailure - called with the reason if the call fails in another way than by a refused connection or a timeout
+ * @param limits - bounds on the answer
  */
-export function sendCall (connect: () => Dispatcher, call: HttpCall, timeouts: CallTimeouts | Ms, logFailure: (reason: string) => void): Promise<CallResult> {
+export function sendCall (connect: () => Dispatcher, call: HttpCall, timeouts: CallTimeouts | Ms, logFailure: (reason: string) => void, limits: AnswerLimits): Promise<CallResult> {
   return new Promise((resolve) => {
-    const pending = new PendingCall(typeof timeouts === 'number' ? { idleTimeoutMs: timeouts, totalTimeoutMs: timeouts } : timeouts, resolve, logFailure)
+    const pending = new PendingCall(typeof timeouts === 'number' ? { idleTimeoutMs: timeouts, totalTimeoutMs: timeouts } : timeouts, resolve, logFailure, limits)
     try {
       checkHeaders(call)
       connect().dispatch({
@@ -165,15 +203,18 @@
 export class HttpCaller {
   private readonly pools = new Map<string, Pool>()
 
-  /** @param connections - maximum number of connections to one address */
-  constructor (private readonly connections: number, private readonly logFailure: LogFailedCall) {}
+  /**
+   * @param connections - maximum number of connections to one address
+   * @param limits - bounds on the answers
+   */
+  constructor (private readonly connections: number, private readonly logFailure: LogFailedCall, private readonly limits: AnswerLimits = { maxBytes: MAX_ANSWER_BYTES, budget: new AnswerBudget() }) {}
 
   /**
    * Makes a call over any connection.
    * @param address - IP address and port; may be any text
    */
   call (address: string, call: HttpCall, timeouts: CallTimeouts | Ms): Promise<CallResult> {
-    return sendCall(() => this.pool(address), call, timeouts, reason => this.logFailure(address, reason))
+    return sendCall(() => this.pool(address), call, timeouts, reason => this.logFailure(address, reason), this.limits)
   }
 
   /** Closes all connections; calls in flight end as `silent`. */
--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -6,14 +6,20 @@
  * A message is reported as not sent only if no connection to its peer was established. Once it has been written to a
  * connection that breaks, the peer may or may not have received it.
  */
-import { decodeMultiStream } from '@msgpack/msgpack'
+import { DEFAULT_MACHINE, allowancesFor } from '@cranberryyard/core/shard'
+import { Decoder } from '@msgpack/msgpack'
+import { systemClock } from '@cranberryyard/protocol'
 import type { InstanceId, ShardMessage } from '@cranberryyard/protocol'
 import { createServer, connect } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import { encodeEnvelope, readEnvelope } from '../peers/peerCodec.js'
+import { ConnectionGuard } from '../utils/connectionGuard.js'
+import type { GuardedSocket } from '../utils/connectionGuard.js'
+import { countPiece } from '../utils/pieceCollection.js'
 import { listen } from '../utils/plainServer.js'
 import { parseAddress } from './address.js'
 import { isShardMessage } from './messageCheck.js'
+import { MessageFramer } from './messageFramer.js'
 
 /** Longest time to connect to a peer before its pending messages are reported as not sent; allows a few round trips. */
 const CONNECT_TIMEOUT_MS = 800
@@ -26,7 +32,7 @@
 /** Characters of an unusable address that are logged. */
 const MAX_LOGGED_ADDRESS = 100
 /** Bounds on decoded messages; the largest message is a desired state with a few thousand queues. */
-const DECODE_LIMITS = { context: undefined, maxStrLength: 1_048_576, maxArrayLength: 100_000, maxMapLength: 1000, maxBinLength: 0, maxExtLength: 16 }
+const DECODE_LIMITS = { maxStrLength: 1_048_576, maxArrayLength: 100_000, maxMapLength: 1000, maxBinLength: 0, maxExtLength: 16 }
 
 /** Inputs that the link task posts to the decision logic. */
 export type LinkEvent =
@@ -39,6 +45,15 @@
 /** Logs a connection that broke or carried invalid data; the peer is undefined until its first envelope has arrived. */
 export type LogBrokenLink = (peer: InstanceId | undefined, reason: string) => void
 
+/** A connection that a peer has opened. */
+interface Inbound {
+  readonly socket: Socket
+  readonly guarded: GuardedSocket
+  readonly framer: MessageFramer
+  /** The peer, once its first message has arrived. */
+  from: InstanceId | undefined
+}
+
 interface Link {
   readonly address: string
   readonly socket: Socket
@@ -60,10 +75,16 @@
   private readonly server: Server
   /** The unusable address with which each peer was last addressed, so that it is logged once. */
   private readonly unusableAddresses = new Map<InstanceId, string>()
+  private readonly decoder = new Decoder(DECODE_LIMITS)
   private closed = false
 
-  constructor (private readonly self: InstanceId, private readonly post: (event: LinkEvent) => void, private readonly logBrokenLink: LogBrokenLink) {
-    this.server = createServer({ noDelay: true }, socket => void this.receive(socket))
+  constructor (
+    private readonly self: InstanceId,
+    private readonly post: (event: LinkEvent) => void,
+    private readonly logBrokenLink: LogBrokenLink,
+    private readonly guard = new ConnectionGuard(allowancesFor(DEFAULT_MACHINE).peers, systemClock, () => {})
+  ) {
+    this.server = createServer({ noDelay: true }, socket => this.accept(socket))
   }
 
   /** @returns the port on which it now listens */
@@ -109,24 +130,50 @@
   }
 
   /** Reads envelopes until the connection ends. Invalid data closes this connection and has no other effect. */
-  private async receive (socket: Socket): Promise<void> {
-    let from: InstanceId | undefined
+  private accept (socket: Socket): void {
+    const inbound: Inbound = { socket, guarded: this.guard.add(socket), framer: new MessageFramer(), from: undefined }
     this.inbound.add(socket)
-    // The loop below ends with the same error and handles it.
-    socket.on('error', () => {})
+    this.guard.enter(inbound.guarded, 'receiving')
+    socket.on('data', (piece: Buffer) => this.receive(inbound, piece))
+    socket.on('error', err => this.logBroken(inbound, err))
+    socket.once('close', () => this.onInboundClosed(inbound))
+  }
+
+  private receive (inbound: Inbound, piece: Buffer): void {
+    const { framer, guarded, socket } = inbound
+    if (socket.destroyed) return
+    const wasInside = framer.isInside
+    guarded.connection.received += piece.length
+    countPiece(piece.length)
     try {
-      for await (const value of decodeMultiStream(socket, DECODE_LIMITS)) {
-        const envelope = readEnvelope(value)
-        if (envelope === undefined) throw new Error('received data that is not a message envelope')
-        if (from === undefined) this.latestInbound.set(envelope.from, socket)
-        from = envelope.from
-        if (!isShardMessage(envelope.message)) throw new Error(`received an invalid message of type '${envelope.message.type}'`)
-        this.deliver(from, envelope.message)
-      }
+      framer.receive(piece, message => this.readMessage(inbound, message))
     } catch (err) {
-      if (!this.closed) this.logBrokenLink(from, err instanceof Error ? err.message : String(err))
+      this.logBroken(inbound, err)
+      socket.destroy()
+      return
     }
-    socket.destroy()
+    if (framer.isInside || wasInside) this.guard.hold(guarded, framer.heldBytes)
+    if (framer.isInside !== wasInside) this.guard.enter(guarded, framer.isInside ? 'receiving' : 'served')
+  }
+
+  private readMessage (inbound: Inbound, bytes: Buffer): void {
+    const envelope = readEnvelope(this.decoder.decode(bytes))
+    if (envelope === undefined) throw new Error('received data that is not a message envelope')
+    if (inbound.from === undefined) {
+      this.latestInbound.set(envelope.from, inbound.socket)
+      this.guard.enter(inbound.guarded, 'served')
+    }
+    inbound.from = envelope.from
+    if (!isShardMessage(envelope.message)) throw new Error(`received an invalid message of type '${envelope.message.type}'`)
+    this.deliver(envelope.from, envelope.message)
+  }
+
+  private logBroken ({ from }: Inbound, err: unknown): void {
+    if (!this.closed) this.logBrokenLink(from, err instanceof Error ? err.message : String(err))
+  }
+
+  private onInboundClosed ({ socket, from, framer }: Inbound): void {
+    framer.close()
     this.inbound.delete(socket)
     if (from === undefined || this.latestInbound.get(from) !== socket) return
     this.latestInbound.delete(from)
--- a/packages/dispatcher/src/shard/orderTask.ts
+++ b/packages/dispatcher/src/shard/orderTask.ts
@@ -5,6 +5,7 @@
 import type { ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { HoldOutcome, Ms, TaskStartOutcome, TaskStopOutcome } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { AnswerBudget } from './answerBudget.js'
 import { EndpointConnections } from './endpointConnections.js'
 import type { ChooseConnection, EndpointConnection } from './endpointConnections.js'
 import type { LogFailedCall } from './httpCaller.js'
@@ -22,8 +23,8 @@
 export class OrderTask {
   private readonly connections: EndpointConnections
 
-  constructor (private readonly wire: EndpointWire, private readonly post: (input: ShardInput) => void, private readonly logFailure: LogFailedCall) {
-    this.connections = new EndpointConnections(CONNECTIONS_PER_ENDPOINT, logFailure)
+  constructor (private readonly wire: EndpointWire, private readonly post: (input: ShardInput) => void, private readonly logFailure: LogFailedCall, budget = new AnswerBudget()) {
+    this.connections = new EndpointConnections(CONNECTIONS_PER_ENDPOINT, logFailure, budget)
   }
 
   /** Sends a hold, which takes or extends the lease on an endpoint or only reads its runs. */
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -3,12 +3,14 @@
  * decisions in `core` and routes the effects that they return to the tasks. All I/O stays on this side, so that the
  * decisions can be tested without sockets and clocks.
  */
-import { ShardInstance } from '@cranberryyard/core/shard'
-import type { ListPace, ShardEffect, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
+import { DEFAULT_MACHINE, ShardInstance, allowancesFor } from '@cranberryyard/core/shard'
+import type { CloseReason, ListPace, MachineLimits, ShardEffect, ShardGaugeName, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
 import type { Clock } from '@cranberryyard/protocol'
+import { ConnectionGuard } from '../utils/connectionGuard.js'
 import { listen } from '../utils/plainServer.js'
 import { StructuredLog } from '../utils/structuredLog.js'
 import type { SocketAddress } from './address.js'
+import { AnswerBudget } from './answerBudget.js'
 import { JobServerTask } from './jobServerTask.js'
 import type { LogFailedCall } from './httpCaller.js'
 import { LinkTask } from './linkTask.js'
@@ -47,6 +49,8 @@
   readonly wires: PlatformWires
   readonly clock: Clock
   readonly random: () => number
+  /** Limits of the machine, from which the budgets of connections are derived. */
+  readonly machine?: MachineLimits
   /** Called while the store cannot be reached, for each failed read: its address may have changed. */
   readonly storeUnreachable?: () => void
 }
@@ -70,9 +74,13 @@
     this.core = new ShardInstance({ self, cfg, seeds })
     this.reads = new SocketReads(clock)
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
-    this.links = new LinkTask(self.instance, post, (peer, why) => this.log.write('warn', 'link.broken', { peer, why }))
+    const allowances = allowancesFor(options.machine ?? DEFAULT_MACHINE)
+    const callers = new ConnectionGuard(allowances.callers, clock, reason => this.connectionClosed('callers', reason))
+    const peers = new ConnectionGuard(allowances.peers, clock, reason => this.connectionClosed('peers', reason))
+    const answers = new AnswerBudget(allowances.answers, clock, reason => this.connectionClosed('answers', reason))
+    this.links = new LinkTask(self.instance, post, (peer, why) => this.brokenLink(peer, why), peers)
     const failedCall: LogFailedCall = (address, reason) => this.log.writeRepeated('call.failed', `${address} ${reason}`, { address, reason })
-    this.orders = new OrderTask(wires.endpoints, post, failedCall)
+    this.orders = new OrderTask(wires.endpoints, post, failedCall, answers)
     this.store = new StoreTask(wires.store, post, random, clock, {
       unreadable: (list, entries) => this.log.write('warn', 'store.unreadable', { list, entries }),
       unreadableEntry: (list, { key, reason }) => this.unreadableEntry(list, key, reason),
@@ -80,9 +88,9 @@
       failedRead: (list, { why, isWatch, tookMs, receivedBytes }) => this.log.write('warn', 'store.readFailed', { list, why, isWatch, tookMs, receivedBytes }),
       unreachable: () => options.storeUnreachable?.(),
       desiredRead: (version, { isWatch, tookMs, receivedBytes }) => this.log.write('info', 'store.desiredRead', { version, isWatch, tookMs, receivedBytes })
-    })
-    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.refusalFor(host, path), this.reads)
-    this.metrics = new MetricsServer(this.core.ctx.out.counters)
+    }, answers)
+    this.jobs = new JobServerTask(wires.callers, post, (host, path) => this.core.refusalFor(host, path), this.reads, callers)
+    this.metrics = new MetricsServer(this.core.ctx.out.counters, () => gaugesOf(callers, peers, answers), reason => this.connectionClosed('metrics', reason))
   }
 
   /** Binds the ports, starts the decision logic and the store loops, and begins to tick. */
@@ -141,6 +149,17 @@
     await Promise.race([closed, sleep(remainingMs)])
   }
 
+  /** Anyone may connect without a name, so lines about these are bounded further. */
+  private brokenLink (peer: string | undefined, why: string): void {
+    if (peer === undefined) this.log.writeRepeated('link.broken', why, { why })
+    else this.log.write('warn', 'link.broken', { peer, why })
+  }
+
+  private connectionClosed (kind: string, reason: CloseReason): void {
+    this.core.ctx.out.count(`shard.connections.${reason}`)
+    this.log.writeRepeated('connection.closed', `${kind} ${reason}`, { kind, reason })
+  }
+
   private unreadableEntry (list: StoreList, key: string, reason: string): void {
     this.core.ctx.out.count('shard.store.unreadable')
     this.log.writeRepeated('store.unreadableEntry', `${key} ${reason}`, { list, key, reason })
@@ -196,6 +215,16 @@
   }
 }
 
+function gaugesOf (callers: ConnectionGuard, peers: ConnectionGuard, answers: AnswerBudget): Record<ShardGaugeName, number> {
+  return {
+    'shard.connections.callers': callers.usage().connections,
+    'shard.connections.callerBytes': callers.usage().bytes,
+    'shard.connections.peers': peers.usage().connections,
+    'shard.connections.peerBytes': peers.usage().bytes,
+    'shard.connections.answerBytes': answers.usage().bytes
+  }
+}
+
 function sleep (durationMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, durationMs))
 }
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -7,7 +7,8 @@
 import type { ListPace, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { Clock, EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
-import { HttpCaller } from './httpCaller.js'
+import { AnswerBudget } from './answerBudget.js'
+import { HttpCaller, MAX_ANSWER_BYTES } from './httpCaller.js'
 import type { CallResult, LogFailedCall } from './httpCaller.js'
 import type { DesiredReadResult, HttpCall, HttpReply, Page, RecordEntry, StoreFailure, StoreWire, UnreadableEntry } from './wires.js'
 
@@ -78,8 +79,8 @@
   /** True until a read of the records that may not be stale has succeeded. */
   private requireFreshRecords = true
 
-  constructor (private wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog) {
-    this.caller = new HttpCaller(MAX_STORE_CONNECTIONS, log.failedCall)
+  constructor (private wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog, budget = new AnswerBudget()) {
+    this.caller = new HttpCaller(MAX_STORE_CONNECTIONS, log.failedCall, { maxBytes: MAX_ANSWER_BYTES, budget })
   }
 
   /** Starts the watch of the desired state and both polling loops. */
--- /dev/null
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -0,0 +1,186 @@
+/**
+ * Keeps the connections that others opened inside the budget of their kind. The decisions are in `core`; this module knows the sockets, counts what
+ * is held for each, and closes those that the decisions name. A connection that is closed gets no answer: what it had sent was not complete, or its
+ * caller sees a broken connection, after which nothing is taken for granted.
+ */
+import { ConnectionsDecider } from '@cranberryyard/core/shard'
+import type { Allowance, CloseReason, Connection } from '@cranberryyard/core/shard'
+import type { Clock } from '@cranberryyard/protocol'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { countPiece } from './pieceCollection.js'
+import { ReadThrottle } from './readThrottle.js'
+import type { Throttled } from './readThrottle.js'
+
+/** Bytes that an open request costs beside its body: the request, its response and what waits for it. */
+const REQUEST_BYTES = 8192
+/** Bytes that a header costs in addition. */
+const HEADER_BYTES = 128
+/** Cost of a request in units of the read throttle. */
+const REQUEST_UNITS = 50
+/** Interval at which connections without progress are looked for. */
+const SWEEP_MS = 1000
+/** Time after which a connection is closed whose other side has not read any of what waits for it. */
+const UNREAD_MS = 15_000
+
+/** Reports each connection that is closed. */
+export type ReportClosed = (reason: CloseReason) => void
+
+/** One connection with what is held for it. */
+export class GuardedSocket implements Throttled {
+  held = false
+  units = 0
+  /** Called once when the other side has left or the connection has closed. */
+  private readonly onLeft = new Set<() => void>()
+  private openRequests = 0
+  private drainedBytes = 0
+  private drainedAt: number
+
+  constructor (readonly socket: Socket, readonly connection: Connection, private readonly guard: ConnectionGuard) {
+    this.drainedAt = connection.openedAt
+    const left = (): void => this.leave()
+    socket.on('end', left).on('error', left).on('close', left)
+  }
+
+  /** Calls back when the other side has ended the connection or it has closed. @returns a function that takes this back */
+  whenLeft (callback: () => void): () => void {
+    this.onLeft.add(callback)
+    return () => this.onLeft.delete(callback)
+  }
+
+  /** Counts a request from its head until its response has closed. */
+  begin (req: IncomingMessage, res: ServerResponse): void {
+    const cost = REQUEST_BYTES + req.rawHeaders.length / 2 * HEADER_BYTES
+    this.openRequests++
+    this.guard.enter(this, 'receiving')
+    this.hold(cost)
+    this.guard.throttle.spend(this, REQUEST_UNITS)
+    res.once('close', () => {
+      this.hold(-cost)
+      if (--this.openRequests === 0) this.guard.enter(this, 'idle')
+    })
+  }
+
+  /** Counts a part of a body that has arrived. */
+  receive (bytes: number): void {
+    this.connection.received += bytes
+    countPiece(bytes)
+    this.guard.throttle.spend(this, 1)
+  }
+
+  /** Whatever has arrived is complete; this instance owes the answer. @param units - what reading the request costs */
+  completed (units: number): void {
+    this.guard.throttle.spend(this, units)
+    this.guard.enter(this, 'served')
+  }
+
+  /** Adds to what is held for the connection; it or others are closed if that is too much. */
+  hold (bytes: number): void {
+    this.guard.hold(this, this.connection.bytes + bytes)
+  }
+
+  /** Stops reading for good, before the connection is closed. */
+  stopReading (): void {
+    this.guard.throttle.remove(this)
+    this.held = true
+    this.socket.pause()
+  }
+
+  /** @returns whether something waits for the other side and it has read none of it for too long */
+  isUnread (now: number): boolean {
+    const drained = this.socket.bytesWritten - this.socket.writableLength
+    if (this.socket.writableLength === 0 || drained !== this.drainedBytes) {
+      this.drainedBytes = drained
+      this.drainedAt = now
+    }
+    return now - this.drainedAt > UNREAD_MS
+  }
+
+  private leave (): void {
+    for (const callback of [...this.onLeft]) callback()
+    this.onLeft.clear()
+  }
+}
+
+/** The connections of one kind. */
+export class ConnectionGuard {
+  readonly throttle = new ReadThrottle()
+  private readonly decider: ConnectionsDecider
+  private readonly sockets = new Map<Connection, GuardedSocket>()
+  private readonly bySocket = new WeakMap<Socket, GuardedSocket>()
+  private sweepTimer: NodeJS.Timeout | undefined
+
+  constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed) {
+    this.decider = new ConnectionsDecider(allowance)
+  }
+
+  /** Guards all connections of a server, from the event that gives them to the handler of requests. */
+  watch (server: Server, event: 'connection' | 'secureConnection' = 'connection'): void {
+    server.on(event, (socket: Socket) => this.throttle.add(this.add(socket)))
+  }
+
+  /** Guards a connection that has just been accepted. */
+  add (socket: Socket): GuardedSocket {
+    const connection = this.decider.open(this.clock.now())
+    const guarded = new GuardedSocket(socket, connection, this)
+    this.sockets.set(connection, guarded)
+    this.bySocket.set(socket, guarded)
+    socket.once('close', () => this.remove(guarded))
+    this.sweepTimer ??= setInterval(() => this.sweep(), SWEEP_MS).unref()
+    this.closeExcess()
+    return guarded
+  }
+
+  /** @returns what guards a socket; one that was closed meanwhile is guarded anew, which ends with it */
+  of (socket: Socket): GuardedSocket {
+    return this.bySocket.get(socket) ?? this.add(socket)
+  }
+
+  enter ({ connection }: GuardedSocket, phase: Connection['phase']): void {
+    this.decider.enter(connection, phase, this.clock.now())
+  }
+
+  hold ({ connection }: GuardedSocket, bytes: number): void {
+    this.decider.hold(connection, bytes)
+    this.closeExcess()
+  }
+
+  /** Closes a connection and reports why. */
+  close (guarded: GuardedSocket, reason: CloseReason): void {
+    if (!this.sockets.has(guarded.connection)) return
+    this.remove(guarded)
+    guarded.socket.destroy()
+    this.report(reason)
+  }
+
+  /** @returns the connections and the bytes that are held for them */
+  usage (): Allowance {
+    return { connections: this.decider.db.open.size, bytes: this.decider.db.bytes }
+  }
+
+  private closeExcess (): void {
+    const reason = this.decider.excess()
+    if (reason === undefined) return
+    for (const victim of this.decider.victims(this.clock.now())) this.closeConnection(victim, reason)
+  }
+
+  private closeConnection (connection: Connection, reason: CloseReason): void {
+    const guarded = this.sockets.get(connection)
+    if (guarded !== undefined) this.close(guarded, reason)
+  }
+
+  private sweep (): void {
+    const now = this.clock.now()
+    for (const connection of this.decider.stalled(now)) this.closeConnection(connection, 'stalled')
+    for (const guarded of [...this.sockets.values()]) if (guarded.isUnread(now)) this.close(guarded, 'unread')
+    if (this.sockets.size > 0) return
+    clearInterval(this.sweepTimer)
+    this.sweepTimer = undefined
+  }
+
+  private remove (guarded: GuardedSocket): void {
+    this.decider.close(guarded.connection)
+    this.sockets.delete(guarded.connection)
+    this.throttle.remove(guarded)
+  }
+}
--- a/packages/dispatcher/src/utils/httpServer.ts
+++ b/packages/dispatcher/src/utils/httpServer.ts
@@ -8,8 +8,10 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import { Result } from 'true-myth'
+import type { ConnectionGuard } from './connectionGuard.js'
 import { makePlainServer, senderLimits } from './plainServer.js'
 import type { RequestHandler } from './plainServer.js'
+import { hasUnreadBody, readBody } from './requestBody.js'
 
 type TlsSettings = Settings['callerTls']
 
@@ -18,13 +20,19 @@
  * @param tls - the port's TLS settings
  * @param senderTimeoutMs - longest time that a sender may take for a whole request
  * @param handler - called for each request
+ * @param guard - the budget of its connections
  * @returns the server, not listening yet
  */
-export function makeServer (tls: TlsSettings, senderTimeoutMs: number, handler: RequestHandler): Server {
-  if (tls.plain) return makePlainServer(senderTimeoutMs, handler)
+export function makeServer (tls: TlsSettings, senderTimeoutMs: number, handler: RequestHandler, guard: ConnectionGuard): Server {
+  const server = tls.plain ? makePlainServer(senderLimits(senderTimeoutMs), handler) : makeTlsServer(tls, senderTimeoutMs, handler)
+  guard.watch(server, tls.plain ? 'connection' : 'secureConnection')
+  return server
+}
+
+function makeTlsServer (tls: TlsSettings, senderTimeoutMs: number, handler: RequestHandler): Server {
   const certificate = { cert: readFileSync(tls.certFile), key: readFileSync(tls.keyFile) }
   const ca = tls.caFile === '' ? {} : { ca: readFileSync(tls.caFile), requestCert: true, rejectUnauthorized: true }
-  return createTlsServer({ ...senderLimits(senderTimeoutMs), ...certificate, ...ca }, handler)
+  return createTlsServer({ ...senderLimits(senderTimeoutMs), handshakeTimeout: senderTimeoutMs, ...certificate, ...ca }, handler)
 }
 
 /** Parses the target of a request; `//` for example is none. */
@@ -36,19 +44,21 @@
 /**
  * Reads and parses a JSON body within the size limit.
  * @param req - the request
+ * @param res - its response
+ * @param guard - the budget of the server's connections
  * @returns the parsed value or a coded error
  */
-export function readJson (req: IncomingMessage): Promise<Result<unknown, CodedError>> {
+export function readJson (req: IncomingMessage, res: ServerResponse, guard: ConnectionGuard): Promise<Result<unknown, CodedError>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes <= MAX_BODY_BYTES) chunks.push(chunk)
-      else resolve(Result.err(codedError('bodyTooLarge', `the request body is larger than the limit of ${MAX_BODY_BYTES} bytes`)))
+    readBody(req, res, guard.of(req.socket), MAX_BODY_BYTES, (outcome) => {
+      switch (outcome.type) {
+        case 'complete': return resolve(parseJson(outcome.body.toString('utf8')))
+        case 'tooLarge':
+          guard.report('tooLarge')
+          return resolve(Result.err(codedError('bodyTooLarge', `the request body is larger than the limit of ${MAX_BODY_BYTES} bytes`)))
+        case 'broken': return resolve(Result.err(codedError('slowSender', 'the connection ended before the whole request body was received')))
+      }
     })
-    req.on('error', () => resolve(Result.err(codedError('slowSender', 'the connection ended before the whole request body was received'))))
-    req.on('end', () => resolve(parseJson(Buffer.concat(chunks).toString('utf8'))))
   })
 }
 
@@ -111,6 +121,7 @@
 export function sendJson (res: ServerResponse, status: number, body: unknown): void {
   if (res.headersSent || res.destroyed) return
   const text = JSON.stringify(body)
-  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  const connectionHeader = hasUnreadBody(res.req) ? { connection: 'close' } : {}
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...connectionHeader })
   res.end(text)
 }
--- a/packages/dispatcher/src/utils/plainServer.ts
+++ b/packages/dispatcher/src/utils/plainServer.ts
@@ -15,24 +15,37 @@
   readonly headersTimeout: number
   readonly connectionsCheckingInterval: number
   readonly keepAliveTimeout: number
+  readonly maxHeaderSize: number
 }
 
+/** Largest request line and headers together. */
+const MAX_HEADER_BYTES = 32_768
+const KEEP_ALIVE_MS = 30_000
+
 /**
  * Derives the server options that limit slow senders.
  * @param senderTimeoutMs - longest time that a sender may take for a whole request
  */
 export function senderLimits (senderTimeoutMs: number): SenderLimits {
-  return { requestTimeout: senderTimeoutMs, headersTimeout: senderTimeoutMs, connectionsCheckingInterval: 500, keepAliveTimeout: 30_000 }
+  return { requestTimeout: senderTimeoutMs, headersTimeout: senderTimeoutMs, connectionsCheckingInterval: 500, keepAliveTimeout: KEEP_ALIVE_MS, maxHeaderSize: MAX_HEADER_BYTES }
+}
+
+/**
+ * Derives the server options that limit the headers only; how slowly a body may arrive is the decision of a `ConnectionGuard`.
+ * @param headersTimeoutMs - longest time that a sender may take for the headers
+ */
+export function headerLimits (headersTimeoutMs: number): SenderLimits {
+  return { ...senderLimits(headersTimeoutMs), requestTimeout: 0 }
 }
 
 /**
  * Makes a server without TLS.
- * @param senderTimeoutMs - longest time that a sender may take for a whole request
+ * @param limits - limits on slow senders
  * @param handler - called for each request
  * @returns the server, not listening yet
  */
-export function makePlainServer (senderTimeoutMs: number, handler: RequestHandler): Server {
-  return createServer(senderLimits(senderTimeoutMs), handler)
+export function makePlainServer (limits: SenderLimits, handler: RequestHandler): Server {
+  return createServer(limits, handler)
 }
 
 /**
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -75,6 +75,11 @@
   senderTimeoutMs: durationMs(5000, 'A caller that has not sent its whole request after this span is disconnected.')
 })
 
+const machineSchema = z.strictObject({
+  memoryMb: z.number().int().min(64).max(1_048_576).default(350).describe('Memory of the machine in MB; the budgets of connections are derived from it.'),
+  maxFds: z.number().int().min(256).max(1_048_576).default(4100).describe('Descriptors that a process may open; the numbers of connections are derived from it.')
+})
+
 const shutdownSchema = z.strictObject({
   announceMs: durationMs(1500, 'New requests are still served for this span after the health page has turned.'),
   drainMs: durationMs(20_000, 'Longest wait for requests in flight before the process exits.')
@@ -107,6 +112,7 @@
   routing: routingSchema.prefault({}),
   deduplication: deduplicationSchema.prefault({}),
   jobs: jobsSchema.prefault({}),
+  machine: machineSchema.prefault({}),
   shutdown: shutdownSchema.prefault({}),
   metrics: metricsSchema.prefault({}),
   operators: operatorsSchema.prefault({})
