Intake budget: allowances from the machine's limits, with docs, counters, gauges and specs

Cause: a process had no bound on what all clients, peers and answers together hold; crowds of 20 to 400 connections ended it or exceeded its memory and descriptors. Change: see docs/design/intake-budget.md.

--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -4,7 +4,7 @@
  */
 import { CHART_NAMES, COUNTERS, readChart } from '@cranberryyard/core'
 import type { ChartName } from '@cranberryyard/core'
-import { SHARD_COUNTERS, SHARD_GAUGES } from '@cranberryyard/core/shard'
+import { CONNECTION_BYTES, CONNECTION_DEFAULTS, DEFAULT_MACHINE, SHARD_COUNTERS, SHARD_GAUGES, allowancesFor } from '@cranberryyard/core/shard'
 import { GAUGES, TIMELINESS_COUNTERS } from '@cranberryyard/dispatcher'
 import { SHARD_HISTOGRAMS, metricName } from '@cranberryyard/dispatcher/shard'
 import { settingsSchema } from '@cranberryyard/protocol'
@@ -37,10 +37,41 @@
     'Plain ports serve without TLS and only where a settings file says `plain = true`; the peers\' port uses mutual TLS.',
     '',
     tableOf(['key', 'type', 'default', 'meaning'], rows),
+    '',
+    '## Limits on what others send',
+    '',
+    'Derived from `machine` here and from `limits.memoryMb` and `limits.maxFds` of the settings file on the platform; without these, from',
+    `${DEFAULT_MACHINE.memoryMb} MB and ${DEFAULT_MACHINE.maxFds} descriptors as below. [Intake budget](design/intake-budget.md) says who is turned away.`,
+    '',
+    tableOf(['limit', 'default', 'meaning'], connectionLimits()),
     ''
   ].join('\n')
 }
 
+function connectionLimits (): string[][] {
+  const { callers, peers, answers } = allowancesFor(DEFAULT_MACHINE)
+  const mb = ({ bytes }: { readonly bytes: number }): string => `${(bytes / 1_048_576).toFixed(1)} MB`
+  return [
+    ['connections of callers', String(callers.connections), 'The smaller of half the descriptors beyond 200 and four for each MB of memory.'],
+    ['bytes for callers', mb(callers), 'A tenth of the memory; for bodies and open requests.'],
+    ['connections that peers open', String(peers.connections), 'A quarter of the descriptors beyond 200. Operators\' connections in `cranberryyardd`.'],
+    ['bytes for peers', mb(peers), 'A twentieth of the memory; for messages that are not complete.'],
+    ['bytes for answers', mb(answers), 'A twentieth of the memory; for answers of endpoints and of the store that are not complete.'],
+    ['connections for probes, for metrics', '32 each', 'Connections to the readiness port and to the metrics address.'],
+    ['cost of a connection', `${CONNECTION_BYTES} bytes`, 'Weighs with what it holds when connections are compared.'],
+    ['size of a body', '1,048,576 bytes', 'A larger one is refused with 413 when it is announced, or at the byte that exceeds it.'],
+    ['values in a body', '262,144', 'Commas and opening brackets of JSON; more are refused with 413.'],
+    ['size of headers', '32,768 bytes', 'Request line and headers together; larger ones are refused with 431.'],
+    ['time for headers', '5,000 ms', 'On the platform; `jobs.senderTimeoutMs` for whole requests in `cranberryyardd`.'],
+    ['grace of a body or message', `${CONNECTION_DEFAULTS.stallGraceMs} ms`, 'It may stand still for so long.'],
+    ['least progress', `${CONNECTION_DEFAULTS.leastBytesPerS} bytes/s`, 'Mean rate below which a body or message is given up after its grace.'],
+    ['answers that are not read', '15,000 ms', 'Without any progress for so long, the connection is closed.'],
+    ['idle connections', '30,000 ms', 'A connection without a request is closed after so long.'],
+    ['size of a message of a peer', '4,194,304 bytes', 'Also at most 500,000 values, 48 deep.'],
+    ['size of an answer', '8,388,608 bytes', 'Of the store; 1,048,576 bytes of an endpoint.']
+  ]
+}
+
 function settingRows (schema: JsonSchema, path: string): string[][] {
   return Object.entries(schema.properties ?? {}).flatMap(([name, property]) => {
     const key = path === '' ? name : `${path}.${name}`
--- a/packages/core/src/connections/connectionsDecider.ts
+++ b/packages/core/src/connections/connectionsDecider.ts
@@ -31,8 +31,10 @@
 const MAX_ANSWERS = 10_000
 /** After an excess, so much of the allowance is freed at once that the next connections do not each cause a search. */
 const FREED_SHARE = 0.125
-/** Shortest time that counts. It stands for all of the time for which a connection waits for this instance, since it owes no progress then. */
+/** Shortest time that counts. */
 const SHORTEST_WAIT_MS = 1
+/** Stands for all of the time for which a connection waits for this instance, since it owes no progress then. It comes after those that have just opened. */
+const SERVED_WAIT_MS = 0.5
 const SECOND_MS = 1000
 
 /** Derives the allowances from the limits of the machine. */
@@ -111,6 +113,6 @@
 function scoreOf ({ phase, since, bytes, received }: Connection, { leastBytesPerS }: ConnectionSettings, now: Ms): number {
   const elapsedMs = now - since
   const bytesPerS = elapsedMs > 0 ? received / elapsedMs * SECOND_MS : 0
-  const waitMs = phase === 'served' ? SHORTEST_WAIT_MS : Math.max(SHORTEST_WAIT_MS, elapsedMs / (1 + bytesPerS / leastBytesPerS))
+  const waitMs = phase === 'served' ? SERVED_WAIT_MS : Math.max(SHORTEST_WAIT_MS, elapsedMs / (1 + bytesPerS / leastBytesPerS))
   return (CONNECTION_BYTES + bytes) ** 2 * waitMs
 }
--- a/packages/dispatcher/src/shard/httpCaller.spec.ts
+++ b/packages/dispatcher/src/shard/httpCaller.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { ms } from '@cranberryyard/protocol'
 import { listenHttp, sendJson } from '@cranberryyard/fakes'
+import { AnswerBudget } from './answerBudget.js'
 import { HttpCaller } from './httpCaller.js'
 
 const call = { method: 'POST', path: '/x', body: '{"a":1}' } as const
@@ -27,6 +28,23 @@
     expect(result).to.deep.equal({ type: 'reply', reply: { status: 409, body: JSON.stringify({ long }) } })
   })
 
+  it('gives up an answer that is too large, and answers that use up the budget', async () => {
+    const server = await listenHttp(0, (_req, res) => {
+      const timer = setInterval(() => res.write('x'.repeat(30_000)), 1)
+      res.once('close', () => clearInterval(timer))
+    })
+    const reasons: string[] = []
+    const closed: string[] = []
+    for (const [maxBytes, bytes] of [[100_000, 1_000_000], [1_000_000, 100_000]] as const) {
+      const caller = new HttpCaller(2, (_address, reason) => reasons.push(reason), { maxBytes, budget: new AnswerBudget({ connections: 10, bytes }, undefined, reason => closed.push(reason)) })
+      expect((await caller.call(`127.0.0.1:${server.port}`, call, LONG_TIMEOUT_MS)).type).to.equal('silent')
+      await caller.close()
+    }
+    await server.close()
+    expect(reasons).to.deep.equal(['the answer is larger than 100000 bytes', 'the answers that are received use up the budget'])
+    expect(closed).to.deep.equal(['tooLarge', 'memory'])
+  })
+
   it('distinguishes a refused connection from a missing answer', async () => {
     const server = await listenHttp(0, () => {})
     const caller = new HttpCaller(2, ignoreReason)
--- a/packages/dispatcher/src/shard/jobServerTask.spec.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.spec.ts
@@ -66,7 +66,44 @@
   return inputs
 }
 
+/** Sends bytes to a task that answers each body with its length, and returns all that it sends until it closes the connection or `count` answers have come. */
+async function answersTo (parts: readonly string[], count = 1): Promise<string> {
+  const wire: CallerWire = { ...WIRE, read: (_method, _path, _headers, body) => ({ type: 'malformed', message: String(body.length) }), answerMalformed: body => ({ status: 200, headers: {}, body }) }
+  const task = new JobServerTask(wire, () => {}, () => undefined, new SocketReads(systemClock))
+  const caller = connect(await listen(task.callers, '127.0.0.1', 0), '127.0.0.1')
+  let received = ''
+  for (const part of parts) caller.write(part)
+  await new Promise<void>((resolve) => {
+    caller.on('error', () => {}).once('close', resolve).on('data', (data: Buffer) => {
+      received += data.toString()
+      if (received.split('HTTP/1.1 ').length > count) resolve()
+    })
+  })
+  caller.destroy()
+  task.callers.close()
+  return received
+}
+
 describe('the task that serves callers', () => {
+  it('serves a body of the largest size that the pages allow, in chunks of one byte, and pipelined requests', async () => {
+    const size = 262_144
+    expect(await answersTo(['POST /q/1 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n', '1\r\nx\r\n'.repeat(size), '0\r\n\r\n'])).to.match(new RegExp(`^HTTP/1.1 200[^]*${size}$`))
+    expect((await answersTo([REQUEST.repeat(300)], 300)).match(/HTTP\/1.1 200/g)?.length).to.equal(300)
+  })
+
+  it('refuses a body above the limit before it has come, at the byte that exceeds it, or because of the number of its values, and closes the connection', async () => {
+    const limit = 1_048_576
+    const chunked = 'POST /q/1 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+    const values = '{},'.repeat(300_000)
+    for (const parts of [[`POST /q/1 HTTP/1.1\r\nhost: h\r\ncontent-length: ${limit + 1}\r\n\r\n`], [chunked, `${limit.toString(16)}\r\n${'x'.repeat(limit)}\r\n`, '1\r\nx'], [`POST /q/1 HTTP/1.1\r\nhost: h\r\ncontent-length: ${values.length}\r\n\r\n${values}`]]) {
+      expect((await answersTo(parts, 2)).toLowerCase()).to.match(/^http\/1.1 413[^]*connection: close/)
+    }
+  })
+
+  it('reports each caller that has left when a connection with several open requests ends', async () => {
+    expect(await inputsOf(caller => caller.write(REQUEST))).to.deep.equal(['submit', 'submit', 'callerLeft', 'callerLeft'])
+  })
+
   it('submits the job of a caller that waits, and reports when the caller leaves', async () => {
     expect(await inputsOf(() => {})).to.deep.equal(['submit', 'callerLeft'])
   })
--- a/packages/dispatcher/src/utils/growingBuffer.ts
+++ b/packages/dispatcher/src/utils/growingBuffer.ts
@@ -4,13 +4,16 @@
  * times of what it holds.
  */
 
-/** Smallest buffer; the others are powers of two times as large. */
-const MIN_CAPACITY_BYTES = 1024
-/** Unused buffers are kept up to this many bytes in total. */
-const MAX_UNUSED_BYTES = 8_388_608
+/** Smallest buffer. Few different sizes make it likely that an unused one fits. */
+const MIN_CAPACITY_BYTES = 4096
+const GROWTH = 4
+/** Unused buffers are kept up to this many bytes in total, and for so long after one was used. */
+const MAX_UNUSED_BYTES = 25_165_824
+const UNUSED_MS = 10_000
 
 const unusedByCapacity = new Map<number, Buffer[]>()
 let unusedBytes = 0
+let unusedTimer: NodeJS.Timeout | undefined
 
 function take (capacity: number): Buffer {
   const unused = unusedByCapacity.get(capacity)?.pop()
@@ -26,6 +29,14 @@
   const others = unusedByCapacity.get(buffer.length)
   if (others === undefined) unusedByCapacity.set(buffer.length, [buffer])
   else others.push(buffer)
+  if (unusedTimer === undefined) unusedTimer = setTimeout(freeUnused, UNUSED_MS).unref()
+  else unusedTimer.refresh()
+}
+
+function freeUnused (): void {
+  unusedTimer = undefined
+  unusedBytes = 0
+  unusedByCapacity.clear()
 }
 
 /** Bytes that arrive in pieces. */
@@ -61,7 +72,7 @@
 
   private grow (needed: number): void {
     let capacity = Math.max(MIN_CAPACITY_BYTES, this.capacity)
-    while (capacity < needed) capacity *= 2
+    while (capacity < needed) capacity *= GROWTH
     const larger = take(capacity)
     if (this.buffer !== undefined) {
       larger.set(this.bytes())
