--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -18,6 +18,8 @@
 const HEADER_BYTES = 128
 /** Cost of a request in units of the read throttle. */
 const REQUEST_UNITS = 50
+/** Bytes of a body that cost a unit in addition to the piece in which they come. */
+const PIECE_BYTES_PER_UNIT = 1024
 /** Interval at which connections without progress are looked for. */
 const SWEEP_MS = 1000
 /** Time after which a connection is closed whose other side has not read any of what waits for it. */
@@ -65,7 +67,7 @@
   receive (bytes: number): void {
     this.connection.received += bytes
     countPiece(bytes)
-    this.guard.throttle.spend(this, 1)
+    this.guard.throttle.spend(this, 1 + bytes / PIECE_BYTES_PER_UNIT)
   }
 
   /** Whatever has arrived is complete; this instance owes the answer. @param units - what reading the request costs */
--- a/packages/dispatcher/src/utils/growingBuffer.ts
+++ b/packages/dispatcher/src/utils/growingBuffer.ts
@@ -8,7 +8,7 @@
 const MIN_CAPACITY_BYTES = 4096
 const GROWTH = 4
 /** Unused buffers are kept up to this many bytes in total, and for so long after one was used. */
-const MAX_UNUSED_BYTES = 25_165_824
+const MAX_UNUSED_BYTES = 16_777_216
 const UNUSED_MS = 10_000
 
 const unusedByCapacity = new Map<number, Buffer[]>()
--- a/packages/dispatcher/src/utils/pieceCollection.ts
+++ b/packages/dispatcher/src/utils/pieceCollection.ts
@@ -8,7 +8,7 @@
 /** Smaller pieces are few bytes beside the objects that they come with, and collected in time. */
 const LARGE_PIECE_BYTES = 4096
 /** Bytes of large pieces after which the young objects are collected. */
-const BYTES_PER_COLLECTION = 8_388_608
+const BYTES_PER_COLLECTION = 4_194_304
 
 type CollectGarbage = (options: { readonly type: 'minor' }) => void
 
