--- a/packages/core/src/shard/counters.ts
+++ b/packages/core/src/shard/counters.ts
@@ -39,17 +39,27 @@
   'shard.evacuations.ended': 'Evacuated failure domains that were taken back.',
   'shard.evacuations.unknownDomains': 'Evacuations of failure domains that do not exist, as far as is known here.',
   'shard.jobs.released': 'Jobs of which tasks had run that left an evacuated failure domain, to go on in another one.',
+  'shard.connections.tooMany': 'Connections closed because there were more than the budget of their kind allows.',
+  'shard.connections.memory': 'Connections and calls closed because all of their kind held more bytes than its budget.',
+  'shard.connections.stalled': 'Connections closed because a request or message arrived too slowly, or a peer had sent none.',
+  'shard.connections.unread': 'Connections closed because the other side did not read its answers.',
+  'shard.connections.tooLarge': 'Requests refused and calls given up because a body or an answer was larger than the limit.',
   'shard.pauses': 'Times this process stood still for longer than the limit.'
 } as const
 
-/** Name of a counter. */
-export type ShardCounterName = keyof typeof SHARD_COUNTERS
-
 /** Gauges; each is 0 until it is set. */
 export const SHARD_GAUGES = {
   'shard.evacuatedDomains': 'Failure domains that get no new work.',
-  'shard.evacuation.lastStartMs': 'Time from the latest evacuation that this instance learned of to the last start that it sent to an evacuated domain; 0 without one.'
+  'shard.evacuation.lastStartMs': 'Time from the latest evacuation that this instance learned of to the last start that it sent to an evacuated domain; 0 without one.',
+  'shard.connections.callers': 'Connections of callers that are open.',
+  'shard.connections.callerBytes': 'Bytes held for requests of callers.',
+  'shard.connections.peers': 'Connections that peers have opened.',
+  'shard.connections.peerBytes': 'Bytes held for messages of peers that are not complete.',
+  'shard.connections.answerBytes': 'Bytes held for answers of endpoints and of the store that are not complete.'
 } as const
 
 /** Name of a gauge. */
 export type ShardGaugeName = keyof typeof SHARD_GAUGES
+
+/** Name of a counter. */
+export type ShardCounterName = keyof typeof SHARD_COUNTERS
--- a/packages/dispatcher/src/shard/storeTask.ts
+++ b/packages/dispatcher/src/shard/storeTask.ts
@@ -7,9 +7,10 @@
 import type { ListPace, ShardEffect, ShardInput } from '@cranberryyard/core/shard'
 import type { Clock, EndpointReport, MemberRecord, Ms, Revised, ShardRecord } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { AnswerBudget } from './answerBudget.js'
 import { DesiredWatch, READ_IDLE_TIMEOUT_MS } from './desiredWatch.js'
 import type { DesiredRead } from './desiredWatch.js'
-import { HttpCaller } from './httpCaller.js'
+import { HttpCaller, MAX_ANSWER_BYTES } from './httpCaller.js'
 import type { CallResult, LogFailedCall } from './httpCaller.js'
 import type { DesiredReadResult, HttpCall, HttpReply, Page, RecordEntry, StoreFailure, StoreWire, UnreadableEntry } from './wires.js'
 
@@ -71,8 +72,8 @@
   private requireFreshRecords = true
   private readonly desiredWatch: DesiredWatch
 
-  constructor (private wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog) {
-    this.caller = new HttpCaller(MAX_STORE_CONNECTIONS, log.failedCall)
+  constructor (private wire: StoreWire, private readonly post: (input: ShardInput) => void, private readonly random: () => number, private readonly clock: Clock, private readonly log: StoreLog, budget = new AnswerBudget()) {
+    this.caller = new HttpCaller(MAX_STORE_CONNECTIONS, log.failedCall, { maxBytes: MAX_ANSWER_BYTES, budget })
     this.desiredWatch = new DesiredWatch({
       wire: () => this.wire,
       read: (call, idleTimeoutMs, parse, isWatch) => this.readDesired(call, idleTimeoutMs, parse, isWatch),
