--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -150,8 +150,8 @@
 
   /** @returns score for the risk of missing the objective at the endpoint, and for using up a quick endpoint; 0 at a speed of 1 */
   private speedScore ({ timing }: PlacementRequest, { report }: LedgerEndpoint): number {
+    if (timing === undefined || this.speeds.areEven()) return 0
     const speed = this.speeds.speedOf(report)
-    if (timing === undefined || (speed === 1 && this.speeds.quickest() === 1)) return 0
     return this.speeds.lateRisk(timing, speed) * LATE_PENALTY + Math.max(0, speed - 1) * QUICK_PENALTY
   }
 
--- a/packages/core/src/speeds/speedsDecider.ts
+++ b/packages/core/src/speeds/speedsDecider.ts
@@ -26,8 +26,9 @@
 const ANSWER_MS = 10
 /** Speeds are rounded to steps of this size, so that endpoints of one kind have the same one. */
 const STEP = 0.05
-/** Recorded runs for which a derived speed is kept. */
-const REFRESH_AFTER = 64
+/** Derived speeds are kept until this share of the recorded runs is new, but for at most so many runs. */
+const REFRESH_SHARE = 0.1
+const REFRESH_AFTER_MAX = 64
 
 /** Estimates the speeds of endpoints. */
 export class SpeedsDecider {
@@ -36,6 +37,7 @@
   private cache = new Map<EndpointId, number>()
   private cachedAt = 0
   private quickestKnown = 1
+  private slowestKnown = 1
   /** The speed of each endpoint that was reported last. */
   private readonly reported = new Map<EndpointId, number>()
 
@@ -52,8 +54,9 @@
     this.tail.record(Math.exp(before - shown))
     const limit = Math.log(OUTLIER_FACTOR)
     this.db.record(report, Math.min(before + limit, Math.max(before - limit, shown)))
-    if (this.db.recorded - this.cachedAt < REFRESH_AFTER) return
+    if (this.db.recorded - this.cachedAt < Math.min(REFRESH_AFTER_MAX, this.db.recorded * REFRESH_SHARE)) return
     this.quickestKnown = Math.max(1, ...this.cache.values())
+    this.slowestKnown = Math.min(1, ...this.cache.values())
     this.cache = new Map()
     this.cachedAt = this.db.recorded
   }
@@ -72,6 +75,7 @@
     const speed = this.computeSpeed(report)
     this.cache.set(report.id, speed)
     this.quickestKnown = Math.max(this.quickestKnown, speed)
+    this.slowestKnown = Math.min(this.slowestKnown, speed)
     this.reportChange(report.id, speed)
     return speed
   }
@@ -81,6 +85,11 @@
     return this.quickestKnown
   }
 
+  /** @returns whether all endpoints that were asked about lately have a speed of 1 */
+  areEven (): boolean {
+    return this.quickestKnown === 1 && this.slowestKnown === 1
+  }
+
   /** @returns probability that a task which starts now at an endpoint of the given speed ends after its answer is due */
   lateRisk ({ runMs, budgetMs }: TaskTiming, speed: number): number {
     const available = budgetMs - ANSWER_MS
