--- a/packages/core/src/intake/intakeDecider.spec.ts
+++ b/packages/core/src/intake/intakeDecider.spec.ts
@@ -30,7 +30,7 @@
   sessions.db.learnOwner({ failureDomain: DOMAIN, owner: OWNER, token: 1 as FencingToken })
   const sent: ShardMessage[] = []
   const evacuated = new Set<FailureDomain>()
-  const intake = new IntakeDecider(ctx, desired, sessions, new AttemptsDecider(ctx), { isEvacuated: failureDomain => evacuated.has(failureDomain) }, (_to, message) => sent.push(message))
+  const intake = new IntakeDecider(ctx, desired, sessions, new AttemptsDecider(ctx), { isEvacuated: failureDomain => evacuated.has(failureDomain), isEverywhere: () => evacuated.size === sessions.db.shards.size }, (_to, message) => sent.push(message))
   const replies = (): CallerReply[] => ctx.out.takeEffects().flatMap(effect => effect.type === 'reply' ? [effect.reply] : [])
   return { ctx, intake, desired, sessions, sent, replies, evacuated }
 }
@@ -84,7 +84,7 @@
 
   it('does not say that there is no queue before it has a desired state', () => {
     const { ctx, sessions } = setUp()
-    const intake = new IntakeDecider(ctx, new DesiredDecider(ctx, () => {}, () => true), sessions, new AttemptsDecider(ctx), { isEvacuated: () => false }, () => {})
+    const intake = new IntakeDecider(ctx, new DesiredDecider(ctx, () => {}, () => true), sessions, new AttemptsDecider(ctx), { isEvacuated: () => false, isEverywhere: () => false }, () => {})
     expect(intake.refusalFor('h', '/q/a')?.cause).to.equal('noDesiredState')
   })
 
--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -8,7 +8,6 @@
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import type { DesiredDecider } from '../desired/desiredDecider.js'
-import type { EvacuationDecider } from '../evacuation/evacuationDecider.js'
 import { criticalPathOf, objectiveOf } from '../execution/executionDb.js'
 import type { SessionsDecider } from '../sessions/sessionsDecider.js'
 import type { CallerReply, RefusalCause, ShardContext } from '../shard/types.js'
@@ -39,13 +38,20 @@
 /** Delivers a message to an owner, which may be this instance itself. */
 export type Deliver = (to: InstanceId, message: ShardMessage) => void
 
+/** What a front needs to know of evacuations. */
+export interface EvacuationView {
+  isEvacuated (failureDomain: FailureDomain): boolean
+  /** Returns whether no domain is left that could take work, as far as all of them are known. */
+  isEverywhere (): boolean
+}
+
 /** Decides where the jobs of this front go and what their callers are answered. */
 export class IntakeDecider {
   readonly db = new IntakeDb()
   private leavingSince: Ms | undefined
   private lastAttempt = 0
 
-  constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly attempts: AttemptsDecider, private readonly evacuation: Pick<EvacuationDecider, 'isEvacuated'>, private readonly deliver: Deliver) {}
+  constructor (private readonly ctx: ShardContext, private readonly desired: DesiredDecider, private readonly sessions: SessionsDecider, private readonly attempts: AttemptsDecider, private readonly evacuation: EvacuationView, private readonly deliver: Deliver) {}
 
   /** Accepts a job from a caller, joins it to the same job already in flight, or refuses it. */
   submit (callId: string, host: string, path: string, request: JobRequest, deadlineMs: Ms): void {
@@ -241,16 +247,10 @@
       this.send(job, target.failureDomain, target.owner, false)
       return
     }
-    if (this.isEvacuatedEverywhere()) this.refuse(job, 'evacuated', EVACUATED_RETRY_MS)
+    if (this.evacuation.isEverywhere()) this.refuse(job, 'evacuated', EVACUATED_RETRY_MS)
     else if (job.declinedBy.size > 0) this.refuse(job, 'overloaded', job.retryAfterMs)
   }
 
-  /** Returns whether operators have emptied every domain that is known here. */
-  private isEvacuatedEverywhere (): boolean {
-    const { shards } = this.sessions.db
-    return shards.size > 0 && [...shards.keys()].every(failureDomain => !this.acceptsWork(failureDomain))
-  }
-
   /** Returns whether jobs may be sent to a domain. Without this, they would go to an evacuated one until its owner knows. */
   acceptsWork (failureDomain: FailureDomain): boolean {
     return !this.evacuation.isEvacuated(failureDomain)
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -435,4 +435,18 @@
     expect(submit(11)).to.include('startTask')
     expect(core.ctx.out.gauges.get('shard.evacuation.lastStartMs')).to.equal(0)
   })
+
+  it('makes an instance that reaches no other domain unready, but not one whose domains are all evacuated, nor one that may not know all', () => {
+    const { handle } = instance()
+    const readiness = (now: number, input: ShardInput): string[] => handle(now, input).flatMap(effect => effect.type === 'state' ? [effect.name] : [])
+    const far = { type: 'announce', incarnation: 3, address: 'far', failureDomain: 'far' as FailureDomain, token: 64 as FencingToken } as const
+    handle(0, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
+    expect(readiness(1, announced)).to.deep.equal(['ready'])
+    expect(readiness(2, { type: 'evacuations', evacuations: EVACUATIONS }), 'other domains may exist').to.deep.equal(['notReady'])
+    expect(handle(3, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: JOB, deadlineMs: ms(9000) }).map(effect => effect.type), 'waits for an owner').not.to.include('reply')
+    expect(readiness(4, { type: 'peer', from: 'far' as InstanceId, message: far })).to.deep.equal(['ready'])
+    expect(readiness(5, { type: 'sendFailed', to: 'far' as InstanceId, message: far })).to.deep.equal(['notReady'])
+    handle(6, { type: 'records', members: [], shards: [] })
+    expect(readiness(7, { type: 'evacuations', evacuations: { revision: 8, domains: [DOMAIN, 'far' as FailureDomain] } })).to.deep.equal(['ready'])
+  })
 })
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -108,7 +108,7 @@
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.queueVersions = new QueueVersions(ctx, this.desired, id => this.execution.db.jobs.has(id))
     this.earlierRuns = new EarlierRuns(ctx, { ownership: this.ownership, endpoints: this.endpoints, endpointList: this.endpointList, endpointSets: this.endpointSets })
-    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, this.evacuation, (to, message) => this.deliver(to, message))
+    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, { isEvacuated: failureDomain => this.evacuation.isEvacuated(failureDomain), isEverywhere: () => this.isEvacuatedEverywhere() }, (to, message) => this.deliver(to, message))
     this.introduction = new IntroductionDecider(ctx, seeds, () => this.missing(), { inForce: () => this.desired.db.version(), kept: () => this.desired.versionsKept() })
   }
 
@@ -619,10 +619,22 @@
     }
   }
 
+  /**
+   * Returns whether an owner is known that may get work. When every domain is evacuated, any owner will do: this instance has callers to refuse. An instance
+   * that is cut off from all domains but an evacuated one is of no use to them.
+   */
   private hasLiveOwner (): boolean {
+    const isEverywhere = this.isEvacuatedEverywhere()
     for (const failureDomain of this.sessions.db.shards.keys()) {
-      if (this.sessions.ownerOf(failureDomain) !== undefined) return true
+      if ((isEverywhere || !this.evacuation.isEvacuated(failureDomain)) && this.sessions.ownerOf(failureDomain) !== undefined) return true
     }
     return false
   }
+
+  /** Returns whether operators have emptied every domain; false while not all of them may be known here. */
+  private isEvacuatedEverywhere (): boolean {
+    const { db } = this.ownership
+    if (this.evacuation.db.size === 0 || !db.recordsRead) return false
+    return [...db.records.keys(), ...this.sessions.db.shards.keys()].every(failureDomain => this.evacuation.isEvacuated(failureDomain))
+  }
 }
