Admission counts endpoints that may be tried again when none is trusted

Callers would see: every job of a domain declined for good once all its endpoints had been set aside, for example after a spell of slowness, since the forecast counted trusted endpoints only and no trial came about. Change: without a trusted endpoint, those whose trial is due and that are unused count with one slot each.

--- a/packages/core/src/execution/executionDecider.spec.ts
+++ b/packages/core/src/execution/executionDecider.spec.ts
@@ -69,6 +69,11 @@
     for (const { id } of reports) this.answerHold(id, [])
   }
 
+  /** Lets two runs fail at each endpoint. */
+  distrustAll (): void {
+    for (const { id } of this.ledger.db.all()) for (let i = 0; i < 2; i++) this.placement.recordFailure(id)
+  }
+
   submit (job: DispatchOrder, front = FRONT): void {
     this.execution.submit(front, DOMAIN, job, this.ctx.now)
     this.settle()
@@ -243,6 +248,17 @@
     expect(owner.starts.map(start => start.task)).to.deep.equal(['b.0.0.0', 'b.0.0.1'])
   })
 
+  // Admission counted trusted endpoints only, so that without any it declined every job for good.
+  it('tries an endpoint again when all have lost their trust', () => {
+    const owner = new OwnerHarness(2)
+    owner.distrustAll()
+    owner.submit(order('a', 1, 100))
+    expect(owner.starts).to.deep.equal([])
+    owner.advanceMs(700)
+    owner.submit(order('b', 1, 100))
+    expect(owner.starts.map(start => start.task)).to.deep.equal(['b.0.0.0'])
+  })
+
   it('joins a job that arrives again from another front, and keeps it running when the first front is lost', () => {
     const owner = new OwnerHarness(1)
     owner.submit(order('a', 1, 100))
--- a/packages/core/src/execution/shardRoom.ts
+++ b/packages/core/src/execution/shardRoom.ts
@@ -48,10 +48,12 @@
   forecast (service: ServiceName, cpuMilli: number, needs?: Pick<Resources, 'memoryMb' | 'accelerators'>): SlotForecast {
     const { now, cfg } = this.ctx
     const { memoryMb, accelerators } = needs ?? this.placement.packing.db.of(service).meanNeeds
-    const outlooks = [...this.endpoints().db.all()]
-      .filter(endpoint => endpoint.report.service === service && this.isTrusted(endpoint))
-      .map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs, this.placement.speeds, { cpuMilli, memoryMb, accelerators }))
-    return new SlotForecast(outlooks, cpuMilli, now)
+    const ofService = [...this.endpoints().db.all()].filter(endpoint => endpoint.report.service === service)
+    const trusted = ofService.filter(endpoint => this.isTrusted(endpoint))
+    // Without any trusted endpoint, only a job that is admitted can show that one is sound again.
+    const counted = trusted.length > 0 ? trusted : ofService.filter(endpoint => this.endpoints().usable(endpoint) && this.placement.mayTry(endpoint))
+    const outlooks = counted.map(endpoint => outlookOf(endpoint, now, cfg.claimGraceMs, this.placement.speeds, { cpuMilli, memoryMb, accelerators }))
+    return new SlotForecast(trusted.length > 0 ? outlooks : outlooks.map(outlook => ({ ...outlook, oneAtATime: true })), cpuMilli, now)
   }
 
   /** @returns false when some task would not fit even an idle endpoint of this shard */
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -97,6 +97,11 @@
     return this.db.trustOf(id).quarantined
   }
 
+  /** Whether a quarantined endpoint may get a trial task now. */
+  mayTry (endpoint: LedgerEndpoint): boolean {
+    return this.db.trustOf(endpoint.id).trialAt <= this.ctx.now && endpoint.runs.size === 0
+  }
+
   /**
    * Records a successful run. Its slowness decides whether the endpoint keeps, loses or regains its trust.
    * @param id - the endpoint
@@ -140,8 +145,7 @@
     if (report.service !== request.service || request.avoid.has(endpoint.id)) return false
     if (request.requiredLabel !== '' && !report.labels.includes(request.requiredLabel)) return false
     if (request.tasksAt !== undefined && request.tasksAt(endpoint.id) >= request.maxPerEndpoint) return false
-    const trust = this.db.trustOf(endpoint.id)
-    return !trust.quarantined || (trust.trialAt <= this.ctx.now && endpoint.runs.size === 0)
+    return !this.isQuarantined(endpoint.id) || this.mayTry(endpoint)
   }
 
   /** Returns whether the task would most likely miss its objective at the endpoint and could still meet it at the quickest ones. */
