Speeds rank by service and label, restarts as another kind are told apart, forecasts are built with less work

Cause: a task could wait for a quick endpoint of another service or without its label; an endpoint that came back with other labels kept its speed.

--- a/packages/core/src/admission/slotForecast.ts
+++ b/packages/core/src/admission/slotForecast.ts
@@ -60,15 +60,14 @@
    * @param now - the time
    */
   constructor (endpoints: readonly EndpointOutlook[], cpuMilli: number, now: Ms) {
-    const bySpeed = new Map<number, Map<number, number>>()
-    for (const endpoint of endpoints) {
-      const { speed = 1 } = endpoint
-      const times = bySpeed.get(speed) ?? new Map<number, number>()
-      bySpeed.set(speed, times)
-      addSlots(times, endpoint, Math.max(1, cpuMilli), now)
-    }
-    for (const [speed, times] of bySpeed) {
-      const entries = [...times].map(([at, slots]) => ({ at, slots }))
+    const size = Math.max(1, cpuMilli)
+    for (const speed of new Set(endpoints.map(endpoint => endpoint.speed ?? 1))) {
+      const atOnce: SlotEntry = { at: now, slots: 0 }
+      const entries: SlotEntry[] = []
+      for (const endpoint of endpoints) {
+        if ((endpoint.speed ?? 1) === speed) addSlots(atOnce, entries, endpoint, size)
+      }
+      if (atOnce.slots > 0) entries.push(atOnce)
       this.classes.push({ speed, entries: makeQueue(entries), total: entries.reduce((sum, { slots }) => sum + slots, 0) })
     }
   }
@@ -147,23 +146,27 @@
   }
 }
 
-function addSlots (times: Map<number, number>, { freeCpuMilli, ends }: EndpointOutlook, cpuMilli: number, now: Ms): void {
-  let free = freeCpuMilli
-  const count = (at: number): void => {
-    const slots = Math.floor(free / cpuMilli)
-    if (slots <= 0) return
-    times.set(at, (times.get(at) ?? 0) + slots)
-    free -= slots * cpuMilli
-  }
-  count(now)
-  for (const end of [...ends].sort((a, b) => a.at - b.at)) {
+/** Adds what is free at an endpoint to the entry of the present, and an entry for each later time at which slots become free. */
+function addSlots (atOnce: SlotEntry, entries: SlotEntry[], { freeCpuMilli, ends }: EndpointOutlook, cpuMilli: number): void {
+  let slots = Math.max(0, Math.floor(freeCpuMilli / cpuMilli))
+  let free = freeCpuMilli - slots * cpuMilli
+  atOnce.slots += slots
+  for (const end of ends.length > 1 ? [...ends].sort(byTime) : ends) {
     free += end.cpuMilli
-    count(Math.max(now, end.at))
+    slots = Math.floor(free / cpuMilli)
+    if (slots <= 0) continue
+    free -= slots * cpuMilli
+    if (end.at > atOnce.at) entries.push({ at: end.at, slots })
+    else atOnce.slots += slots
   }
 }
 
+function byTime (a: { readonly at: number }, b: { readonly at: number }): number {
+  return a.at - b.at
+}
+
 function makeQueue (entries: SlotEntry[]): TinyQueue<SlotEntry> {
-  return new TinyQueue(entries, (a, b) => a.at - b.at)
+  return new TinyQueue(entries, byTime)
 }
 
 /** @returns how much later than at a speed of 1 a run ends */
@@ -173,7 +176,7 @@
 
 /** Merges pairs of entries that follow each other in the later half; the slots of both are free when the later ones are. */
 function mergeNeighbours (entries: readonly SlotEntry[]): SlotEntry[] {
-  const sorted = [...entries].sort((a, b) => a.at - b.at)
+  const sorted = [...entries].sort(byTime)
   const exact = Math.floor(sorted.length / 2)
   const merged = sorted.slice(0, exact)
   for (let i = exact; i < sorted.length; i += 2) {
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -375,6 +375,7 @@
   }
 
   private speedAt (id: EndpointId): number {
+    if (this.placement.speeds.areEven()) return 1
     const endpoint = this.endpoints.db.get(id)
     return endpoint === undefined ? 1 : this.placement.speeds.speedOf(endpoint.report)
   }
--- a/packages/core/src/execution/slowRuns.ts
+++ b/packages/core/src/execution/slowRuns.ts
@@ -57,7 +57,7 @@
     if (run.state !== 'running' || (slowness < STALL_SLOWNESS && this.isLongTask(task, run))) return
     const expected = healthyRunMs(step, run, estimates.expectedMs(job, step), speedAt)
     const remaining = expected / speedAt(run.endpoint) * slowness * (100 - run.percent) / 100
-    if (remaining <= expected / placement.speeds.quickest() + MOVE_COST_MS) return
+    if (remaining <= expected / placement.speeds.quickest(job.service, step.spec.requiredLabel) + MOVE_COST_MS) return
     placement.recordSlowRun(run.endpoint, slowness)
     const worthStopping = slowness >= STALL_SLOWNESS || candidates().some(candidate => candidate.endpoint.id !== run.endpoint && fits(step.spec.needs, candidate.freeCapacity) && !placement.isQuarantined(candidate.endpoint.id) && remaining > expected / speedAt(candidate.endpoint.id) + MOVE_COST_MS)
     if (!worthStopping) return
--- a/packages/core/src/execution/startRound.ts
+++ b/packages/core/src/execution/startRound.ts
@@ -91,7 +91,7 @@
   private observeIdleRoom (candidates: readonly Candidate[]): void {
     const { admission, mayStart, placement } = this.parts
     if (!this.idleRoom.isDue()) return
-    const waiting = [...admission.db.waiting].filter(mayStart).flatMap(job => job.steps.map(({ spec }) => ({ needs: spec.needs, tasks: job.demand().tasks })))
+    const waiting = [...admission.db.waiting].filter(mayStart).flatMap(job => job.steps.map(({ spec, unfinishedTasks }) => ({ needs: spec.needs, tasks: unfinishedTasks })))
     let totalCpuMilli = 0
     for (const endpoint of this.parts.endpoints().db.all()) {
       if (this.parts.endpoints().usable(endpoint) && !placement.isQuarantined(endpoint.id)) totalCpuMilli += endpoint.report.capacity.cpuMilli
--- a/packages/core/src/packing/idleRoom.ts
+++ b/packages/core/src/packing/idleRoom.ts
@@ -41,7 +41,8 @@
  * @returns free CPU that waits for nothing but a better place: no task fits any endpoint, but some would if the room were at one
  */
 export function strandedCpu (rooms: readonly Resources[], waiting: readonly WaitingNeeds[]): number {
-  if (waiting.some(({ needs }) => rooms.some(room => fits(needs, room)))) return 0
+  const largest = Math.max(0, ...rooms.map(({ cpuMilli }) => cpuMilli))
+  if (waiting.some(({ needs }) => needs.cpuMilli <= largest && rooms.some(room => fits(needs, room)))) return 0
   const free = rooms.reduce((sum, { cpuMilli }) => sum + Math.max(0, cpuMilli), 0)
   let used = 0
   for (const { needs, tasks } of [...waiting].sort((a, b) => a.needs.cpuMilli - b.needs.cpuMilli)) {
--- a/packages/core/src/packing/packingDb.ts
+++ b/packages/core/src/packing/packingDb.ts
@@ -22,7 +22,7 @@
   private credit = TASKS_PER_SAMPLE - 1
   private stale = 0
   /** Sums of 1, 2, ... consecutive sizes from each position of the sample, in ascending order. */
-  private sums: number[] = []
+  private sums = new Float64Array()
   private meanCpuMilli = 1
   /** The tasks have asked for different amounts of CPU. */
   isUneven = false
@@ -55,15 +55,15 @@
   private refresh (): void {
     const { sample } = this
     this.stale = 0
-    this.sums = []
+    this.sums = new Float64Array(sample.length * TASKS_ADDED_MAX)
     for (let from = 0; from < sample.length; from++) {
       let sum = 0
       for (let n = 0; n < TASKS_ADDED_MAX; n++) {
         sum += sample[(from + n) % sample.length] ?? 0
-        this.sums.push(sum)
+        this.sums[from * TASKS_ADDED_MAX + n] = sum
       }
     }
-    this.sums.sort((a, b) => a - b)
+    this.sums.sort()
     this.meanCpuMilli = Math.max(1, sample.reduce((a, b) => a + b, 0) / sample.length)
     this.isUneven = sample.some(size => size !== sample[0])
   }
@@ -84,7 +84,7 @@
 }
 
 /** @returns how many of the ascending values are at most the limit */
-function countUpTo (values: readonly number[], limit: number): number {
+function countUpTo (values: Float64Array, limit: number): number {
   let low = 0
   let high = values.length
   while (low < high) {
--- a/packages/core/src/placement/placementDecider.ts
+++ b/packages/core/src/placement/placementDecider.ts
@@ -72,7 +72,7 @@
   choose (request: PlacementRequest, candidates: readonly Candidate[]): Candidate | undefined {
     let best: Candidate | undefined
     let bestScore = Infinity
-    const quickestRisk = this.speeds.quickest() === 1 || request.timing === undefined ? 1 : this.speeds.lateRisk(request.timing, this.speeds.quickest())
+    const quickestRisk = request.timing === undefined || this.speeds.areEven() ? 1 : this.speeds.lateRisk(request.timing, this.speeds.quickest(request.service, request.requiredLabel))
     for (const candidate of candidates) {
       if (candidate.startsLeft <= 0 || !fits(request.needs, candidate.freeCapacity) || !this.allowed(request, candidate.endpoint) || (request.exclusive && !isUnused(candidate)) || this.waitsForQuicker(request, candidate, quickestRisk)) continue
       const score = this.score(request, candidate)
--- a/packages/core/src/speeds/speedsDecider.ts
+++ b/packages/core/src/speeds/speedsDecider.ts
@@ -3,10 +3,10 @@
  * fleets of uneven endpoints: without it, run times are learned as a mixture, tasks that cannot wait start at slow endpoints, and slow
  * endpoints of a kind are mistaken for broken ones. Speeds within a tolerance of 1 count as 1, so that nothing changes where endpoints are alike.
  */
-import type { EndpointId, EndpointReport } from '@cranberryyard/protocol'
+import type { EndpointId, ServiceName } from '@cranberryyard/protocol'
 import { RunTail } from './runTail.js'
 import { SpeedsDb } from './speedsDb.js'
-import type { SpeedEvidence, TaskTiming } from './types.js'
+import type { RatedEndpoint, SpeedEvidence, TaskTiming } from './types.js'
 
 /** Speeds differ by more than this factor from 1 before they count; endpoints of one kind differ by about this much. */
 const TOLERANCE = 1.1
@@ -34,10 +34,13 @@
 export class SpeedsDecider {
   readonly db = new SpeedsDb()
   readonly tail = new RunTail()
-  private cache = new Map<EndpointId, number>()
+  private cache = new Map<EndpointId, { readonly labels: readonly string[], readonly speed: number }>()
   private cachedAt = 0
-  private quickestKnown = 1
-  private slowestKnown = 1
+  /** The highest speeds by service and by label, '' for all endpoints of a service; of the present period and the one before. */
+  private quickestNow = new Map<ServiceName, Map<string, number>>()
+  private quickestBefore = new Map<ServiceName, Map<string, number>>()
+  /** When an endpoint last had a speed other than 1, as a number of recorded runs. */
+  private unevenAt = -Infinity
   /** The speed of each endpoint that was reported last. */
   private readonly reported = new Map<EndpointId, number>()
 
@@ -48,15 +51,15 @@
    * Learns from a run that ended with success at a healthy endpoint.
    * @param expectedMs - run time expected at a speed of 1
    */
-  record (report: Pick<EndpointReport, 'id' | 'labels'>, expectedMs: number, ranMs: number): void {
+  record (report: RatedEndpoint, expectedMs: number, ranMs: number): void {
     const before = Math.log(this.speedOf(report))
     const shown = Math.log(Math.max(1, expectedMs) / Math.max(1, ranMs))
     this.tail.record(Math.exp(before - shown))
     const limit = Math.log(OUTLIER_FACTOR)
     this.db.record(report, Math.min(before + limit, Math.max(before - limit, shown)))
     if (this.db.recorded - this.cachedAt < Math.min(REFRESH_AFTER_MAX, this.db.recorded * REFRESH_SHARE)) return
-    this.quickestKnown = Math.max(1, ...this.cache.values())
-    this.slowestKnown = Math.min(1, ...this.cache.values())
+    this.quickestBefore = this.quickestNow
+    this.quickestNow = new Map()
     this.cache = new Map()
     this.cachedAt = this.db.recorded
   }
@@ -69,25 +72,24 @@
   }
 
   /** @returns the factor by which expected run times are divided at the endpoint */
-  speedOf (report: Pick<EndpointReport, 'id' | 'labels'>): number {
+  speedOf (report: RatedEndpoint): number {
     const known = this.cache.get(report.id)
-    if (known !== undefined) return known
+    if (known?.labels === report.labels) return known.speed
     const speed = this.computeSpeed(report)
-    this.cache.set(report.id, speed)
-    this.quickestKnown = Math.max(this.quickestKnown, speed)
-    this.slowestKnown = Math.min(this.slowestKnown, speed)
+    this.cache.set(report.id, { labels: report.labels, speed })
+    this.rank(report, speed)
     this.reportChange(report.id, speed)
     return speed
   }
 
-  /** @returns the highest speed of the endpoints that were asked about lately */
-  quickest (): number {
-    return this.quickestKnown
+  /** @returns the highest speed of the service's endpoints that have the label, or of all its endpoints if it is empty */
+  quickest (service: ServiceName, label = ''): number {
+    return Math.max(this.quickestNow.get(service)?.get(label) ?? 0, this.quickestBefore.get(service)?.get(label) ?? 0) || 1
   }
 
   /** @returns whether all endpoints that were asked about lately have a speed of 1 */
   areEven (): boolean {
-    return this.quickestKnown === 1 && this.slowestKnown === 1
+    return this.db.recorded - this.unevenAt > 2 * REFRESH_AFTER_MAX
   }
 
   /** @returns probability that a task which starts now at an endpoint of the given speed ends after its answer is due */
@@ -98,6 +100,13 @@
     return 1 / (1 + Math.exp(LOGISTIC_SLOPE * deviations))
   }
 
+  private rank ({ service, labels }: RatedEndpoint, speed: number): void {
+    if (speed !== 1) this.unevenAt = this.db.recorded
+    const ofService = this.quickestNow.get(service) ?? new Map<string, number>()
+    this.quickestNow.set(service, ofService)
+    for (const label of ['', ...labels]) ofService.set(label, Math.max(ofService.get(label) ?? 0, speed))
+  }
+
   private reportChange (id: EndpointId, speed: number): void {
     const before = this.reported.get(id) ?? 1
     if (speed / before <= TOLERANCE && before / speed <= TOLERANCE) return
@@ -105,9 +114,9 @@
     this.onChange(id, speed, before)
   }
 
-  private computeSpeed ({ id, labels }: Pick<EndpointReport, 'id' | 'labels'>): number {
-    const kind = this.kindOf(labels)
-    const own = this.db.ofEndpoint(id)
+  private computeSpeed (endpoint: RatedEndpoint): number {
+    const kind = this.kindOf(endpoint.labels)
+    const own = this.db.ofEndpoint(endpoint)
     const prior = kind === undefined ? 0 : sureMean(kind)
     if (own === undefined) return roundSpeed(prior)
     const runs = own.runs + KIND_RUNS
--- a/packages/core/src/speeds/types.ts
+++ b/packages/core/src/speeds/types.ts
@@ -1,6 +1,10 @@
 /**
  * Types of the speed decision: what is known of how fast endpoints run tasks, and why a run is slow.
  */
+import type { EndpointReport } from '@cranberryyard/protocol'
+
+/** What identifies an endpoint and its kind. */
+export type RatedEndpoint = Pick<EndpointReport, 'id' | 'service' | 'labels'>
 
 /** Runs seen at an endpoint or at endpoints with a label. */
 export interface SpeedEvidence {
