--- a/packages/core/src/endpoints/types.ts
+++ b/packages/core/src/endpoints/types.ts
@@ -39,7 +39,7 @@
   /** Undefined for a run that was found and never claimed; nothing else starts at the endpoint while it is there. */
   needs: Resources | undefined
   state: RunState
-  /** Expected run time at a healthy endpoint; undefined for a run that no job has claimed. */
+  /** Expected run time at this endpoint; undefined for a run that no job has claimed. */
   expectedMs: number | undefined
   /** Text handed to the task; kept because the start may have to be sent again. */
   readonly spec: string
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -64,7 +64,7 @@
     this.estimates = new JobEstimates(ctx)
     this.room = new ShardRoom(ctx, placement, endpoints, failureDomain => ports.isEvacuated(failureDomain))
     this.startRound = new StartRound(ctx, { placement, attempts, admission: this.admission, estimates: this.estimates, endpoints, mayStart: job => this.mayStart(job) })
-    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates(), speedAt: id => this.speedAt(id), nextStart: (job, { spec }) => this.room.forecast(job.order.queue.service, spec.needs.cpuMilli).peek({ tasks: 1 }), mayRestart: job => ports.evacuationAllowsStart(job) })
+    this.slowRuns = new SlowRuns(ctx, { placement, estimates: this.estimates, endpoints, candidates: () => this.startRound.candidates(), speedAt: id => this.speedAt(id), nextStart: (job, step) => this.room.forecast(job.order.queue.service, step.spec.needs.cpuMilli).peek({ tasks: 1, runMs: this.estimates.expectedMs(job, step) }), mayRestart: job => ports.evacuationAllowsStart(job) })
     this.faults = new RunFaults(placement, attempts, jobs => this.shareAttempts(jobs))
     this.adoption = new Adoption(ctx, attempts, this.estimates, endpoints)
   }
@@ -434,6 +434,7 @@
   }
 
   private speedAt (id: EndpointId): number {
+    if (this.placement.speeds.areEven()) return 1
     const endpoint = this.endpoints.db.get(id)
     return endpoint === undefined ? 1 : this.placement.speeds.speedOf(endpoint.report)
   }
--- a/packages/core/src/execution/slowRuns.ts
+++ b/packages/core/src/execution/slowRuns.ts
@@ -64,7 +64,7 @@
     if (run.state !== 'running' || (isSlowThere && slowness < STALL_SLOWNESS && this.isLongTask(task, run))) return
     const expected = healthyRunMs(step, run, estimates.expectedMs(job, step), speedAt)
     const remaining = expected / speedAt(run.endpoint) * slowness * (100 - run.percent) / 100
-    if (remaining <= expected / placement.speeds.quickest() + MOVE_COST_MS) return
+    if (remaining <= expected / placement.speeds.quickest(job.service, step.spec.requiredLabel) + MOVE_COST_MS) return
     if (isSlowThere) placement.recordSlowRun(run.endpoint, slowness)
     const worthStopping = slowness >= STALL_SLOWNESS || (mayRestart(job) && (this.endsSoonerNow(step, run, expected, remaining) || this.endsSoonerLater(job, step, run, expected, remaining)))
     if (!worthStopping) return
