--- a/packages/bench/src/load/packingReference.spec.ts
+++ b/packages/bench/src/load/packingReference.spec.ts
@@ -6,7 +6,7 @@
 
 type Kind = PlannedJob['kind']
 
-const KIND: Kind = { name: 'k', perSecond: 1, width: 1, widthSpread: 0, runMs: 200, runSpread: 0, unevenness: 0, cpuMilli: 9000, cpuSpread: 0, estimateError: 0, priority: 0, stretch: 1.6, latencyObjectiveMs: 60, worth: 1, lateShare: 0.2, retries: 0 }
+const KIND: Kind = { name: 'k', perSecond: 1, width: 1, widthSpread: 0, runMs: 200, runSpread: 0, unevenness: 0, tail: 0, tailFactor: 1, cpuMilli: 9000, cpuSpread: 0, estimateError: 0, priority: 0, stretch: 1.6, latencyObjectiveMs: 60, worth: 1, lateShare: 0.2, retries: 0 }
 const job = (cpuMilli: number, runMs: readonly number[]): PlannedJob => ({ atMs: 0, kind: KIND, domain: 0, instance: 0, cpuMilli, runMs, estimateMs: 200, worth: 1 })
 
 function shapeOf (...endpoints: LoadShape['endpoints']): LoadShape {
