--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -108,7 +108,7 @@
     this.endpointList = new EndpointList(ctx, id => this.endpointRemoved(id))
     this.queueVersions = new QueueVersions(ctx, this.desired, id => this.execution.db.jobs.has(id))
     this.earlierRuns = new EarlierRuns(ctx, { ownership: this.ownership, endpoints: this.endpoints, endpointList: this.endpointList, endpointSets: this.endpointSets })
-    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, this.evacuation, (to, message) => this.deliver(to, message))
+    this.intake = new IntakeDecider(ctx, this.desired, this.sessions, this.attempts, { isEvacuated: failureDomain => this.evacuation.isEvacuated(failureDomain), isEverywhere: () => this.isEvacuatedEverywhere() }, (to, message) => this.deliver(to, message))
     this.introduction = new IntroductionDecider(ctx, seeds, () => this.missing(), { inForce: () => this.desired.db.version(), kept: () => this.desired.versionsKept() })
   }
 
@@ -398,13 +398,15 @@
 
   /**
    * Acts on evacuations that have just been learned. The owners of these domains are told at once: one that the store does not serve hears of them
-   * from its fronts otherwise only when it is silent, and its answer shows the room that is back.
+   * from its fronts otherwise only when it is silent, and its answer shows the room that is back. Endpoints that come back have their trust again: they
+   * got no trial meanwhile, and are often not what they were.
    */
   private evacuationsChanged ({ evacuated, ended }: EvacuationChange, source: string): void {
     const { out, self } = this.ctx
     for (const shard of evacuated) {
       if (this.ownership.db.owned.has(shard)) out.log('evacuation.emptying', { shard, ownedJobs: this.execution.db.jobs.size, waitingJobs: this.execution.admission.db.waiting.size, runs: this.execution.runsIn(shard) })
     }
+    for (const { id } of ended.flatMap(shard => this.endpoints.db.inFailureDomain(shard))) this.placement.db.forget(id)
     this.execution.evacuationsChanged()
     const owners = [...evacuated, ...ended, self.failureDomain].flatMap(failureDomain => this.sessions.ownerOf(failureDomain) ?? [])
     for (const owner of new Set(owners)) if (owner !== source) this.sessions.tell(owner)
@@ -617,10 +619,22 @@
     }
   }
 
+  /**
+   * Returns whether an owner is known that may get work. When every domain is evacuated, any owner will do: this instance has callers to refuse. An instance
+   * that is cut off from all domains but an evacuated one is of no use to them.
+   */
   private hasLiveOwner (): boolean {
+    const isEverywhere = this.isEvacuatedEverywhere()
     for (const failureDomain of this.sessions.db.shards.keys()) {
-      if (this.sessions.ownerOf(failureDomain) !== undefined) return true
+      if ((isEverywhere || !this.evacuation.isEvacuated(failureDomain)) && this.sessions.ownerOf(failureDomain) !== undefined) return true
     }
     return false
   }
+
+  /** Returns whether operators have emptied every domain; false while not all of them may be known here. */
+  private isEvacuatedEverywhere (): boolean {
+    const { db } = this.ownership
+    if (this.evacuation.db.size === 0 || !db.recordsRead) return false
+    return [...db.records.keys(), ...this.sessions.db.shards.keys()].every(failureDomain => this.evacuation.isEvacuated(failureDomain))
+  }
 }
