--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -415,22 +415,26 @@
     task.done = true
     step.unfinishedTasks--
     if (run.exclusive) job.trialsPassed++
-    if (endTimeKnown && run.foundPercent === undefined) this.learnFromRun(job, step, run)
+    const slowness = endTimeKnown && run.foundPercent === undefined ? this.learnFromRun(job, step, run) : undefined
+    if (slowness !== undefined && task.slowAt.size > 0) this.slowRuns.restartEnded(job, slowness)
     if (job.steps.every(s => s.unfinishedTasks === 0)) this.end(job, 'completed')
   }
 
-  private learnFromRun (job: OwnedJob, step: OwnedStep, run: LedgerRun): void {
+  /** @returns the run time divided by that of a healthy run */
+  private learnFromRun (job: OwnedJob, step: OwnedStep, run: LedgerRun): number {
     const { speeds } = this.placement
     const report = this.endpoints.db.get(run.endpoint)?.report
     const ranMs = run.ranMs ?? this.ctx.now - run.startedAt
     const speedAt = (id: EndpointId): number => this.speedAt(id)
     const normalMs = ranMs * speedAt(run.endpoint)
     const healthyMs = healthyRunMs(step, run, this.estimates.expectedMs(job, step), speedAt)
-    this.placement.recordCompletion(run.endpoint, normalMs / healthyMs)
+    const slowness = normalMs / healthyMs
+    this.placement.recordCompletion(run.endpoint, slowness)
     step.finishedRunMs.push(normalMs)
-    if (this.placement.isQuarantined(run.endpoint)) return
+    if (this.placement.isQuarantined(run.endpoint)) return slowness
     if (report !== undefined) speeds.record(report, this.estimates.expectedMs(job, step), ranMs)
     this.estimates.record(job, step, normalMs)
+    return slowness
   }
 
   private speedAt (id: EndpointId): number {
--- a/packages/core/src/execution/slowRuns.ts
+++ b/packages/core/src/execution/slowRuns.ts
@@ -8,6 +8,7 @@
 import type { LedgerRun } from '../endpoints/types.js'
 import type { Candidate, PlacementDecider } from '../placement/placementDecider.js'
 import type { ShardContext } from '../shard/types.js'
+import { MoveOutcomes } from '../speeds/moveOutcomes.js'
 import { slowCauseOf } from '../speeds/slowCause.js'
 import type { JobEstimates } from './jobEstimates.js'
 import { STALL_SLOWNESS, healthyRunMs, slownessOf } from './speed.js'
@@ -35,8 +36,15 @@
 
 /** Moves runs away from endpoints where they are slow. */
 export class SlowRuns {
+  private readonly outcomes = new MoveOutcomes()
+
   constructor (private readonly ctx: ShardContext, private readonly parts: SlowRunsParts) {}
 
+  /** A task that had been restarted because it was slow has ended. */
+  restartEnded (job: OwnedJob, slowness: number): void {
+    this.outcomes.record(job.service, slowness < MOVE_SLOWNESS, this.ctx.now)
+  }
+
   /** An endpoint has reported the progress of a task's current run. */
   progressed (job: OwnedJob, task: OwnedTask, run: LedgerRun): void {
     const step = job.steps[task.step]
@@ -46,12 +54,15 @@
     if (slowness / Math.min(1, this.parts.speedAt(run.endpoint)) >= MOVE_SLOWNESS) this.moveIfFaster(job, step, task, run, slowness)
   }
 
-  /** Returns whether the task itself is long: other runs at its endpoint go on as usual, or it has been slow at another endpoint already. */
-  private isLongTask (task: OwnedTask, run: LedgerRun): boolean {
+  /**
+   * Returns whether the task itself is long: other runs at its endpoint go on as usual, or nothing tells and it has been slow at another endpoint already, or
+   * most tasks were that have been restarted of late.
+   */
+  private isLongTask (job: OwnedJob, task: OwnedTask, run: LedgerRun): boolean {
     const { placement, endpoints } = this.parts
     const endpoint = endpoints().db.get(run.endpoint)
     const cause = endpoint === undefined ? 'unknown' : slowCauseOf(run, endpoint, placement.db.trustOf(run.endpoint).soundAt, this.ctx.now)
-    return cause === 'task' || (cause === 'unknown' && task.slowAt.size > 0)
+    return cause === 'task' || (cause === 'unknown' && (task.slowAt.size > 0 || !this.outcomes.isWorthTrying(job.service, this.ctx.now)))
   }
 
   /**
@@ -61,7 +72,7 @@
   private moveIfFaster (job: OwnedJob, step: OwnedStep, task: OwnedTask, run: LedgerRun, slowness: number): void {
     const { placement, estimates, endpoints, speedAt, mayRestart } = this.parts
     const isSlowThere = slowness >= MOVE_SLOWNESS
-    if (run.state !== 'running' || (isSlowThere && slowness < STALL_SLOWNESS && this.isLongTask(task, run))) return
+    if (run.state !== 'running' || (isSlowThere && slowness < STALL_SLOWNESS && this.isLongTask(job, task, run))) return
     const expected = healthyRunMs(step, run, estimates.expectedMs(job, step), speedAt)
     const remaining = expected / speedAt(run.endpoint) * slowness * (100 - run.percent) / 100
     if (remaining <= expected / placement.speeds.quickest(job.service, step.spec.requiredLabel) + MOVE_COST_MS) return
