--- a/packages/dispatcher/src/utils/readThrottle.ts
+++ b/packages/dispatcher/src/utils/readThrottle.ts
@@ -29,9 +29,9 @@
 /** Decides in which turn each of a server's connections is read. */
 export class ReadThrottle {
   private readonly connections = new Set<Throttled>()
-  private readonly costly: Throttled[] = []
-  private readonly fresh: Throttled[] = []
-  private readonly othersOfTurn: Throttled[] = []
+  private readonly costly = new Set<Throttled>()
+  private readonly fresh = new Set<Throttled>()
+  private readonly othersOfTurn = new Set<Throttled>()
   private readonly touched: Throttled[] = []
   private spent = 0
   private admitted = 0
@@ -50,11 +50,12 @@
       if (connection.held) socket.pause()
     })
     this.scheduleTurn()
-    if (++this.admitted > ADMITTED_PER_TURN || this.fresh.length > 0 || this.costly.length > 0 || this.spent > TURN_UNITS) this.hold(connection, this.fresh)
+    if (++this.admitted > ADMITTED_PER_TURN || this.fresh.size > 0 || this.costly.size > 0 || this.spent > TURN_UNITS) this.hold(connection, this.fresh)
   }
 
+  /** Forgets a connection, in the queues as well: what it holds must not stay until its turn. */
   remove (connection: Throttled): void {
-    this.connections.delete(connection)
+    for (const connections of [this.connections, this.costly, this.fresh, this.othersOfTurn]) connections.delete(connection)
   }
 
   /** Counts what a read has cost so far. */
@@ -68,10 +69,11 @@
     if (spentBefore <= TURN_UNITS && this.spent > TURN_UNITS) for (const other of this.connections) if (!other.held) this.hold(other, this.othersOfTurn)
   }
 
-  private hold (connection: Throttled, queue: Throttled[]): void {
+  private hold (connection: Throttled, queue: Set<Throttled>): void {
+    if (!this.connections.has(connection)) return
     connection.held = true
     connection.socket.pause()
-    queue.push(connection)
+    queue.add(connection)
   }
 
   private scheduleTurn (): void {
@@ -90,12 +92,12 @@
     const now = performance.now()
     if (this.releasedAt !== undefined) this.pausedUntil = now + Math.min(now - this.releasedAt, MAX_PAUSE_MS)
     this.releasedAt = undefined
-    if (this.costly.length > 0 && now >= this.pausedUntil) {
+    if (this.costly.size > 0 && now >= this.pausedUntil) {
       this.release(this.costly, COSTLY_PER_TURN)
       this.releasedAt = now
     }
-    if (this.fresh.length > 0 || this.releasedAt !== undefined) this.scheduleTurn()
-    else if (this.costly.length > 0) this.scheduleAfterPause(now)
+    if (this.fresh.size > 0 || this.releasedAt !== undefined) this.scheduleTurn()
+    else if (this.costly.size > 0) this.scheduleAfterPause(now)
   }
 
   private scheduleAfterPause (now: number): void {
@@ -106,16 +108,13 @@
     }, this.pausedUntil - now)
   }
 
-  private release (queue: Throttled[], most: number): void {
+  private release (queue: Set<Throttled>, most: number): void {
     let released = 0
-    let next = 0
-    for (; next < queue.length && released < most; next++) {
-      const connection = queue[next] as Throttled
-      if (!this.connections.has(connection)) continue
-      released++
+    for (const connection of queue) {
+      if (released++ === most) return
+      queue.delete(connection)
       connection.held = false
       connection.socket.resume()
     }
-    queue.splice(0, next)
   }
 }
