--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
 import { hideBin } from 'yargs/helpers'
 import { hashKey, newKey } from '@cranberryyard/dispatcher'
 import { showAudit } from './commands/audit.js'
+import { checkConfig } from './commands/config.js'
 import { applyContracts, contractHistory, lintContracts, planContracts, showContract, undoContract } from './commands/contract.js'
 import { runDemo } from './commands/demo.js'
 import { listEndpoints, orderEndpoint } from './commands/endpoint.js'
@@ -87,6 +88,12 @@
     .option('json', { type: 'boolean', default: false })
     .option('watch', { type: 'boolean', default: false }), args => runCommand(() => showStatus(targetOf(args), { json: args.json, watch: args.watch })))
   .command('contract', 'Contracts under version control', contractCommands)
+  .command('config', 'Configurations before they are sent', y => y
+    .command('check <path>', 'Find errors, entries that never match and contradictions, and show what would change', c => c
+      .positional('path', { type: 'string', demandOption: true, describe: 'Desired state (JSON), contract file (TOML) or folder of contracts' })
+      .option('against', { type: 'string', describe: 'The same as it is in force, to compare with' })
+      .option('json', { type: 'boolean', default: false }), args => runCommand(() => checkConfig(args.path, args.against, args.json)))
+    .demandCommand(1))
   .command('endpoint', 'List, drain, stop and resume endpoints', endpointCommands)
   .command('audit', 'Show who changed what, and check the trail', c => c
     .option('customer', { type: 'string' })
@@ -100,6 +107,7 @@
   .command('demo', 'Run the embedded default and measure one job of 340 tasks', {}, () => runCommand(runDemo))
   .completion('completion', 'Print a shell completion script')
   .example('$0 contract plan contracts/', 'what would change')
+  .example('$0 config check new.json --against inforce.json', 'what is wrong, and what would change')
   .example('$0 endpoint drain endpoint-1-1 --reason "fan swap"', 'take an endpoint out of use')
   .demandCommand(1)
   .strict()
--- a/packages/protocol/src/tomlFile.ts
+++ b/packages/protocol/src/tomlFile.ts
@@ -15,8 +15,8 @@
 
 const escapeRegExp = (text: string): string => text.replace(/[.*+?^${}()|[\]\\]/g, '\\$&')
 
-/** Follows the path through the text: finds each `[table]` or nth `[[table]]` header, then the key below it. */
-function lineOf (text: string, path: readonly PropertyKey[]): number {
+/** Returns the line of a key, from 1. Follows the path through the text: finds each `[table]` or nth `[[table]]` header, then the key below it. */
+export function lineOf (text: string, path: readonly PropertyKey[]): number {
   const lines = text.split('\n')
   let from = 0
   for (let i = 0; i < path.length; i++) {
