A new connection's small request is read before costly ones

Callers saw: beside 800 connections with bodies in chunks of one byte, ordinary jobs, each on a connection of its own, got their 200 after 16 to 18 s (15 of 15, one trial, x86-64); beside 150, after up to 1.0 s.

Cause: the read throttle let four new connections in a turn read, each with a whole read of up to 64 KiB. A new connection with ten thousand chunks held up its turn for 10 to 30 ms, and the small request waited behind all those that had come before it. Accept queue and parser were not it: beside 800 bodies in chunks of 64 KiB, where reads cost little, the same jobs took 0.5 s.

What has arrived waits in its connection and goes to the HTTP parser in slices of 4 KiB; what is cheap, by its length and by what the connection has cost lately, is read first; costly input gets half of the time, a slice of each connection in turn. `GuardedStream` is what the HTTP servers read in place of the socket. The read throttle is gone.

--- a/packages/dispatcher/src/callers/callerTask.ts
+++ b/packages/dispatcher/src/callers/callerTask.ts
@@ -32,7 +32,7 @@
 
   /** Routes one request of a caller: health check, submission, or the fetch or cancellation of an earlier one. */
   handle (req: IncomingMessage, res: ServerResponse): void {
-    this.guard.of(req.socket).begin(req, res)
+    this.guard.of(req).begin(req, res)
     const target = targetOf(req)
     if (target.isErr) return this.sendRefusal(res, target.error)
     const url = target.value
--- a/packages/dispatcher/src/operators/operatorTask.ts
+++ b/packages/dispatcher/src/operators/operatorTask.ts
@@ -50,7 +50,7 @@
 
   /** Checks the key of one request and routes it. */
   handle (req: IncomingMessage, res: ServerResponse): void {
-    this.guard.of(req.socket).begin(req, res)
+    this.guard.of(req).begin(req, res)
     const actor = findActor(keyHashOf(req), this.settings.teamKeys, this.view.fleet())
     if (actor === undefined) return this.sendRefusal(res, codedError('unauthorized', 'unknown key'))
     const target = targetOf(req)
--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -46,7 +46,7 @@
     guard.watch(this.callers)
     const probes = new ConnectionGuard(PROBE_ALLOWANCE, systemClock, guard.report)
     this.readiness = makePlainServer(headerLimits(HEADERS_TIMEOUT_MS), (req, res) => {
-      probes.of(req.socket).begin(req, res)
+      probes.of(req).begin(req, res)
       res.writeHead(this.ready ? 200 : 503, hasUnreadBody(req) ? { connection: 'close' } : {}).end()
     })
     probes.watch(this.readiness)
@@ -76,7 +76,7 @@
   }
 
   private receive (req: IncomingMessage, res: ServerResponse): void {
-    const guarded = this.guard.of(req.socket)
+    const guarded = this.guard.of(req)
     guarded.begin(req, res)
     readBody(req, res, guarded, MAX_BODY_BYTES, (outcome) => {
       switch (outcome.type) {
@@ -109,7 +109,6 @@
    */
   private submit (res: ServerResponse, guarded: GuardedSocket, host: string, request: Extract<CallerRequest, { type: 'submit' }>): void {
     const callId = `c${++this.callCounter}`
-    const { socket } = res.req
     let submitted = false
     const left = (): void => {
       if (this.openResponses.delete(callId) && submitted) this.post({ type: 'callerLeft', callId })
@@ -123,7 +122,7 @@
     })
     // What was read in this turn may be followed by the end of its connection, which the next turn reads.
     setImmediate(() => this.reads.afterNextRead(() => {
-      if (!this.openResponses.has(callId) || socket.readableEnded) return
+      if (!this.openResponses.has(callId) || guarded.socket.readableEnded) return
       submitted = true
       this.post({ type: 'submit', callId, host, path: request.path, job: request.job, deadlineMs: ms(request.deadlineMs) })
     }))
--- a/packages/dispatcher/src/shard/metricsServer.ts
+++ b/packages/dispatcher/src/shard/metricsServer.ts
@@ -55,7 +55,7 @@
   listen (ip: string, port: number): void {
     const guard = new ConnectionGuard(READER_ALLOWANCE, systemClock, this.reportClosed)
     const server = makePlainServer(headerLimits(HEADERS_TIMEOUT_MS), (req, res) => {
-      guard.of(req.socket).begin(req, res)
+      guard.of(req).begin(req, res)
       void this.registry.metrics().then((text) => {
         res.writeHead(200, { 'content-type': this.registry.contentType, ...(hasUnreadBody(req) ? { connection: 'close' } : {}) }).end(text)
       })
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -4,19 +4,21 @@
  * caller sees a broken connection, after which nothing is taken for granted.
  */
 import { ConnectionsDecider } from '@cranberryyard/core/shard'
-import type { Allowance, CloseReason, Connection } from '@cranberryyard/core/shard'
+import type { Allowance, CloseReason, Connection, Turn } from '@cranberryyard/core/shard'
 import type { Clock } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { GuardedStream } from './guardedStream.js'
+import type { InputCounts } from './guardedStream.js'
+import { InputTurns } from './inputTurns.js'
 import { countPiece } from './pieceCollection.js'
-import { ReadThrottle } from './readThrottle.js'
-import type { Throttled } from './readThrottle.js'
 
 /** Bytes that an open request costs beside its body: the request, its response and what waits for it. */
 const REQUEST_BYTES = 8192
 /** Bytes that a header costs in addition. */
 const HEADER_BYTES = 128
-/** Cost of a request in units of the read throttle. */
+/** Cost of a request in units of the turns. */
 const REQUEST_UNITS = 50
 /** Bytes of a body that cost a unit in addition to the piece in which they come. */
 const PIECE_BYTES_PER_UNIT = 1024
@@ -29,9 +31,10 @@
 export type ReportClosed = (reason: CloseReason) => void
 
 /** One connection with what is held for it. */
-export class GuardedSocket implements Throttled {
-  held = false
-  units = 0
+export class GuardedSocket implements InputCounts {
+  readonly turn: Turn
+  /** What an HTTP server reads in place of the socket. */
+  stream: GuardedStream | undefined
   /** Called once when the other side has left or the connection has closed. */
   private readonly onLeft = new Set<() => void>()
   private openRequests = 0
@@ -40,6 +43,7 @@
 
   constructor (readonly socket: Socket, readonly connection: Connection, private readonly guard: ConnectionGuard) {
     this.drainedAt = connection.openedAt
+    this.turn = guard.turns.open()
     const left = (): void => this.leave()
     socket.on('end', left).on('error', left).on('close', left)
   }
@@ -56,7 +60,7 @@
     this.openRequests++
     this.guard.enter(this, 'receiving')
     this.hold(cost)
-    this.guard.throttle.spend(this, REQUEST_UNITS)
+    this.guard.turns.spend(this.turn, REQUEST_UNITS)
     res.once('close', () => {
       this.hold(-cost)
       if (--this.openRequests === 0) this.guard.enter(this, 'idle')
@@ -67,12 +71,12 @@
   receive (bytes: number): void {
     this.connection.received += bytes
     countPiece(bytes)
-    this.guard.throttle.spend(this, 1 + bytes / PIECE_BYTES_PER_UNIT)
+    this.guard.turns.spend(this.turn, 1 + bytes / PIECE_BYTES_PER_UNIT)
   }
 
   /** Whatever has arrived is complete; this instance owes the answer. @param units - what reading the request costs */
   completed (units: number): void {
-    this.guard.throttle.spend(this, units)
+    this.guard.turns.spend(this.turn, units)
     this.guard.enter(this, 'served')
   }
 
@@ -81,13 +85,6 @@
     this.guard.hold(this, this.connection.bytes + bytes)
   }
 
-  /** Stops reading for good, before the connection is closed. */
-  stopReading (): void {
-    this.guard.throttle.remove(this)
-    this.held = true
-    this.socket.pause()
-  }
-
   /** @returns whether something waits for the other side and it has read none of it for too long */
   isUnread (now: number): boolean {
     const drained = this.socket.bytesWritten - this.socket.writableLength
@@ -106,19 +103,25 @@
 
 /** The connections of one kind. */
 export class ConnectionGuard {
-  readonly throttle = new ReadThrottle()
+  readonly turns: InputTurns
   private readonly decider: ConnectionsDecider
   private readonly sockets = new Map<Connection, GuardedSocket>()
-  private readonly bySocket = new WeakMap<Socket, GuardedSocket>()
+  private readonly byStream = new WeakMap<Duplex, GuardedSocket>()
   private sweepTimer: NodeJS.Timeout | undefined
 
   constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed) {
     this.decider = new ConnectionsDecider(allowance)
+    this.turns = new InputTurns(clock)
   }
 
   /** Guards all connections of a server, from the event that gives them to the handler of requests. */
   watch (server: Server, event: 'connection' | 'secureConnection' = 'connection'): void {
-    server.on(event, (socket: Socket) => this.throttle.add(this.add(socket)))
+    const handlers = server.listeners(event)
+    server.removeAllListeners(event)
+    server.on(event, (socket: Socket) => {
+      const stream = this.streamOf(socket)
+      for (const handler of handlers) handler.call(server, stream)
+    })
   }
 
   /** Guards a connection that has just been accepted. */
@@ -126,16 +129,16 @@
     const connection = this.decider.open(this.clock.now())
     const guarded = new GuardedSocket(socket, connection, this)
     this.sockets.set(connection, guarded)
-    this.bySocket.set(socket, guarded)
+    this.byStream.set(socket, guarded)
     socket.once('close', () => this.remove(guarded))
     this.sweepTimer ??= setInterval(() => this.sweep(), SWEEP_MS).unref()
     this.closeExcess()
     return guarded
   }
 
-  /** @returns what guards a socket; one that was closed meanwhile is guarded anew, which ends with it */
-  of (socket: Socket): GuardedSocket {
-    return this.bySocket.get(socket) ?? this.add(socket)
+  /** @returns what guards the connection of a request; that of a server that is not watched is guarded from now on */
+  of ({ socket }: IncomingMessage): GuardedSocket {
+    return this.byStream.get(socket) ?? this.add(socket)
   }
 
   enter ({ connection }: GuardedSocket, phase: Connection['phase']): void {
@@ -151,7 +154,9 @@
   close (guarded: GuardedSocket, reason: CloseReason): void {
     if (!this.sockets.has(guarded.connection)) return
     this.remove(guarded)
-    guarded.socket.destroy()
+    // What the stream holds is free at once, not only when the socket has closed.
+    if (guarded.stream === undefined) guarded.socket.destroy()
+    else guarded.stream.destroy()
     this.report(reason)
   }
 
@@ -160,6 +165,14 @@
     return { connections: this.decider.db.open.size, bytes: this.decider.db.bytes }
   }
 
+  /** Guards a connection of an HTTP server. @returns what the server reads in place of the socket */
+  private streamOf (socket: Socket): GuardedStream {
+    const guarded = this.add(socket)
+    guarded.stream = new GuardedStream(socket, this.turns, guarded.turn, guarded)
+    this.byStream.set(guarded.stream, guarded)
+    return guarded.stream
+  }
+
   private closeExcess (): void {
     const reason = this.decider.excess()
     if (reason === undefined) return
@@ -183,6 +196,6 @@
   private remove (guarded: GuardedSocket): void {
     this.decider.close(guarded.connection)
     this.sockets.delete(guarded.connection)
-    this.throttle.remove(guarded)
+    this.turns.close(guarded.turn)
   }
 }
--- /dev/null
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -0,0 +1,113 @@
+/**
+ * What an HTTP server reads instead of a socket: bytes that have arrived wait in the socket until it is their connection's turn, and are handed on in
+ * slices. A socket in which many bytes wait is not read on.
+ */
+import type { Turn } from '@cranberryyard/core/shard'
+import { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
+import type { InputReader, InputTurns } from './inputTurns.js'
+import { countPiece } from './pieceCollection.js'
+
+/** Bytes that are handed on at once. In chunks of one byte, they take a millisecond or two. */
+const SLICE_BYTES = 4096
+/** Cost of handing on a slice, and the bytes that cost a unit in addition. */
+const SLICE_UNITS = 1
+const BYTES_PER_UNIT = 1024
+
+/** Counts what waits on a connection. */
+export interface InputCounts {
+  /** Adds to the bytes that are held. */
+  hold (bytes: number): void
+}
+
+/** A connection as an HTTP server reads and writes it. */
+export class GuardedStream extends Duplex implements InputReader {
+  private heldBytes = 0
+  /** Whether the reader takes more. */
+  private wanted = false
+
+  constructor (private readonly socket: Socket, private readonly turns: InputTurns, private readonly turn: Turn, private readonly counts: InputCounts) {
+    super({ allowHalfOpen: true, decodeStrings: false })
+    socket.on('readable', () => this.receive())
+    socket.on('timeout', () => this.emit('timeout'))
+    socket.once('end', () => this.endInput()).once('error', err => this.destroy(err)).once('close', () => this.destroy())
+  }
+
+  /** As for a socket: ends after all that was written, then closes. */
+  destroySoon (): void {
+    if (this.writable) this.end()
+    if (this.writableFinished) this.destroy()
+    else this.once('finish', () => this.destroy())
+  }
+
+  /** As for a socket: emits `timeout` after a time without activity. */
+  setTimeout (idleMs: number, callback?: () => void): this {
+    this.socket.setTimeout(idleMs)
+    if (callback !== undefined) this.once('timeout', callback)
+    return this
+  }
+
+  readSlice (): void {
+    if (this.destroyed) return
+    const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
+    this.count()
+    if (slice !== null) this.handOn(slice)
+  }
+
+  override _read (): void {
+    this.wanted = true
+    if (this.socket.readableLength > 0) this.wait()
+  }
+
+  override _write (chunk: string | Buffer, encoding: BufferEncoding, callback: (err?: Error | null) => void): void {
+    this.socket.write(chunk, encoding, callback)
+  }
+
+  override _final (callback: (err?: Error | null) => void): void {
+    this.socket.end(() => callback())
+  }
+
+  override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
+    this.turns.close(this.turn)
+    // Frees what waits; the socket stays in memory until it has closed.
+    this.socket.read()
+    this.socket.destroy()
+    callback(err)
+  }
+
+  private receive (): void {
+    if (this.destroyed) return
+    const { readableLength } = this.socket
+    if (readableLength === 0) {
+      // Has the socket emit `end`, if this is what has arrived.
+      this.socket.read()
+      return
+    }
+    countPiece(readableLength)
+    if (this.wanted && readableLength <= SLICE_BYTES && this.turns.mayReadNow(this.turn, readableLength)) return this.readSlice()
+    this.wait()
+    this.count()
+  }
+
+  private wait (): void {
+    if (this.wanted) this.turns.wait(this.turn, this.socket.readableLength, this)
+  }
+
+  /** Counts what waits. */
+  private count (): void {
+    const { readableLength: bytes } = this.socket
+    const grownBytes = bytes - this.heldBytes
+    this.heldBytes = bytes
+    if (grownBytes !== 0) this.counts.hold(grownBytes)
+  }
+
+  private handOn (slice: Buffer): void {
+    this.wanted = false
+    this.turns.spend(this.turn, SLICE_UNITS + slice.length / BYTES_PER_UNIT)
+    this.push(slice)
+  }
+
+  private endInput (): void {
+    if (!this.destroyed) this.push(null)
+  }
+}
--- a/packages/dispatcher/src/utils/httpServer.ts
+++ b/packages/dispatcher/src/utils/httpServer.ts
@@ -50,7 +50,7 @@
  */
 export function readJson (req: IncomingMessage, res: ServerResponse, guard: ConnectionGuard): Promise<Result<unknown, CodedError>> {
   return new Promise((resolve) => {
-    readBody(req, res, guard.of(req.socket), MAX_BODY_BYTES, (outcome) => {
+    readBody(req, res, guard.of(req), MAX_BODY_BYTES, (outcome) => {
       switch (outcome.type) {
         case 'complete': return resolve(parseJson(outcome.body.toString('utf8')))
         case 'tooLarge':
--- a/packages/dispatcher/src/utils/requestBody.ts
+++ b/packages/dispatcher/src/utils/requestBody.ts
@@ -18,7 +18,7 @@
  */
 const MAX_SEPARATORS = 262_144
 const SEPARATORS = new Set([...',[{'].map(character => character.charCodeAt(0)))
-/** Bytes of a body whose parsing costs about a unit of the read throttle. */
+/** Bytes of a body whose parsing costs about a unit of the turns. */
 const BYTES_PER_UNIT = 64
 
 /**
@@ -36,7 +36,7 @@
     if (ended) return
     ended = true
     if (outcome.type === 'complete') guarded.completed(outcome.body.length / BYTES_PER_UNIT)
-    else guarded.stopReading()
+    else req.socket.pause()
     if (outcome.type === 'tooLarge') res.setHeader('connection', 'close')
     callback(outcome)
     collected.clear()
