Bytes that wait unread are in the budget of connections

The platform counts unread bytes as memory, so it would have ended the process.

Cause: the read throttle paused up to 840 connections without counting them, each with up to 126 KB in its receive buffer, and up to 511 more waited in each accept queue.

Change: a connection on which more waits than is read at once counts with a full receive buffer (128 KiB), as does a long message of a peer or a long answer. Accept queues follow the memory (315, 126 and 16 at 210 MB). Of connections that wait for their turn the latest is closed first: closing the oldest for each new one read 64 KiB of each, which became 60 MB of garbage.

--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -4,7 +4,7 @@
  */
 import { CHART_NAMES, COUNTERS, readChart } from '@cranberryyard/core'
 import type { ChartName } from '@cranberryyard/core'
-import { CONNECTION_BYTES, CONNECTION_DEFAULTS, DEFAULT_MACHINE, SHARD_COUNTERS, SHARD_GAUGES, allowancesFor } from '@cranberryyard/core/shard'
+import { CONNECTION_BYTES, CONNECTION_DEFAULTS, DEFAULT_MACHINE, RECEIVE_BUFFER_BYTES, SHARD_COUNTERS, SHARD_GAUGES, allowancesFor, backlogsFor } from '@cranberryyard/core/shard'
 import { GAUGES, TIMELINESS_COUNTERS } from '@cranberryyard/dispatcher'
 import { SHARD_HISTOGRAMS, metricName } from '@cranberryyard/dispatcher/shard'
 import { settingsSchema } from '@cranberryyard/protocol'
@@ -50,14 +50,17 @@
 
 function connectionLimits (): string[][] {
   const { callers, peers, answers } = allowancesFor(DEFAULT_MACHINE)
+  const backlogs = backlogsFor(DEFAULT_MACHINE)
   const mb = ({ bytes }: { readonly bytes: number }): string => `${(bytes / 1_048_576).toFixed(1)} MB`
   return [
     ['connections of callers', String(callers.connections), 'The smaller of half the descriptors beyond 200 and four for each MB of memory.'],
-    ['bytes for callers', mb(callers), 'A tenth of the memory; for bodies and open requests.'],
+    ['bytes for callers', mb(callers), 'A tenth of the memory; for bodies, open requests and what waits to be read.'],
     ['connections that peers open', String(peers.connections), 'A quarter of the descriptors beyond 200. Operators\' connections in `cranberryyardd`.'],
     ['bytes for peers', mb(peers), 'A twentieth of the memory; for messages that are not complete.'],
     ['bytes for answers', mb(answers), 'A twentieth of the memory; for answers of endpoints and of the store that are not complete.'],
     ['connections for probes, for metrics', '32 each', 'Connections to the readiness port and to the metrics address.'],
+    ['connections that wait to be accepted', `${backlogs.callers}, ${backlogs.peers}, ${backlogs.others}`, 'Of callers (1.5 for each MB of memory, at most 511), of peers (0.6 for each MB), of probes and for metrics.'],
+    ['unread bytes of a connection', `${RECEIVE_BUFFER_BYTES} bytes`, 'Held, beside what has been read, for a connection on which more waits than is read at once: its receive buffer.'],
     ['cost of a connection', `${CONNECTION_BYTES} bytes`, 'Weighs with what it holds when connections are compared.'],
     ['size of a body', '1,048,576 bytes', 'A larger one is refused with 413 when it is announced, or at the byte that exceeds it.'],
     ['values in a body', '262,144', 'Commas and opening brackets of JSON; more are refused with 413.'],
--- a/packages/core/src/connections/connectionsDecider.spec.ts
+++ b/packages/core/src/connections/connectionsDecider.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { ms } from '@cranberryyard/protocol'
-import { CONNECTION_DEFAULTS, ConnectionsDecider, DEFAULT_MACHINE, allowancesFor } from './connectionsDecider.js'
+import { CONNECTION_DEFAULTS, ConnectionsDecider, DEFAULT_MACHINE, RECEIVE_BUFFER_BYTES, allowancesFor, backlogsFor, costOfPart } from './connectionsDecider.js'
 import type { Connection, ConnectionPhase } from './types.js'
 
 const KB = 1024
@@ -52,6 +52,26 @@
     expect(decider.victims(ms(1000))).to.deep.equal([many])
   })
 
+  it('gives up the latest of those that wait for their turn, after one that stopped short, and no small one', () => {
+    const decider = new ConnectionsDecider({ connections: 100, bytes: 1000 * KB })
+    const wait = (openedAt: number, bytes: number): Connection => {
+      const connection = opened(decider, 'receiving', openedAt, bytes)
+      connection.awaitsTurn = true
+      return connection
+    }
+    const waiting = Array.from({ length: 5 }, (_, i) => wait(i, 200 * KB))
+    const small = wait(5000, 2 * KB)
+    const stopped = opened(decider, 'receiving', 4000, 100 * KB)
+    expect(decider.victims(ms(5000))).to.deep.equal([stopped, waiting[4]])
+    expect(decider.victims(ms(5000))).to.not.include(small)
+    expect(decider.stalled(ms(500_000))).to.deep.equal([stopped])
+  })
+
+  it('counts what may wait unread behind a long part of a message', () => {
+    expect(costOfPart(64 * KB)).to.equal(64 * KB)
+    expect(costOfPart(256 * KB)).to.equal(256 * KB + RECEIVE_BUFFER_BYTES)
+  })
+
   it('counts what is held once a connection is closed no more', () => {
     const decider = new ConnectionsDecider({ connections: 100, bytes: 1000 * KB })
     const connection = opened(decider, 'receiving', 0, 10 * KB)
@@ -75,6 +95,8 @@
   it('is divided so that all kinds together stay inside the machine', () => {
     for (const machine of [DEFAULT_MACHINE, { memoryMb: 210, maxFds: 400 }, { memoryMb: 210, maxFds: 4100 }]) {
       const { callers, peers, answers } = allowancesFor(machine)
+      const backlogs = backlogsFor(machine)
+      expect((backlogs.callers + backlogs.peers + 2 * backlogs.others) * RECEIVE_BUFFER_BYTES).to.be.at.most(machine.memoryMb * KB * KB / 3)
       expect(callers.connections + peers.connections).to.be.below(machine.maxFds - 200)
       expect(callers.bytes + peers.bytes + answers.bytes).to.be.at.most(machine.memoryMb * KB * KB / 4)
     }
--- a/packages/core/src/connections/connectionsDecider.ts
+++ b/packages/core/src/connections/connectionsDecider.ts
@@ -6,7 +6,7 @@
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { ConnectionsDb } from './connectionsDb.js'
-import type { Allowance, Connection, ConnectionAllowances, ConnectionPhase, ConnectionSettings, MachineLimits } from './types.js'
+import type { Allowance, Connection, ConnectionAllowances, ConnectionBacklogs, ConnectionPhase, ConnectionSettings, MachineLimits } from './types.js'
 
 /** Defaults for settings that do not depend on the machine. */
 export const CONNECTION_DEFAULTS: ConnectionSettings = {
@@ -17,7 +17,11 @@
 export const DEFAULT_MACHINE: MachineLimits = { memoryMb: 350, maxFds: 4100 }
 /** Bytes that an open connection costs by itself: its socket, its parser and their buffers. */
 export const CONNECTION_BYTES = 8192
+/** Bytes that may wait unread for a connection that is not read at present: the receive buffer of a socket. */
+export const RECEIVE_BUFFER_BYTES = 131_072
 
+/** What one read of a socket brings at most. */
+const LONG_PART_BYTES = 65_536
 /** Descriptors that the platform reserves for files. */
 const FILE_DESCRIPTORS = 200
 const BYTES_PER_MB = 1_048_576
@@ -27,16 +31,28 @@
 const DESCRIPTOR_SHARES = { callers: 0.5, peers: 0.25 } as const
 /** Connections of callers for each megabyte of memory. */
 const CALLERS_PER_MB = 4
+/** Connections that may wait to be accepted, for each megabyte of memory, and the most. */
+const BACKLOG_PER_MB = { callers: 1.5, peers: 0.6 } as const
+const MAX_BACKLOG = 511
+const OTHERS_BACKLOG = 16
 /** Calls to endpoints and to the store whose answers are received at the same time. */
 const MAX_ANSWERS = 10_000
 /** After an excess, so much of the allowance is freed at once that the next connections do not each cause a search. */
 const FREED_SHARE = 0.125
 /** Shortest time that counts. */
 const SHORTEST_WAIT_MS = 1
-/** Stands for all of the time for which a connection waits for this instance, since it owes no progress then. It comes after those that have just opened. */
+/** Stands for all of the time for which a connection waits for this instance, since it owes no progress then. It comes after those that have just opened with as much. */
 const SERVED_WAIT_MS = 0.5
 const SECOND_MS = 1000
 
+/**
+ * @param bytes - what has arrived of a message or an answer and waits for the rest
+ * @returns what this costs. Behind a long one more waits unread while the event loop does other work.
+ */
+export function costOfPart (bytes: number): number {
+  return bytes <= LONG_PART_BYTES ? bytes : bytes + RECEIVE_BUFFER_BYTES
+}
+
 /** Derives the allowances from the limits of the machine. */
 export function allowancesFor ({ memoryMb, maxFds }: MachineLimits): ConnectionAllowances {
   const sockets = Math.max(8, maxFds - FILE_DESCRIPTORS)
@@ -48,6 +64,12 @@
   }
 }
 
+/** Derives how many connections may wait to be accepted from the memory of the machine. */
+export function backlogsFor ({ memoryMb }: MachineLimits): ConnectionBacklogs {
+  const backlog = (perMb: number): number => Math.min(MAX_BACKLOG, Math.ceil(memoryMb * perMb))
+  return { callers: backlog(BACKLOG_PER_MB.callers), peers: backlog(BACKLOG_PER_MB.peers), others: OTHERS_BACKLOG }
+}
+
 /** Decides about the connections of one kind. */
 export class ConnectionsDecider {
   readonly db = new ConnectionsDb()
@@ -56,7 +78,7 @@
 
   /** Adds a connection on which nothing has arrived yet. */
   open (now: Ms): Connection {
-    const connection: Connection = { openedAt: now, phase: 'idle', since: now, bytes: 0, received: 0 }
+    const connection: Connection = { openedAt: now, phase: 'idle', since: now, bytes: 0, received: 0, awaitsTurn: false }
     this.db.add(connection)
     return connection
   }
@@ -83,9 +105,9 @@
     return this.db.bytes > this.allowance.bytes ? 'memory' : undefined
   }
 
-  /** Chooses the connections to close so that the others fit again, the worst first. */
+  /** Chooses the connections to close so that the others fit again, the worst first. Of those that are equal the latest goes first: what came before is nearer its end. */
   victims (now: Ms): Connection[] {
-    const ranked = [...this.db.open].map(connection => ({ connection, score: scoreOf(connection, this.cfg, now) })).sort((a, b) => b.score - a.score)
+    const ranked = [...this.db.open].reverse().map(connection => ({ connection, score: scoreOf(connection, this.cfg, now) })).sort((a, b) => b.score - a.score)
     let { size: count } = this.db.open
     let { bytes } = this.db
     const countGoal = count > this.allowance.connections ? this.allowance.connections * (1 - FREED_SHARE) : Infinity
@@ -102,17 +124,17 @@
 
   /** @returns the connections on which a request or message arrives too slowly */
   stalled (now: Ms): Connection[] {
-    return [...this.db.open].filter(({ phase, since, received }) => {
+    return [...this.db.open].filter(({ phase, since, received, awaitsTurn }) => {
       const lateMs = now - since - this.cfg.stallGraceMs
-      return phase === 'receiving' && lateMs > 0 && received < lateMs / SECOND_MS * this.cfg.leastBytesPerS
+      return phase === 'receiving' && !awaitsTurn && lateMs > 0 && received < lateMs / SECOND_MS * this.cfg.leastBytesPerS
     })
   }
 }
 
 /** What a connection holds weighs more than for how long: one that holds much is worth more to close than many that hold little. */
-function scoreOf ({ phase, since, bytes, received }: Connection, { leastBytesPerS }: ConnectionSettings, now: Ms): number {
+function scoreOf ({ phase, since, bytes, received, awaitsTurn }: Connection, { leastBytesPerS }: ConnectionSettings, now: Ms): number {
   const elapsedMs = now - since
   const bytesPerS = elapsedMs > 0 ? received / elapsedMs * SECOND_MS : 0
-  const waitMs = phase === 'served' ? SERVED_WAIT_MS : Math.max(SHORTEST_WAIT_MS, elapsedMs / (1 + bytesPerS / leastBytesPerS))
+  const waitMs = phase === 'served' || awaitsTurn ? SERVED_WAIT_MS : Math.max(SHORTEST_WAIT_MS, elapsedMs / (1 + bytesPerS / leastBytesPerS))
   return (CONNECTION_BYTES + bytes) ** 2 * waitMs
 }
--- a/packages/core/src/connections/types.ts
+++ b/packages/core/src/connections/types.ts
@@ -25,6 +25,14 @@
   readonly answers: Allowance
 }
 
+/** Connections to each kind of port that may wait to be accepted. What they have sent waits unread. */
+export interface ConnectionBacklogs {
+  readonly callers: number
+  readonly peers: number
+  /** Ports for probes and for metrics. */
+  readonly others: number
+}
+
 /**
  * What a connection does. `idle`: nothing has arrived of a next request. `receiving`: a request or message has begun and is not complete. `served`: what
  * has arrived is complete, and this instance owes the answer.
@@ -54,6 +62,8 @@
   bytes: number
   /** Bytes that have arrived in this phase. */
   received: number
+  /** Whether bytes of it wait for a turn of this instance, which then owes the progress. */
+  awaitsTurn: boolean
 }
 
 /** Limits that do not depend on the machine. */
--- a/packages/dispatcher/src/shard/answerBudget.ts
+++ b/packages/dispatcher/src/shard/answerBudget.ts
@@ -2,7 +2,7 @@
  * Keeps the answers of endpoints and of the store inside their budget while they are received. Nobody controls what listens at an address of the
  * store's list, and an answer may have no end. When the budget is used up, the calls are given up whose answers hold most for longest with least progress.
  */
-import { ConnectionsDecider, DEFAULT_MACHINE, allowancesFor } from '@cranberryyard/core/shard'
+import { ConnectionsDecider, DEFAULT_MACHINE, allowancesFor, costOfPart } from '@cranberryyard/core/shard'
 import type { Allowance, Connection } from '@cranberryyard/core/shard'
 import { systemClock } from '@cranberryyard/protocol'
 import type { Clock } from '@cranberryyard/protocol'
@@ -45,7 +45,7 @@
         connection.received += bytes
       },
       hold: (bytes) => {
-        this.decider.hold(connection, bytes)
+        this.decider.hold(connection, costOfPart(bytes))
         this.giveUpExcess()
       },
       close: () => {
--- a/packages/dispatcher/src/shard/linkTask.ts
+++ b/packages/dispatcher/src/shard/linkTask.ts
@@ -6,7 +6,7 @@
  * A message is reported as not sent only if no connection to its peer was established. Once it has been written to a
  * connection that breaks, the peer may or may not have received it.
  */
-import { DEFAULT_MACHINE, allowancesFor } from '@cranberryyard/core/shard'
+import { DEFAULT_MACHINE, allowancesFor, costOfPart } from '@cranberryyard/core/shard'
 import { Decoder } from '@msgpack/msgpack'
 import { systemClock } from '@cranberryyard/protocol'
 import type { InstanceId, ShardMessage } from '@cranberryyard/protocol'
@@ -88,8 +88,8 @@
   }
 
   /** @returns the port on which it now listens */
-  listen (ip: string, port: number): Promise<number> {
-    return listen(this.server, ip, port)
+  listen (ip: string, port: number, backlog?: number): Promise<number> {
+    return listen(this.server, ip, port, backlog)
   }
 
   /** Sends a message and connects first if there is no connection; resets a connection whose buffer is full. */
@@ -152,7 +152,7 @@
       socket.destroy()
       return
     }
-    if (framer.isInside || wasInside) this.guard.hold(guarded, framer.heldBytes)
+    if (framer.isInside || wasInside) this.guard.hold(guarded, costOfPart(framer.heldBytes))
     if (framer.isInside !== wasInside) this.guard.enter(guarded, framer.isInside ? 'receiving' : 'served')
   }
 
--- a/packages/dispatcher/src/shard/metricsServer.ts
+++ b/packages/dispatcher/src/shard/metricsServer.ts
@@ -52,7 +52,7 @@
   }
 
   /** Listens and answers every path with the metrics. */
-  listen (ip: string, port: number): void {
+  listen (ip: string, port: number, backlog: number): void {
     const guard = new ConnectionGuard(READER_ALLOWANCE, systemClock, this.reportClosed)
     const server = makePlainServer(headerLimits(HEADERS_TIMEOUT_MS), (req, res) => {
       guard.of(req).begin(req, res)
@@ -61,7 +61,7 @@
       })
     })
     guard.watch(server)
-    server.listen(port, ip)
+    server.listen(port, ip, backlog)
   }
 
   private addGauge (name: ShardGaugeName, help: string, readGauges: () => Readonly<Partial<Record<ShardGaugeName, number>>>): void {
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -3,7 +3,7 @@
  * decisions in `core` and routes the effects that they return to the tasks. All I/O stays on this side, so that the
  * decisions can be tested without sockets and clocks.
  */
-import { DEFAULT_MACHINE, ShardInstance, allowancesFor, readsFresh } from '@cranberryyard/core/shard'
+import { DEFAULT_MACHINE, ShardInstance, allowancesFor, backlogsFor, readsFresh } from '@cranberryyard/core/shard'
 import type { CloseReason, ListPace, MachineLimits, ShardEffect, ShardGaugeName, ShardInput, ShardSelf, ShardSettings } from '@cranberryyard/core/shard'
 import type { Clock } from '@cranberryyard/protocol'
 import { ConnectionGuard } from '../utils/connectionGuard.js'
@@ -96,10 +96,11 @@
   /** Binds the ports, starts the decision logic and the store loops, and begins to tick. */
   async start (): Promise<void> {
     const { listen: addresses, clock, self } = this.options
-    await this.links.listen(addresses.peers.ip, addresses.peers.port)
-    await listen(this.jobs.callers, addresses.callers.ip, addresses.callers.port)
-    await listen(this.jobs.readiness, addresses.readiness.ip, addresses.readiness.port)
-    if (addresses.metrics !== undefined) this.metrics.listen(addresses.metrics.ip, addresses.metrics.port)
+    const backlogs = backlogsFor(this.options.machine ?? DEFAULT_MACHINE)
+    await this.links.listen(addresses.peers.ip, addresses.peers.port, backlogs.peers)
+    await listen(this.jobs.callers, addresses.callers.ip, addresses.callers.port, backlogs.callers)
+    await listen(this.jobs.readiness, addresses.readiness.ip, addresses.readiness.port, backlogs.others)
+    if (addresses.metrics !== undefined) this.metrics.listen(addresses.metrics.ip, addresses.metrics.port, backlogs.others)
     this.log.write('info', 'process.started', { address: self.address, callers: `${addresses.callers.ip}:${addresses.callers.port}`, uptimeMs: Math.round(process.uptime() * 1000) })
     this.executeEffects(this.core.start(clock.now()))
     this.store.start()
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -85,6 +85,10 @@
     this.guard.hold(this, this.connection.bytes + bytes)
   }
 
+  setAwaitsTurn (awaitsTurn: boolean): void {
+    this.connection.awaitsTurn = awaitsTurn
+  }
+
   /** @returns whether something waits for the other side and it has read none of it for too long */
   isUnread (now: number): boolean {
     const drained = this.socket.bytesWritten - this.socket.writableLength
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -1,7 +1,8 @@
 /**
  * What an HTTP server reads instead of a socket: bytes that have arrived wait in the socket until it is their connection's turn, and are handed on in
- * slices. A socket in which many bytes wait is not read on.
+ * slices. A socket in which many bytes wait is not read on; its connection is then counted with all that its receive buffer may hold.
  */
+import { RECEIVE_BUFFER_BYTES } from '@cranberryyard/core/shard'
 import type { Turn } from '@cranberryyard/core/shard'
 import { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
@@ -18,6 +19,8 @@
 export interface InputCounts {
   /** Adds to the bytes that are held. */
   hold (bytes: number): void
+  /** Sets whether bytes wait for their turn. */
+  setAwaitsTurn (awaitsTurn: boolean): void
 }
 
 /** A connection as an HTTP server reads and writes it. */
@@ -49,6 +52,7 @@
 
   readSlice (): void {
     if (this.destroyed) return
+    this.counts.setAwaitsTurn(false)
     const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
     this.count()
     if (slice !== null) this.handOn(slice)
@@ -90,12 +94,15 @@
   }
 
   private wait (): void {
-    if (this.wanted) this.turns.wait(this.turn, this.socket.readableLength, this)
+    if (!this.wanted) return
+    this.counts.setAwaitsTurn(true)
+    this.turns.wait(this.turn, this.socket.readableLength, this)
   }
 
-  /** Counts what waits. */
+  /** Counts what waits, and the receive buffer of a socket that is not read on. */
   private count (): void {
-    const { readableLength: bytes } = this.socket
+    const { readableLength, readableHighWaterMark } = this.socket
+    const bytes = readableLength >= readableHighWaterMark ? readableLength + RECEIVE_BUFFER_BYTES : readableLength
     const grownBytes = bytes - this.heldBytes
     this.heldBytes = bytes
     if (grownBytes !== 0) this.counts.hold(grownBytes)
--- a/packages/dispatcher/src/utils/plainServer.ts
+++ b/packages/dispatcher/src/utils/plainServer.ts
@@ -53,12 +53,13 @@
  * @param server - the server
  * @param address - IP address
  * @param port - port, or 0 for any free one
+ * @param backlog - connections that may wait to be accepted
  * @returns the bound port
  */
-export function listen (server: NetServer, address: string, port: number): Promise<number> {
+export function listen (server: NetServer, address: string, port: number, backlog?: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen(port, address, () => {
+    server.listen(port, address, backlog, () => {
       const bound = server.address()
       resolve(typeof bound === 'object' && bound !== null ? bound.port : port)
     })
