The gRPC port of cranberryyardd keeps its connections inside a budget

Cause: gRPC accepted every connection and collected up to 16 MB on each of any number of streams.

Change: the port is a server of our own, which hands connections to gRPC (`createConnectionInjector`) while they fit. What gRPC holds is what a connection has brought, less the messages that came out of it. At most 16 streams a connection. Operators have a budget of their own instead of that of the peers.

--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -49,14 +49,16 @@
 }
 
 function connectionLimits (): string[][] {
-  const { callers, peers, answers } = allowancesFor(DEFAULT_MACHINE)
+  const { callers, peers, operators, answers } = allowancesFor(DEFAULT_MACHINE)
   const backlogs = backlogsFor(DEFAULT_MACHINE)
   const mb = ({ bytes }: { readonly bytes: number }): string => `${(bytes / 1_048_576).toFixed(1)} MB`
   return [
     ['connections of callers', String(callers.connections), 'The smaller of half the descriptors beyond 200 and four for each MB of memory.'],
     ['bytes for callers', mb(callers), 'A tenth of the memory; for bodies, open requests and what waits to be read.'],
-    ['connections that peers open', String(peers.connections), 'A quarter of the descriptors beyond 200. Operators\' connections in `cranberryyardd`.'],
+    ['connections that peers open', String(peers.connections), 'A quarter of the descriptors beyond 200.'],
     ['bytes for peers', mb(peers), 'A twentieth of the memory; for messages that are not complete.'],
+    ['connections of operators', String(operators.connections), 'A twentieth of the descriptors beyond 200; in `cranberryyardd`.'],
+    ['bytes for operators', mb(operators), 'A fiftieth of the memory; in `cranberryyardd`.'],
     ['bytes for answers', mb(answers), 'A twentieth of the memory; for answers of endpoints and of the store that are not complete.'],
     ['connections for probes, for metrics', '32 each', 'Connections to the readiness port and to the metrics address.'],
     ['connections that wait to be accepted', `${backlogs.callers}, ${backlogs.peers}, ${backlogs.others}`, 'Of callers (1.5 for each MB of memory, at most 511), of peers (0.6 for each MB), of probes and for metrics.'],
--- a/packages/bench/src/processes/caller.ts
+++ b/packages/bench/src/processes/caller.ts
@@ -24,9 +24,11 @@
 /** Submits jobs with the key of one customer and collects the finished calls. */
 export class Caller {
   readonly ends: CallEnd[] = []
-  private readonly agent = new Agent({ connections: 256, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
-
-  constructor (private readonly key: string, private readonly customer: string) {}
+  private readonly agent: Agent
+  /** @param tls - what certificates the caller accepts, for ports with TLS */
+  constructor (private readonly key: string, private readonly customer: string, tls: { readonly rejectUnauthorized?: boolean } = {}) {
+    this.agent = new Agent({ connections: 256, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: tls })
+  }
 
   /** Submits a job and waits until the call ends. */
   async submit (url: string, job: CallJob): Promise<CallEnd> {
--- a/packages/bench/src/processes/localFleet.ts
+++ b/packages/bench/src/processes/localFleet.ts
@@ -43,6 +43,7 @@
   readonly domain: string
   readonly callerUrl: string
   readonly operatorUrl: string
+  readonly peerPort: number
   readonly settingsFile: string
   process: ChildProcess | undefined
   /** Exit code of the last started process, once it has ended; null after a signal. */
@@ -203,6 +204,7 @@
         domain,
         callerUrl: `http://127.0.0.1:${ports.caller}`,
         operatorUrl: `http://127.0.0.1:${ports.operator}`,
+        peerPort: ports.peer,
         settingsFile: join(this.options.folder, `${id}.toml`),
         process: undefined,
         exited: Promise.resolve(null)
--- a/packages/core/src/connections/connectionsDecider.spec.ts
+++ b/packages/core/src/connections/connectionsDecider.spec.ts
@@ -94,11 +94,11 @@
 
   it('is divided so that all kinds together stay inside the machine', () => {
     for (const machine of [DEFAULT_MACHINE, { memoryMb: 210, maxFds: 400 }, { memoryMb: 210, maxFds: 4100 }]) {
-      const { callers, peers, answers } = allowancesFor(machine)
+      const { callers, peers, operators, answers } = allowancesFor(machine)
       const backlogs = backlogsFor(machine)
       expect((backlogs.callers + backlogs.peers + 2 * backlogs.others) * RECEIVE_BUFFER_BYTES).to.be.at.most(machine.memoryMb * KB * KB / 3)
-      expect(callers.connections + peers.connections).to.be.below(machine.maxFds - 200)
-      expect(callers.bytes + peers.bytes + answers.bytes).to.be.at.most(machine.memoryMb * KB * KB / 4)
+      expect(callers.connections + peers.connections + operators.connections).to.be.below(machine.maxFds - 200)
+      expect(callers.bytes + peers.bytes + operators.bytes + answers.bytes).to.be.at.most(machine.memoryMb * KB * KB / 4)
     }
   })
 })
--- a/packages/core/src/connections/connectionsDecider.ts
+++ b/packages/core/src/connections/connectionsDecider.ts
@@ -26,9 +26,9 @@
 const FILE_DESCRIPTORS = 200
 const BYTES_PER_MB = 1_048_576
 /** Shares of the memory that each kind may hold; the rest is for the program, the jobs and what the garbage collector has not freed yet. */
-const MEMORY_SHARES = { callers: 0.1, peers: 0.05, answers: 0.05 } as const
+const MEMORY_SHARES = { callers: 0.1, peers: 0.05, operators: 0.02, answers: 0.05 } as const
 /** Shares of the descriptors for sockets; the rest is for connections that this instance opens. */
-const DESCRIPTOR_SHARES = { callers: 0.5, peers: 0.25 } as const
+const DESCRIPTOR_SHARES = { callers: 0.5, peers: 0.25, operators: 0.05 } as const
 /** Connections of callers for each megabyte of memory. */
 const CALLERS_PER_MB = 4
 /** Connections that may wait to be accepted, for each megabyte of memory, and the most. */
@@ -60,6 +60,7 @@
   return {
     callers: { connections: Math.floor(Math.min(sockets * DESCRIPTOR_SHARES.callers, memoryMb * CALLERS_PER_MB)), bytes: bytes * MEMORY_SHARES.callers },
     peers: { connections: Math.floor(sockets * DESCRIPTOR_SHARES.peers), bytes: bytes * MEMORY_SHARES.peers },
+    operators: { connections: Math.max(1, Math.floor(sockets * DESCRIPTOR_SHARES.operators)), bytes: bytes * MEMORY_SHARES.operators },
     answers: { connections: MAX_ANSWERS, bytes: bytes * MEMORY_SHARES.answers }
   }
 }
--- a/packages/core/src/connections/types.ts
+++ b/packages/core/src/connections/types.ts
@@ -21,6 +21,8 @@
   readonly callers: Allowance
   /** Connections that peers opened. */
   readonly peers: Allowance
+  /** Connections of operators. */
+  readonly operators: Allowance
   /** Answers of endpoints and of the store while they are received; `connections` counts calls. */
   readonly answers: Allowance
 }
--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -3,7 +3,7 @@
  * for each kind of socket. The daemon passes their inputs to the core task one at a time, and each effect to the task
  * that executes it.
  */
-import { Instance, allowancesFor } from '@cranberryyard/core'
+import { Instance, allowancesFor, backlogsFor } from '@cranberryyard/core'
 import type { Allowance, Effect, Input } from '@cranberryyard/core'
 import type { FailureDomain, InstanceId, Settings } from '@cranberryyard/protocol'
 import { systemClock } from '@cranberryyard/protocol'
@@ -14,6 +14,7 @@
 import { PeerTask } from './peers/peerTask.js'
 import { PlatformTask } from './platform/platformTask.js'
 import { ConnectionGuard } from './utils/connectionGuard.js'
+import type { ReportClosed } from './utils/connectionGuard.js'
 import { makeServer } from './utils/httpServer.js'
 import { listen } from './utils/plainServer.js'
 import { log } from './utils/log.js'
@@ -56,15 +57,14 @@
     })
     const allowances = allowancesFor(settings.machine)
     this.callerGuard = makeGuard('callers', allowances.callers)
-    // The peers' port has limits of its own, those of gRPC.
-    this.operatorGuard = makeGuard('operators', allowances.peers)
+    this.operatorGuard = makeGuard('operators', allowances.operators)
     this.callers = new CallerTask(post, this.callerGuard)
     this.operators = new OperatorTask(settings.operators, post, {
       status: () => this.core.status(),
       fleet: () => this.core.contracts.db.fleet,
       readArchive: key => this.platform.readKey(key)
     }, this.operatorGuard)
-    this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post)
+    this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post, makeGuard('peers', allowances.peers))
     this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post)
     this.platform = new PlatformTask(settings.platform, instance.failureDomain, post)
     this.metrics = new MetricsTask(settings.metrics, () => this.core.status())
@@ -72,12 +72,13 @@
 
   /** Binds the ports, starts polling the platform and starts the tick. @returns the ports */
   async start (): Promise<BoundPorts> {
-    const { instance, listen: ports, callerTls, operatorTls, jobs, peers } = this.settings
+    const { instance, listen: ports, callerTls, operatorTls, jobs, machine, peers } = this.settings
+    const backlogs = backlogsFor(machine)
     this.callers.server = makeServer(callerTls, jobs.senderTimeoutMs, (req, res) => this.callers.handle(req, res), this.callerGuard)
     this.operators.server = makeServer(operatorTls, jobs.senderTimeoutMs, (req, res) => this.operators.handle(req, res), this.operatorGuard)
-    const peer = await this.peers.listen(instance.address, ports.peerPort)
-    const caller = await listen(this.callers.server, instance.address, ports.callerPort)
-    const operator = await listen(this.operators.server, instance.address, ports.operatorPort)
+    const peer = await this.peers.listen(instance.address, ports.peerPort, backlogs.peers)
+    const caller = await listen(this.callers.server, instance.address, ports.callerPort, backlogs.callers)
+    const operator = await listen(this.operators.server, instance.address, ports.operatorPort, backlogs.others)
     const configuredPeers = peers.map(p => ({ instance: p.id as InstanceId, address: p.address }))
     this.post({ type: 'peers', peers: configuredPeers })
     this.platform.startInstancePolling()
@@ -162,12 +163,16 @@
   return new Promise(resolve => setTimeout(resolve, ms))
 }
 
-/** Counts the connections closed for each reason; a line is written for the first and then for each tenfold number. */
 function makeGuard (port: string, allowance: Allowance): ConnectionGuard {
+  return new ConnectionGuard(allowance, systemClock, closedReporter(port))
+}
+
+/** Counts the connections closed for each reason; a line is written for the first and then for each tenfold number. */
+function closedReporter (port: string): ReportClosed {
   const closed = new Map<string, number>()
-  return new ConnectionGuard(allowance, systemClock, (reason) => {
+  return (reason) => {
     const count = (closed.get(reason) ?? 0) + 1
     closed.set(reason, count)
     if (Number.isInteger(Math.log10(count))) log.info('connection.closed', { port, reason, count })
-  })
+  }
 }
--- a/packages/dispatcher/src/peers/peerService.ts
+++ b/packages/dispatcher/src/peers/peerService.ts
@@ -5,10 +5,19 @@
 import { makeGenericClientConstructor } from '@grpc/grpc-js'
 import type { ServiceDefinition } from '@grpc/grpc-js'
 import { decodeEnvelope, encodeEnvelope } from './peerCodec.js'
+import type { Envelope } from './peerCodec.js'
 
 const emptyResponse = (): Buffer => Buffer.alloc(0)
 const ignoreResponse = (): object => ({})
 
+/** What arrives: an envelope, which is undefined if the bytes are none, and its size. */
+export interface ReceivedEnvelope {
+  readonly envelope: Envelope | undefined
+  readonly bytes: number
+}
+
+const receiveEnvelope = (bytes: Buffer): ReceivedEnvelope => ({ envelope: decodeEnvelope(bytes), bytes: bytes.length })
+
 /** Definition for server and client. The response is empty: a reply travels on the replying peer's own stream. */
 export const peerService = {
   channel: {
@@ -16,7 +25,7 @@
     requestStream: true,
     responseStream: false,
     requestSerialize: encodeEnvelope,
-    requestDeserialize: decodeEnvelope,
+    requestDeserialize: receiveEnvelope,
     responseSerialize: emptyResponse,
     responseDeserialize: ignoreResponse
   }
--- a/packages/dispatcher/src/peers/peerTask.ts
+++ b/packages/dispatcher/src/peers/peerTask.ts
@@ -7,8 +7,14 @@
 import type { ClientWritableStream, ServerReadableStream, sendUnaryData, Client } from '@grpc/grpc-js'
 import type { InstanceId, PeerMessage, Settings } from '@cranberryyard/protocol'
 import { readFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import type { Server as NetServer } from 'node:net'
 import type { EffectOf, Post } from '../messages.js'
+import type { ConnectionGuard } from '../utils/connectionGuard.js'
+import { listen } from '../utils/plainServer.js'
+import { PeerConnections } from './peerConnections.js'
 import { PeerClient, peerService } from './peerService.js'
+import type { ReceivedEnvelope } from './peerService.js'
 import type { Envelope } from './peerCodec.js'
 
 /** When no connection is made within this time, the messages queued for the peer fail. */
@@ -16,6 +22,9 @@
 /** Bound on the messages queued for a connection, so that heartbeats to a dead peer do not pile up. */
 const MAX_QUEUED_MESSAGES = 2000
 
+/** A peer has one stream on a connection, and another one for a moment when it opens it anew. */
+const MAX_STREAMS = 16
+
 const CHANNEL_OPTIONS = {
   'grpc.enable_http_proxy': 0,
   'grpc.keepalive_time_ms': 2000,
@@ -25,6 +34,8 @@
   'grpc.max_receive_message_length': 16 * 1024 * 1024
 }
 
+const SERVER_OPTIONS = { ...CHANNEL_OPTIONS, 'grpc.max_concurrent_streams': MAX_STREAMS }
+
 type Stream = ClientWritableStream<Envelope>
 
 interface ChannelClient extends Client {
@@ -44,20 +55,25 @@
 /** Listens on the peer port and holds one link to each peer. */
 export class PeerTask {
   private readonly links = new Map<InstanceId, Link>()
-  private readonly server = new Server(CHANNEL_OPTIONS)
+  private readonly server = new Server(SERVER_OPTIONS)
+  private readonly connections: PeerConnections
+  private listener: NetServer | undefined
   /** Total size of the messages sent, encoded. */
   bytesSent = 0
   private closed = false
 
-  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: Post) {
-    this.server.addService(peerService, { channel: (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
+  constructor (private readonly self: InstanceId, private readonly tls: Settings['peerTls'], private readonly post: Post, guard: ConnectionGuard) {
+    this.connections = new PeerConnections(guard)
+    this.server.addService(peerService, { channel: (call: ServerReadableStream<ReceivedEnvelope, unknown>, done: sendUnaryData<unknown>) => this.receive(call, done) })
   }
 
   /** Binds the peer port. @returns the port, which differs from the given one when that is 0 */
-  listen (address: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(`${address}:${port}`, this.serverCredentials(), (err, bound) => err === null ? resolve(bound) : reject(err))
+  listen (address: string, port: number, backlog: number): Promise<number> {
+    const injector = this.server.createConnectionInjector(this.serverCredentials())
+    this.listener = createServer({ noDelay: true }, (socket) => {
+      if (this.connections.add(socket)) injector.injectConnection(socket)
     })
+    return listen(this.listener, address, port, backlog)
   }
 
   /** Sends a message. Without an open stream, queues it and connects first; when the queue is full, it fails at once. */
@@ -80,12 +96,15 @@
       link.stream?.end()
       link.client.close()
     }
+    this.listener?.close()
+    this.connections.close()
     this.server.forceShutdown()
   }
 
-  private receive (call: ServerReadableStream<Envelope | undefined, unknown>, done: sendUnaryData<unknown>): void {
+  private receive (call: ServerReadableStream<ReceivedEnvelope, unknown>, done: sendUnaryData<unknown>): void {
     let from: InstanceId | undefined
-    call.on('data', (envelope: Envelope | undefined) => {
+    call.on('data', ({ envelope, bytes }: ReceivedEnvelope) => {
+      this.connections.completed(call.getPeer(), bytes)
       if (envelope === undefined) return
       from = envelope.from
       this.post({ type: 'peer', from, message: envelope.message as PeerMessage })
--- a/packages/fakes/src/httpServer.ts
+++ b/packages/fakes/src/httpServer.ts
@@ -47,3 +47,19 @@
   res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
   res.end(text)
 }
+
+const ENDLESS_BLOCK = Buffer.alloc(65_536, 'x')
+
+/** Sends a body until the connection ends. */
+export function sendWithoutEnd (res: ServerResponse): void {
+  res.writeHead(200, { 'content-type': 'application/json' })
+  const proceed = (): void => {
+    while (!res.destroyed) {
+      if (!res.write(ENDLESS_BLOCK)) {
+        res.once('drain', proceed)
+        return
+      }
+    }
+  }
+  proceed()
+}
--- a/packages/fakes/src/platformFake.ts
+++ b/packages/fakes/src/platformFake.ts
@@ -5,7 +5,7 @@
  */
 import type { EndpointInfo, InstanceId } from '@cranberryyard/protocol'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { listenHttp, sendJson } from './httpServer.js'
+import { listenHttp, sendJson, sendWithoutEnd } from './httpServer.js'
 import type { ListeningServer } from './httpServer.js'
 import { StoreModel } from './storeModel.js'
 
@@ -23,6 +23,8 @@
   delayMs: number
   /** Number of coming writes that take effect but get no reply. */
   loseReplies: number
+  /** Answers every request with a body without end. */
+  endless: boolean
 }
 
 /** The entry of an instance in the platform's list. */
@@ -36,7 +38,7 @@
 /** A platform that listens on a loopback port. */
 export class PlatformFake {
   readonly store = new StoreModel()
-  readonly faults: PlatformFaults = { down: false, delayMs: 0, loseReplies: 0 }
+  readonly faults: PlatformFaults = { down: false, delayMs: 0, loseReplies: 0, endless: false }
   readonly calls = { reads: 0, writes: 0, watches: 0, lists: 0, overRate: 0 }
   endpoints: EndpointInfo[] = []
   instances: ListedInstance[] = []
@@ -71,6 +73,7 @@
       req.socket.destroy()
       return
     }
+    if (this.faults.endless) return sendWithoutEnd(res)
     if (url.pathname === '/v1/instances') {
       this.calls.lists++
       return sendJson(res, 200, { endpoints: this.endpointsFrom(url.searchParams.get('from') ?? ''), instances: this.instances })
