Connections count while their TLS handshake goes on

Cause: callers' and operators' connections were counted from the event that ends the handshake.

Change: they count from their opening, as a request that is being received; the socket that results of the handshake takes their place.

--- a/packages/bench/src/processes/crowds.spec.ts
+++ b/packages/bench/src/processes/crowds.spec.ts
@@ -3,10 +3,11 @@
 import { Crowd, HeldMemoryWatch, ProcessWatch, chunkOf, pour } from '@cranberryyard/fakes'
 import type { Behaviour } from '@cranberryyard/fakes'
 import { contractSchema } from '@cranberryyard/protocol'
-import { mkdtempSync } from 'node:fs'
+import { mkdtempSync, writeFileSync } from 'node:fs'
 import { connect as connectHttp2 } from 'node:http2'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { generate } from 'selfsigned'
 import { Caller } from './caller.js'
 import { LocalFleet, sleep } from './localFleet.js'
 import type { LocalInstance } from './localFleet.js'
@@ -44,6 +45,9 @@
   pour(connection, blockChunk, Infinity)
 }
 const silent: Behaviour = () => {}
+/** The start of a TLS handshake that announces more than follows. */
+const shortHandshake: Behaviour = ({ socket }) => socket.write(Buffer.from('16030102000100', 'hex'))
+
 /** gRPC messages of 4,000,000 bytes that stop one byte short of their end, on several streams of each connection. */
 const shortMessage = Buffer.concat([Buffer.from('00003d0900', 'hex'), Buffer.alloc(3_999_999, 'x')])
 const shortMessages = (streams: number): Behaviour => ({ socket }) => {
@@ -126,4 +130,17 @@
   it('serves after bytes at the port of peers that are no gRPC', () => check(FDS, ({ peerPort }) => [new Crowd(peerPort, 400, connection => pour(connection, block, Infinity))]))
   it('serves after gRPC messages that stop short of their end', () => check(FDS, ({ peerPort }) => [new Crowd(peerPort, 100, shortMessages(1))]))
   it('serves after gRPC messages on many streams that stop short of their end', () => check(FDS, ({ peerPort }) => [new Crowd(peerPort, 40, shortMessages(50))]))
+
+  it('serves after TLS handshakes that stall at all ports', async () => {
+    const certificate = await generate([{ name: 'commonName', value: 'fleet' }], { extensions: [{ name: 'basicConstraints', cA: true }, { name: 'subjectAltName', altNames: [{ type: 7, ip: '127.0.0.1' }] }] })
+    const folder = mkdtempSync(join(tmpdir(), 'cranberryyard-tls-'))
+    const [certFile, keyFile] = [join(folder, 'cert.pem'), join(folder, 'key.pem')]
+    writeFileSync(certFile, certificate.cert)
+    writeFileSync(keyFile, certificate.private)
+    const tls = { certFile, keyFile }
+    await check(FEW_FDS, ({ callerUrl, operatorUrl, peerPort }) => [callerUrl, operatorUrl, `http://127.0.0.1:${peerPort}`].flatMap(url => [
+      new Crowd(portOf(url), 200, silent),
+      new Crowd(portOf(url), 200, shortHandshake)
+    ]), { callerTls: tls, operatorTls: tls, peerTls: { ...tls, caFile: certFile } })
+  })
 })
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -111,6 +111,8 @@
   private readonly decider: ConnectionsDecider
   private readonly sockets = new Map<Connection, GuardedSocket>()
   private readonly byStream = new WeakMap<Duplex, GuardedSocket>()
+  /** Connections whose TLS handshake goes on, by the address and port of the other side: the socket that results is another object. */
+  private readonly handshakes = new Map<string, GuardedSocket>()
   private sweepTimer: NodeJS.Timeout | undefined
 
   constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed) {
@@ -120,9 +122,11 @@
 
   /** Guards all connections of a server, from the event that gives them to the handler of requests. */
   watch (server: Server, event: 'connection' | 'secureConnection' = 'connection'): void {
+    if (event === 'secureConnection') server.prependListener('connection', (socket: Socket) => this.addHandshake(socket))
     const handlers = server.listeners(event)
     server.removeAllListeners(event)
     server.on(event, (socket: Socket) => {
+      this.endHandshake(socket)
       const stream = this.streamOf(socket)
       for (const handler of handlers) handler.call(server, stream)
     })
@@ -169,6 +173,23 @@
     return { connections: this.decider.db.open.size, bytes: this.decider.db.bytes }
   }
 
+  private addHandshake (socket: Socket): void {
+    const guarded = this.add(socket)
+    this.enter(guarded, 'receiving')
+    const name = nameOf(socket)
+    this.handshakes.set(name, guarded)
+    socket.once('close', () => {
+      if (this.handshakes.get(name) === guarded) this.handshakes.delete(name)
+    })
+  }
+
+  private endHandshake (socket: Socket): void {
+    const guarded = this.handshakes.get(nameOf(socket))
+    if (guarded === undefined) return
+    this.handshakes.delete(nameOf(socket))
+    this.remove(guarded)
+  }
+
   /** Guards a connection of an HTTP server. @returns what the server reads in place of the socket */
   private streamOf (socket: Socket): GuardedStream {
     const guarded = this.add(socket)
@@ -203,3 +224,8 @@
     this.turns.close(guarded.turn)
   }
 }
+
+/** @returns the other side of a connection */
+function nameOf ({ remoteAddress, remotePort }: Socket): string {
+  return `${remoteAddress}:${remotePort}`
+}
