Answers to the calls of cranberryyardd have a size, a budget and an end

Cause: answers were collected whatever their size; a timeout only bounded the time without data.

Change: both calls collect with `AnswerCollector`, split from the platform's calls, within 8 MB an answer and the budget of answers. An answer of the platform takes at most four times its timeout. A start whose answer is given up has an unknown outcome: the task may have run.

--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -73,7 +73,7 @@
     ['answers that are not read', '15,000 ms', 'Without any progress for so long, the connection is closed.'],
     ['idle connections', '30,000 ms', 'A connection without a request is closed after so long.'],
     ['size of a message of a peer', '4,194,304 bytes', 'Also at most 500,000 values, 48 deep.'],
-    ['size of an answer', '8,388,608 bytes', 'Of the store; 1,048,576 bytes of an endpoint.']
+    ['size of an answer', '8,388,608 bytes', 'Of the store, and of an endpoint in `cranberryyardd`; 1,048,576 bytes of an endpoint on the platform.']
   ]
 }
 
--- a/packages/bench/src/processes/crowds.spec.ts
+++ b/packages/bench/src/processes/crowds.spec.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
 import { hashKey } from '@cranberryyard/dispatcher'
-import { Crowd, HeldMemoryWatch, ProcessWatch, chunkOf, pour } from '@cranberryyard/fakes'
+import { Crowd, EndlessServer, HeldMemoryWatch, ProcessWatch, chunkOf, pour } from '@cranberryyard/fakes'
 import type { Behaviour } from '@cranberryyard/fakes'
 import { contractSchema } from '@cranberryyard/protocol'
+import type { EndpointId, FailureDomain } from '@cranberryyard/protocol'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { connect as connectHttp2 } from 'node:http2'
 import { tmpdir } from 'node:os'
@@ -143,4 +144,33 @@
       new Crowd(portOf(url), 200, shortHandshake)
     ]), { callerTls: tls, operatorTls: tls, peerTls: { ...tls, caFile: certFile } })
   })
+
+  it('serves after answers of endpoints without end', () => check(FDS, async () => {
+    const endless = await Promise.all(Array.from({ length: 40 }, () => EndlessServer.listen(blockChunk)))
+    const infos = endless.map(({ address }, i) => ({ id: `endless-${i}` as EndpointId, failureDomain: 'one' as FailureDomain, rack: 'r', address, leaving: false, slots: 8, cores: 32, memoryMb: 131_072, accelerators: 0 }))
+    fleet.platform.endpoints.push(...infos)
+    const caller = new Caller(KEY, 'load')
+    const [{ callerUrl }] = fleet.instances as [LocalInstance]
+    const jobs = setInterval(() => void caller.submit(callerUrl, { requestId: `wide-${Math.round(performance.now())}`, kind: 'compute', runTimes: new Array<number>(40).fill(20) }), 250)
+    return [{
+      calm: () => {
+        clearInterval(jobs)
+        for (const info of infos) fleet.platform.endpoints.splice(fleet.platform.endpoints.indexOf(info), 1)
+      },
+      close: () => {
+        clearInterval(jobs)
+        endless.forEach(server => server.close())
+        void caller.close()
+      }
+    }]
+  }))
+
+  it('serves after answers of the platform without end', () => check(FDS, () => {
+    const { platform: { faults } } = fleet
+    faults.endless = true
+    const calm = (): void => {
+      faults.endless = false
+    }
+    return [{ calm, close: calm }]
+  }))
 })
--- a/packages/dispatcher/src/daemon.ts
+++ b/packages/dispatcher/src/daemon.ts
@@ -13,6 +13,7 @@
 import { OperatorTask } from './operators/operatorTask.js'
 import { PeerTask } from './peers/peerTask.js'
 import { PlatformTask } from './platform/platformTask.js'
+import { AnswerBudget } from './shard/answerBudget.js'
 import { ConnectionGuard } from './utils/connectionGuard.js'
 import type { ReportClosed } from './utils/connectionGuard.js'
 import { makeServer } from './utils/httpServer.js'
@@ -65,8 +66,9 @@
       readArchive: key => this.platform.readKey(key)
     }, this.operatorGuard)
     this.peers = new PeerTask(instance.id as InstanceId, settings.peerTls, post, makeGuard('peers', allowances.peers))
-    this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post)
-    this.platform = new PlatformTask(settings.platform, instance.failureDomain, post)
+    const answers = new AnswerBudget(allowances.answers, systemClock, closedReporter('answers'))
+    this.endpoints = new EndpointTask(settings.routing.connectionsPerEndpoint, post, answers)
+    this.platform = new PlatformTask(settings.platform, instance.failureDomain, post, answers)
     this.metrics = new MetricsTask(settings.metrics, () => this.core.status())
   }
 
--- a/packages/dispatcher/src/endpoints/endpointTask.ts
+++ b/packages/dispatcher/src/endpoints/endpointTask.ts
@@ -6,6 +6,8 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { EffectOf, Post } from '../messages.js'
+import type { AnswerBudget } from '../shard/answerBudget.js'
+import { AnswerCollector } from '../shard/answerCollector.js'
 
 /** An attempt to connect fails after this time; nothing has been sent then. */
 const CONNECT_TIMEOUT_MS = 1000
@@ -14,6 +16,9 @@
 /** Idle connections are closed so that the 64 connections of an endpoint suffice for all instances. */
 const IDLE_CONNECTION_TIMEOUT_MS = 10_000
 
+/** Largest answer to a start, which carries the result of a task. */
+const MAX_RESULT_BYTES = 8_388_608
+
 /** Errors that occur before anything is written to a connection. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
@@ -21,12 +26,12 @@
 export class EndpointTask {
   private readonly pools = new Map<string, Pool>()
 
-  constructor (private readonly connectionsPerEndpoint: number, private readonly post: Post) {}
+  constructor (private readonly connectionsPerEndpoint: number, private readonly post: Post, private readonly budget: AnswerBudget) {}
 
   /** Starts a task and reports its outcome. The endpoint responds when the task ends, so there is no response timeout. */
   start (effect: EffectOf<'start'>): void {
     const { endpoint, request, address } = effect
-    const handler = new StartResponseHandler(outcome => this.post({ type: 'startOutcome', taskId: request.taskId, endpoint, outcome }))
+    const handler = new StartResponseHandler(this.budget, outcome => this.post({ type: 'startOutcome', taskId: request.taskId, endpoint, outcome }))
     this.poolFor(address).dispatch({ path: '/v1/start', method: 'POST', headers: JSON_HEADERS, body: JSON.stringify(request), headersTimeout: 0, bodyTimeout: 0 }, handler)
   }
 
@@ -84,36 +89,46 @@
 
 /** Collects the response to one start. Any error after bytes may have been sent gives an unknown outcome. */
 class StartResponseHandler implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined
   private status = 0
-  private readonly chunks: Buffer[] = []
+  private readonly answer: AnswerCollector
   private reported = false
 
-  constructor (private readonly report: (outcome: StartOutcome) => void) {}
+  constructor (budget: AnswerBudget, private readonly report: (outcome: StartOutcome) => void) {
+    this.answer = new AnswerCollector({ maxBytes: MAX_RESULT_BYTES, budget }, reason => this.giveUp(reason))
+  }
 
-  onConnect (): void {}
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.controller = controller
+  }
 
-  onHeaders (statusCode: number): boolean {
-    this.status = statusCode
-    return true
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number): void {
+    this.status = status
   }
 
-  onData (chunk: Buffer): boolean {
-    this.chunks.push(chunk)
-    return true
+  onResponseData (_controller: Dispatcher.DispatchController, part: Buffer): void {
+    if (!this.reported) this.answer.add(part)
   }
 
-  onComplete (): void {
-    this.finish(parseStartOutcome(this.status, Buffer.concat(this.chunks).toString('utf8')))
+  onResponseEnd (): void {
+    this.finish(parseStartOutcome(this.status, this.answer.body().toString('utf8')))
   }
 
-  onError (err: Error): void {
+  onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
     const code = (err as NodeJS.ErrnoException).code ?? ''
     this.finish(NOT_SENT_CODES.has(code) ? { type: 'notSent' } : { type: 'unknown' })
   }
 
+  /** Ends the call. The task may have run, whatever its answer was to say. */
+  private giveUp (reason: string): void {
+    this.finish({ type: 'unknown' })
+    this.controller?.abort(new Error(reason))
+  }
+
   private finish (outcome: StartOutcome): void {
     if (this.reported) return
     this.reported = true
+    this.answer.close()
     this.report(outcome)
   }
 }
--- a/packages/dispatcher/src/platform/platformTask.ts
+++ b/packages/dispatcher/src/platform/platformTask.ts
@@ -8,10 +8,15 @@
 import type { CasResult, PeerAddress } from '@cranberryyard/core'
 import { Pool } from 'undici'
 import type { EffectOf, Post } from '../messages.js'
+import type { AnswerBudget } from '../shard/answerBudget.js'
+import { AnswerCollector } from '../shard/answerCollector.js'
+import { MAX_ANSWER_BYTES } from '../shard/httpCaller.js'
 
 const FLEET_KEY = 'fleet'
 /** Time allowed for the response to a watch in addition to the wait that the request states. */
 const WATCH_MARGIN_MS = 2000
+/** Longest time for a whole answer, as a multiple of the time that it may stand still. */
+const TOTAL_TIMEOUT_FACTOR = 4
 /** Errors that occur before anything is sent. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
@@ -27,7 +32,7 @@
   private listTimer: NodeJS.Timeout | undefined
   private closed = false
 
-  constructor (private readonly settings: Settings['platform'], private readonly failureDomain: string, private readonly post: Post) {
+  constructor (private readonly settings: Settings['platform'], private readonly failureDomain: string, private readonly post: Post, private readonly budget: AnswerBudget) {
     this.pool = new Pool(`http://${settings.address}`, { connections: 8, connect: { timeout: settings.requestTimeoutMs } })
   }
 
@@ -121,8 +126,17 @@
   }
 
   private async request (method: 'GET' | 'PUT', path: string, body: string | undefined, timeoutMs: number): Promise<{ status: number, text: string, revision: number }> {
-    const res = await this.pool.request({ method, path, body: body ?? null, headersTimeout: timeoutMs, bodyTimeout: timeoutMs })
-    const text = await res.body.text()
-    return { status: res.statusCode, text, revision: Number(res.headers['x-revision'] ?? 0) }
+    const ending = new AbortController()
+    const giveUp = (reason: string): void => ending.abort(new Error(reason))
+    const timer = setTimeout(() => giveUp('the answer takes too long'), timeoutMs * TOTAL_TIMEOUT_FACTOR)
+    const answer = new AnswerCollector({ maxBytes: MAX_ANSWER_BYTES, budget: this.budget }, giveUp)
+    try {
+      const res = await this.pool.request({ method, path, body: body ?? null, headersTimeout: timeoutMs, bodyTimeout: timeoutMs, signal: ending.signal })
+      for await (const part of res.body) answer.add(part as Buffer)
+      return { status: res.statusCode, text: answer.body().toString('utf8'), revision: Number(res.headers['x-revision'] ?? 0) }
+    } finally {
+      clearTimeout(timer)
+      answer.close()
+    }
   }
 }
--- a/packages/dispatcher/src/shard/httpCaller.ts
+++ b/packages/dispatcher/src/shard/httpCaller.ts
@@ -8,10 +8,10 @@
 import { validateHeaderValue } from 'node:http'
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
-import { GrowingBuffer } from '../utils/growingBuffer.js'
 import { parseAddress } from './address.js'
 import { AnswerBudget } from './answerBudget.js'
-import type { AnswerLimits, HeldAnswer } from './answerBudget.js'
+import type { AnswerLimits } from './answerBudget.js'
+import { AnswerCollector } from './answerCollector.js'
 import type { HttpCall, HttpReply } from './wires.js'
 
 /**
@@ -54,18 +54,15 @@
   private controller: Dispatcher.DispatchController | undefined
   private sent = false
   private status = 0
-  /** The answer, as long as it is a single part. */
-  private firstPart: Buffer | undefined
-  /** The answer, if it has come in several parts. */
-  private readonly parts = new GrowingBuffer()
-  private held: HeldAnswer | undefined
+  private readonly answer: AnswerCollector
   private finished = false
   private readonly idleTimer: NodeJS.Timeout
   private readonly totalTimer: NodeJS.Timeout | undefined
   /** Number of parts of the answer received so far; the status line counts as one. */
   private partsReceived = 0
 
-  constructor ({ idleTimeoutMs, totalTimeoutMs }: CallTimeouts, private readonly report: (result: CallResult) => void, private readonly logFailure: (reason: string) => void, private readonly limits: AnswerLimits) {
+  constructor ({ idleTimeoutMs, totalTimeoutMs }: CallTimeouts, private readonly report: (result: CallResult) => void, private readonly logFailure: (reason: string) => void, limits: AnswerLimits) {
+    this.answer = new AnswerCollector(limits, reason => this.giveUp(reason))
     this.idleTimer = setTimeout(() => this.checkIdle(), idleTimeoutMs)
     this.totalTimer = totalTimeoutMs > idleTimeoutMs ? setTimeout(() => this.timeOut(), totalTimeoutMs) : undefined
   }
@@ -85,14 +82,11 @@
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.finished) return
     this.recordProgress()
-    if (this.receivedBytes + chunk.length > this.limits.maxBytes) return this.giveUp(`the answer is larger than ${this.limits.maxBytes} bytes`, true)
-    if (this.receivedBytes === 0) this.firstPart = chunk
-    else this.collect(chunk)
+    this.answer.add(chunk)
   }
 
   onResponseEnd (): void {
-    const body = this.firstPart ?? this.parts.bytes()
-    this.finish({ type: 'reply', reply: { status: this.status, body: body.toString('utf8') } })
+    this.finish({ type: 'reply', reply: { status: this.status, body: this.answer.body().toString('utf8') } })
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
@@ -107,24 +101,9 @@
     else this.finishSilent()
   }
 
-  private get receivedBytes (): number {
-    return this.firstPart?.length ?? this.parts.length
-  }
-
-  private collect (chunk: Buffer): void {
-    const before = this.parts.capacity
-    if (this.firstPart !== undefined) this.parts.append(this.firstPart)
-    this.firstPart = undefined
-    this.parts.append(chunk)
-    this.held ??= this.limits.budget.open(() => this.giveUp('the answers that are received use up the budget', false))
-    this.held.receive(chunk.length)
-    if (this.parts.capacity > before) this.held.hold(this.parts.capacity)
-  }
-
   /** Ends the call, whose answer is not read any further. */
-  private giveUp (reason: string, tooLarge: boolean): void {
+  private giveUp (reason: string): void {
     if (this.finished) return
-    if (tooLarge) this.limits.budget.report('tooLarge')
     this.logFailure(reason)
     this.finishSilent()
     this.abort(reason)
@@ -150,7 +129,7 @@
   }
 
   private finishSilent (): void {
-    this.finish({ type: 'silent', receivedBytes: this.receivedBytes, sent: this.sent })
+    this.finish({ type: 'silent', receivedBytes: this.answer.receivedBytes, sent: this.sent })
   }
 
   private abort (reason = 'the call timed out'): void {
@@ -162,8 +141,7 @@
     this.finished = true
     clearTimeout(this.idleTimer)
     clearTimeout(this.totalTimer)
-    this.held?.close()
-    this.parts.clear()
+    this.answer.close()
     this.report(result)
   }
 }
