A machine keeps as many connections of callers as the largest site gives it

Cause: four connections for each MB of memory, from a time when a paused connection cost nothing in the count.

Change: eight; half of the descriptors still bounds them. The budget of bytes now bounds what they hold.

--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -53,7 +53,7 @@
   const backlogs = backlogsFor(DEFAULT_MACHINE)
   const mb = ({ bytes }: { readonly bytes: number }): string => `${(bytes / 1_048_576).toFixed(1)} MB`
   return [
-    ['connections of callers', String(callers.connections), 'The smaller of half the descriptors beyond 200 and four for each MB of memory.'],
+    ['connections of callers', String(callers.connections), 'The smaller of half the descriptors beyond 200 and eight for each MB of memory.'],
     ['bytes for callers', mb(callers), 'A tenth of the memory; for bodies, open requests and what waits to be read.'],
     ['connections that peers open', String(peers.connections), 'A quarter of the descriptors beyond 200.'],
     ['bytes for peers', mb(peers), 'A twentieth of the memory; for messages that are not complete.'],
--- a/packages/core/src/connections/connectionsDecider.ts
+++ b/packages/core/src/connections/connectionsDecider.ts
@@ -30,7 +30,7 @@
 /** Shares of the descriptors for sockets; the rest is for connections that this instance opens. */
 const DESCRIPTOR_SHARES = { callers: 0.5, peers: 0.25, operators: 0.05 } as const
 /** Connections of callers for each megabyte of memory. */
-const CALLERS_PER_MB = 4
+const CALLERS_PER_MB = 8
 /** Connections that may wait to be accepted, for each megabyte of memory, and the most. */
 const BACKLOG_PER_MB = { callers: 1.5, peers: 0.6 } as const
 const MAX_BACKLOG = 511
--- a/packages/dispatcher/src/shard/jobServerTask.spec.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.spec.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net'
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { ConnectionGuard } from '../utils/connectionGuard.js'
 import { listen } from '../utils/plainServer.js'
 import { JobServerTask } from './jobServerTask.js'
 import { SocketReads } from './socketReads.js'
@@ -127,4 +128,24 @@
     expect(await inputsOf(caller => caller.destroySoon())).to.deep.equal([])
     expect(await inputsOf(caller => setTimeout(() => caller.resetAndDestroy(), SETTLED_MS / 4))).to.deep.equal([])
   })
+
+  it('reports that the caller has left when its connection is closed for the budget while its job runs, and submits no job that waits on it', async () => {
+    const inputs: string[] = []
+    const guard = new ConnectionGuard({ connections: 1, bytes: 1_000_000 }, systemClock, () => {})
+    const task = new JobServerTask(WIRE, ({ type }: ShardInput) => inputs.push(type), () => undefined, new SocketReads(systemClock), guard)
+    const port = await listen(task.callers, '127.0.0.1', 0)
+    const caller = connect(port, '127.0.0.1').on('error', () => {})
+    caller.write(REQUEST)
+    await sleep(SETTLED_MS)
+    expect(inputs).to.deep.equal(['submit'])
+    const closed = once(caller, 'close')
+    const other = connect(port, '127.0.0.1').on('error', () => {})
+    caller.write(REQUEST)
+    await closed
+    await sleep(SETTLED_MS)
+    other.destroy()
+    task.callers.close()
+    expect(inputs.filter(type => type === 'submit').length).to.equal(inputs.filter(type => type === 'callerLeft').length)
+    expect(guard.usage().bytes).to.equal(0)
+  })
 })
