A restarted owner does not ping itself and then take its own late answer for a loss of its shard

Callers saw: 503 for as long as the test asked (20 s, each job `noOwner` after 0.3 s), from an instance that had just restarted, owned its shard and had logged nothing unusual.

Cause: after a restart the record in the store still names the instance. A job that comes before its claim is answered goes to itself, and it answers that it doesn't own the shard. For an answer of that kind it pinged "the peer", over a connection to its own port. The pong had been written before the claim was answered and was read afterwards: it listed no shard, so the shard counted as given up by its owner, for good, since nobody contradicts it under the same token.

Evidence: the log of the fourth life: `job.sentAgain` five times at .827 to .841, `shard.owned` at .840, `instance.state` not ready at .845 with the shard owned.

Change: `ownershipDenied` leaves the instance itself out, as `tell` does.

Test: shardInstance.spec.ts, failed before with a ping to itself. Not a fault of crowds: a caller within some 20 ms of a restart is enough.

--- a/packages/core/src/sessions/sessionsDecider.ts
+++ b/packages/core/src/sessions/sessionsDecider.ts
@@ -124,9 +124,13 @@
     if (peer !== undefined && instance !== this.ctx.self.instance) this.ping(peer)
   }
 
-  /** A peer answered that it does not own a shard or does not know a job. Its answer to a ping tells which shards it owns. */
+  /**
+   * A peer answered that it does not own a shard or does not know a job. Its answer to a ping tells which shards it owns. This instance itself answers so
+   * after a restart, while the record still names it; an answer to a ping of its own would come when it may own the shard again.
+   */
   ownershipDenied (instance: InstanceId): void {
-    const { now, cfg } = this.ctx
+    const { now, cfg, self } = this.ctx
+    if (instance === self.instance) return
     const peer = this.db.peers.get(instance)
     if (peer !== undefined && now - (peer.lastPingAt ?? -Infinity) >= cfg.pingMs) this.ping(peer)
   }
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -94,6 +94,25 @@
   })
 })
 
+describe('an instance that was restarted and that the record of its shard still names', () => {
+  it('sends itself no ping when a job comes before it owns the shard again: the answer would come later and deny that it does', () => {
+    const self = { instance: 'me' as InstanceId, incarnation: 2, failureDomain: 'd' as FailureDomain, address: 'me', cpuMilli: 500 }
+    const instance = new ShardInstance({ self, cfg: SHARD_DEFAULTS })
+    const sentToSelf = (now: number, input: ShardInput): ShardMessage[] => instance.handle(input, ms(now), ms(now)).flatMap(effect => effect.type === 'send' && effect.to === self.instance ? [effect.message] : [])
+    const record = { revision: 5, value: { failureDomain: self.failureDomain, owner: { ...self, incarnation: 1 }, successors: [] } }
+    const queue = { name: 'q' as QueueName, host: 'h', prefix: '/q/', service: 's' as ServiceName, priority: 0, maxAttempts: 3, stretch: 1.5, latencyObjectiveMs: ms(50), needsAdvice: false }
+    const step = { count: 1, needs: { cpuMilli: 1, memoryMb: 0, accelerators: 0 }, estimateMs: ms(100), after: [], requiredLabel: '', preferredRack: '', maxPerEndpoint: 0 }
+    const sent = [
+      ...sentToSelf(0, REACHABLE),
+      ...sentToSelf(1, { type: 'records', members: [{ revision: 4, value: { ...self, incarnation: 1 } }], shards: [record] }),
+      ...sentToSelf(2, { type: 'desired', state: { version: 1, queues: [queue], services: [] } }),
+      ...sentToSelf(3, { type: 'submit', callId: 'c', host: 'h', path: '/q/a', job: { id: 'a' as JobId, spec: '', features: [], steps: [step] }, deadlineMs: ms(3000) }),
+      ...sentToSelf(4, TICK)
+    ]
+    expect(sent).to.deep.equal([])
+  })
+})
+
 describe('the age of an order', () => {
   const DOMAIN = 'd' as FailureDomain
   const FRONT = 'front' as InstanceId
