The decision on turns names what it does: readAtOnce begins a read

Cause: mayReadNow read like a question and marked the read as cheap or costly. Change: renamed; the first of a queue is taken by destructuring.

--- a/packages/core/src/turns/turnsDb.ts
+++ b/packages/core/src/turns/turnsDb.ts
@@ -21,8 +21,4 @@
     this.cheap.delete(turn)
     this.costly.delete(turn)
   }
-
-  isWaiting (turn: Turn): boolean {
-    return this.cheap.has(turn) || this.costly.has(turn)
-  }
 }
--- a/packages/core/src/turns/turnsDecider.spec.ts
+++ b/packages/core/src/turns/turnsDecider.spec.ts
@@ -45,12 +45,12 @@
     const decider = new TurnsDecider()
     for (let i = 0; i < 800; i++) waiting(decider, FULL_READ_BYTES)
     const small = decider.open(ms(0))
-    expect(decider.mayReadNow(small, SMALL_BYTES, ms(0))).to.equal(true)
-    expect(decider.mayReadNow(decider.open(ms(0)), FULL_READ_BYTES, ms(0))).to.equal(false)
+    expect(decider.readAtOnce(small, SMALL_BYTES, ms(0))).to.equal(true)
+    expect(decider.readAtOnce(decider.open(ms(0)), FULL_READ_BYTES, ms(0))).to.equal(false)
     decider.spend(small, TURN_DEFAULTS.turnUnits, ms(0))
-    expect(decider.mayReadNow(decider.open(ms(0)), SMALL_BYTES, ms(0))).to.equal(false)
+    expect(decider.readAtOnce(decider.open(ms(0)), SMALL_BYTES, ms(0))).to.equal(false)
     decider.startTurn(ms(1))
-    expect(decider.mayReadNow(decider.open(ms(1)), SMALL_BYTES, ms(1))).to.equal(true)
+    expect(decider.readAtOnce(decider.open(ms(1)), SMALL_BYTES, ms(1))).to.equal(true)
   })
 
   it('reads a slice of each costly connection in turn, so that nobody waits for good', () => {
@@ -94,9 +94,9 @@
     const busy = decider.open(ms(0))
     decider.spend(busy, 2 * TURN_DEFAULTS.cheapUnits, ms(0))
     decider.startTurn(ms(1))
-    expect(decider.mayReadNow(busy, SMALL_BYTES, ms(1))).to.equal(true)
+    expect(decider.readAtOnce(busy, SMALL_BYTES, ms(1))).to.equal(true)
     waiting(decider, FULL_READ_BYTES)
-    expect(decider.mayReadNow(busy, SMALL_BYTES, ms(1))).to.equal(false)
+    expect(decider.readAtOnce(busy, SMALL_BYTES, ms(1))).to.equal(false)
   })
 
   it('moves a connection among the costly ones once more arrives while it waits', () => {
--- a/packages/core/src/turns/turnsDecider.ts
+++ b/packages/core/src/turns/turnsDecider.ts
@@ -52,8 +52,8 @@
     return true
   }
 
-  /** @returns whether input that has just arrived may be read without waiting */
-  mayReadNow (turn: Turn, bytes: number, now: Ms): boolean {
+  /** Begins to read input that has just arrived, unless it has to wait. @returns whether it is read now */
+  readAtOnce (turn: Turn, bytes: number, now: Ms): boolean {
     if (this.db.cheap.size > 0 || this.db.turnUnits >= this.cfg.turnUnits) return false
     turn.isCostly = !this.isCheap(turn, bytes, now)
     return !turn.isCostly || this.db.costly.size === 0
@@ -61,13 +61,12 @@
 
   /** Chooses the connection to read a slice of next, which waits no longer; undefined if none is to be read in this turn any more. */
   next (now: Ms): Turn | undefined {
-    if (this.db.turnUnits < this.cfg.turnUnits) for (const turn of this.db.cheap) return this.take(turn, false)
-    if (now < this.db.costlyPausedUntil || this.db.turnCostlyUnits >= this.cfg.costlyUnits) return undefined
-    for (const turn of this.db.costly) {
-      this.db.costlySince ??= now
-      return this.take(turn, true)
-    }
-    return undefined
+    const [cheap] = this.db.cheap
+    if (cheap !== undefined && this.db.turnUnits < this.cfg.turnUnits) return this.take(cheap, false)
+    const [costly] = this.db.costly
+    if (costly === undefined || now < this.db.costlyPausedUntil || this.db.turnCostlyUnits >= this.cfg.costlyUnits) return undefined
+    this.db.costlySince ??= now
+    return this.take(costly, true)
   }
 
   /** Counts what a read has cost. */
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -88,7 +88,7 @@
       return
     }
     countPiece(readableLength)
-    if (this.wanted && readableLength <= SLICE_BYTES && this.turns.mayReadNow(this.turn, readableLength)) return this.readSlice()
+    if (this.wanted && readableLength <= SLICE_BYTES && this.turns.readAtOnce(this.turn, readableLength)) return this.readSlice()
     this.wait()
     this.count()
   }
--- a/packages/dispatcher/src/utils/inputTurns.ts
+++ b/packages/dispatcher/src/utils/inputTurns.ts
@@ -31,16 +31,16 @@
     this.readers.delete(turn)
   }
 
-  mayReadNow (turn: Turn, bytes: number): boolean {
-    return this.decider.mayReadNow(turn, bytes, this.clock.now())
+  /** @returns whether input that has just arrived is read now */
+  readAtOnce (turn: Turn, bytes: number): boolean {
+    return this.decider.readAtOnce(turn, bytes, this.clock.now())
   }
 
-  /** Has a connection wait until its reader is called. @returns whether it waits among the costly ones */
-  wait (turn: Turn, bytes: number, reader: InputReader): boolean {
+  /** Has a connection wait until its reader is called. */
+  wait (turn: Turn, bytes: number, reader: InputReader): void {
     this.readers.set(turn, reader)
-    const isCostly = this.decider.wait(turn, bytes, this.clock.now())
+    this.decider.wait(turn, bytes, this.clock.now())
     this.schedule()
-    return isCostly
   }
 
   /** Counts what a read has cost. */
