Of equal connections the earliest is closed first again, unless they wait for their turn

Cause: closes the latest of equal connections first, which is meant for those that wait for their turn. It did so for silent ones as well, which are equal when they were opened within a millisecond; the test waits for the first five of twenty to be closed, so the fault showed only on a quick machine.

Change: the order among equals is that of their opening, reversed only for connections that wait for their turn.

Test: connectionsDecider.spec.ts, failed before. Measured: specs of connections, turns, linkTask and jobServerTask pass.

--- a/packages/core/src/connections/connectionsDecider.spec.ts
+++ b/packages/core/src/connections/connectionsDecider.spec.ts
@@ -52,6 +52,12 @@
     expect(decider.victims(ms(1000))).to.deep.equal([many])
   })
 
+  it('gives up the earliest of connections that were opened at the same moment', () => {
+    const decider = new ConnectionsDecider({ connections: 8, bytes: 1000 * KB })
+    const all = Array.from({ length: 9 }, () => opened(decider, 'receiving', 0, 0))
+    expect(decider.victims(ms(0)).map(victim => all.indexOf(victim))).to.deep.equal([0, 1])
+  })
+
   it('gives up the latest of those that wait for their turn, after one that stopped short, and no small one', () => {
     const decider = new ConnectionsDecider({ connections: 100, bytes: 1000 * KB })
     const wait = (openedAt: number, bytes: number): Connection => {
--- a/packages/core/src/connections/connectionsDecider.ts
+++ b/packages/core/src/connections/connectionsDecider.ts
@@ -106,9 +106,14 @@
     return this.db.bytes > this.allowance.bytes ? 'memory' : undefined
   }
 
-  /** Chooses the connections to close so that the others fit again, the worst first. Of those that are equal the latest goes first: what came before is nearer its end. */
+  /**
+   * Chooses the connections to close so that the others fit again, the worst first. Of equal ones the earliest goes first, but the latest of those that wait
+   * for their turn: what came before is nearer its end.
+   */
   victims (now: Ms): Connection[] {
-    const ranked = [...this.db.open].reverse().map(connection => ({ connection, score: scoreOf(connection, this.cfg, now) })).sort((a, b) => b.score - a.score)
+    const ranked = [...this.db.open]
+      .map((connection, index) => ({ connection, score: scoreOf(connection, this.cfg, now), order: connection.awaitsTurn ? -index : index }))
+      .sort((a, b) => b.score - a.score || a.order - b.order)
     let { size: count } = this.db.open
     let { bytes } = this.db
     const countGoal = count > this.allowance.connections ? this.allowance.connections * (1 - FREED_SHARE) : Infinity
