--- a/review/lib-3/fleet.js
+++ b/review/lib-3/fleet.js
@@ -11,7 +11,6 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { sleep } from './http.js'
-import { Link } from './link.js'
 import { Minion } from './minion.js'
 import { Store } from './store.js'
 
@@ -19,11 +18,11 @@
 const ZONES = { pampanga: 'central-luzon', tarlac: 'central-luzon', bulacan: 'central-luzon' }
 const PORTS = { frontend: 8161, readiness: 8167, control: 8166, metrics: 9464, internalFrom: 7720, internalTo: 7735 }
 const READY_PATIENCE_MS = 40_000
-export const HOST = 'nony24.example'
+const HOST = 'nony24.example'
 export const PREFIX = '/lohu930/'
 const SERVICE = 'huvo11a'
 /** The bounds of the deployment in SYSTEM.md. */
-export const BOUNDS = {
+const BOUNDS = {
   seedLagS: 3,
   addrReuseS: 2,
   contactMs: 3000,
@@ -121,8 +120,6 @@
     const ips = []
     for (let i = 0; i < zones.length; i++) ips.push(await freeAddress(i + 1))
     for (const [i, zone] of zones.entries()) {
-      const link = new Link()
-      await link.listen(this.minionIp, this.store.address)
       const ip = ips[i]
       const settings = {
         nodeName: `edge-${zone}-1`,
@@ -148,7 +145,7 @@
         bounds: BOUNDS,
         orders: 'invoke',
         advice: `${this.minionIp}:9`,
-        platform: { address: link.address, form: 'kv', writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000 },
+        platform: { address: this.store.address, form: 'kv', writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000 },
         cloudApi: { address: `${this.minionIp}:9`, ratePerS: 60, duties: [], dutyPerS: 60 }
       }
       const settingsFile = join(this.#folder, `${zone}.json`)
@@ -157,7 +154,7 @@
       const log = openSync(join(this.#folder, `${zone}.log`), 'a')
       const child = spawn(program, words, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG ?? 'C', CRANBERRYYARD_SETTINGS: settingsFile }, stdio: ['ignore', log, log] })
       closeSync(log)
-      const machine = { name: settings.nodeName, zone, ip, link, child, logFile: join(this.#folder, `${zone}.log`), ended: false }
+      const machine = { name: settings.nodeName, zone, ip, child, ended: false }
       child.once('error', () => {
         machine.ended = true
       })
@@ -177,17 +174,6 @@
     this.note('all machines are ready')
   }
 
-  /** Returns the machine that the store's record names as the owner of a zone, if it has one. */
-  ownerOf (zone) {
-    const name = this.store.read(`cranberryyard/shards/${zone}`)?.owner?.instance
-    return this.machines.find(machine => machine.name === name)
-  }
-
-  /** Returns the logs of the machines. */
-  logs () {
-    return this.machines.map(({ name, logFile }) => `== ${name}\n${readFileSync(logFile, 'utf8')}`).join('\n')
-  }
-
   /** Sends a request to a machine as a client does. @returns status and body, or status 0 when no answer came */
   call (machine, method, path, { body, deadlineMs = 1500 } = {}) {
     return new Promise((resolve) => {
@@ -235,7 +221,6 @@
           child.once('exit', resolve)
           child.kill('SIGKILL')
         })))
-    await Promise.all(this.machines.map(({ link }) => link.close()))
     await Promise.all(this.minions.map(minion => minion.close()))
     await this.store.close()
     rmSync(this.#folder, { recursive: true, force: true })
--- a/review/lib-3/http.js
+++ b/review/lib-3/http.js
@@ -17,7 +17,7 @@
 }
 
 /** Starts a server; `handle` gets the request, the response and the decoded body. */
-export async function listenJson (ip, handle, port = 0) {
+export async function listenJson (ip, handle) {
   const server = createServer((req, res) => {
     const parts = []
     req.on('data', part => parts.push(part))
@@ -38,7 +38,7 @@
   server.requestTimeout = 0
   await new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen(port, ip, resolve)
+    server.listen(0, ip, resolve)
   })
   return {
     port: server.address().port,
--- a/review/lib-3/link.js
+++ b/review/lib-3/link.js
@@ -1,66 +1,65 @@
 /**
- * A TCP link that can be cut and healed. While it is cut, bytes are held up in both directions and nothing is answered, as
- * behind a partition; afterwards they arrive. New connections made during the cut wait for its end.
+ * A TCP link that can be cut, so that connections are reset and new ones refused, and healed.
  */
 import { connect, createServer } from 'node:net'
 
 export class Link {
-  #cut = false
   #pairs = new Set()
-  #waiting = []
   #server
+  #port = 0
+  #ip
 
   /** Listens on the address and leads to `target`. */
   async listen (ip, target) {
     const [host, port] = target.split(':')
-    this.#server = createServer({ allowHalfOpen: false }, (near) => {
+    this.#ip = ip
+    this.#server = createServer((near) => {
+      const far = connect(Number(port), host)
+      const pair = { near, far }
+      this.#pairs.add(pair)
       near.on('error', () => {})
-      const open = () => {
-        if (near.destroyed) return
-        const far = connect(Number(port), host)
-        const pair = { near, far }
-        this.#pairs.add(pair)
-        far.on('error', () => near.destroy())
-        near.once('close', () => far.destroy())
-        far.once('close', () => {
-          this.#pairs.delete(pair)
-          near.destroy()
-        })
-        near.pipe(far)
-        far.pipe(near)
-      }
-      if (this.#cut) this.#waiting.push(open)
-      else open()
+      far.on('error', () => {})
+      near.once('close', () => far.destroy())
+      far.once('close', () => {
+        this.#pairs.delete(pair)
+        near.destroy()
+      })
+      near.pipe(far)
+      far.pipe(near)
     })
-    await new Promise(resolve => this.#server.listen(0, ip, resolve))
-    this.address = `${ip}:${this.#server.address().port}`
+    await this.heal()
+    this.#port = this.#server.address().port
+    this.address = `${ip}:${this.#port}`
   }
 
-  /** Lets nothing through until `heal`. */
-  cut () {
-    this.#cut = true
-    for (const { near, far } of this.#pairs) {
-      near.unpipe(far)
-      far.unpipe(near)
-      near.pause()
-      far.pause()
-    }
+  /** Resets the connections and refuses new ones until `heal`. */
+  async cut () {
+    const closed = new Promise(resolve => this.#server.close(resolve))
+    this.#reset()
+    await closed
   }
 
+  /** Takes connections. */
   heal () {
-    this.#cut = false
-    for (const { near, far } of this.#pairs) {
-      near.pipe(far)
-      far.pipe(near)
-    }
-    for (const open of this.#waiting.splice(0)) open()
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(this.#port, this.#ip, () => {
+        this.#server.removeListener('error', reject)
+        resolve()
+      })
+    })
   }
 
   close () {
-    for (const { near, far } of this.#pairs) {
-      near.destroy()
+    const closed = new Promise(resolve => this.#server.close(resolve))
+    this.#reset()
+    return closed
+  }
+
+  #reset () {
+    for (const { near, far } of [...this.#pairs]) {
+      near.resetAndDestroy()
       far.destroy()
     }
-    return new Promise(resolve => this.#server.close(resolve))
   }
 }
--- a/review/lib-3/minion.js
+++ b/review/lib-3/minion.js
@@ -2,7 +2,8 @@
  * Stand-in for a minion, after PROTOCOL.md, "Running tasks". It is sound, and starts whatever it is told to start
  * (`rejectsOverload` is false). The spec of a job is JSON with `workMs`, the duration of each task.
  */
-import { listenJson, sendJson, sleep } from './http.js'
+import { listenJson, sendJson } from './http.js'
+import { Link } from './link.js'
 
 const HEARTBEAT_MS = 1500
 const TICK_MS = 5
@@ -19,7 +20,8 @@
   #waiting = new Set()
   #server
   #timers = []
-  #up = true
+  /** The way of all machines to this minion. */
+  link = new Link()
 
   /**
    * @param options.id - its id in the store
@@ -38,43 +40,19 @@
 
   async listen (ip) {
     this.#server = await listenJson(ip, (req, res, body) => this.#handle(req, res, body))
-    this.address = `${ip}:${this.#server.port}`
+    await this.link.listen(ip, `${ip}:${this.#server.port}`)
+    this.address = this.link.address
     this.publish()
     this.#timers = [setInterval(() => this.publish(), HEARTBEAT_MS), setInterval(() => this.#tick(), TICK_MS)]
   }
 
   async close () {
     for (const timer of this.#timers) clearInterval(timer)
-    await this.#server?.close()
-  }
-
-  /** Crashes, refuses connections for a while and starts again under its id at its address; it knows nothing of before. */
-  async crash (downMs) {
-    this.#up = false
-    this.note(`${this.id} crashes`)
-    for (const entry of this.#running.values()) Object.assign(entry, { to: performance.now(), how: 'crashed' })
-    this.#running.clear()
-    this.#waiting.clear()
-    this.#highestEnded.clear()
-    this.#finished = []
-    this.#sequence = 0
-    this.#entrySequence = 0
-    this.#token = 0
-    this.#leaseEnd = 0
-    const [ip, port] = this.address.split(':')
-    await this.#server.close()
-    await sleep(downMs)
-    this.born = Date.now()
-    this.startedAt = performance.now()
-    this.#server = await listenJson(ip, (req, res, body) => this.#handle(req, res, body), Number(port))
-    this.#up = true
-    this.note(`${this.id} starts again`)
-    this.publish()
+    await Promise.all([this.link.close(), this.#server?.close()])
   }
 
   /** Writes the entry in the store. */
   publish () {
-    if (!this.#up) return
     this.store.put(`servers/${this.id}`, {
       service: this.service,
       address: this.address,
@@ -96,7 +74,6 @@
   }
 
   #handle (req, res, body) {
-    if (!this.#up) return
     if (req.method === 'GET' && req.url === '/healthz') {
       res.setHeader('instance-id', this.id)
       return sendJson(res, 200, {})
@@ -148,7 +125,6 @@
     this.#finished = this.#finished.filter(([n]) => n > lastSeen)
     const answer = () => {
       clearTimeout(timer)
-      if (!this.#up) return
       this.#waiting.delete(answer)
       this.#tick()
       const running = [...this.#running.values()].map(entry => [entry.task, entry.run, '', this.#percent(entry), entry.cpu])
--- a/review/lib-3/store.js
+++ b/review/lib-3/store.js
@@ -30,17 +30,6 @@
     this.#change([{ key, value: Buffer.from(JSON.stringify(value)).toString('base64'), lease: 0 }], [])
   }
 
-  /** Returns the decoded value of a key. */
-  read (key) {
-    const item = this.#items.get(key)
-    return item === undefined ? undefined : JSON.parse(Buffer.from(item.value, 'base64').toString())
-  }
-
-  /** Returns the keys that begin with the prefix. */
-  keys (prefix) {
-    return [...this.#items.keys()].filter(key => key.startsWith(prefix))
-  }
-
   #change (setKeys, removed) {
     const revision = ++this.revision
     for (const { key, value, lease = 0 } of setKeys) {
