job.answered says for how long the front had not read its caller's connection

Each connection knows up to when it has been read; input that waits for its turn holds that time back until the process has polled once after the last of it. Nothing is decided by it yet.

--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -311,6 +311,15 @@
     return ms(Math.min(this.ctx.now, this.db.callerReads.upTo))
   }
 
+  /** Returns the same for the callers of one job, which is wanted while one of them waits. */
+  private callersOfJobSeenAt ({ calls }: FrontedJob): Ms {
+    const { callerReads } = this.db
+    const seenAt = this.callersSeenAt()
+    let latest = -Infinity
+    for (const callId of calls) latest = Math.max(latest, callerReads.behindAt?.(callId) ?? seenAt)
+    return ms(Math.min(seenAt, latest))
+  }
+
   /** Returns the reading of an owner's clock that messages about jobs carry, for the time until which their callers are known to wait. */
   private readingOf (owner: InstanceId): { readonly ownerClock?: ClockReading } {
     const ownerClock = this.sessions.clockAt(owner, this.callersSeenAt(), this.db.callerReads.endedAt)
@@ -393,6 +402,7 @@
   private answerCallers (job: FrontedJob, reply: CallerReply): void {
     const { out, now } = this.ctx
     const tookMs = now - job.receivedAt
+    const callersSeenAt = this.callersOfJobSeenAt(job)
     for (const callId of job.calls) out.push({ type: 'reply', callId, reply })
     this.db.remove(job)
     out.count(COUNTER_OF[reply.type === 'ended' ? reply.outcome : reply.type])
@@ -405,6 +415,7 @@
       outcome: reply.type === 'ended' ? reply.outcome : undefined,
       cause: reply.type === 'refused' ? reply.cause : undefined,
       tookMs: Math.round(tookMs),
+      callerSeenAgeMs: Math.round(now - callersSeenAt),
       copies: job.copies,
       where: job.location.type,
       owner: job.location.type === 'atOwner' ? job.location.owner : undefined,
--- a/packages/core/src/shard/index.ts
+++ b/packages/core/src/shard/index.ts
@@ -8,7 +8,7 @@
 export type { ShardSettings } from './settings.js'
 export { SHARD_COUNTERS, SHARD_GAUGES } from './counters.js'
 export type { ShardCounterName, ShardGaugeName } from './counters.js'
-export type { CallerReply, ClaimResult, ListPace, LogFields, RefusalCause, ShardEffect, ShardInput, ShardSelf } from './types.js'
+export type { CallerReads, CallerReply, ClaimResult, ListPace, LogFields, RefusalCause, ShardEffect, ShardInput, ShardSelf } from './types.js'
 export { seededRandom } from '../utils/random.js'
 export { RunTimeModel } from '../execution/runTimes.js'
 export { CONNECTION_BYTES, CONNECTION_DEFAULTS, ConnectionsDecider, DEFAULT_MACHINE, RECEIVE_BUFFER_BYTES, allowancesFor, backlogsFor, costOfPart } from '../connections/connectionsDecider.js'
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -58,6 +58,8 @@
 export interface CallerReads {
   readonly upTo: Ms
   readonly endedAt: Ms
+  /** Returns up to when the connection of a call has been read, if that is behind `upTo`, since input waits there for its turn. */
+  behindAt? (callId: string): Ms | undefined
 }
 
 /**
--- a/packages/dispatcher/src/shard/jobServerTask.ts
+++ b/packages/dispatcher/src/shard/jobServerTask.ts
@@ -72,6 +72,7 @@
   reply (effect: EffectOf<'reply'>): void {
     const res = this.openResponses.get(effect.callId)
     this.openResponses.delete(effect.callId)
+    this.reads.callEnded(effect.callId)
     if (res !== undefined) this.send(res, this.wire.answer(effect.reply))
   }
 
@@ -111,9 +112,11 @@
     const callId = `c${++this.callCounter}`
     let submitted = false
     const left = (): void => {
+      this.reads.callEnded(callId)
       if (this.openResponses.delete(callId) && submitted) this.post({ type: 'callerLeft', callId })
     }
     this.openResponses.set(callId, res)
+    this.reads.callBegan(callId, guarded.reads)
     // The response closes some turns after the end of its connection was read, and not at all if it is not the first of its connection.
     const forget = guarded.whenLeft(left)
     res.once('close', () => {
--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -75,7 +75,7 @@
     this.reads = new SocketReads(clock)
     this.log = new StructuredLog({ instance: self.instance, incarnation: self.incarnation, failureDomain: self.failureDomain }, () => clock.now())
     const allowances = allowancesFor(options.machine ?? DEFAULT_MACHINE)
-    const callers = new ConnectionGuard(allowances.callers, clock, reason => this.connectionClosed('callers', reason))
+    const callers = new ConnectionGuard(allowances.callers, clock, reason => this.connectionClosed('callers', reason), this.reads)
     const peers = new ConnectionGuard(allowances.peers, clock, reason => this.connectionClosed('peers', reason))
     const answers = new AnswerBudget(allowances.answers, clock, reason => this.connectionClosed('answers', reason))
     this.links = new LinkTask(self.instance, post, (peer, why) => this.brokenLink(peer, why), peers)
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -5,10 +5,13 @@
  */
 import { ConnectionsDecider } from '@cranberryyard/core/shard'
 import type { Allowance, CloseReason, Connection, Turn } from '@cranberryyard/core/shard'
-import type { Clock } from '@cranberryyard/protocol'
+import type { Clock, Ms } from '@cranberryyard/protocol'
+import { ms } from '@cranberryyard/protocol'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { ConnectionReads } from './connectionReads.js'
+import type { ProcessReads } from './connectionReads.js'
 import { GuardedStream } from './guardedStream.js'
 import type { InputCounts } from './guardedStream.js'
 import { InputTurns } from './inputTurns.js'
@@ -33,6 +36,7 @@
 /** One connection with what is held for it. */
 export class GuardedSocket implements InputCounts {
   readonly turn: Turn
+  readonly reads: ConnectionReads
   /** What an HTTP server reads in place of the socket. */
   stream: GuardedStream | undefined
   /** Called once when the other side has left or the connection has closed. */
@@ -44,6 +48,7 @@
   constructor (readonly socket: Socket, readonly connection: Connection, private readonly guard: ConnectionGuard) {
     this.drainedAt = connection.openedAt
     this.turn = guard.turns.open()
+    this.reads = new ConnectionReads(guard.processReads)
     const left = (): void => this.leave()
     socket.on('end', left).on('error', left).on('close', left)
   }
@@ -89,6 +94,11 @@
     this.connection.awaitsTurn = awaitsTurn
   }
 
+  setUnread (isUnread: boolean): void {
+    if (isUnread) this.reads.waits()
+    else this.reads.emptied(this.guard.now())
+  }
+
   /** @returns whether something waits for the other side and it has read none of it for too long */
   isUnread (now: number): boolean {
     const drained = this.socket.bytesWritten - this.socket.writableLength
@@ -115,7 +125,8 @@
   private readonly handshakes = new Map<string, GuardedSocket>()
   private sweepTimer: NodeJS.Timeout | undefined
 
-  constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed) {
+  /** @param processReads - up to when this process has read its sockets, by default all */
+  constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed, readonly processReads: ProcessReads = { upTo: ms(Infinity) }) {
     this.decider = new ConnectionsDecider(allowance)
     this.turns = new InputTurns(clock)
   }
@@ -149,6 +160,10 @@
     return this.byStream.get(socket) ?? this.add(socket)
   }
 
+  now (): Ms {
+    return this.clock.now()
+  }
+
   enter ({ connection }: GuardedSocket, phase: Connection['phase']): void {
     this.decider.enter(connection, phase, this.clock.now())
   }
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -21,6 +21,8 @@
   hold (bytes: number): void
   /** Sets whether bytes wait for their turn. */
   setAwaitsTurn (awaitsTurn: boolean): void
+  /** Sets whether bytes have arrived that are not read yet, for whatever reason. */
+  setUnread (isUnread: boolean): void
 }
 
 /** A connection as an HTTP server reads and writes it. */
@@ -103,6 +105,7 @@
   private count (): void {
     const { readableLength, readableHighWaterMark } = this.socket
     const bytes = readableLength >= readableHighWaterMark ? readableLength + RECEIVE_BUFFER_BYTES : readableLength
+    this.counts.setUnread(readableLength > 0)
     const grownBytes = bytes - this.heldBytes
     this.heldBytes = bytes
     if (grownBytes !== 0) this.counts.hold(grownBytes)
