The end of a connection is noticed that arrived while bytes waited for their turn

What callers saw: a caller that left while its request waited at a slow front kept its job running until it was done; sent again 1,300 ms later through another domain, the job ran in both (TWICE). One sound request of 4.4 kB was enough.

Cause: GuardedStream takes exactly the bytes that a socket holds. A Node stream whose end has arrived behind them emits 'end' only with a read that finds nothing, and nothing made one: 'readable' had come before. The front took its caller for present and went on confirming the job.

Change: after a slice that leaves nothing, the socket is read once more.

--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -58,6 +58,8 @@
     const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
     this.count()
     if (slice !== null) this.handOn(slice)
+    // A socket whose end arrived while bytes waited emits it only with a read after the last of them.
+    if (this.socket.readableLength === 0) this.socket.read(0)
   }
 
   override _read (): void {
