A front vouches for a caller only as far as it has read that caller's connection

Cause: SocketReads.upTo says that everything which had arrived has been read once the event loop has polled. Input that waits for its turn, behind 64 KiB of it or behind a request that is refused unread has not, and the end of the connection is behind it; of a socket that is not read on, not even a reset is seen.

Change: a connection on which input waits is behind (ConnectionReads), and its jobs are dated with the time up to which it was read: copies carry that date, confirmations are left out, and after jobLeaseMs, when their owner starts nothing more for them, the front cancels them and answers 502.

--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -301,28 +301,31 @@
     job.checkedAt = now
     job.attempt = ++this.lastAttempt
     job.copies++
-    const order = { job: job.job, queue: job.queue, desiredVersion: job.desiredVersion, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt()), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...resumed && job.earlierEndpoints !== undefined ? { earlierEndpoints: job.earlierEndpoints } : {}, ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
+    const order = { job: job.job, queue: job.queue, desiredVersion: job.desiredVersion, attempt: job.attempt, ageMs: ms(now - job.receivedAt), remainingMs: ms(job.callerDeadline - this.callersSeenAt(job.id)), resumed, done: job.done, lastChance: this.isLastChance(job, failureDomain), ...resumed && job.earlierEndpoints !== undefined ? { earlierEndpoints: job.earlierEndpoints } : {}, ...this.attempts.db.has(job.id) ? { attempts: this.attempts.db.ofJob(job.id) } : {} }
     if (job.copies > 1) this.ctx.out.log('job.sentAgain', { job: job.id, attempt: job.attempt, copies: job.copies, owner, shard: failureDomain, resumed, ageMs: Math.round(now - job.receivedAt) })
-    this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner) })
+    this.deliver(owner, { type: 'submit', incarnation: self.incarnation, address: self.address, failureDomain, order, time: this.sessions.timeForPeers(), ...this.readingOf(owner, this.callersSeenAt(job.id)) })
   }
 
-  /** Returns until when this front knows that the callers of its jobs wait; the end of a call may have arrived since then and not been read. */
-  callersSeenAt (): Ms {
-    return ms(Math.min(this.ctx.now, this.db.callerReads.upTo))
-  }
-
-  /** Returns the same for the callers of one job, which is wanted while one of them waits. */
-  private callersOfJobSeenAt ({ calls }: FrontedJob): Ms {
-    const { callerReads } = this.db
-    const seenAt = this.callersSeenAt()
+  /**
+   * Returns until when this front knows that callers wait; the end of a call may have arrived since then and not been read.
+   * @param id - the job, of whose callers one has to wait; if undefined, all callers whose connections are not read later than others
+   */
+  callersSeenAt (id?: JobId): Ms {
+    const { callerReads, jobs } = this.db
+    const seenAt = Math.min(this.ctx.now, callerReads.upTo)
+    const job = id === undefined ? undefined : jobs.get(id)
+    if (job === undefined) return ms(seenAt)
     let latest = -Infinity
-    for (const callId of calls) latest = Math.max(latest, callerReads.behindAt?.(callId) ?? seenAt)
+    for (const callId of job.calls) latest = Math.max(latest, callerReads.behindAt?.(callId) ?? seenAt)
     return ms(Math.min(seenAt, latest))
   }
 
-  /** Returns the reading of an owner's clock that messages about jobs carry, for the time until which their callers are known to wait. */
-  private readingOf (owner: InstanceId): { readonly ownerClock?: ClockReading } {
-    const ownerClock = this.sessions.clockAt(owner, this.callersSeenAt(), this.db.callerReads.endedAt)
+  /**
+   * Returns the reading of an owner's clock that messages about jobs carry.
+   * @param seenAt - until when their callers are known to wait
+   */
+  private readingOf (owner: InstanceId, seenAt = this.callersSeenAt()): { readonly ownerClock?: ClockReading } {
+    const ownerClock = this.sessions.clockAt(owner, seenAt, this.isBehind(seenAt) ? ms(-Infinity) : this.db.callerReads.endedAt)
     return ownerClock === undefined ? {} : { ownerClock }
   }
 
@@ -350,9 +353,20 @@
     job.location = { type: 'detached', failureDomain, lastOwner, since: this.ctx.now }
   }
 
+  /** Returns whether input of callers has arrived since then and waits unread for its turn. */
+  private isBehind (seenAt: Ms): boolean {
+    return seenAt < this.callersSeenAt()
+  }
+
+  /** Returns whether nobody is known to wait for the job for so long that its owner starts nothing for it any more. */
+  private isUnseen (job: FrontedJob): boolean {
+    const seenAt = this.callersSeenAt(job.id)
+    return this.isBehind(seenAt) && this.ctx.now - seenAt > this.ctx.cfg.jobLeaseMs
+  }
+
   private tickJob (job: FrontedJob): void {
     const { location } = job
-    if (this.ctx.now > job.callerDeadline) {
+    if (this.ctx.now > job.callerDeadline || this.isUnseen(job)) {
       this.giveUp(job)
     } else if (location.type === 'detached') {
       if (this.sessions.ownerOf(location.failureDomain) !== undefined) this.ownerKnown(location.failureDomain)
@@ -373,6 +387,8 @@
     const checks = new Map<string, { readonly owner: InstanceId, readonly failureDomain: FailureDomain, readonly ids: JobId[] }>()
     for (const job of this.db.jobs.values()) {
       if (job.location.type !== 'atOwner' || now - job.checkedAt < this.ctx.cfg.confirmMs) continue
+      // Nothing new is known of its callers.
+      if (this.isBehind(this.callersSeenAt(job.id))) continue
       job.checkedAt = now
       const { owner, failureDomain } = job.location
       const key = `${owner} ${failureDomain}`
@@ -402,7 +418,7 @@
   private answerCallers (job: FrontedJob, reply: CallerReply): void {
     const { out, now } = this.ctx
     const tookMs = now - job.receivedAt
-    const callersSeenAt = this.callersOfJobSeenAt(job)
+    const callersSeenAt = this.callersSeenAt(job.id)
     for (const callId of job.calls) out.push({ type: 'reply', callId, reply })
     this.db.remove(job)
     out.count(COUNTER_OF[reply.type === 'ended' ? reply.outcome : reply.type])
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -249,6 +249,58 @@
     expect(handle(401, { type: 'linkDown', peer: OWNER }, 12, 391)).to.deep.equal([['submit', 1300 + 12 - 400]])
     expect(handle(410, { type: 'linkDown', peer: OWNER }, 12, 405)).to.deep.equal([['submit', 1300]])
   })
+
+  describe('while input waits unread on the connection of a job\'s caller', () => {
+    const behind = new Map<string, Ms>()
+    let front: ShardInstance
+    const handle = (now: number, input: ShardInput): ShardEffect[] => front.handle(input, ms(now), ms(now), { upTo: ms(now), endedAt: ms(now), behindAt: callId => behind.get(callId) })
+    const messagesIn = (effects: readonly ShardEffect[]): (readonly [string, Ms | undefined])[] => effects
+      .flatMap(effect => effect.type === 'send' && (effect.message.type === 'submit' || effect.message.type === 'checkJobs') ? [[effect.message.type, effect.message.ownerClock?.at] as const] : [])
+    const submit = (callId: string, id: string): ShardInput => ({ type: 'submit', callId, host: 'h', path: `/q/${id}`, job: { ...JOB, id: id as JobId }, deadlineMs: ms(9000) })
+    const announce = (now: number): ShardInput => ({ type: 'peer', from: OWNER, message: { type: 'announce', incarnation: 3, address: 'owner', failureDomain: DOMAIN, token: 64 as FencingToken, time: ms(now + 1000) } })
+
+    beforeEach(() => {
+      behind.clear()
+      front = new ShardInstance({ self: { instance: 'me' as InstanceId, incarnation: 1, failureDomain: DOMAIN, address: 'me', cpuMilli: 500 }, cfg: SHARD_DEFAULTS })
+      handle(0, { type: 'desired', state: { version: 1, queues: [QUEUE], services: [] } })
+      handle(1, announce(1))
+    })
+
+    it('confirms only the jobs of other callers, until all of it is read', () => {
+      handle(10, submit('c1', 'a'))
+      handle(10, submit('c2', 'b'))
+      behind.set('c1', ms(11))
+      const checked = (now: number): readonly JobId[] => handle(now, TICK).flatMap(effect => effect.type === 'send' && effect.message.type === 'checkJobs' ? effect.message.jobIds : [])
+      expect(checked(300)).to.deep.equal(['b'])
+      behind.clear()
+      expect(checked(310)).to.deep.equal(['a'])
+    })
+
+    it('dates copies of the job with the last time at which all of it was read', () => {
+      handle(10, submit('c1', 'a'))
+      behind.set('c1', ms(20))
+      handle(200, announce(200))
+      expect(messagesIn(handle(210, { type: 'linkDown', peer: OWNER }))).to.deep.equal([['submit', 1020]])
+    })
+
+    it('goes on with a job for which another caller waits', () => {
+      handle(10, submit('c1', 'a'))
+      handle(11, submit('c2', 'a'))
+      behind.set('c1', ms(12))
+      expect(messagesIn(handle(300, TICK))).to.deep.equal([['checkJobs', 1300]])
+    })
+
+    it('gives the job up when its owner may not start any more of it', () => {
+      handle(10, submit('c1', 'a'))
+      behind.set('c1', ms(20))
+      const given = (now: number): string[] => handle(now, TICK).flatMap(effect => effect.type === 'reply' ? effect.reply.type : effect.type === 'send' && effect.message.type === 'cancelJob' ? 'cancelJob' : [])
+      for (let at = 200; at <= 20 + SHARD_DEFAULTS.jobLeaseMs; at += 145) {
+        handle(at - 1, announce(at - 1))
+        expect(given(at)).to.deep.equal([])
+      }
+      expect(given(21 + SHARD_DEFAULTS.jobLeaseMs)).to.deep.equal(['cancelJob', 'lost'])
+    })
+  })
 })
 
 describe('an owner that gets a resumed job', () => {
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -459,7 +459,7 @@
     if (message.order.desiredVersion !== undefined) this.desired.jobReceived(front.instance, message.order.desiredVersion, !this.queueVersions.isQueueInForce(message.order))
     const order = this.queueVersions.underVersionInForce(message.order)
     if (order === undefined) return this.rejectWithoutQueue(front, message.failureDomain, message.order)
-    const sentAt = this.sentAt(front.instance, message.ownerClock)
+    const sentAt = this.sentAt(front.instance, message.ownerClock, message.order.job.id)
     if (this.execution.submit(front, message.failureDomain, order, sentAt)) return
     // The answer carries this instance's clock, so that the next copy can prove its age.
     this.sendLoad(front.instance)
@@ -493,10 +493,11 @@
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
    * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
    * time to come: this clock has stood still since, unnoticed, because the machine was suspended and its wall clock stepped back.
+   * @param jobId - the job that the message is about; undefined for a confirmation, which is sent only for callers of whom all has been read
    */
-  private sentAt (front: InstanceId, ownerClock: ClockReading | undefined): Ms {
+  private sentAt (front: InstanceId, ownerClock: ClockReading | undefined, jobId?: JobId): Ms {
     const { now, self, suspendedMs } = this.ctx
-    if (front === self.instance) return this.intake.callersSeenAt()
+    if (front === self.instance) return this.intake.callersSeenAt(jobId)
     if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
     const readAt = ms(ownerClock.at - suspendedMs)
     return ownerClock.incarnation === self.incarnation && readAt <= now + READING_AHEAD_MAX_MS ? ms(Math.min(now, readAt)) : ms(-Infinity)
