An idle front reads its callers' connections before each tick as well

What callers saw, on the commit before only: a caller that sent twenty long requests at once to a front that had no calls got 502 for some of them (8 of 20 in the test).

Cause: a connection on which input waits is behind from the last time at which the process is known to have read everything, and without open calls nothing brought that time forward.

Change: every tick waits for a read; what a process knows at its start is its start.

--- a/packages/dispatcher/src/shard/shardDaemon.ts
+++ b/packages/dispatcher/src/shard/shardDaemon.ts
@@ -171,10 +171,9 @@
     setTimeout(() => this.tickOnceRead(), this.core.isIdle() ? IDLE_TICK_MS : readsFresh(this.listPace) ? OWNER_TICK_MS : ACTIVE_TICK_MS)
   }
 
-  /** Ticks when the callers' connections were read, so that no job is confirmed whose caller has left. The wait costs processor time, and is of no use without callers. */
+  /** Ticks when the callers' connections were read, so that no job is confirmed whose caller has left. Without calls as well: the next one counts from the last read. */
   private tickOnceRead (): void {
-    if (this.jobs.openCalls() === 0) this.tick()
-    else this.reads.afterNextRead(() => this.tick())
+    this.reads.afterNextRead(() => this.tick())
   }
 
   private setPace (pace: ListPace): void {
--- a/packages/dispatcher/src/shard/socketReads.ts
+++ b/packages/dispatcher/src/shard/socketReads.ts
@@ -4,19 +4,22 @@
  */
 import type { CallerReads } from '@cranberryyard/core/shard'
 import type { Clock, Ms } from '@cranberryyard/protocol'
-import { ms } from '@cranberryyard/protocol'
 import type { ConnectionReads } from '../utils/connectionReads.js'
 
 /** Tracks the reads of one process. */
 export class SocketReads implements CallerReads {
   /** Everything that had arrived by then has been read. */
-  upTo: Ms = ms(0)
+  upTo: Ms
   /** When that was done. */
-  endedAt: Ms = ms(0)
+  endedAt: Ms
 
   private readonly calls = new Map<string, ConnectionReads>()
 
-  constructor (private readonly clock: Pick<Clock, 'now'>) {}
+  /** @param clock - the process must not listen yet */
+  constructor (private readonly clock: Pick<Clock, 'now'>) {
+    this.upTo = clock.now()
+    this.endedAt = this.upTo
+  }
 
   /** Tracks the connection of a call until the call has ended. */
   callBegan (callId: string, connection: ConnectionReads): void {
