What is known of a caller ends before an end that comes with the last bytes, and moves on with input that is read

A caller that went on sending input behind its job (5 kB a hundred times a second, to a front on a third of a core) got 502 although all of it was read within milliseconds (24 of 25 jobs): each poll brought more before the connection counted as read. And an end that arrived with a small request counted as read one turn of the event loop early (callersSeen.spec.ts, red 6 of 6 there): libuv reads the end of a socket only after a read that brought bytes.

Change: all input makes a connection behind until the process has read once more; further input shows that the end was not right behind what was read before, so the time moves on to that, unless the socket was full and the kernel held more.

--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -11,7 +11,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { ConnectionReads } from './connectionReads.js'
-import type { ProcessReads } from './connectionReads.js'
+import type { ProcessReads, UnreadInput } from './connectionReads.js'
 import { GuardedStream } from './guardedStream.js'
 import type { InputCounts } from './guardedStream.js'
 import { InputTurns } from './inputTurns.js'
@@ -94,9 +94,8 @@
     this.connection.awaitsTurn = awaitsTurn
   }
 
-  setUnread (isUnread: boolean): void {
-    if (isUnread) this.reads.waits()
-    else this.reads.emptied(this.guard.now())
+  noteUnread (unread: UnreadInput): void {
+    this.reads.update(unread, this.guard.now())
   }
 
   /** @returns whether something waits for the other side and it has read none of it for too long */
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -6,6 +6,7 @@
 import type { Turn } from '@cranberryyard/core/shard'
 import { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
+import type { UnreadInput } from './connectionReads.js'
 import type { InputReader, InputTurns } from './inputTurns.js'
 import { countPiece } from './pieceCollection.js'
 
@@ -21,8 +22,8 @@
   hold (bytes: number): void
   /** Sets whether bytes wait for their turn. */
   setAwaitsTurn (awaitsTurn: boolean): void
-  /** Sets whether bytes have arrived that are not read yet, for whatever reason. */
-  setUnread (isUnread: boolean): void
+  /** Notes what has arrived and is not read yet, for whatever reason; called when input arrives and after each read. */
+  noteUnread (unread: UnreadInput): void
 }
 
 /** A connection as an HTTP server reads and writes it. */
@@ -92,6 +93,7 @@
       return
     }
     countPiece(readableLength)
+    this.noteUnread()
     if (this.wanted && readableLength <= SLICE_BYTES && this.turns.readAtOnce(this.turn, readableLength)) return this.readSlice()
     this.wait()
     this.count()
@@ -107,12 +109,17 @@
   private count (): void {
     const { readableLength, readableHighWaterMark } = this.socket
     const bytes = readableLength >= readableHighWaterMark ? readableLength + RECEIVE_BUFFER_BYTES : readableLength
-    this.counts.setUnread(readableLength > 0)
+    this.noteUnread()
     const grownBytes = bytes - this.heldBytes
     this.heldBytes = bytes
     if (grownBytes !== 0) this.counts.hold(grownBytes)
   }
 
+  private noteUnread (): void {
+    const { readableLength, readableHighWaterMark } = this.socket
+    this.counts.noteUnread(readableLength === 0 ? 'none' : readableLength < readableHighWaterMark ? 'some' : 'full')
+  }
+
   private handOn (slice: Buffer): void {
     this.wanted = false
     this.turns.spend(this.turn, SLICE_UNITS + slice.length / BYTES_PER_UNIT)
