The connection of a caller that has left is closed although requests wait on it behind its job

What operators see: a front keeps connections whose callers have left. Each holds up to 2.5 MB of the callers' budget until the guard evicts it.

Cause: a caller whose job runs sends a hundred or more further requests and closes the connection. Their answers wait behind that of the job, so the HTTP server pauses the stream with requests in it. The socket ends and the job is given up, but its answer never comes, so the stream is never resumed and the HTTP server doesn't see the end behind the requests.

Change: the guard closes a connection, after what is still to be written, once its other side has left while an answer was awaited.

A reset was noticed before as well.

--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -110,8 +110,11 @@
   }
 
   private leave (): void {
+    const isAwaited = this.onLeft.size > 0
     for (const callback of [...this.onLeft]) callback()
     this.onLeft.clear()
+    // Nobody waits for that answer any more, and whatever the stream still holds is behind it.
+    if (isAwaited) this.stream?.destroySoon()
   }
 }
 
