The end of a connection is noticed behind a body over the limit

What callers see: a caller whose job runs sends a body over the limit behind it, leaves, and sends the job again through another domain; the job runs in both until it is done, or until the guard gives the body up as stalled, 16 s later.

Cause: a body over the limit is refused by an answer that closes its connection, and the connection is not read from then on. That answer waits for the one of the job, and meanwhile neither an end nor a reset of the connection is read, if the body fills the buffers of the stream and of the socket (30 kB and more; a reset from 300 kB on).

Change: what arrives after a refused body is still read, in turns like other input, and dropped.

--- a/packages/dispatcher/src/utils/connectionEnds.spec.ts
+++ b/packages/dispatcher/src/utils/connectionEnds.spec.ts
@@ -19,6 +19,7 @@
 const AWAITED = 'POST /awaited HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n{}'
 /** So many that their answers use up what a connection may hold, while the requests do not. */
 const BEHIND = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n'.repeat(400)
+const OVER_LIMIT = `POST / HTTP/1.1\r\nhost: h\r\ncontent-length: ${2 * MAX_BODY_BYTES}\r\n\r\n${'x'.repeat(2 * MAX_BODY_BYTES - 1)}`
 const ANSWER = '{"state":"unknown"}'
 
 const ends: Record<string, (caller: Socket) => void> = { closed: caller => caller.end(), reset: caller => caller.resetAndDestroy() }
@@ -60,5 +61,8 @@
     it(`is given up when it is ${how} while further requests wait for that answer`, async () => {
       expect(await afterEnd(BEHIND, end)).to.deep.equal({ left: true, connections: 0, bytes: 0 })
     })
+    it(`is given up when it is ${how} behind a body over the limit`, async () => {
+      expect(await afterEnd(OVER_LIMIT, end)).to.deep.equal({ left: true, connections: 0, bytes: 0 })
+    })
   }
 })
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -79,6 +79,12 @@
     this.guard.turns.spend(this.turn, 1 + bytes / PIECE_BYTES_PER_UNIT)
   }
 
+  /** Takes no further input. */
+  refuseInput (): void {
+    if (this.stream === undefined) this.socket.pause()
+    else this.stream.dropInput()
+  }
+
   /** Whatever has arrived is complete; this instance owes the answer. @param units - what reading the request costs */
   completed (units: number): void {
     this.guard.turns.spend(this.turn, units)
--- a/packages/dispatcher/src/utils/requestBody.ts
+++ b/packages/dispatcher/src/utils/requestBody.ts
@@ -1,6 +1,6 @@
 /**
  * Reads the body of a request within a size limit. A body that is announced above the limit is refused before any of it is read, and one that is
- * sent above it at the byte that exceeds it; neither is read further.
+ * sent above it at the byte that exceeds it. What else arrives of either is dropped.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { GuardedSocket } from './connectionGuard.js'
@@ -36,7 +36,7 @@
     if (ended) return
     ended = true
     if (outcome.type === 'complete') guarded.completed(outcome.body.length / BYTES_PER_UNIT)
-    else req.socket.pause()
+    else guarded.refuseInput()
     if (outcome.type === 'tooLarge') res.setHeader('connection', 'close')
     callback(outcome)
     collected.clear()
