A connection is closed when a body over the limit comes behind a job, instead of being read on

Cause: what arrives is dropped at the speed at which it comes, and pieces that waited for their turn are freed late.

Change: a connection that takes no further input is closed once an answer is awaited on it, whichever comes first.

--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -41,6 +41,7 @@
   stream: GuardedStream | undefined
   /** Called once when the other side has left or the connection has closed. */
   private readonly onLeft = new Set<() => void>()
+  private refusesInput = false
   private openRequests = 0
   private drainedBytes = 0
   private drainedAt: number
@@ -56,6 +57,7 @@
   /** Calls back when the other side has ended the connection or it has closed. @returns a function that takes this back */
   whenLeft (callback: () => void): () => void {
     this.onLeft.add(callback)
+    this.closeUnlessRead()
     return () => this.onLeft.delete(callback)
   }
 
@@ -81,8 +83,10 @@
 
   /** Takes no further input. */
   refuseInput (): void {
-    if (this.stream === undefined) this.socket.pause()
-    else this.stream.dropInput()
+    this.refusesInput = true
+    const connection = this.stream ?? this.socket
+    connection.pause()
+    this.closeUnlessRead()
   }
 
   /** Whatever has arrived is complete; this instance owes the answer. @param units - what reading the request costs */
@@ -115,6 +119,12 @@
     return now - this.drainedAt > UNREAD_MS
   }
 
+  /** The end of a connection that is not read on would not be noticed. */
+  private closeUnlessRead (): void {
+    const connection = this.stream ?? this.socket
+    if (this.refusesInput && this.onLeft.size > 0) connection.destroy()
+  }
+
   private leave (): void {
     const isAwaited = this.onLeft.size > 0
     for (const callback of [...this.onLeft]) callback()
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -30,7 +30,6 @@
   private heldBytes = 0
   /** Whether the reader takes more. */
   private wanted = false
-  private dropsInput = false
 
   constructor (private readonly socket: Socket, private readonly turns: InputTurns, private readonly turn: Turn, private readonly counts: InputCounts) {
     super({ allowHalfOpen: true, decodeStrings: false })
@@ -53,18 +52,10 @@
     return this
   }
 
-  /** Hands nothing on any more. What arrives is dropped, so that the end of the connection is noticed behind it. */
-  dropInput (): void {
-    this.pause()
-    this.dropsInput = true
-    this._read()
-  }
-
   readSlice (): void {
     if (this.destroyed) return
     this.counts.setAwaitsTurn(false)
-    const { readableLength } = this.socket
-    const slice = this.socket.read(this.dropsInput ? readableLength : Math.min(SLICE_BYTES, readableLength)) as Buffer | null
+    const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
     this.count()
     if (slice !== null) this.handOn(slice)
     // A socket whose end arrived while bytes waited emits it only with a read after the last of them.
@@ -123,9 +114,8 @@
   }
 
   private handOn (slice: Buffer): void {
-    this.turns.spend(this.turn, SLICE_UNITS + slice.length / BYTES_PER_UNIT)
-    if (this.dropsInput) return
     this.wanted = false
+    this.turns.spend(this.turn, SLICE_UNITS + slice.length / BYTES_PER_UNIT)
     this.push(slice)
   }
 
