Jobs that move between domains start in none while they may run in another: a test with messages in any order

By the code, a front places a job elsewhere only after its owner has declined, refused or released the latest copy, which owners do only while nothing of it runs or can start.

--- a/packages/bench/src/shard/fleetTypes.ts
+++ b/packages/bench/src/shard/fleetTypes.ts
@@ -88,6 +88,13 @@
   readonly deliver: () => void
 }
 
+/** How messages about jobs are lost or late, as shares of all. */
+export interface MessageScatter {
+  readonly lostShare: number
+  readonly lateShare: number
+  readonly delayMaxMs: number
+}
+
 /** A queue that a version of the desired state has added. */
 export interface AddedQueue {
   readonly addedAt: number
--- a/packages/bench/src/shard/shardFleet.ts
+++ b/packages/bench/src/shard/shardFleet.ts
@@ -32,7 +32,7 @@
 import { Timeline } from '../memory/timeline.js'
 import { EvacuationFeed } from './evacuationFeed.js'
 import { FleetContact } from './fleetContact.js'
-import type { AddedQueue, CallerJob, FleetOptions, HeldMessage, JobVariant, Process, QueueUse, ReplyKind, StoreFaults, Submission } from './fleetTypes.js'
+import type { AddedQueue, CallerJob, FleetOptions, HeldMessage, JobVariant, MessageScatter, Process, QueueUse, ReplyKind, StoreFaults, Submission } from './fleetTypes.js'
 
 export type { CallerJob, EndpointKind, FleetOptions, JobVariant, ReplyKind, StoreFaults, Submission } from './fleetTypes.js'
 
@@ -75,6 +75,9 @@
 /** The store sends values as base64 in JSON. */
 const BASE64_FACTOR = 4 / 3
 
+/** Types of the messages about single jobs. */
+const SCATTERED_TYPES = new Set<ShardMessage['type']>(['submit', 'checkJobs', 'cancelJob', 'declined', 'notOwner', 'ended', 'moved'])
+
 /** Number of queues beside the one that all versions have. */
 const ADDED_QUEUES_MAX = 2
 
@@ -108,6 +111,8 @@
   private readonly connections = new Map<string, number>()
   /** Number of the latest connection of a directed link that loses everything for good. */
   private readonly silentConnections = new Map<string, number>()
+  /** Messages about jobs that take their own time and overtake each other, as on connections that are replaced again and again, or are lost; in shares of all. */
+  scatter: MessageScatter | undefined
   /** Whether crashed endpoints give no sign, as machines without power do, in place of refused and broken connections. */
   crashesAreSilent = false
   /** Share of orders to endpoints that take effect 2 to 12 s late and get no answer. */
@@ -685,6 +690,14 @@
     return (this.domainOf.get(from) === this.domainOf.get(to) ? 0.1 : 1.4) + this.randomBelow(10) / 10
   }
 
+  /** @returns how much longer a message takes; it never arrives if that is for ever */
+  private scatterMs ({ type }: ShardMessage): number {
+    if (this.scatter === undefined || !SCATTERED_TYPES.has(type)) return 0
+    const { lostShare, lateShare, delayMaxMs } = this.scatter
+    if (this.randomBelow(1000) < lostShare * 1000) return Infinity
+    return this.randomBelow(1000) < lateShare * 1000 ? this.randomBelow(delayMaxMs) : 0
+  }
+
   private isCut (from: string, to: string): boolean {
     return this.cutLinks.has(`${from}>${to}`)
   }
@@ -701,7 +714,9 @@
       else if (!target.silent) this.postLater(process, delayMs, () => ({ type: 'sendFailed', to, message }))
     }
     const held = this.heldMessages.get(pair)
-    if (held === undefined) this.time.after(delayMs, arrive)
+    const scatterMs = this.scatterMs(message)
+    if (scatterMs === Infinity) return
+    if (held === undefined) this.time.after(delayMs + scatterMs, arrive)
     else held.push({ connection: this.connections.get(pair) ?? 0, deliver: arrive })
   }
 
