Jobs whose endpoints are missing from the list: where they go on, and where they start when their domain is evacuated

By the code it cannot: the ledger keeps an endpoint while it has runs, whatever the list says, and an owner releases a job only when the ledger has no run of it.

Change: two tests and a mutant in missingEntries.spec.ts. The entries of all endpoints of a job are removed and its domain is evacuated.

The job completes there and is neither released nor sent elsewhere; cut off from its owner, it is released and starts in the other domain after its runs have lapsed. An owner that takes runs for lost a lease too early breaks TWICE.

--- a/packages/bench/src/shard/missingEntries.spec.ts
+++ b/packages/bench/src/shard/missingEntries.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { InstanceId } from '@cranberryyard/protocol'
+import type { EndpointId, InstanceId } from '@cranberryyard/protocol'
 import { replaceMethod, sampleInstance as sample } from './patches.js'
 import { ShardFleet } from './shardFleet.js'
 
@@ -75,3 +75,63 @@
     }
   })
 })
+
+/** Time after which a missing entry has been removed from all lists. */
+const REMOVED_MS = 3500
+/** Long enough for the job to be worth starting elsewhere afterwards. */
+const WORK_MS = 12_000
+/** An endpoint's longest lease, at the slowest clock. */
+const LEASE_MS = 1020
+
+interface Moved {
+  readonly fleet: ShardFleet
+  readonly reply: string | undefined
+  /** What has become of the job at fronts and owners. */
+  readonly events: readonly string[]
+}
+
+/** Removes the entries of all endpoints at which a job runs, and evacuates their domain. */
+function evacuateWithoutEntries (seed: number, cutOff: boolean): Moved {
+  const fleet = new ShardFleet({ domains: ['a', 'b'], instancesPerDomain: 3, endpointsPerDomain: 8, seed })
+  fleet.run(8000)
+  const { id } = fleet.submitTasks(FRONT, Array.from({ length: 3 }, () => ({ cpuMilli: 30_000, workMs: WORK_MS, fails: false })), 2 * WORK_MS)
+  fleet.run(300 + fleet.randomBelow(300))
+  const withRuns = [...fleet.endpoints.values()].filter(endpoint => endpoint.runs.size > 0).map(endpoint => endpoint.id as EndpointId)
+  expect(withRuns.map(name => name.startsWith('e-a-')), `seed ${seed}`).to.deep.equal([true, true, true])
+  for (const endpoint of withRuns) fleet.missEntry(endpoint, BEYOND_TEST_MS)
+  fleet.run(REMOVED_MS)
+  fleet.evacuate('a')
+  if (cutOff) fleet.cutPairs(withRuns.flatMap(endpoint => [`${OWNER}>${endpoint}`, `${endpoint}>${OWNER}`]), BEYOND_TEST_MS)
+  fleet.run(WORK_MS)
+  const events = fleet.logs.filter(({ event, fields }) => /^job\.(declined|released|sentAgain|abandoned)$/.test(event) && 'job' in fields && fields.job === id).map(({ event }) => event)
+  return { fleet, reply: fleet.jobs.find(job => job.id === id)?.reply, events }
+}
+
+describe('a job whose endpoints are missing from the list', () => {
+  it('goes on there when its domain is evacuated, and its front sends it nowhere else', () => {
+    for (const seed of SEEDS) {
+      const { fleet, reply, events } = evacuateWithoutEntries(seed, false)
+      expect([reply, events, fleet.oracle.violations], `seed ${seed}`).to.deep.equal(['completed', [], []])
+    }
+  })
+
+  it('goes to another domain when its owner no longer reaches them, and starts there once its runs have lapsed', () => {
+    for (const seed of SEEDS) {
+      const { fleet, events } = evacuateWithoutEntries(seed, true)
+      expect([events.slice(0, 2), fleet.oracle.violations], `seed ${seed}`).to.deep.equal([['job.released', 'job.sentAgain'], []])
+    }
+  })
+
+  it('starts there beside them when its owner takes them for lost before that', () => {
+    const undo = replaceMethod(sample.endpoints, 'recordLeaseEnd', original => function (this: typeof sample.endpoints, ...args) {
+      const [endpoint] = args as unknown as [{ leasesEndBy: number }]
+      original.apply(this, args)
+      endpoint.leasesEndBy -= LEASE_MS
+    })
+    try {
+      expect(SEEDS.flatMap(seed => evacuateWithoutEntries(seed, true).fleet.oracle.violations.map(({ rule }) => rule))).to.include('TWICE')
+    } finally {
+      undo()
+    }
+  })
+})
