Jobs that move between domains: with queues that have just been added, and instances that handle messages late

Cause: movedJobs.ts left out two ways in which the copies of a job meet owners that know less than its front: versions of the desired state in quick succession, and owners or fronts that are behind.

Change: both, in the same scenario.

--- a/packages/bench/src/shard/movedJobs.ts
+++ b/packages/bench/src/shard/movedJobs.ts
@@ -10,6 +10,7 @@
 const LOADED_MS = 12_000
 const AFTERWARDS_MS = 4000
 const LONGEST_TASK_MS = 4000
+const JOBS_PER_QUEUE = 10
 /** Messages may take longer than owners accept an order, and overtake ten later ones. */
 const SCATTERS = [
   { lostShare: 0, lateShare: 0.1, delayMaxMs: 2500 },
@@ -39,7 +40,16 @@
     }
   },
   { meanIntervalMs: 3000, happen: fleet => fleet.missEntry(pick(fleet, [...fleet.endpoints.keys()]), 500 + fleet.randomBelow(6000)) },
-  { meanIntervalMs: 5000, happen: fleet => void fleet.addQueue() },
+  {
+    meanIntervalMs: 2000,
+    happen: (fleet) => {
+      const queueVersion = fleet.addQueue()
+      for (let job = 0; job < JOBS_PER_QUEUE; job++) fleet.time.after(fleet.randomBelow(2000), () => submitLong(fleet, queueVersion))
+      // Another version may follow before every instance has the first.
+      if (fleet.randomBelow(2) === 0) fleet.time.after(fleet.randomBelow(100), () => fleet.changeDesiredState())
+    }
+  },
+  { meanIntervalMs: 2500, happen: fleet => fleet.slowDown(pickInstance(fleet), 50 + fleet.randomBelow(300), 1500) },
   { meanIntervalMs: 6000, happen: fleet => fleet.terminate(pickInstance(fleet), 300) }
 ]
 
@@ -64,9 +74,13 @@
 }
 
 function submitJob (fleet: ShardFleet): void {
-  const cpuMilli = 8000 + fleet.randomBelow(8000)
-  if (fleet.randomBelow(4) === 0) fleet.submit(pickInstance(fleet), 6, { cpuMilli, workMs: 60, fails: false })
-  else fleet.submit(pickInstance(fleet), 1 + fleet.randomBelow(3), { cpuMilli, workMs: 500 + fleet.randomBelow(LONGEST_TASK_MS - 500), fails: false })
+  if (fleet.randomBelow(4) === 0) fleet.submit(pickInstance(fleet), 6, { cpuMilli: 8000 + fleet.randomBelow(8000), workMs: 60, fails: false })
+  else submitLong(fleet)
+}
+
+function submitLong (fleet: ShardFleet, queueVersion?: number): void {
+  const spec = { cpuMilli: 8000 + fleet.randomBelow(8000), workMs: 500 + fleet.randomBelow(LONGEST_TASK_MS - 500), fails: false }
+  fleet.submit(pickInstance(fleet), 1 + fleet.randomBelow(3), spec, queueVersion === undefined ? {} : { queueVersion })
 }
 
 function pick<T> (fleet: ShardFleet, items: readonly T[]): T {
