--- a/packages/core/src/attempts/attemptsDb.ts
+++ b/packages/core/src/attempts/attemptsDb.ts
@@ -3,8 +3,10 @@
  * it again, and are forgotten some time after the last one. Their number is bounded. When a whole failure domain falls silent, that says
  * nothing about its tasks, so jobs of which only that is known are dropped first.
  */
-import type { AttemptFault, EndpointId, JobId, Ms, TaskAttempts, TaskName } from '@cranberryyard/protocol'
+import type { EndpointId, JobId, Ms, TaskAttempts, TaskName } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
+import { isUnsettled, toAttempt } from './faults.js'
+import type { RunFault } from './types.js'
 
 /** How long the attempts of a job are kept; callers send a job again within seconds, a few times. */
 const RETENTION_MS = 60_000
@@ -12,19 +14,19 @@
 const ATTEMPTS_MAX = 5000
 
 /** Number of a task's attempts by what became of them. */
-export type FaultCounts = Readonly<Record<AttemptFault, number>>
+export type FaultCounts = Readonly<Record<RunFault, number>>
 
-const NO_FAULTS: FaultCounts = { silent: 0, crashed: 0, crashedAlone: 0, failed: 0, outOfReach: 0 }
+const NO_FAULTS: FaultCounts = { silent: 0, refused: 0, refusedAlone: 0, crashed: 0, crashedAlone: 0, failed: 0, outOfReach: 0 }
 
 interface TaskHistory {
-  readonly runs: Map<string, AttemptFault>
-  readonly counts: Record<AttemptFault, number>
+  readonly runs: Map<string, RunFault>
+  readonly counts: Record<RunFault, number>
 }
 
 interface JobAttempts {
   until: Ms
   attempts: number
-  /** A run has failed or an endpoint has crashed under it, so what is known counts for more than silence. */
+  /** A run has failed, or an endpoint has crashed under it or refused connections, so what is known counts for more than silence. */
   evident: boolean
   readonly tasks: Map<TaskName, TaskHistory>
   /** Tasks whose attempts may be reason enough to give the job up. */
@@ -32,12 +34,13 @@
 }
 
 /** A later report on the same run replaces an earlier one only with a fault further down in this list. */
-const PRECEDENCE: readonly AttemptFault[] = ['silent', 'crashed', 'crashedAlone', 'failed', 'outOfReach']
+const PRECEDENCE: readonly RunFault[] = ['silent', 'refused', 'refusedAlone', 'crashed', 'crashedAlone', 'failed', 'outOfReach']
 
-/** A run of which only the silence of its endpoint is known. */
+/** A run whose endpoint has not answered since. */
 export interface SilentAttempt {
   readonly task: TaskName
   readonly run: string
+  readonly fault: RunFault
 }
 
 /** Attempts that went wrong. */
@@ -52,10 +55,10 @@
    * Adds what became of a run.
    * @returns false when it was known
    */
-  add (task: TaskName, run: string, fault: AttemptFault, now: Ms): boolean {
+  add (task: TaskName, run: string, fault: RunFault, now: Ms): boolean {
     const id = jobIdOf(task)
     const job = this.jobs.get(id) ?? { until: now, attempts: 0, evident: false, tasks: new Map<TaskName, TaskHistory>(), doubtful: new Set<TaskName>() }
-    const history = job.tasks.get(task) ?? { runs: new Map<string, AttemptFault>(), counts: { ...NO_FAULTS } }
+    const history = job.tasks.get(task) ?? { runs: new Map<string, RunFault>(), counts: { ...NO_FAULTS } }
     const known = history.runs.get(run)
     if (known !== undefined && PRECEDENCE.indexOf(fault) <= PRECEDENCE.indexOf(known)) return false
     this.drop(id, job)
@@ -64,8 +67,8 @@
     history.counts[fault]++
     if (known === undefined) job.attempts++
     else history.counts[known]--
-    if (fault === 'silent') this.keepSilence({ task, run })
-    else if (known === 'silent') this.dropSilence({ task, run })
+    if (isUnsettled(fault)) this.keepSilence({ task, run, fault })
+    else if (known !== undefined && isUnsettled(known)) this.dropSilence(task, run)
     if (history.counts.failed > 0 || history.counts.crashed + history.counts.crashedAlone > 1) job.doubtful.add(task)
     job.evident ||= fault !== 'silent' && fault !== 'outOfReach'
     job.until = ms(now + RETENTION_MS)
@@ -75,7 +78,7 @@
   }
 
   /** @returns the faults of a task's attempts */
-  faultsOf (task: TaskName): readonly AttemptFault[] {
+  faultsOf (task: TaskName): readonly RunFault[] {
     return [...this.jobs.get(jobIdOf(task))?.tasks.get(task)?.runs.values() ?? []]
   }
 
@@ -89,7 +92,7 @@
     return this.jobs.get(id)?.doubtful ?? []
   }
 
-  /** @returns the attempts at an endpoint of which only its silence is known */
+  /** @returns the attempts at an endpoint that has not answered since, or has only refused connections */
   silentAt (endpoint: EndpointId): SilentAttempt[] {
     return [...this.silences.get(endpoint)?.values() ?? []]
   }
@@ -101,7 +104,7 @@
 
   /** @returns the attempts at the tasks of a job */
   ofJob (id: JobId): TaskAttempts[] {
-    return [...this.jobs.get(id)?.tasks ?? []].map(([task, { runs }]) => ({ task, attempts: [...runs].map(([run, fault]) => ({ run, fault })) }))
+    return [...this.jobs.get(id)?.tasks ?? []].map(([task, { runs }]) => ({ task, attempts: [...runs].map(([run, fault]) => toAttempt(run, fault)) }))
   }
 
   /** @returns the jobs with attempts that went wrong */
@@ -132,7 +135,7 @@
   private forget (id: JobId, job: JobAttempts): void {
     this.drop(id, job)
     for (const [task, { runs }] of job.tasks) {
-      for (const [run, fault] of runs) if (fault === 'silent') this.dropSilence({ task, run })
+      for (const [run, fault] of runs) if (isUnsettled(fault)) this.dropSilence(task, run)
     }
   }
 
@@ -142,7 +145,7 @@
     this.silences.set(endpoint, there.set(`${attempt.task}#${attempt.run}`, attempt))
   }
 
-  private dropSilence ({ task, run }: SilentAttempt): void {
+  private dropSilence (task: TaskName, run: string): void {
     const there = this.silences.get(endpointOf(run))
     there?.delete(`${task}#${run}`)
     if (there?.size === 0) this.silences.delete(endpointOf(run))
--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -7,7 +7,7 @@
 import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, Resources, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
-import { crashOf, faultOfLoss } from '../attempts/faults.js'
+import { crashOf, faultOfLoss, refusalOf } from '../attempts/faults.js'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
 import type { ShardCapacity } from '../admission/types.js'
 import type { EndpointsDecider } from '../endpoints/endpointsDecider.js'
@@ -259,15 +259,14 @@
   }
 
   /**
-   * Counts a crash against all tasks that may have caused it, without waiting for the end of their leases: this owner may be lost
-   * before that, and a job that is given up is answered at once.
+   * Makes all tasks suspect that may have crashed the endpoint, without waiting for the end of their leases, since this owner may be lost
+   * before that. No job ends for it: the endpoint may be cut off and go on with its runs.
    */
   endpointRefused (endpoint: LedgerEndpoint, runs: readonly LedgerRun[], runsThere: number): void {
     this.ctx.out.log('endpoint.refused', { endpoint: endpoint.id, runs: runsThere, lastAnswerAgeMs: Math.round(this.ctx.now - endpoint.answeredAt) }, 'warn')
     if (runs.length === 0) return
     this.ctx.out.count('shard.endpoints.crashed')
-    this.faults.record(runs, endpoint, crashOf(runsThere))
-    for (const id of jobIdsOf(runs)) this.attemptsLearned(id)
+    this.faults.record(runs, endpoint, refusalOf(runsThere))
   }
 
   endpointAnswered ({ id }: LedgerEndpoint, bornAt: number): void {
--- a/packages/core/src/execution/runFaults.ts
+++ b/packages/core/src/execution/runFaults.ts
@@ -2,9 +2,10 @@
  * Decides what the runs that went wrong say about their tasks and endpoints, and passes on to fronts and other owners what is
  * new: the job may go on at another owner, or come again from another front.
  */
-import type { AttemptFault, JobId } from '@cranberryyard/protocol'
+import type { JobId } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
 import { jobIdOf } from '../attempts/attemptsDb.js'
+import type { RunFault } from '../attempts/types.js'
 import type { LedgerEndpoint, LedgerRun } from '../endpoints/types.js'
 import type { PlacementDecider } from '../placement/placementDecider.js'
 import type { OwnedTask } from './types.js'
@@ -20,7 +21,7 @@
   constructor (private readonly placement: PlacementDecider, private readonly attempts: AttemptsDecider, private readonly attemptsChanged: AttemptsChanged) {}
 
   /** Records what became of runs at an endpoint. */
-  record (runs: readonly LedgerRun[], endpoint: LedgerEndpoint, fault: AttemptFault): void {
+  record (runs: readonly LedgerRun[], endpoint: LedgerEndpoint, fault: RunFault): void {
     const changed = jobIdsOf(runs.filter(run => this.attempts.record(run, endpoint, fault)))
     if (changed.size > 0) this.attemptsChanged(changed)
   }
--- a/packages/protocol/src/dispatch.ts
+++ b/packages/protocol/src/dispatch.ts
@@ -132,6 +132,8 @@
   /** Names the endpoint, its incarnation and the number of the run, so that two reports of one run count once. */
   readonly run: string
   readonly fault: AttemptFault
+  /** The endpoint refused connections, which a cut network may do too, and has not answered since; `fault` is what counts if it has crashed. */
+  readonly unsettled?: boolean
 }
 
 /** The runs of a task that went wrong. */
