--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -11,7 +11,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { ConnectionReads } from './connectionReads.js'
-import type { ProcessReads } from './connectionReads.js'
+import type { ProcessReads, UnreadInput } from './connectionReads.js'
 import { GuardedStream } from './guardedStream.js'
 import type { InputCounts } from './guardedStream.js'
 import { InputTurns } from './inputTurns.js'
@@ -79,6 +79,12 @@
     this.guard.turns.spend(this.turn, 1 + bytes / PIECE_BYTES_PER_UNIT)
   }
 
+  /** Takes no further input. */
+  refuseInput (): void {
+    if (this.stream === undefined) this.socket.pause()
+    else this.stream.dropInput()
+  }
+
   /** Whatever has arrived is complete; this instance owes the answer. @param units - what reading the request costs */
   completed (units: number): void {
     this.guard.turns.spend(this.turn, units)
@@ -94,9 +100,8 @@
     this.connection.awaitsTurn = awaitsTurn
   }
 
-  setUnread (isUnread: boolean): void {
-    if (isUnread) this.reads.waits()
-    else this.reads.emptied(this.guard.now())
+  noteUnread (unread: UnreadInput): void {
+    this.reads.update(unread, this.guard.now())
   }
 
   /** @returns whether something waits for the other side and it has read none of it for too long */
@@ -110,8 +115,11 @@
   }
 
   private leave (): void {
+    const isAwaited = this.onLeft.size > 0
     for (const callback of [...this.onLeft]) callback()
     this.onLeft.clear()
+    // Nobody waits for that answer any more, and whatever the stream still holds is behind it.
+    if (isAwaited) this.stream?.destroySoon()
   }
 }
 
