task.unclear says which task no longer starts since endpoints refuse connections under it

Cause: since a job fails only when its endpoints have come back in another incarnation, a task that crashes endpoints leaves no job.crashing where callers leave sooner than that, and operators had no line that names it.

The specs of attempts, execution, crashing tasks and resets pass.

--- a/packages/core/src/execution/executionDecider.ts
+++ b/packages/core/src/execution/executionDecider.ts
@@ -7,6 +7,7 @@
 import type { DispatchOrder, EndpointId, FailureDomain, FencingToken, InstanceId, JobId, JobOutcome, JobProgress, Ms, Resources, RunEnd, ShardMessage } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import type { AttemptsDecider } from '../attempts/attemptsDecider.js'
+import { jobIdOf } from '../attempts/attemptsDb.js'
 import { crashOf, faultOfLoss, refusalOf } from '../attempts/faults.js'
 import { AdmissionDecider } from '../admission/admissionDecider.js'
 import type { ShardCapacity } from '../admission/types.js'
@@ -267,6 +268,9 @@
     if (runs.length === 0) return
     this.ctx.out.count('shard.endpoints.crashed')
     this.faults.record(runs, endpoint, refusalOf(runsThere))
+    for (const { task } of runs) {
+      if (this.attempts.standingOf(task) === 'unclear') this.ctx.out.log('task.unclear', { job: jobIdOf(task), task, endpoint: endpoint.id, faults: this.attempts.db.faultsOf(task).join() }, 'warn')
+    }
   }
 
   endpointAnswered ({ id }: LedgerEndpoint, bornAt: number): void {
