Confirmations of jobs whose callers' input waits carry their date instead of being left out

Found by the review, by trace: a front left out the confirmation of a job whose caller's connection was behind at the tick, so input that comes at each tick kept its owner from hearing of it, though the date moves on.

Measured: specs of ShardInstance and intake pass; without the date for its own shard, or without the reads of the connection, one of them fails each.

--- a/packages/core/src/intake/intakeDecider.ts
+++ b/packages/core/src/intake/intakeDecider.ts
@@ -324,7 +324,7 @@
    * Returns the reading of an owner's clock that messages about jobs carry.
    * @param seenAt - until when their callers are known to wait
    */
-  private readingOf (owner: InstanceId, seenAt = this.callersSeenAt()): { readonly ownerClock?: ClockReading } {
+  private readingOf (owner: InstanceId, seenAt: Ms): { readonly ownerClock?: ClockReading } {
     const ownerClock = this.sessions.clockAt(owner, seenAt, this.isBehind(seenAt) ? ms(-Infinity) : this.db.callerReads.endedAt)
     return ownerClock === undefined ? {} : { ownerClock }
   }
@@ -384,19 +384,18 @@
 
   private checkJobsAtOwners (): void {
     const { now } = this.ctx
-    const checks = new Map<string, { readonly owner: InstanceId, readonly failureDomain: FailureDomain, readonly ids: JobId[] }>()
+    const checks = new Map<string, { readonly owner: InstanceId, readonly failureDomain: FailureDomain, readonly seenAt: Ms, readonly ids: JobId[] }>()
     for (const job of this.db.jobs.values()) {
       if (job.location.type !== 'atOwner' || now - job.checkedAt < this.ctx.cfg.confirmMs) continue
-      // Nothing new is known of its callers.
-      if (this.isBehind(this.callersSeenAt(job.id))) continue
       job.checkedAt = now
       const { owner, failureDomain } = job.location
-      const key = `${owner} ${failureDomain}`
-      const check = checks.get(key) ?? { owner, failureDomain, ids: [] }
+      const seenAt = this.callersSeenAt(job.id)
+      const key = `${owner} ${failureDomain} ${seenAt}`
+      const check = checks.get(key) ?? { owner, failureDomain, seenAt, ids: [] }
       check.ids.push(job.id)
       checks.set(key, check)
     }
-    for (const { owner, failureDomain, ids } of checks.values()) this.deliver(owner, { type: 'checkJobs', failureDomain, jobIds: ids, ...this.readingOf(owner) })
+    for (const { owner, failureDomain, seenAt, ids } of checks.values()) this.deliver(owner, { type: 'checkJobs', failureDomain, jobIds: ids, ...this.readingOf(owner, seenAt) })
   }
 
   /** Refuses a job that nobody takes, unless tasks of it have run before it was released. */
--- a/packages/core/src/shard/shardInstance.spec.ts
+++ b/packages/core/src/shard/shardInstance.spec.ts
@@ -266,21 +266,39 @@
       handle(1, announce(1))
     })
 
-    it('confirms only the jobs of other callers, until all of it is read', () => {
+    it('confirms the job up to the last time at which all of it was read, and the jobs of other callers as usual', () => {
       handle(10, submit('c1', 'a'))
       handle(10, submit('c2', 'b'))
-      behind.set('c1', ms(11))
-      const checked = (now: number): readonly JobId[] => handle(now, TICK).flatMap(effect => effect.type === 'send' && effect.message.type === 'checkJobs' ? effect.message.jobIds : [])
-      expect(checked(300)).to.deep.equal(['b'])
+      const checked = (now: number): unknown[] => handle(now, TICK).flatMap(effect => effect.type === 'send' && effect.message.type === 'checkJobs' ? [[...effect.message.jobIds, effect.message.ownerClock?.at]] : [])
+      behind.set('c1', ms(40))
+      handle(250, announce(250))
+      expect(checked(300)).to.deep.equal([['a', 1040], ['b', 1300]])
       behind.clear()
-      expect(checked(310)).to.deep.equal(['a'])
+      expect(checked(510)).to.deep.equal([['a', 'b', 1510]])
+    })
+
+    it('counts a job of its own shard up to that time too', () => {
+      const dates: [string, Ms][] = []
+      handle(10, { type: 'records', members: [], shards: [] })
+      handle(11, { type: 'peer', from: OWNER, message: { type: 'handover', failureDomain: DOMAIN, revision: 2, rank: 0 } })
+      expect(front.ownership.owns()).to.equal(true)
+      front.execution.submit = (_front, _failureDomain, _order, sentAt) => dates.push(['submit', sentAt]) > 0
+      front.execution.confirmJobs = (_front, _failureDomain, _ids, sentAt) => {
+        dates.push(['confirm', sentAt])
+      }
+      behind.set('c1', ms(12))
+      handle(20, submit('c1', 'a'))
+      handle(300, TICK)
+      expect(dates).to.deep.equal([['submit', 12], ['confirm', 12]])
     })
 
     it('dates copies of the job with the last time at which all of it was read', () => {
       handle(10, submit('c1', 'a'))
       behind.set('c1', ms(20))
       handle(200, announce(200))
-      expect(messagesIn(handle(210, { type: 'linkDown', peer: OWNER }))).to.deep.equal([['submit', 1020]])
+      const effects = handle(210, { type: 'linkDown', peer: OWNER })
+      expect(messagesIn(effects)).to.deep.equal([['submit', 1020]])
+      expect(effects.flatMap(effect => effect.type === 'send' && effect.message.type === 'submit' ? effect.message.order.remainingMs : [])).to.deep.equal([10 + 9000 - 20])
     })
 
     it('goes on with a job for which another caller waits', () => {
--- a/packages/core/src/shard/shardInstance.ts
+++ b/packages/core/src/shard/shardInstance.ts
@@ -493,9 +493,9 @@
    * Returns when a front sent a message at the earliest, from the reading of this instance's clock that it carries. A message without a reading, or with
    * one of an earlier incarnation, may be of any age, unless the front runs an earlier version, which knows no readings. So may one with a reading of a
    * time to come: this clock has stood still since, unnoticed, because the machine was suspended and its wall clock stepped back.
-   * @param jobId - the job that the message is about; undefined for a confirmation, which is sent only for callers of whom all has been read
+   * @param jobId - the job that the message is about, or any of them, which have one date
    */
-  private sentAt (front: InstanceId, ownerClock: ClockReading | undefined, jobId?: JobId): Ms {
+  private sentAt (front: InstanceId, ownerClock: ClockReading | undefined, jobId: JobId | undefined): Ms {
     const { now, self, suspendedMs } = this.ctx
     if (front === self.instance) return this.intake.callersSeenAt(jobId)
     if (ownerClock === undefined) return this.sessions.sendsReadings(front) ? ms(-Infinity) : now
@@ -506,7 +506,7 @@
   private receiveJobCheck (from: InstanceId, { failureDomain, jobIds, ownerClock }: Extract<ShardMessage, { type: 'checkJobs' }>): void {
     const peer = this.sessions.db.peers.get(from)
     const front = { instance: from, incarnation: peer?.incarnation ?? this.ctx.self.incarnation, address: peer?.address ?? '' }
-    this.execution.confirmJobs(front, failureDomain, jobIds, this.sentAt(from, ownerClock))
+    this.execution.confirmJobs(front, failureDomain, jobIds, this.sentAt(from, ownerClock, jobIds[0]))
   }
 
   private linkDown (peer: InstanceId): void {
