--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -6,6 +6,7 @@
 import type { Turn } from '@cranberryyard/core/shard'
 import { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
+import type { UnreadInput } from './connectionReads.js'
 import type { InputReader, InputTurns } from './inputTurns.js'
 import { countPiece } from './pieceCollection.js'
 
@@ -21,8 +22,8 @@
   hold (bytes: number): void
   /** Sets whether bytes wait for their turn. */
   setAwaitsTurn (awaitsTurn: boolean): void
-  /** Sets whether bytes have arrived that are not read yet, for whatever reason. */
-  setUnread (isUnread: boolean): void
+  /** Notes what has arrived and is not read yet, for whatever reason; called when input arrives and after each read. */
+  noteUnread (unread: UnreadInput): void
 }
 
 /** A connection as an HTTP server reads and writes it. */
@@ -30,6 +31,7 @@
   private heldBytes = 0
   /** Whether the reader takes more. */
   private wanted = false
+  private dropsInput = false
 
   constructor (private readonly socket: Socket, private readonly turns: InputTurns, private readonly turn: Turn, private readonly counts: InputCounts) {
     super({ allowHalfOpen: true, decodeStrings: false })
@@ -52,10 +54,18 @@
     return this
   }
 
+  /** Hands nothing on any more. What arrives is dropped, so that the end of the connection is noticed behind it. */
+  dropInput (): void {
+    this.pause()
+    this.dropsInput = true
+    this._read()
+  }
+
   readSlice (): void {
     if (this.destroyed) return
     this.counts.setAwaitsTurn(false)
-    const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
+    const { readableLength } = this.socket
+    const slice = this.socket.read(this.dropsInput ? readableLength : Math.min(SLICE_BYTES, readableLength)) as Buffer | null
     this.count()
     if (slice !== null) this.handOn(slice)
     // A socket whose end arrived while bytes waited emits it only with a read after the last of them.
@@ -92,6 +102,7 @@
       return
     }
     countPiece(readableLength)
+    this.noteUnread()
     if (this.wanted && readableLength <= SLICE_BYTES && this.turns.readAtOnce(this.turn, readableLength)) return this.readSlice()
     this.wait()
     this.count()
@@ -107,15 +118,21 @@
   private count (): void {
     const { readableLength, readableHighWaterMark } = this.socket
     const bytes = readableLength >= readableHighWaterMark ? readableLength + RECEIVE_BUFFER_BYTES : readableLength
-    this.counts.setUnread(readableLength > 0)
+    this.noteUnread()
     const grownBytes = bytes - this.heldBytes
     this.heldBytes = bytes
     if (grownBytes !== 0) this.counts.hold(grownBytes)
   }
 
+  private noteUnread (): void {
+    const { readableLength, readableHighWaterMark } = this.socket
+    this.counts.noteUnread(readableLength === 0 ? 'none' : readableLength < readableHighWaterMark ? 'some' : 'full')
+  }
+
   private handOn (slice: Buffer): void {
-    this.wanted = false
     this.turns.spend(this.turn, SLICE_UNITS + slice.length / BYTES_PER_UNIT)
+    if (this.dropsInput) return
+    this.wanted = false
     this.push(slice)
   }
 
