A socket that fills again between two slices is noted as full

What callers could see: the time up to which a front knows of a caller could be too late by as long as a full socket had waited, so that its job was confirmed after it had left.

Cause: a socket that fills again after a slice has been read emits no `readable`, and `readSlice` noted what was unread only after it had taken the next slice. That the kernel was not read on meanwhile was not known.

Change: `readSlice` notes it before it reads. guardedStream.spec.ts: noted ['some'] before, ['full', 'some'] now.

--- a/packages/dispatcher/src/utils/guardedStream.spec.ts
+++ b/packages/dispatcher/src/utils/guardedStream.spec.ts
@@ -4,11 +4,16 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { systemClock } from '@cranberryyard/protocol'
+import type { UnreadInput } from './connectionReads.js'
 import { GuardedStream } from './guardedStream.js'
 import { InputTurns } from './inputTurns.js'
 
 /** More than is handed on at once. */
 const INPUT_BYTES = 6000
+/** More than a socket takes from the kernel before it is read; less a slice, it takes more. */
+const FULL_BYTES = 17_000
+/** Fills the socket again. */
+const REFILL_BYTES = 5000
 const PATIENCE_MS = 5000
 
 const COUNTS = { hold: () => {}, setAwaitsTurn: () => {}, noteUnread: () => {} }
@@ -48,4 +53,21 @@
     const outcome = await Promise.race([ended, sleep(PATIENCE_MS, 'not ended', { ref: false })])
     expect([outcome, bytes, socket.readableEnded]).to.deep.equal(['ended', INPUT_BYTES, true])
   })
+
+  it('is noted as full before it is read on, although its socket filled again without an event', async () => {
+    const socket = await accept()
+    const noted: UnreadInput[] = []
+    const turns = { wait () {}, readAtOnce: () => false, spend () {}, close () {} } as unknown as InputTurns
+    const stream = new GuardedStream(socket, turns, new InputTurns(systemClock).open(), { ...COUNTS, noteUnread: unread => noted.push(unread) })
+    stream.on('data', () => {})
+    client.write(Buffer.alloc(FULL_BYTES))
+    while (socket.readableLength < FULL_BYTES) await sleep(1)
+    stream.readSlice()
+    const left = socket.readableLength
+    client.write(Buffer.alloc(REFILL_BYTES))
+    while (socket.readableLength < left + REFILL_BYTES) await sleep(1)
+    noted.length = 0
+    stream.readSlice()
+    expect(noted).to.deep.equal(['full', 'some'])
+  })
 })
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -56,6 +56,8 @@
   readSlice (): void {
     if (this.destroyed) return
     this.counts.setAwaitsTurn(false)
+    // A socket that fills again after a slice emits no event.
+    this.noteUnread()
     const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
     this.count()
     if (slice !== null) this.handOn(slice)
