A connection counts as read from when all before it were accepted

What callers saw (real processes, callerEnds.spec.ts): a caller connects to a front that stands still, sends a job with more requests behind it than are read at once, leaves, and sends the job again 1.3 s later through another domain.

Cause: the event loop accepts one waiting connection in a turn and reads it in the next. `SocketReads.upTo` moved on with each turn, also past what had arrived on connections not accepted yet, and a new connection began with that time.

Change: the process knows up to when all connections have been accepted: that of the last read which found none. A connection begins behind, at that time, until the process has read once more.

--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -30,6 +30,9 @@
 /** Time after which a connection is closed whose other side has not read any of what waits for it. */
 const UNREAD_MS = 15_000
 
+/** For servers that decide nothing by it. */
+const ALL_READ: ProcessReads = { upTo: ms(Infinity), acceptedUpTo: ms(Infinity), accepted () {} }
+
 /** Reports each connection that is closed. */
 export type ReportClosed = (reason: CloseReason) => void
 
@@ -49,7 +52,7 @@
   constructor (readonly socket: Socket, readonly connection: Connection, private readonly guard: ConnectionGuard) {
     this.drainedAt = connection.openedAt
     this.turn = guard.turns.open()
-    this.reads = new ConnectionReads(guard.processReads)
+    this.reads = new ConnectionReads(guard.processReads, guard.now())
     const left = (): void => this.leave()
     socket.on('end', left).on('error', left).on('close', left)
   }
@@ -144,7 +147,7 @@
   private sweepTimer: NodeJS.Timeout | undefined
 
   /** @param processReads - up to when this process has read its sockets, by default all */
-  constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed, readonly processReads: ProcessReads = { upTo: ms(Infinity) }) {
+  constructor (allowance: Allowance, private readonly clock: Pick<Clock, 'now'>, readonly report: ReportClosed, readonly processReads: ProcessReads = ALL_READ) {
     this.decider = new ConnectionsDecider(allowance)
     this.turns = new InputTurns(clock)
   }
@@ -163,6 +166,7 @@
 
   /** Guards a connection that has just been accepted. */
   add (socket: Socket): GuardedSocket {
+    this.processReads.accepted()
     const connection = this.decider.open(this.clock.now())
     const guarded = new GuardedSocket(socket, connection, this)
     this.sockets.set(connection, guarded)
--- a/packages/dispatcher/src/utils/connectionReads.spec.ts
+++ b/packages/dispatcher/src/utils/connectionReads.spec.ts
@@ -1,14 +1,15 @@
+import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 import { expect } from 'chai'
 import { ConnectionReads } from './connectionReads.js'
 
 describe('the reads of a connection', () => {
-  let process: { upTo: ReturnType<typeof ms> }
+  let process: { upTo: Ms, acceptedUpTo: Ms, accepted: () => void }
   let reads: ConnectionReads
 
   beforeEach(() => {
-    process = { upTo: ms(100) }
-    reads = new ConnectionReads(process)
+    process = { upTo: ms(100), acceptedUpTo: ms(40), accepted () {} }
+    reads = new ConnectionReads(process, ms(90))
   })
 
   it('are those of the process while nothing waits', () => {
@@ -42,6 +43,20 @@
     }
   })
 
+  it('of which the first input follows its acceptance end where the process had accepted all connections', () => {
+    reads = new ConnectionReads(process, ms(105))
+    expect(reads.behindAt()).to.equal(40)
+    reads.update('full', ms(106))
+    process.upTo = ms(150)
+    expect(reads.behindAt()).to.equal(40)
+  })
+
+  it('of a connection that has just been accepted catch up with the next read of the process', () => {
+    reads = new ConnectionReads(process, ms(105))
+    process.upTo = ms(106)
+    expect(reads.behindAt()).to.equal(undefined)
+  })
+
   it('do not move on with input that the kernel may have held, because the socket was full', () => {
     reads.update('full', ms(110))
     process.upTo = ms(500)
--- a/packages/dispatcher/src/utils/connectionReads.ts
+++ b/packages/dispatcher/src/utils/connectionReads.ts
@@ -1,13 +1,19 @@
 /**
  * Knows up to when one connection has been read. What has arrived on it may wait for its turn, and behind that, in the process or in the kernel, may be
- * the end of the connection. An end that arrives with the last bytes is read after them, with the next read of the process.
+ * the end of the connection. An end that arrives with the last bytes is read after them, with the next read of the process. All of it may have arrived
+ * long before the connection was accepted.
  */
 import type { Ms } from '@cranberryyard/protocol'
 import { ms } from '@cranberryyard/protocol'
 
 /** Up to when the process has read all sockets. */
 export interface ProcessReads {
+  /** Everything that had arrived by then on connections that are accepted has been read. */
   readonly upTo: Ms
+  /** Every connection that had been made by then has been accepted. */
+  readonly acceptedUpTo: Ms
+  /** Notes that a connection was accepted. */
+  accepted (): void
 }
 
 /** What a socket has taken from the kernel and nobody has read. `full`: so much that it takes no more. */
@@ -18,14 +24,18 @@
   /** All that had arrived by then has been read, while that may not be so for what arrived later. */
   private behindSince: Ms | undefined
   /** The same, once more than what has been read arrives: then the end was not right behind that. */
-  private nextBehindSince: Ms = ms(0)
+  private nextBehindSince: Ms
   /** When nothing was left to read; whether the kernel had more shows with the next read of the process. */
   private emptiedAt: Ms | undefined
   private isFull = false
   /** When the socket took input from the kernel again that may have been there for long. */
   private resumedAt: Ms = ms(-Infinity)
 
-  constructor (private readonly process: ProcessReads) {}
+  constructor (private readonly process: ProcessReads, acceptedAt: Ms) {
+    this.behindSince = process.acceptedUpTo
+    this.nextBehindSince = process.acceptedUpTo
+    this.emptiedAt = acceptedAt
+  }
 
   /** Notes what is unread now. To be called when input arrives, before any of it is read, and after each read. */
   update (unread: UnreadInput, now: Ms): void {
