faults.spec.ts: a crash by a run whose endpoint was out of reach before is not counted (known red)

Cause: `outOfReach` outranks `crashed` in the attempts of a task, so a run that goes on after a cut and then crashes its endpoint counts as harmless.

--- a/packages/core/src/attempts/faults.spec.ts
+++ b/packages/core/src/attempts/faults.spec.ts
@@ -42,6 +42,16 @@
     expect(attempts.hopelessTaskOf(JOB, 4)).to.equal(TASK)
   })
 
+  it('count as crashed by the same run that goes on after their first answer', () => {
+    const attempts = attemptsAfter('refusedAlone', 'refusedAlone')
+    for (const n of [1, 2]) attempts.endpointAnswered(`e-${n}` as EndpointId, BORN_AT)
+    expect(attempts.standingOf(TASK)).to.equal('sound')
+    for (const n of [1, 2]) {
+      attempts.record(makeRun({ id: `e-${n}` as EndpointId }, TASK, n, ms(1000), { state: 'running' }), { bornAt: BORN_AT }, 'crashedAlone')
+    }
+    expect(attempts.standingOf(TASK)).to.equal('crashing')
+  })
+
   it('stay unsettled for an instance that is told of them, while one of an earlier version takes them for crashed', () => {
     const told = attemptsAfter('refused', 'refusedAlone').db.ofJob(JOB)
     expect(told.flatMap(({ attempts }) => attempts.map(({ fault }) => fault))).to.deep.equal(['crashed', 'crashedAlone'])
