--- a/packages/dispatcher/src/shard/callersSeen.spec.ts
+++ b/packages/dispatcher/src/shard/callersSeen.spec.ts
@@ -106,6 +106,7 @@
     void requested.then(() => {
       isRequested = true
     })
+    // The read after a message would not be a new one.
     await setImmediate()
     while (!isRequested) await seenAt()
     expect(await seenAt()).to.be.at.most(leftBy)
--- a/packages/dispatcher/src/utils/connectionReads.ts
+++ b/packages/dispatcher/src/utils/connectionReads.ts
@@ -23,7 +23,7 @@
 export class ConnectionReads {
   /** All that had arrived by then has been read, while that may not be so for what arrived later. */
   private behindSince: Ms | undefined
-  /** The same, once more than what has been read arrives: then the end was not right behind that. */
+  /** What `behindSince` becomes if further input arrives before the process has read once more: then the end was not right behind what was read. */
   private nextBehindSince: Ms
   /** When nothing was left to read; whether the kernel had more shows with the next read of the process. */
   private emptiedAt: Ms | undefined
