The answer to a body that is not read to its end reaches its caller

Cause: after the last answer of a connection Node destroys the socket (destroySoon). While input is unread the kernel resets the connection then, and drops what the caller hasn't read yet, or fails its next write.

Change: GuardedStream ends its side first and drops what arrives, in turns, for up to 4 MiB and a second, then closes. Only where a body was not read to its end; a connection whose caller awaits another answer is still closed at once.

The tests end their load now whatever happens.

--- a/packages/bench/src/processes/processes.spec.ts
+++ b/packages/bench/src/processes/processes.spec.ts
@@ -118,6 +118,15 @@
 describe('real processes', function () {
   this.timeout(120_000)
   let fleet: LocalFleet
+  const loads: Load[] = []
+  const startLoad = (seed: number): Load => {
+    const load = new Load(fleet, seed)
+    loads.push(load)
+    return load
+  }
+
+  // The load of a failed test would otherwise go on, and go to the next fleet.
+  afterEach(() => Promise.all(loads.splice(0).map(load => load.end())))
 
   describe('one domain', () => {
     before(async () => {
@@ -126,7 +135,7 @@
     after(() => fleet.stop())
 
     it('loses no answer when an instance gets SIGTERM under load', async () => {
-      const load = new Load(fleet, 1)
+      const load = startLoad(1)
       const leaving = itemAt(fleet.instances, 0)
       let announced = false
       const running = load.run(50, () => fleet.instances.filter(i => !announced || i !== leaving))
@@ -147,7 +156,7 @@
 
     it('answers invalid requests with a numbered code and keeps serving other callers', async () => {
       const { callerUrl } = itemAt(fleet.instances, 1)
-      const load = new Load(fleet, 2)
+      const load = startLoad(2)
       const running = load.run(30, () => fleet.instances)
       const post = async (body: string, key = KEY): Promise<{ code: number, field?: string }> => {
         const res = await fetch(`${callerUrl}/v1/jobs`, { method: 'POST', body, headers: { authorization: `Bearer ${key}` } })
@@ -189,7 +198,7 @@
     after(() => fleet.stop())
 
     it('keeps every promise through kills, a freeze, a cut, resets and a store outage', async () => {
-      const load = new Load(fleet, 3)
+      const load = startLoad(3)
       const running = load.run(35, () => fleet.instances)
       await sleep(1500)
       const [first, second, third] = [itemAt(fleet.instances, 0), itemAt(fleet.instances, 3), itemAt(fleet.instances, 7)]
@@ -223,7 +232,7 @@
 
     it('completes a job at every instance after all faults have ended', async () => {
       for (const instance of fleet.instances) await fleet.waitServing(instance)
-      const load = new Load(fleet, 4)
+      const load = startLoad(4)
       await sleep(7000)
       for (const instance of fleet.instances) {
         const end = await load.caller.submit(instance.callerUrl, { requestId: `compute-after-${instance.id}`, kind: 'compute', runTimes: [50] })
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -16,6 +16,7 @@
 import type { InputCounts } from './guardedStream.js'
 import { InputTurns } from './inputTurns.js'
 import { countPiece } from './pieceCollection.js'
+import { hasUnreadBody } from './requestBody.js'
 
 /** Bytes that an open request costs beside its body: the request, its response and what waits for it. */
 const REQUEST_BYTES = 8192
@@ -71,6 +72,9 @@
     this.guard.enter(this, 'receiving')
     this.hold(cost)
     this.guard.turns.spend(this.turn, REQUEST_UNITS)
+    res.once('prefinish', () => {
+      if (hasUnreadBody(req)) this.stream?.leaveInput()
+    })
     res.once('close', () => {
       this.hold(-cost)
       if (--this.openRequests === 0) this.guard.enter(this, 'idle')
@@ -87,8 +91,8 @@
   /** Takes no further input. */
   refuseInput (): void {
     this.refusesInput = true
-    const connection = this.stream ?? this.socket
-    connection.pause()
+    if (this.stream === undefined) this.socket.pause()
+    else this.stream.leaveInput()
     this.closeUnlessRead()
   }
 
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -15,6 +15,9 @@
 /** Cost of handing on a slice, and the bytes that cost a unit in addition. */
 const SLICE_UNITS = 1
 const BYTES_PER_UNIT = 1024
+/** Bytes that are read and dropped after the last answer of a connection whose other side goes on sending, and how long that may take. */
+const DISCARDED_BYTES = 4_194_304
+const DISCARDING_MS = 1000
 
 /** Counts what waits on a connection. */
 export interface InputCounts {
@@ -31,6 +34,11 @@
   private heldBytes = 0
   /** Whether the reader takes more. */
   private wanted = false
+  /** Whether the reader has left input that the other side may still be sending. */
+  private leavesInput = false
+  /** Bytes that may still be read and dropped; undefined while the reader gets what arrives. */
+  private discardableBytes: number | undefined
+  private discardTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly socket: Socket, private readonly turns: InputTurns, private readonly turn: Turn, private readonly counts: InputCounts) {
     super({ allowHalfOpen: true, decodeStrings: false })
@@ -42,8 +50,14 @@
   /** As for a socket: ends after all that was written, then closes. */
   destroySoon (): void {
     if (this.writable) this.end()
-    if (this.writableFinished) this.destroy()
-    else this.once('finish', () => this.destroy())
+    if (this.writableFinished) this.closeInput()
+    else this.once('finish', () => this.closeInput())
+  }
+
+  /** Notes that the reader will take nothing more though the other side may go on sending. */
+  leaveInput (): void {
+    this.leavesInput = true
+    this.pause()
   }
 
   /** As for a socket: emits `timeout` after a time without activity. */
@@ -56,6 +70,7 @@
   readSlice (): void {
     if (this.destroyed) return
     this.counts.setAwaitsTurn(false)
+    if (this.discardableBytes !== undefined) return this.discardInput()
     // A socket that fills again after a slice emits no event.
     this.noteUnread()
     const slice = this.socket.read(Math.min(SLICE_BYTES, this.socket.readableLength)) as Buffer | null
@@ -79,6 +94,7 @@
   }
 
   override _destroy (err: Error | null, callback: (err?: Error | null) => void): void {
+    clearTimeout(this.discardTimer)
     this.turns.close(this.turn)
     // Frees what waits; the socket stays in memory until it has closed.
     this.socket.read()
@@ -129,6 +145,30 @@
   }
 
   private endInput (): void {
-    if (!this.destroyed) this.push(null)
+    if (this.discardableBytes !== undefined) this.destroy()
+    else if (!this.destroyed) this.push(null)
+  }
+
+  /** Closes the socket. With input unread that would reset the connection, and the other side might lose the answer, so input that is left is dropped first. */
+  private closeInput (): void {
+    if (!this.leavesInput || this.socket.readableEnded || this.destroyed) {
+      this.destroy()
+      return
+    }
+    this.discardableBytes = DISCARDED_BYTES
+    this.discardTimer = setTimeout(() => this.destroy(), DISCARDING_MS)
+    this.wanted = true
+    // The socket emits no event for what it holds already.
+    if (this.socket.readableLength > 0) this.wait()
+    else this.socket.read(0)
+  }
+
+  private discardInput (): void {
+    const bytes = (this.socket.read() as Buffer | null)?.length ?? 0
+    this.count()
+    this.turns.spend(this.turn, SLICE_UNITS + bytes / BYTES_PER_UNIT)
+    this.discardableBytes = (this.discardableBytes ?? 0) - bytes
+    if (this.discardableBytes < 0) this.destroy()
+    else this.socket.read(0)
   }
 }
