--- a/packages/dispatcher/src/utils/requestBody.ts
+++ b/packages/dispatcher/src/utils/requestBody.ts
@@ -1,6 +1,6 @@
 /**
  * Reads the body of a request within a size limit. A body that is announced above the limit is refused before any of it is read, and one that is
- * sent above it at the byte that exceeds it; neither is read further.
+ * sent above it at the byte that exceeds it; the connection drops the rest.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { GuardedSocket } from './connectionGuard.js'
