--- a/packages/bench/src/docs/render.ts
+++ b/packages/bench/src/docs/render.ts
@@ -64,7 +64,7 @@
     ['connections that wait to be accepted', `${backlogs.callers}, ${backlogs.peers}, ${backlogs.others}`, 'Of callers (1.5 for each MB of memory, at most 511), of peers (0.6 for each MB), of probes and for metrics.'],
     ['unread bytes of a connection', `${RECEIVE_BUFFER_BYTES} bytes`, 'Held, beside what has been read, for a connection on which more waits than is read at once: its receive buffer.'],
     ['cost of a connection', `${CONNECTION_BYTES} bytes`, 'Weighs with what it holds when connections are compared.'],
-    ['size of a body', '1,048,576 bytes', 'A larger one is refused with 413 when it is announced, or at the byte that exceeds it.'],
+    ['size of a body', '1,048,576 bytes', 'A larger one is refused with 413 when it is announced, or at the byte that exceeds it. The rest is dropped for up to 4 MiB and a second.'],
     ['values in a body', '262,144', 'Commas and opening brackets of JSON; more are refused with 413.'],
     ['size of headers', '32,768 bytes', 'Request line and headers together; larger ones are refused with 431.'],
     ['time for headers', '5,000 ms', 'On the platform; `jobs.senderTimeoutMs` for whole requests in `cranberryyardd`.'],
