--- a/packages/core/src/connections/connectionsDecider.spec.ts
+++ b/packages/core/src/connections/connectionsDecider.spec.ts
@@ -52,6 +52,16 @@
     expect(decider.victims(ms(1000))).to.deep.equal([many])
   })
 
+  it('gives up connections that have their last answer before all others, whatever happens on them', () => {
+    const decider = new ConnectionsDecider({ connections: 4, bytes: 1000 * KB })
+    opened(decider, 'receiving', 0, 900 * KB)
+    const answered = [opened(decider, 'answered', 900, 0), opened(decider, 'answered', 900, 0)]
+    opened(decider, 'idle', 0, 0)
+    opened(decider, 'idle', 0, 0)
+    decider.enter(answered[1] as Connection, 'idle', ms(950))
+    expect(decider.victims(ms(1000))).to.deep.equal(answered)
+  })
+
   it('gives up the earliest of connections that were opened at the same moment', () => {
     const decider = new ConnectionsDecider({ connections: 8, bytes: 1000 * KB })
     const all = Array.from({ length: 9 }, () => opened(decider, 'receiving', 0, 0))
--- a/packages/core/src/connections/connectionsDecider.ts
+++ b/packages/core/src/connections/connectionsDecider.ts
@@ -1,6 +1,6 @@
 /**
  * Decides which connections are closed when they use up the budget of their kind, or when they make too little progress. When the budget is used
- * up, those are closed that hold most for longest with least progress. A connection that has just come with a small request, or that waits for an
+ * up, those are closed first that have their last answer, then those that hold most for longest with least progress. A connection that has just come with a small request, or that waits for an
  * answer of this instance, comes last: its hold is small or new, or not its fault.
  */
 import type { Ms } from '@cranberryyard/protocol'
@@ -88,8 +88,9 @@
     this.db.remove(connection)
   }
 
-  /** Sets what a connection does from now on; its progress is measured anew. */
+  /** Sets what a connection does from now on; its progress is measured anew. One that has its last answer does nothing else. */
   enter (connection: Connection, phase: ConnectionPhase, now: Ms): void {
+    if (connection.phase === 'answered') return
     connection.phase = phase
     connection.since = now
     connection.received = 0
@@ -113,7 +114,7 @@
   victims (now: Ms): Connection[] {
     const ranked = [...this.db.open]
       .map((connection, index) => ({ connection, score: scoreOf(connection, this.cfg, now), order: connection.awaitsTurn ? -index : index }))
-      .sort((a, b) => b.score - a.score || a.order - b.order)
+      .sort((a, b) => (a.score === b.score ? a.order - b.order : b.score - a.score))
     let { size: count } = this.db.open
     let { bytes } = this.db
     const countGoal = count > this.allowance.connections ? this.allowance.connections * (1 - FREED_SHARE) : Infinity
@@ -139,6 +140,7 @@
 
 /** What a connection holds weighs more than for how long: one that holds much is worth more to close than many that hold little. */
 function scoreOf ({ phase, since, bytes, received, awaitsTurn }: Connection, { leastBytesPerS }: ConnectionSettings, now: Ms): number {
+  if (phase === 'answered') return Infinity
   const elapsedMs = now - since
   const bytesPerS = elapsedMs > 0 ? received / elapsedMs * SECOND_MS : 0
   const waitMs = phase === 'served' || awaitsTurn ? SERVED_WAIT_MS : Math.max(SHORTEST_WAIT_MS, elapsedMs / (1 + bytesPerS / leastBytesPerS))
--- a/packages/core/src/connections/types.ts
+++ b/packages/core/src/connections/types.ts
@@ -37,9 +37,9 @@
 
 /**
  * What a connection does. `idle`: nothing has arrived of a next request. `receiving`: a request or message has begun and is not complete. `served`: what
- * has arrived is complete, and this instance owes the answer.
+ * has arrived is complete, and this instance owes the answer. `answered`: its last answer is written, and what arrives is dropped.
  */
-export type ConnectionPhase = 'idle' | 'receiving' | 'served'
+export type ConnectionPhase = 'idle' | 'receiving' | 'served' | 'answered'
 
 /** Why a connection is closed. */
 export type CloseReason =
--- a/packages/dispatcher/src/utils/connectionGuard.ts
+++ b/packages/dispatcher/src/utils/connectionGuard.ts
@@ -72,6 +72,7 @@
     this.guard.enter(this, 'receiving')
     this.hold(cost)
     this.guard.turns.spend(this.turn, REQUEST_UNITS)
+    // Each answer before the end of a body closes its connection.
     res.once('prefinish', () => {
       if (hasUnreadBody(req)) this.stream?.leaveInput()
     })
@@ -115,6 +116,10 @@
     this.reads.update(unread, this.guard.now())
   }
 
+  noteAnswered (): void {
+    this.guard.enter(this, 'answered')
+  }
+
   /** @returns whether something waits for the other side and it has read none of it for too long */
   isUnread (now: number): boolean {
     const drained = this.socket.bytesWritten - this.socket.writableLength
--- a/packages/dispatcher/src/utils/guardedStream.spec.ts
+++ b/packages/dispatcher/src/utils/guardedStream.spec.ts
@@ -16,7 +16,7 @@
 const REFILL_BYTES = 5000
 const PATIENCE_MS = 5000
 
-const COUNTS = { hold: () => {}, setAwaitsTurn: () => {}, noteUnread: () => {} }
+const COUNTS = { hold: () => {}, setAwaitsTurn: () => {}, noteUnread: () => {}, noteAnswered: () => {} }
 
 describe('a connection that is read in turns', () => {
   let server: Server
--- a/packages/dispatcher/src/utils/guardedStream.ts
+++ b/packages/dispatcher/src/utils/guardedStream.ts
@@ -1,6 +1,7 @@
 /**
  * What an HTTP server reads instead of a socket: bytes that have arrived wait in the socket until it is their connection's turn, and are handed on in
- * slices. A socket in which many bytes wait is not read on; its connection is then counted with all that its receive buffer may hold.
+ * slices. A socket in which many bytes wait is not read on; its connection is then counted with all that its receive buffer may hold. After the last
+ * answer, input that the server leaves is dropped for a while.
  */
 import { RECEIVE_BUFFER_BYTES } from '@cranberryyard/core/shard'
 import type { Turn } from '@cranberryyard/core/shard'
@@ -15,9 +16,10 @@
 /** Cost of handing on a slice, and the bytes that cost a unit in addition. */
 const SLICE_UNITS = 1
 const BYTES_PER_UNIT = 1024
-/** Bytes that are read and dropped after the last answer of a connection whose other side goes on sending, and how long that may take. */
-const DISCARDED_BYTES = 4_194_304
-const DISCARDING_MS = 1000
+/** Most bytes that are read and dropped after the last answer of a connection whose other side goes on sending. */
+const MAX_DISCARDED_BYTES = 4_194_304
+/** Longest time for which that goes on. */
+const MAX_DISCARDING_MS = 1000
 
 /** Counts what waits on a connection. */
 export interface InputCounts {
@@ -27,6 +29,8 @@
   setAwaitsTurn (awaitsTurn: boolean): void
   /** Notes what has arrived and is not read yet, for whatever reason; called when input arrives and after each read. */
   noteUnread (unread: UnreadInput): void
+  /** Notes that the last answer is written, and that what arrives is dropped from now on. */
+  noteAnswered (): void
 }
 
 /** A connection as an HTTP server reads and writes it. */
@@ -47,14 +51,14 @@
     socket.once('end', () => this.endInput()).once('error', err => this.destroy(err)).once('close', () => this.destroy())
   }
 
-  /** As for a socket: ends after all that was written, then closes. */
+  /** As for a socket: ends after all that was written, then closes, or drops input that was left and closes after that. */
   destroySoon (): void {
     if (this.writable) this.end()
     if (this.writableFinished) this.closeInput()
     else this.once('finish', () => this.closeInput())
   }
 
-  /** Notes that the reader will take nothing more though the other side may go on sending. */
+  /** Stops handing on input, though the other side may go on sending. */
   leaveInput (): void {
     this.leavesInput = true
     this.pause()
@@ -149,14 +153,15 @@
     else if (!this.destroyed) this.push(null)
   }
 
-  /** Closes the socket. With input unread that would reset the connection, and the other side might lose the answer, so input that is left is dropped first. */
+  /** Closes the socket, at once or once the input that was left is dropped: closed with input unread it is reset, and the other side may lose the answer. */
   private closeInput (): void {
     if (!this.leavesInput || this.socket.readableEnded || this.destroyed) {
       this.destroy()
       return
     }
-    this.discardableBytes = DISCARDED_BYTES
-    this.discardTimer = setTimeout(() => this.destroy(), DISCARDING_MS)
+    this.counts.noteAnswered()
+    this.discardableBytes = MAX_DISCARDED_BYTES
+    this.discardTimer = setTimeout(() => this.destroy(), MAX_DISCARDING_MS)
     this.wanted = true
     // The socket emits no event for what it holds already.
     if (this.socket.readableLength > 0) this.wait()
